--- /dev/null
+++ b/src/refusal.h
@@ -0,0 +1,62 @@
+#ifndef BULRUSHWAY_REFUSAL_H
+#define BULRUSHWAY_REFUSAL_H
+
+// Why a request was not answered by a target. Every reason has one counter and one name on the wire
+// to callers, and says truthfully whether the request may have run.
+
+#include <string_view>
+
+namespace bulrushway {
+
+/// Reason for a refusal. The order is part of the protocol between processes: append only.
+enum class refusal_reason {
+  kNone = 0,
+  kBadRequest,
+  kBodyTooLarge,
+  kUnknownService,
+  kNoConfiguration,
+  kHomeRegion,
+  kDataCentreOut,
+  kNoOwner,
+  kNotOwner,
+  kOwnerUnreachable,
+  kMoving,
+  kLeaseLapsed,
+  kQueueFull,
+  kDeadlineTooShort,
+  kTenantShare,
+  kColdStart,
+  kNoTarget,
+  kTargetShed,
+  kTargetUnreachable,
+  kQuarantined,
+  kStopping,
+  kDuplicateRunning,
+  kOutcomeForgotten,
+  kAnswerLost,
+  kAnswerCrossed,
+  kAnswerTooLarge,
+  kDeadlinePassed,
+  kCancelled,
+  kTargetCrashed,
+  kInternal,
+  kCount,
+};
+
+/// Whether a refused request may have had an effect.
+enum class run_state {
+  /// The request was certainly not handed to a target: it may be sent again.
+  kNotRun,
+  /// The request was handed over and its answer is lost: it may have run.
+  kUnknown,
+};
+
+/// Name of the reason in headers, counters and logs, for example "data_centre_out".
+std::string_view Name(refusal_reason reason);
+
+/// "not run" or "outcome unknown".
+std::string_view Name(run_state state);
+
+}  // namespace bulrushway
+
+#endif  // BULRUSHWAY_REFUSAL_H
