Add the event loop, HTTP both ways, the kernel and the platform client

Cause: every process needs one loop, HTTP and the platform's table. Change: evhttp server and client that tell whether a request may have run, kernel with named services, table and object client. Measured: builds clean; not yet exercised. Conclusion: stand-ins and daemon can be built on it.

--- a/src/clock.h
+++ b/src/clock.h
@@ -1,16 +1,16 @@
 #ifndef BULRUSHWAY_CLOCK_H
 #define BULRUSHWAY_CLOCK_H
 
-// The clock that every decision is measured on. It keeps counting while the machine is suspended, so
-// that a lease also lapses for a process that slept: a steady clock on Linux would stop and the
+// The clock that every decision is measured on. It keeps counting while the machine is suspended,
+// so that a lease also lapses for a process that slept: a steady clock on Linux would stop and the
 // process would wake up believing that its lease is still good.
 
 #include <chrono>
 
 namespace bulrushway {
 
-/// Clock in nanoseconds since boot, suspended time included. Only event loops read it; functions that
-/// decide get the present time as an argument.
+/// Clock in nanoseconds since boot, suspended time included. Only event loops read it; functions
+/// that decide get the present time as an argument.
 struct boot_clock {
   using duration = std::chrono::nanoseconds;
   using rep = duration::rep;
--- a/src/error.h
+++ b/src/error.h
@@ -40,8 +40,7 @@
 /// Makes the unexpected side of a result.
 inline tl::unexpected<error> Failure(error_kind kind, std::string step, std::string peer,
                                      std::string message) {
-  return tl::unexpected<error>(
-      error{kind, std::move(step), std::move(peer), std::move(message)});
+  return tl::unexpected<error>(error{kind, std::move(step), std::move(peer), std::move(message)});
 }
 
 /// "step (peer): message", for logs and terminals.
--- /dev/null
+++ b/src/event_loop.cpp
@@ -0,0 +1,81 @@
+#include "event_loop.h"
+
+#include <event2/event.h>
+
+#include <csignal>
+
+namespace bulrushway {
+namespace {
+
+timeval ToTimeval(std::chrono::nanoseconds delay) {
+  const auto micros = std::chrono::duration_cast<std::chrono::microseconds>(delay);
+  const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(micros);
+  timeval value{};
+  value.tv_sec = seconds.count();
+  value.tv_usec = (micros - seconds).count();
+  return value;
+}
+
+}  // namespace
+
+event_loop::event_loop() {
+  event_config* config = event_config_new();
+  event_config_set_flag(config, EVENT_BASE_FLAG_PRECISE_TIMER);
+  base_ = event_base_new_with_config(config);
+  event_config_free(config);
+}
+
+event_loop::~event_loop() {
+  if (terminate_ != nullptr) event_free(terminate_);
+  if (interrupt_ != nullptr) event_free(interrupt_);
+  event_base_free(base_);
+}
+
+void event_loop::Run() { event_base_dispatch(base_); }
+
+void event_loop::Stop() { event_base_loopbreak(base_); }
+
+void event_loop::OnTermination(std::function<void()> stop) {
+  stop_ = std::move(stop);
+  std::signal(SIGPIPE, SIG_IGN);
+  const auto call = [](evutil_socket_t, short, void* self) {
+    static_cast<event_loop*>(self)->stop_();
+  };
+  terminate_ = evsignal_new(base_, SIGTERM, call, this);
+  interrupt_ = evsignal_new(base_, SIGINT, call, this);
+  event_add(terminate_, nullptr);
+  event_add(interrupt_, nullptr);
+}
+
+timer::timer(event_loop& loop, callback expired)
+    : event_(event_new(loop.Base(), -1, 0, &timer::Expired, this)), expired_(std::move(expired)) {}
+
+timer::~timer() { event_free(event_); }
+
+void timer::Once(std::chrono::nanoseconds delay) {
+  interval_ = std::chrono::nanoseconds{0};
+  const timeval value = ToTimeval(delay);
+  event_add(event_, &value);
+}
+
+void timer::Every(std::chrono::nanoseconds interval) {
+  interval_ = interval;
+  const timeval value = ToTimeval(interval);
+  event_add(event_, &value);
+}
+
+void timer::Cancel() {
+  interval_ = std::chrono::nanoseconds{0};
+  event_del(event_);
+}
+
+void timer::Expired(int, short, void* self) {
+  auto* expired = static_cast<timer*>(self);
+  if (expired->interval_.count() > 0) {
+    const timeval value = ToTimeval(expired->interval_);
+    event_add(expired->event_, &value);
+  }
+  expired->expired_(boot_clock::now());
+}
+
+}  // namespace bulrushway
--- /dev/null
+++ b/src/http_message.cpp
@@ -0,0 +1,29 @@
+#include "http_message.h"
+
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <strings.h>
+
+namespace bulrushway {
+
+std::string FindHeader(const header_list& headers, const std::string& name) {
+  for (const auto& [key, value] : headers) {
+    if (strcasecmp(key.c_str(), name.c_str()) == 0) return value;
+  }
+  return {};
+}
+
+std::string PathOf(const std::string& target) { return target.substr(0, target.find('?')); }
+
+std::string QueryValue(const std::string& target, const std::string& name) {
+  const size_t mark = target.find('?');
+  if (mark == std::string::npos) return {};
+  evkeyvalq parsed{};
+  evhttp_parse_query_str(target.c_str() + mark + 1, &parsed);
+  const char* value = evhttp_find_header(&parsed, name.c_str());
+  std::string found = value == nullptr ? "" : value;
+  evhttp_clear_headers(&parsed);
+  return found;
+}
+
+}  // namespace bulrushway
--- /dev/null
+++ b/src/http_message.h
@@ -0,0 +1,44 @@
+#ifndef BULRUSHWAY_HTTP_MESSAGE_H
+#define BULRUSHWAY_HTTP_MESSAGE_H
+
+// Requests and answers as plain values, shared by the HTTP server, the HTTP client and the frames
+// between processes.
+
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace bulrushway {
+
+/// Header names with values, in the order they came.
+using header_list = std::vector<std::pair<std::string, std::string>>;
+
+/// An HTTP request.
+struct http_request {
+  /// "GET", "POST", "PUT" or "DELETE".
+  std::string method = "GET";
+  /// Path with query, for example "/owner?key=7".
+  std::string target = "/";
+  header_list headers;
+  std::string body;
+};
+
+/// An HTTP answer.
+struct http_answer {
+  int status = 200;
+  header_list headers;
+  std::string body;
+};
+
+/// Value of the header, compared without regard to case; empty when absent.
+std::string FindHeader(const header_list& headers, const std::string& name);
+
+/// The path of a request target without its query.
+std::string PathOf(const std::string& target);
+
+/// Decoded value of one parameter in the query of a request target; empty when absent.
+std::string QueryValue(const std::string& target, const std::string& name);
+
+}  // namespace bulrushway
+
+#endif  // BULRUSHWAY_HTTP_MESSAGE_H
--- /dev/null
+++ b/src/http_table_service.cpp
@@ -0,0 +1,135 @@
+#include "http_table_service.h"
+
+#include <event2/http.h>
+
+#include <cstdlib>
+#include <nlohmann/json.hpp>
+
+namespace bulrushway {
+namespace {
+
+using json = nlohmann::json;
+
+constexpr std::chrono::milliseconds kPlatformTimeout{1500};
+
+std::string EncodeComponent(const std::string& text) {
+  char* encoded = evhttp_uriencode(text.c_str(), static_cast<ev_ssize_t>(text.size()), 0);
+  std::string copy = encoded;
+  std::free(encoded);
+  return copy;
+}
+
+json ToJson(const transaction& txn) {
+  json conditions = json::array();
+  for (const auto& condition : txn.conditions) {
+    conditions.push_back({{"key", condition.key}, {"version", condition.version}});
+  }
+  json writes = json::array();
+  for (const auto& write : txn.writes) {
+    writes.push_back({{"key", write.key}, {"value", write.value ? json(*write.value) : json()}});
+  }
+  return {{"operation", txn.operation}, {"conditions", conditions}, {"writes", writes}};
+}
+
+// An unexpected shape is reported like a missing answer: nothing may be concluded from it.
+result<std::vector<table_row>> ParseRows(const std::string& body, const std::string& peer) {
+  const json parsed = json::parse(body, nullptr, false);
+  std::vector<table_row> rows;
+  const auto bad = [&peer] {
+    return Failure(error_kind::kPeer, "read rows", peer,
+                   "The platform's answer is not a list of rows.");
+  };
+  if (!parsed.is_object() || !parsed.contains("rows") || !parsed["rows"].is_array()) return bad();
+  for (const json& row : parsed["rows"]) {
+    const bool whole = row.is_object() && row.contains("key") && row["key"].is_string() &&
+                       row.contains("value") && row["value"].is_string() &&
+                       row.contains("version") && row["version"].is_number_unsigned();
+    if (!whole) return bad();
+    rows.push_back({row["key"], row["value"], row["version"]});
+  }
+  return rows;
+}
+
+}  // namespace
+
+http_table_service::http_table_service(http_client& client, std::vector<socket_address> addresses)
+    : client_(client), addresses_(std::move(addresses)) {}
+
+socket_address http_table_service::Address() const {
+  return addresses_[current_ % addresses_.size()];
+}
+
+void http_table_service::Send(http_request request, const std::string& step,
+                              std::function<void(result<http_answer>)> done) {
+  const socket_address address = Address();
+  client_.Send(
+      address, std::move(request), kPlatformTimeout,
+      [this, address, step,
+       done = std::move(done)](const tl::expected<http_answer, http_failure>& outcome) {
+        if (!outcome) {
+          ++current_;
+          done(Failure(error_kind::kPeer, step, ToString(address), outcome.error().message));
+          return;
+        }
+        if (outcome->status >= 500 || outcome->status == 429) {
+          done(Failure(
+              error_kind::kPeer, step, ToString(address),
+              "The platform answered with status " + std::to_string(outcome->status) + "."));
+          return;
+        }
+        done(*outcome);
+      });
+}
+
+void http_table_service::Commit(const transaction& txn, commit_callback done) {
+  http_request request{"POST", "/table/txn", {{"Content-Type", "application/json"}}, {}};
+  request.body = ToJson(txn).dump();
+  Send(std::move(request), "commit transaction",
+       [done = std::move(done), peer = ToString(Address())](const result<http_answer>& answer) {
+         if (!answer) return done(tl::unexpected<error>(answer.error()));
+         if (answer->status == 200) return done({});
+         if (answer->status == 409) {
+           return done(Failure(error_kind::kConflict, "commit transaction", peer,
+                               "A row changed first: " + answer->body + "."));
+         }
+         done(Failure(error_kind::kInternal, "commit transaction", peer,
+                      "The platform refused the transaction with status " +
+                          std::to_string(answer->status) + "."));
+       });
+}
+
+void http_table_service::ReadPrefix(const std::string& prefix, rows_callback done) {
+  http_request request{"GET", "/table/rows?prefix=" + EncodeComponent(prefix), {}, {}};
+  Send(std::move(request), "read rows",
+       [done = std::move(done), peer = ToString(Address())](const result<http_answer>& answer) {
+         if (!answer) return done(tl::unexpected<error>(answer.error()));
+         done(ParseRows(answer->body, peer));
+       });
+}
+
+void http_table_service::Put(const std::string& name, const std::string& bytes,
+                             commit_callback done) {
+  http_request request{"PUT", "/objects/" + EncodeComponent(name), {}, bytes};
+  Send(std::move(request), "store object",
+       [done = std::move(done), peer = ToString(Address())](const result<http_answer>& answer) {
+         if (!answer) return done(tl::unexpected<error>(answer.error()));
+         if (answer->status == 200) return done({});
+         done(Failure(error_kind::kInternal, "store object", peer,
+                      "The platform refused the object with status " +
+                          std::to_string(answer->status) + "."));
+       });
+}
+
+void http_table_service::Get(const std::string& name, object_callback done) {
+  http_request request{"GET", "/objects/" + EncodeComponent(name), {}, {}};
+  Send(std::move(request), "read object",
+       [done = std::move(done), name,
+        peer = ToString(Address())](const result<http_answer>& answer) {
+         if (!answer) return done(tl::unexpected<error>(answer.error()));
+         if (answer->status == 200) return done(answer->body);
+         done(Failure(error_kind::kPeer, "read object", peer,
+                      "The platform has no object \"" + name + "\"."));
+       });
+}
+
+}  // namespace bulrushway
