--- /dev/null
+++ b/src/peer_codec.cpp
@@ -0,0 +1,130 @@
+#include "peer_codec.h"
+
+#include <array>
+
+#include "msgpack_fields.h"
+
+namespace bulrushway {
+namespace {
+
+auto Fields(auto& m, const hello_message&) { return std::tie(m.node, m.data_centre, m.region); }
+
+auto Fields(auto& m, const forward_request&) {
+  return std::tie(m.id, m.request_id, m.service, m.tenant, m.key, m.idempotency_key, m.idempotent,
+                  m.slice, m.time_left, m.configuration_version, m.repeat, m.request.method,
+                  m.request.target, m.request.headers, m.request.body);
+}
+
+auto Fields(auto& m, const cancel_request&) { return std::tie(m.id); }
+
+auto Fields(auto& m, const control_message&) { return std::tie(m.bytes); }
+
+// The answer's enumerators pass through plain integers.
+struct answer_codes {
+  uint32_t reason = 0;
+  uint32_t state = 0;
+};
+
+auto AnswerFields(auto& m, auto& codes) {
+  return std::tie(m.id, m.request_id, codes.reason, codes.state, m.retry_after, m.owner_hint,
+                  m.answer.status, m.answer.headers, m.answer.body);
+}
+
+template <class Packer, class Message>
+void PackMessage(Packer& packer, const Message& message) {
+  msgpack_fields::Pack(packer, Fields(message, message));
+}
+
+template <class Packer>
+void PackMessage(Packer& packer, const forward_answer& message) {
+  const answer_codes codes{static_cast<uint32_t>(message.reason),
+                           static_cast<uint32_t>(message.state)};
+  msgpack_fields::Pack(packer, AnswerFields(message, codes));
+}
+
+template <class Message>
+Message UnpackMessage(const msgpack::object& from) {
+  Message message;
+  msgpack_fields::Unpack(from, Fields(message, message));
+  return message;
+}
+
+template <>
+forward_answer UnpackMessage<forward_answer>(const msgpack::object& from) {
+  forward_answer message;
+  answer_codes codes;
+  msgpack_fields::Unpack(from, AnswerFields(message, codes));
+  if (codes.reason >= static_cast<uint32_t>(refusal_reason::kCount)) throw msgpack::type_error();
+  if (codes.state > static_cast<uint32_t>(run_state::kUnknown)) throw msgpack::type_error();
+  message.reason = static_cast<refusal_reason>(codes.reason);
+  message.state = static_cast<run_state>(codes.state);
+  return message;
+}
+
+template <size_t Index = 0>
+peer_message UnpackAny(uint32_t type, const msgpack::object& from) {
+  if constexpr (Index == std::variant_size_v<peer_message>) {
+    throw msgpack::type_error();
+  } else {
+    using message = std::variant_alternative_t<Index, peer_message>;
+    if (type == Index) return UnpackMessage<message>(from);
+    return UnpackAny<Index + 1>(type, from);
+  }
+}
+
+}  // namespace
+
+std::string EncodeFrame(const peer_message& message) {
+  msgpack::sbuffer buffer;
+  buffer.write("\0\0\0\0", kFrameHeaderSize);
+  msgpack::packer packer(buffer);
+  packer.pack_array(3);
+  packer.pack(kPeerProtocolVersion);
+  packer.pack(static_cast<uint32_t>(message.index()));
+  std::visit([&packer](const auto& m) { PackMessage(packer, m); }, message);
+  std::string frame(buffer.data(), buffer.size());
+  const size_t length = frame.size() - kFrameHeaderSize;
+  for (size_t i = 0; i < kFrameHeaderSize; ++i) {
+    frame[i] = static_cast<char>((length >> (8 * (kFrameHeaderSize - 1 - i))) & 0xff);
+  }
+  return frame;
+}
+
+result<size_t> FrameLength(std::string_view bytes, const std::string& peer) {
+  size_t length = 0;
+  for (size_t i = 0; i < kFrameHeaderSize; ++i) {
+    length = length << 8 | static_cast<uint8_t>(bytes[i]);
+  }
+  if (length <= kMaxFrameSize) return length;
+  return Failure(error_kind::kPeer, "read frame", peer,
+                 "A frame of " + std::to_string(length) + " bytes is longer than the limit of " +
+                     std::to_string(kMaxFrameSize) + ".");
+}
+
+result<peer_message> DecodeFrame(std::string_view body, const std::string& peer) {
+  const auto fail = [&peer](const std::string& why) {
+    return Failure(error_kind::kPeer, "decode frame", peer, why);
+  };
+  try {
+    const msgpack::object_handle handle = msgpack::unpack(body.data(), body.size());
+    const msgpack::object& frame = handle.get();
+    if (frame.type != msgpack::type::ARRAY || frame.via.array.size != 3) {
+      return fail("The frame is not an array of version, type and fields.");
+    }
+    const auto version = frame.via.array.ptr[0].as<uint32_t>();
+    if (version != kPeerProtocolVersion) {
+      return fail("The frame has protocol version " + std::to_string(version) +
+                  "; this program speaks " + std::to_string(kPeerProtocolVersion) + ".");
+    }
+    const auto type = frame.via.array.ptr[1].as<uint32_t>();
+    if (type >= std::variant_size_v<peer_message>) {
+      return fail("The frame has the unknown message type " + std::to_string(type) + ".");
+    }
+    return UnpackAny(type, frame.via.array.ptr[2]);
+  } catch (const std::exception& broken) {
+    return fail(std::string("The frame of ") + std::to_string(body.size()) +
+                " bytes is not a whole message: " + broken.what() + ".");
+  }
+}
+
+}  // namespace bulrushway
--- /dev/null
+++ b/src/peer_messages.h
@@ -0,0 +1,76 @@
+#ifndef BULRUSHWAY_PEER_MESSAGES_H
+#define BULRUSHWAY_PEER_MESSAGES_H
+
+// What processes say to each other about requests. Plain values; peer_codec.h puts them on the
+// wire.
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <variant>
+
+#include "http_message.h"
+#include "refusal.h"
+
+namespace bulrushway {
+
+/// First message on a connection, from the side that opened it.
+struct hello_message {
+  std::string node;
+  std::string data_centre;
+  std::string region;
+};
+
+/// A caller's request on its way to the gate beside a target.
+struct forward_request {
+  /// Unique on the connection; answers carry it back.
+  uint64_t id = 0;
+  /// The caller's request id, for correlation end to end.
+  std::string request_id;
+  std::string service;
+  std::string tenant;
+  std::string key;
+  std::string idempotency_key;
+  bool idempotent = false;
+  /// Slice of the key; meaningless for lookup services.
+  uint32_t slice = 0;
+  /// Time left until the caller gives up.
+  std::chrono::milliseconds time_left{0};
+  /// Version of the configuration under which the entry decided.
+  uint64_t configuration_version = 0;
+  /// True when the entry has sent this request before: a retry after "not run" or a hedge.
+  bool repeat = false;
+  http_request request;
+};
+
+/// The answer to a forward_request: the target's answer, or a refusal.
+struct forward_answer {
+  uint64_t id = 0;
+  std::string request_id;
+  /// kNone when a target answered.
+  refusal_reason reason = refusal_reason::kNone;
+  run_state state = run_state::kNotRun;
+  /// When it makes sense to send the request again; zero when unknown.
+  std::chrono::milliseconds retry_after{0};
+  /// Node that owns the key according to the gate, when it is not this one.
+  std::string owner_hint;
+  http_answer answer;
+};
+
+/// The caller went away or another copy of the request has won.
+struct cancel_request {
+  uint64_t id = 0;
+};
+
+/// Membership, lease and configuration traffic too large for a datagram.
+struct control_message {
+  std::string bytes;
+};
+
+/// Any message between processes.
+using peer_message =
+    std::variant<hello_message, forward_request, forward_answer, cancel_request, control_message>;
+
+}  // namespace bulrushway
+
+#endif  // BULRUSHWAY_PEER_MESSAGES_H
--- /dev/null
+++ b/src/peer_transport.cpp
@@ -0,0 +1,157 @@
+#include "peer_transport.h"
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <netinet/tcp.h>
+
+#include <array>
+#include <cerrno>
+#include <cstring>
+
+#include "peer_codec.h"
+
+namespace bulrushway {
+namespace {
+
+sockaddr_in ToSockaddr(const socket_address& address) {
+  sockaddr_in raw{};
+  raw.sin_family = AF_INET;
+  raw.sin_port = htons(address.port);
+  inet_pton(AF_INET, address.ip.c_str(), &raw.sin_addr);
+  return raw;
+}
+
+void DisableDelay(evutil_socket_t socket) {
+  const int on = 1;
+  setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+}
+
+}  // namespace
+
+struct peer_transport::connection {
+  peer_transport* transport;
+  connection_id id;
+  std::string peer;
+  bufferevent* raw;
+  bool established;
+
+  ~connection() { bufferevent_free(raw); }
+};
+
+peer_transport::peer_transport(event_loop& loop, peer_events events)
+    : loop_(loop), events_(std::move(events)) {}
+
+peer_transport::~peer_transport() {
+  if (listener_ != nullptr) evconnlistener_free(listener_);
+}
+
+result<void> peer_transport::Listen(const socket_address& address) {
+  const sockaddr_in raw = ToSockaddr(address);
+  const auto accepted = [](evconnlistener*, evutil_socket_t socket, sockaddr* from, int,
+                           void* self) {
+    auto* transport = static_cast<peer_transport*>(self);
+    DisableDelay(socket);
+    const auto* peer = reinterpret_cast<const sockaddr_in*>(from);
+    std::array<char, INET_ADDRSTRLEN> text{};
+    inet_ntop(AF_INET, &peer->sin_addr, text.data(), text.size());
+    bufferevent* link =
+        bufferevent_socket_new(transport->loop_.Base(), socket, BEV_OPT_CLOSE_ON_FREE);
+    transport->Adopt(link, std::string(text.data()) + ":" + std::to_string(ntohs(peer->sin_port)),
+                     true);
+  };
+  constexpr int kBacklog = 512;
+  listener_ =
+      evconnlistener_new_bind(loop_.Base(), accepted, this,
+                              LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC,
+                              kBacklog, reinterpret_cast<const sockaddr*>(&raw), sizeof raw);
+  if (listener_ != nullptr) return {};
+  return Failure(
+      error_kind::kUser, "listen for peers", ToString(address),
+      "The address " + ToString(address) + " cannot be bound: " + std::strerror(errno) + ".");
+}
+
+connection_id peer_transport::Connect(const socket_address& address) {
+  bufferevent* link = bufferevent_socket_new(loop_.Base(), -1, BEV_OPT_CLOSE_ON_FREE);
+  const connection_id id = Adopt(link, ToString(address), false);
+  sockaddr_in raw = ToSockaddr(address);
+  bufferevent_socket_connect(link, reinterpret_cast<sockaddr*>(&raw), sizeof raw);
+  if (const evutil_socket_t socket = bufferevent_getfd(link); socket >= 0) DisableDelay(socket);
+  return id;
+}
+
+bool peer_transport::Send(connection_id id, const peer_message& message) {
+  const auto found = connections_.find(id);
+  if (found == connections_.end()) return false;
+  const std::string frame = EncodeFrame(message);
+  bytes_sent_ += frame.size();
+  return bufferevent_write(found->second->raw, frame.data(), frame.size()) == 0;
+}
+
+void peer_transport::Close(connection_id id) { connections_.erase(id); }
+
+bool peer_transport::Established(connection_id id) const {
+  const auto found = connections_.find(id);
+  return found != connections_.end() && found->second->established;
+}
+
+connection_id peer_transport::Adopt(bufferevent* raw, const std::string& peer, bool established) {
+  const connection_id id = next_id_++;
+  auto link = std::make_unique<connection>();
+  link->transport = this;
+  link->id = id;
+  link->peer = peer;
+  link->raw = raw;
+  link->established = established;
+  const auto read = [](bufferevent*, void* self) {
+    auto* from = static_cast<connection*>(self);
+    from->transport->Read(*from);
+  };
+  const auto changed = [](bufferevent*, short what, void* self) {
+    auto* from = static_cast<connection*>(self);
+    if ((what & BEV_EVENT_CONNECTED) != 0) {
+      from->established = true;
+      return;
+    }
+    const std::string cause =
+        (what & BEV_EVENT_EOF) != 0 ? "the peer closed it" : std::strerror(errno);
+    from->transport->Fail(from->id, error{error_kind::kPeer, "keep connection", from->peer,
+                                          "The connection is gone: " + cause + "."});
+  };
+  bufferevent_setcb(raw, read, nullptr, changed, link.get());
+  bufferevent_enable(raw, EV_READ | EV_WRITE);
+  connections_.emplace(id, std::move(link));
+  return id;
+}
+
+void peer_transport::Read(connection& link) {
+  const connection_id id = link.id;
+  evbuffer* input = bufferevent_get_input(link.raw);
+  while (true) {
+    const size_t available = evbuffer_get_length(input);
+    if (available < kFrameHeaderSize) return;
+    std::array<char, kFrameHeaderSize> header{};
+    evbuffer_copyout(input, header.data(), header.size());
+    const auto length = FrameLength({header.data(), header.size()}, link.peer);
+    if (!length) return Fail(id, length.error());
+    const size_t whole = kFrameHeaderSize + *length;
+    if (available < whole) return;
+    const auto* bytes =
+        reinterpret_cast<const char*>(evbuffer_pullup(input, static_cast<ev_ssize_t>(whole)));
+    auto message = DecodeFrame({bytes + kFrameHeaderSize, *length}, link.peer);
+    evbuffer_drain(input, whole);
+    bytes_received_ += whole;
+    if (!message) return Fail(id, message.error());
+    events_.received(id, std::move(*message));
+    // The handler may have closed this very connection.
+    if (!connections_.contains(id)) return;
+  }
+}
+
+void peer_transport::Fail(connection_id id, error reason) {
+  if (connections_.erase(id) == 0) return;
+  events_.closed(id, reason);
+}
+
+}  // namespace bulrushway
