--- /dev/null
+++ b/src/admission_queue.cpp
@@ -0,0 +1,219 @@
+#include "admission_queue.h"
+
+#include <algorithm>
+#include <ext/pb_ds/assoc_container.hpp>
+#include <ext/pb_ds/tree_policy.hpp>
+#include <set>
+#include <tuple>
+#include <utility>
+
+namespace bulrushway {
+namespace {
+
+using std::chrono::nanoseconds;
+
+constexpr double kServiceWeight = 0.05;
+// Idle tenants are forgotten when there are more than this beside the active ones.
+constexpr size_t kIdleFlows = 64;
+
+struct deadline_key {
+  instant deadline;
+  queued_id id;
+  auto operator<=>(const deadline_key&) const = default;
+};
+
+struct shed_key {
+  uint8_t priority;
+  // Negated: among equals the latest deadline is shed first.
+  int64_t negated_deadline;
+  queued_id id;
+  auto operator<=>(const shed_key&) const = default;
+};
+
+// Ordered set that also tells how many elements are smaller than a given one.
+using deadline_set =
+    __gnu_pbds::tree<deadline_key, __gnu_pbds::null_type, std::less<>, __gnu_pbds::rb_tree_tag,
+                     __gnu_pbds::tree_order_statistics_node_update>;
+
+struct queued_entry {
+  instant deadline;
+  uint8_t priority;
+};
+
+shed_key ShedKey(queued_id id, const queued_entry& entry) {
+  return {entry.priority, -entry.deadline.time_since_epoch().count(), id};
+}
+
+}  // namespace
+
+struct admission_queue::flow {
+  // Breaks ties between flows in the order of their creation.
+  uint64_t number = 0;
+  double weight = 1;
+  // Virtual time at which the flow is due; the smallest of the active flows goes next.
+  double due = 0;
+  deadline_set by_deadline;
+  std::set<shed_key> by_shedding;
+  std::unordered_map<queued_id, queued_entry> entries;
+};
+
+struct admission_queue::active_flows {
+  struct order {
+    bool operator()(const flow* left, const flow* right) const {
+      return std::tie(left->due, left->number) < std::tie(right->due, right->number);
+    }
+  };
+  std::set<flow*, order> by_due;
+};
+
+admission_queue::admission_queue(queue_settings settings)
+    : settings_(settings),
+      service_ns_(static_cast<double>(settings.assumed_service.count())),
+      active_(std::make_unique<active_flows>()) {}
+
+admission_queue::~admission_queue() = default;
+
+admission_queue::flow& admission_queue::FlowOf(const queue_request& request) {
+  std::unique_ptr<flow>& found = flows_[request.tenant];
+  if (!found) {
+    found = std::make_unique<flow>();
+    found->number = ++flows_created_;
+  }
+  // The weight of an active flow is part of the sum and must not change under it.
+  if (found->entries.empty()) found->weight = std::max(request.weight, 1e-6);
+  return *found;
+}
+
+// Time between two requests of the flow while the present flows share the target.
+nanoseconds admission_queue::Interval(const flow& of) const {
+  const double others = of.entries.empty() ? active_weight_ : active_weight_ - of.weight;
+  const double share = of.weight / (of.weight + std::max(others, 0.0));
+  const double interval = service_ns_ / std::max<uint32_t>(concurrency_, 1) / share;
+  return nanoseconds(static_cast<int64_t>(interval));
+}
+
+queue_refusal admission_queue::Refusal(queued_id id, refusal_reason reason, const flow& of) const {
+  const nanoseconds drain = Interval(of) * static_cast<int64_t>(of.entries.size());
+  return {id, reason, drain};
+}
+
+// Refuses the new request or one that is worth less. None: there is room.
+std::optional<queue_refusal> admission_queue::Refuse(const queue_request& request, flow& of,
+                                                     instant now) {
+  const nanoseconds interval = Interval(of);
+  const auto ahead = static_cast<int64_t>(of.by_deadline.order_of_key({request.deadline, 0}));
+  const nanoseconds service(static_cast<int64_t>(service_ns_));
+  if (now + interval * ahead + service > request.deadline) {
+    return Refusal(request.id, refusal_reason::kDeadlineTooShort, of);
+  }
+  const auto queued = static_cast<int64_t>(of.entries.size());
+  if (interval * queued <= settings_.longest_wait) return std::nullopt;
+  const bool alone = active_weight_ <= of.weight;
+  const auto reason = alone ? refusal_reason::kQueueFull : refusal_reason::kTenantShare;
+  const shed_key least = *of.by_shedding.begin();
+  if (least.priority >= request.priority) return Refusal(request.id, reason, of);
+  Remove(of, least.id);
+  return Refusal(least.id, reason, of);
+}
+
+queue_outcome admission_queue::Push(const queue_request& request, instant now) {
+  queue_outcome outcome;
+  if (owners_.contains(request.id)) {
+    outcome.refused = queue_refusal{request.id, refusal_reason::kInternal, nanoseconds(0)};
+    return outcome;
+  }
+  if (flows_.size() > 2 * active_->by_due.size() + kIdleFlows) ForgetIdleFlows();
+  flow& into = FlowOf(request);
+  outcome.refused = Refuse(request, into, now);
+  if (outcome.refused && outcome.refused->id == request.id) {
+    if (into.entries.empty()) flows_.erase(request.tenant);
+    return outcome;
+  }
+  const auto ahead = static_cast<int64_t>(into.by_deadline.order_of_key({request.deadline, 0}));
+  outcome.expected_wait = Interval(into) * ahead;
+  Insert(request, into);
+  return outcome;
+}
+
+void admission_queue::Insert(const queue_request& request, flow& into) {
+  const queued_entry entry{request.deadline, request.priority};
+  if (into.entries.empty()) Activate(into);
+  into.entries.emplace(request.id, entry);
+  into.by_deadline.insert({request.deadline, request.id});
+  into.by_shedding.insert(ShedKey(request.id, entry));
+  owners_.emplace(request.id, &into);
+}
+
+void admission_queue::Remove(flow& from, queued_id id) {
+  const auto found = from.entries.find(id);
+  from.by_deadline.erase({found->second.deadline, id});
+  from.by_shedding.erase(ShedKey(id, found->second));
+  from.entries.erase(found);
+  owners_.erase(id);
+  if (from.entries.empty()) Deactivate(from);
+}
+
+void admission_queue::Activate(flow& chosen) {
+  // A flow that was idle does not save up a claim.
+  chosen.due = std::max(chosen.due, virtual_time_);
+  active_->by_due.insert(&chosen);
+  active_weight_ += chosen.weight;
+}
+
+void admission_queue::Deactivate(flow& chosen) {
+  active_->by_due.erase(&chosen);
+  active_weight_ -= chosen.weight;
+  if (active_->by_due.empty()) active_weight_ = 0;
+}
+
+// An idle flow whose last share is used up is no different from a new one.
+void admission_queue::ForgetIdleFlows() {
+  const bool all_idle = active_->by_due.empty();
+  std::erase_if(flows_, [&](const auto& item) {
+    const flow& candidate = *item.second;
+    return candidate.entries.empty() && (all_idle || candidate.due <= virtual_time_);
+  });
+}
+
+admission_queue::flow* admission_queue::NextFlow() {
+  if (active_->by_due.empty()) return nullptr;
+  return *active_->by_due.begin();
+}
+
+queue_next admission_queue::Pop(instant now) {
+  queue_next next;
+  const nanoseconds service(static_cast<int64_t>(service_ns_));
+  while (flow* chosen = NextFlow()) {
+    const deadline_key first = *chosen->by_deadline.begin();
+    if (now + service / 2 > first.deadline) {
+      next.expired.push_back(Refusal(first.id, refusal_reason::kDeadlineTooShort, *chosen));
+      Remove(*chosen, first.id);
+      continue;
+    }
+    virtual_time_ = std::max(virtual_time_, chosen->due);
+    Remove(*chosen, first.id);
+    const bool active = !chosen->entries.empty();
+    if (active) active_->by_due.erase(chosen);
+    chosen->due += 1 / chosen->weight;
+    if (active) active_->by_due.insert(chosen);
+    next.id = first.id;
+    break;
+  }
+  return next;
+}
+
+bool admission_queue::Cancel(queued_id id) {
+  const auto found = owners_.find(id);
+  if (found == owners_.end()) return false;
+  Remove(*found->second, id);
+  return true;
+}
+
+void admission_queue::OnServed(nanoseconds service, uint32_t concurrency) {
+  service_ns_ += kServiceWeight * (static_cast<double>(service.count()) - service_ns_);
+  concurrency_ = concurrency;
+}
+
+void admission_queue::SetConcurrency(uint32_t concurrency) { concurrency_ = concurrency; }
+
+}  // namespace bulrushway
--- /dev/null
+++ b/src/concurrency_cap.cpp
@@ -0,0 +1,105 @@
+#include "concurrency_cap.h"
+
+#include <algorithm>
+
+namespace bulrushway {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::nanoseconds;
+
+// Answers per unit of the cap that make up a round; the cap moves once a round.
+constexpr uint32_t kAnswersPerRound = 4;
+// A round slower than the reference by this factor does not raise the cap.
+constexpr double kHoldFactor = 1.5;
+// A round slower than the reference by this factor halves it.
+constexpr double kFallFactor = 3;
+// The reference follows slower rounds by this share, so that an old best does not bind for good.
+constexpr double kReferenceRise = 0.05;
+// After this long without an answer the next latency tells whether the target is still warm.
+constexpr milliseconds kIdle{1000};
+constexpr double kColdJump = 4;
+constexpr milliseconds kRaiseAboveCeiling{1000};
+// Further bad signs within this time stem from the same cause.
+constexpr milliseconds kFallOnce{20};
+
+}  // namespace
+
+bool concurrency_cap::LooksColdAfterIdle(nanoseconds latency, instant now) const {
+  if (reference_.count() == 0) return false;
+  if (now - latency - last_answer_ < kIdle) return false;
+  return static_cast<double>(latency.count()) > kColdJump * reference_.count();
+}
+
+void concurrency_cap::OnAnswer(nanoseconds latency, uint32_t in_flight, instant now) {
+  if (LooksColdAfterIdle(latency, now)) StartCold(now);
+  last_answer_ = now;
+  round_sum_ += latency;
+  ++round_answers_;
+  round_used_limit_ = round_used_limit_ || in_flight >= limit_;
+  if (round_answers_ >= kAnswersPerRound * limit_) FinishRound(now);
+}
+
+void concurrency_cap::FinishRound(instant now) {
+  const nanoseconds mean = round_sum_ / round_answers_;
+  const bool used_limit = round_used_limit_;
+  round_sum_ = nanoseconds(0);
+  round_answers_ = 0;
+  round_used_limit_ = false;
+  if (reference_.count() == 0) reference_ = mean;
+  const double ratio = static_cast<double>(mean.count()) / std::max<int64_t>(reference_.count(), 1);
+  if (mean < reference_) {
+    reference_ = mean;
+  } else {
+    const double step = kReferenceRise * static_cast<double>((mean - reference_).count());
+    reference_ += nanoseconds(static_cast<int64_t>(step));
+  }
+  if (ratio > kFallFactor) return Halve(now);
+  if (ratio <= kHoldFactor && used_limit) Raise(now);
+}
+
+void concurrency_cap::Raise(instant now) {
+  if (limit_ >= settings_.slots) return;
+  if (limit_ >= ceiling_ && now - raised_ < kRaiseAboveCeiling) return;
+  ++limit_;
+  raised_ = now;
+  ceiling_ = std::max(ceiling_, limit_);
+  if (limit_ == settings_.slots) cold_ = false;
+}
+
+void concurrency_cap::Halve(instant now) {
+  if (now - lowered_ < kFallOnce) return;
+  ceiling_ = std::max<uint32_t>(1, limit_ - 1);
+  limit_ = std::max<uint32_t>(1, limit_ / 2);
+  lowered_ = now;
+  raised_ = now;
+  round_sum_ = nanoseconds(0);
+  round_answers_ = 0;
+}
+
+void concurrency_cap::StartCold(instant now) {
+  limit_ = std::min(limit_, settings_.cold_start);
+  ceiling_ = settings_.slots;
+  cold_ = true;
+  lowered_ = now;
+  raised_ = now;
+  reference_ = nanoseconds(0);
+  round_sum_ = nanoseconds(0);
+  round_answers_ = 0;
+  round_used_limit_ = false;
+}
+
+void concurrency_cap::OnShed(instant now) { Halve(now); }
+
+void concurrency_cap::OnFailure(instant now) { Halve(now); }
+
+void concurrency_cap::OnConnectionLost(instant now) { StartCold(now); }
+
+void concurrency_cap::OnBootId(std::string_view boot_id, instant now) {
+  if (boot_id.empty() || boot_id == boot_id_) return;
+  const bool first = boot_id_.empty();
+  boot_id_ = boot_id;
+  if (!first) StartCold(now);
+}
+
+}  // namespace bulrushway
--- /dev/null
+++ b/src/hedge_policy.cpp
@@ -0,0 +1,40 @@
+#include "hedge_policy.h"
+
+#include <algorithm>
+
+namespace bulrushway {
+namespace {
+
+constexpr std::chrono::seconds kLatencyHalfLife{5};
+// The quantile is computed anew at most this often.
+constexpr std::chrono::milliseconds kDelayRefresh{50};
+constexpr double kLeastSamples = 20;
+
+}  // namespace
+
+hedge_policy::hedge_policy(hedge_settings settings)
+    : settings_(settings), budget_(settings.share, settings.burst), latencies_(kLatencyHalfLife) {}
+
+void hedge_policy::OnAnswer(std::chrono::nanoseconds latency, instant now) {
+  latencies_.Record(latency, now);
+  if (latencies_.weight() < kLeastSamples) return;
+  if (delay_ && now - delay_updated_ < kDelayRefresh) return;
+  const auto learned = latencies_.Quantile(settings_.quantile);
+  if (!learned) return;
+  delay_ = std::max(*learned, settings_.least_delay);
+  delay_updated_ = now;
+}
+
+std::optional<std::chrono::nanoseconds> hedge_policy::Delay(bool idempotent) const {
+  if (!idempotent) return std::nullopt;
+  return delay_;
+}
+
+bool hedge_policy::TakeHedge(retry_budget& extra_attempts) {
+  if (!budget_.CanTake() || !extra_attempts.CanTake()) return false;
+  budget_.Take();
+  extra_attempts.Take();
+  return true;
+}
+
+}  // namespace bulrushway
--- /dev/null
+++ b/src/idempotency_memory.cpp
@@ -0,0 +1,193 @@
+#include "idempotency_memory.h"
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace bulrushway {
+namespace {
+
+// Length before each part, so that two different lists of parts never make the same bytes.
+void AppendPart(std::string& bytes, std::string_view part) {
+  const auto size = static_cast<uint64_t>(part.size());
+  bytes.append(reinterpret_cast<const char*>(&size), sizeof(size));
+  bytes.append(part);
+}
+
+}  // namespace
+
+request_identity MakeRequestIdentity(std::string_view service, std::string_view tenant,
+                                     std::string_view key, std::string_view idempotency_key) {
+  std::string bytes;
+  AppendPart(bytes, service);
+  AppendPart(bytes, tenant);
+  AppendPart(bytes, key);
+  AppendPart(bytes, idempotency_key);
+  const XXH128_hash_t hash = XXH3_128bits(bytes.data(), bytes.size());
+  return {hash.high64, hash.low64};
+}
+
+void idempotency_memory::GainSlice(uint32_t slice, wall_time wall_now) {
+  LoseSlice(slice);
+  slices_[slice].watermark = wall_now + settings_.clock_error;
+}
+
+void idempotency_memory::ImportSlice(uint32_t slice, const slice_memory_export& memory,
+                                     instant now) {
+  LoseSlice(slice);
+  slice_memory& into = slices_[slice];
+  into.watermark = memory.watermark;
+  for (const remembered_request& request : memory.requests) {
+    entry added{request.fingerprint, request.state, now - request.age, request.first_sent,
+                request.answer};
+    // What still ran at the last owner when it gave the slice away is not known here.
+    if (added.state == remembered_state::kRunning) added.state = remembered_state::kUnknown;
+    Insert(slice, into, request.identity, std::move(added));
+  }
+  std::sort(by_age_.begin(), by_age_.end(),
+            [](const aged& left, const aged& right) { return left.first_seen < right.first_seen; });
+  DropOldAnswers();
+}
+
+slice_memory_export idempotency_memory::ExportSlice(uint32_t slice, instant now) const {
+  slice_memory_export memory;
+  const auto found = slices_.find(slice);
+  if (found == slices_.end()) return memory;
+  memory.watermark = found->second.watermark;
+  for (const auto& [identity, kept] : found->second.entries) {
+    memory.requests.push_back({identity, kept.fingerprint, kept.state, now - kept.first_seen,
+                               kept.first_sent, kept.answer});
+  }
+  return memory;
+}
+
+void idempotency_memory::LoseSlice(uint32_t slice) {
+  const auto found = slices_.find(slice);
+  if (found == slices_.end()) return;
+  for (auto& [identity, kept] : found->second.entries) DropAnswer(kept);
+  size_ -= found->second.entries.size();
+  slices_.erase(found);
+}
+
+bool idempotency_memory::VouchesForNew(const identified_request& request,
+                                       const slice_memory& memory) const {
+  if (request.attempt == caller_attempt::kFirst) return true;
+  if (request.first_sent) return *request.first_sent > memory.watermark;
+  return request.attempt == caller_attempt::kUnsaid;
+}
+
+repeat_decision idempotency_memory::Begin(const identified_request& request, instant now,
+                                          wall_time wall_now) {
+  Expire(now);
+  if (!slices_.contains(request.slice)) GainSlice(request.slice, wall_now);
+  slice_memory& memory = slices_.at(request.slice);
+  if (const entry* known = Find(request.slice, request.identity)) {
+    if (known->fingerprint != request.fingerprint) return {repeat_verdict::kMismatch, nullptr};
+    switch (known->state) {
+      case remembered_state::kRunning:
+        return {repeat_verdict::kJoin, nullptr};
+      case remembered_state::kAnswered:
+        return {repeat_verdict::kAnswered, &known->answer};
+      case remembered_state::kUnknown:
+        return {repeat_verdict::kOutcomeUnknown, nullptr};
+    }
+  }
+  if (request.first_sent && *request.first_sent > wall_now + settings_.clock_error) {
+    return {repeat_verdict::kBadStamp, nullptr};
+  }
+  if (!VouchesForNew(request, memory)) return {repeat_verdict::kForgotten, nullptr};
+  if (size_ >= settings_.most_requests) return {repeat_verdict::kFull, nullptr};
+  entry added;
+  added.fingerprint = request.fingerprint;
+  added.first_seen = now;
+  added.first_sent = request.first_sent;
+  Insert(request.slice, memory, request.identity, std::move(added));
+  return {repeat_verdict::kNew, nullptr};
+}
+
+void idempotency_memory::Insert(uint32_t slice, slice_memory& memory,
+                                const request_identity& identity, entry added) {
+  by_age_.push_back({slice, identity, added.first_seen});
+  if (added.state == remembered_state::kAnswered) {
+    answer_bytes_ += added.answer.size();
+    by_answer_.push_back(by_age_.back());
+  }
+  if (memory.entries.emplace(identity, std::move(added)).second) ++size_;
+}
+
+idempotency_memory::entry* idempotency_memory::Find(uint32_t slice,
+                                                    const request_identity& identity) {
+  const auto memory = slices_.find(slice);
+  if (memory == slices_.end()) return nullptr;
+  const auto found = memory->second.entries.find(identity);
+  return found == memory->second.entries.end() ? nullptr : &found->second;
+}
+
+void idempotency_memory::Answered(uint32_t slice, const request_identity& identity,
+                                  std::string answer) {
+  entry* kept = Find(slice, identity);
+  if (kept == nullptr || kept->state == remembered_state::kAnswered) return;
+  kept->state = remembered_state::kAnswered;
+  kept->answer = std::move(answer);
+  answer_bytes_ += kept->answer.size();
+  by_answer_.push_back({slice, identity, kept->first_seen});
+  DropOldAnswers();
+}
+
+void idempotency_memory::NotRun(uint32_t slice, const request_identity& identity) {
+  const entry* kept = Find(slice, identity);
+  if (kept == nullptr || kept->state != remembered_state::kRunning) return;
+  slices_.at(slice).entries.erase(identity);
+  --size_;
+}
+
+void idempotency_memory::OutcomeUnknown(uint32_t slice, const request_identity& identity) {
+  entry* kept = Find(slice, identity);
+  if (kept != nullptr && kept->state == remembered_state::kRunning) {
+    kept->state = remembered_state::kUnknown;
+  }
+}
+
+void idempotency_memory::DropAnswer(entry& of) {
+  if (of.state != remembered_state::kAnswered) return;
+  answer_bytes_ -= of.answer.size();
+  std::string().swap(of.answer);
+  of.state = remembered_state::kUnknown;
+}
+
+void idempotency_memory::DropOldAnswers() {
+  while (answer_bytes_ > settings_.most_answer_bytes && !by_answer_.empty()) {
+    const aged oldest = by_answer_.front();
+    by_answer_.pop_front();
+    entry* kept = Find(oldest.slice, oldest.identity);
+    if (kept != nullptr && kept->first_seen == oldest.first_seen) DropAnswer(*kept);
+  }
+}
+
+void idempotency_memory::Expire(instant now) {
+  while (!by_age_.empty() && now - by_age_.front().first_seen >= settings_.window) {
+    const aged oldest = by_age_.front();
+    entry* kept = Find(oldest.slice, oldest.identity);
+    const bool same = kept != nullptr && kept->first_seen == oldest.first_seen;
+    // A request that still runs stays until it ends; its item moves to the back.
+    by_age_.pop_front();
+    if (!same) continue;
+    if (kept->state == remembered_state::kRunning) {
+      kept->first_seen = now;
+      by_age_.push_back({oldest.slice, oldest.identity, now});
+      continue;
+    }
+    slice_memory& memory = slices_.at(oldest.slice);
+    if (kept->first_sent) memory.watermark = std::max(memory.watermark, *kept->first_sent);
+    DropAnswer(*kept);
+    memory.entries.erase(oldest.identity);
+    --size_;
+  }
+  while (!by_answer_.empty() && now - by_answer_.front().first_seen >= settings_.window) {
+    by_answer_.pop_front();
+  }
+}
+
+}  // namespace bulrushway
--- /dev/null
+++ b/src/retry_rules.cpp
@@ -0,0 +1,141 @@
+#include "retry_rules.h"
+
+#include <algorithm>
+
+namespace bulrushway {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::nanoseconds;
+
+// Attempts that cost a target work.
+constexpr uint32_t kMostTargetAttempts = 3;
+// A request that was there when a target crashed may be the cause: it gets one more chance only.
+constexpr uint32_t kMostAttemptsAfterCrash = 2;
+// Attempts that wait for a new owner; none of them has reached a target.
+constexpr uint32_t kMostRouteAttempts = 8;
+
+constexpr milliseconds kFirstTargetBackoff{5};
+constexpr milliseconds kLongestTargetBackoff{250};
+constexpr milliseconds kFirstRouteBackoff{10};
+constexpr milliseconds kLongestRouteBackoff{500};
+
+constexpr milliseconds kHintSoon{100};
+constexpr milliseconds kHintOverload{1000};
+constexpr milliseconds kHintOutage{2000};
+
+// What kind of obstacle a reason is.
+enum class obstacle {
+  // The same request would be refused again, wherever it is sent.
+  kPermanent,
+  // This process itself cannot route yet; another one may.
+  kLocal,
+  // This target cannot take it now, another one may.
+  kTarget,
+  // Ownership is changing; the request has not reached a target and needs another look at the
+  // owner.
+  kRoute,
+};
+
+obstacle ObstacleOf(refusal_reason reason) {
+  switch (reason) {
+    case refusal_reason::kNoOwner:
+    case refusal_reason::kNotOwner:
+    case refusal_reason::kOwnerUnreachable:
+    case refusal_reason::kMoving:
+    case refusal_reason::kLeaseLapsed:
+      return obstacle::kRoute;
+    case refusal_reason::kQueueFull:
+    case refusal_reason::kTenantShare:
+    case refusal_reason::kDeadlineTooShort:
+    case refusal_reason::kColdStart:
+    case refusal_reason::kDataCentreOut:
+    case refusal_reason::kNoTarget:
+    case refusal_reason::kTargetShed:
+    case refusal_reason::kTargetUnreachable:
+    case refusal_reason::kStopping:
+    case refusal_reason::kAnswerLost:
+    case refusal_reason::kAnswerCrossed:
+    case refusal_reason::kTargetCrashed:
+      return obstacle::kTarget;
+    case refusal_reason::kNoConfiguration:
+      return obstacle::kLocal;
+    default:
+      return obstacle::kPermanent;
+  }
+}
+
+uint32_t MostAttempts(refusal_reason reason, obstacle kind) {
+  if (kind == obstacle::kRoute) return kMostRouteAttempts;
+  if (reason == refusal_reason::kTargetCrashed) return kMostAttemptsAfterCrash;
+  return kMostTargetAttempts;
+}
+
+// Exponential backoff with full jitter over its upper half.
+nanoseconds Backoff(nanoseconds first, nanoseconds longest, uint32_t attempts,
+                    std::mt19937_64& rng) {
+  const uint32_t doublings = std::min<uint32_t>(attempts - 1, 16);
+  const nanoseconds ceiling = std::min(longest, first * (int64_t{1} << doublings));
+  std::uniform_int_distribution<int64_t> jitter(ceiling.count() / 2, ceiling.count());
+  return nanoseconds(jitter(rng));
+}
+
+retry_decision GiveUp(const failed_attempt& failure) {
+  retry_decision decision;
+  const nanoseconds hint = RetryAfterHint(failure.reason);
+  if (hint.count() > 0) decision.retry_after = std::max(hint, failure.retry_after);
+  return decision;
+}
+
+retry_decision PlanAttempt(const failed_attempt& failure, const retry_context& context,
+                           obstacle kind, std::mt19937_64& rng) {
+  retry_decision decision;
+  if (kind == obstacle::kRoute) {
+    decision.action = retry_action::kRetryLater;
+    decision.delay = Backoff(kFirstRouteBackoff, kLongestRouteBackoff, context.attempts, rng);
+    // The owner named in the refusal of a process that is not the owner can be asked at once.
+    if (failure.reason == refusal_reason::kNotOwner && context.attempts == 1) decision.delay = {};
+  } else if (context.sole_owner || context.attempts > 1 ||
+             failure.reason == refusal_reason::kNoTarget) {
+    decision.action = retry_action::kRetryLater;
+    decision.delay = Backoff(kFirstTargetBackoff, kLongestTargetBackoff, context.attempts, rng);
+  } else {
+    decision.action = retry_action::kRetryElsewhere;
+  }
+  decision.delay = std::max(decision.delay, failure.retry_after);
+  return decision;
+}
+
+}  // namespace
+
+nanoseconds RetryAfterHint(refusal_reason reason) {
+  switch (ObstacleOf(reason)) {
+    case obstacle::kRoute:
+      return kHintSoon;
+    case obstacle::kLocal:
+      return kHintOverload;
+    case obstacle::kTarget:
+      return reason == refusal_reason::kNoTarget ? kHintOutage : kHintOverload;
+    case obstacle::kPermanent:
+      break;
+  }
+  if (reason == refusal_reason::kDuplicateRunning) return kHintSoon;
+  return nanoseconds(0);
+}
+
+retry_decision DecideRetry(const failed_attempt& failure, const retry_context& context,
+                           retry_budget& budget, instant now, std::mt19937_64& rng) {
+  const bool safe = context.idempotent || failure.state == run_state::kNotRun;
+  const obstacle kind = ObstacleOf(failure.reason);
+  if (!safe || kind == obstacle::kPermanent || kind == obstacle::kLocal) return GiveUp(failure);
+  if (context.attempts >= MostAttempts(failure.reason, kind)) return GiveUp(failure);
+  const retry_decision planned = PlanAttempt(failure, context, kind, rng);
+  if (now + planned.delay + context.usual_latency >= context.deadline) return GiveUp(failure);
+  if (kind == obstacle::kRoute && failure.state == run_state::kNotRun) return planned;
+  if (budget.Take()) return planned;
+  retry_decision refused = GiveUp(failure);
+  refused.budget_exhausted = true;
+  return refused;
+}
+
+}  // namespace bulrushway
--- /dev/null
+++ b/src/target_load.cpp
@@ -0,0 +1,79 @@
+#include "target_load.h"
+
+#include <algorithm>
+
+namespace bulrushway {
+namespace {
+
+// Weight of the newest sample. A sample above the average counts more: slowness has to show within
+// a few answers, while trust returns slowly.
+constexpr double kRisingWeight = 0.3;
+constexpr double kFallingWeight = 0.1;
+constexpr double kErrorWeight = 0.2;
+
+}  // namespace
+
+request_ticket target_load::Start(instant now) {
+  const request_ticket ticket = next_ticket_++;
+  started_.emplace(ticket, now);
+  return ticket;
+}
+
+void target_load::Finish(request_ticket ticket, request_end end, instant now) {
+  const auto found = started_.find(ticket);
+  if (found == started_.end()) return;
+  const std::chrono::nanoseconds age = now - found->second;
+  started_.erase(found);
+  switch (end) {
+    case request_end::kAnswered:
+      last_progress_ = now;
+      RecordLatency(age);
+      RecordError(false, now);
+      break;
+    case request_end::kFailed:
+      // A target that fails fast must not look fast, so a failure leaves the latency as it is.
+      RecordError(true, now);
+      break;
+    case request_end::kTimedOut:
+      RecordLatency(std::max(age, latency_));
+      RecordError(true, now);
+      break;
+    case request_end::kCancelled:
+      // The age is a lower bound: it is evidence only where it is above the average.
+      if (age > latency_) RecordLatency(age);
+      last_finished_ = now;
+      break;
+  }
+}
+
+void target_load::RecordLatency(std::chrono::nanoseconds latency) {
+  if (latency_.count() == 0) {
+    latency_ = latency;
+    return;
+  }
+  const double weight = latency > latency_ ? kRisingWeight : kFallingWeight;
+  const double step = weight * static_cast<double>((latency - latency_).count());
+  latency_ += std::chrono::nanoseconds(static_cast<int64_t>(step));
+}
+
+void target_load::RecordError(bool failed, instant now) {
+  const double sample = failed ? 1.0 : 0.0;
+  error_share_ += kErrorWeight * (sample - error_share_);
+  last_finished_ = now;
+}
+
+void target_load::Reset() {
+  latency_ = std::chrono::nanoseconds(0);
+  error_share_ = 0;
+}
+
+void target_load::WriteTo(target_view& view) const {
+  view.in_flight = in_flight();
+  view.oldest_start.reset();
+  if (!started_.empty()) view.oldest_start = started_.begin()->second;
+  view.latency = latency_;
+  view.last_finished = last_finished_;
+  view.error_share = error_share_;
+}
+
+}  // namespace bulrushway
