--- a/src/announcement.h
+++ b/src/announcement.h
@@ -39,6 +39,10 @@
   uint32_t slots = 0;
   /// Term under which the node serves; 0 when it has none.
   uint64_t term = 0;
+  /// First term of this process.
+  uint64_t first_term = 0;
+  /// Nodes that witness the lease of the term.
+  std::vector<std::string> witnesses;
   /// Slices held.
   uint32_t slices = 0;
   /// Version of the configuration in force.
@@ -49,15 +53,26 @@
   bool leaving = false;
 };
 
-/// The slices that a node holds under a term.
+/// Slices in one claim at most, so that a claim fits into a datagram.
+inline constexpr size_t kSlicesPerClaim = 150;
+
+/// Some of the slices that a node holds. A node with many slices makes several claims, numbered from
+/// zero; one that has shrunk leaves empty claims behind.
 struct ownership_claim {
   std::string node;
   std::string service;
   uint64_t term = 0;
+  uint32_t part = 0;
   /// Slice and epoch, sorted by slice.
   std::vector<std::pair<uint32_t, uint64_t>> slices;
 };
 
+/// Divides slices into claims. `least_parts` is the number of claims made before.
+std::vector<ownership_claim> MakeClaims(const std::string& node, const std::string& service,
+                                        uint64_t term,
+                                        const std::vector<std::pair<uint32_t, uint64_t>>& slices,
+                                        size_t least_parts);
+
 /// Bytes for a gossip payload.
 std::string Encode(const announcement& value);
 std::string Encode(const ownership_claim& value);
--- /dev/null
+++ b/src/caller_request.cpp
@@ -0,0 +1,172 @@
+#include "caller_request.h"
+
+#include <strings.h>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <optional>
+
+namespace bulrushway {
+namespace {
+
+constexpr size_t kLongestName = 256;
+
+// Headers that concern one connection only, or that the router sets itself.
+constexpr std::array<const char*, 8> kHopHeaders = {
+    "Connection", "Keep-Alive", "Transfer-Encoding", "Content-Length",
+    "Host",       "Upgrade",    "Idempotency-Key",   "Date"};
+
+bool IsHopHeader(const std::string& name) {
+  if (strncasecmp(name.c_str(), "X-Bulrush-", 10) == 0) return true;
+  return std::ranges::any_of(
+      kHopHeaders, [&name](const char* hop) { return strcasecmp(name.c_str(), hop) == 0; });
+}
+
+tl::unexpected<error> BadHeader(const std::string& name, const std::string& value,
+                                const std::string& expected) {
+  return Failure(error_kind::kUser, "read request", "",
+                 "The header " + name + " is \"" + value + "\"; " + expected + ".");
+}
+
+result<std::optional<int64_t>> ReadNumber(const http_request& request, const std::string& name) {
+  const std::string text = FindHeader(request.headers, name);
+  if (text.empty()) return std::nullopt;
+  int64_t value = 0;
+  const auto [end, code] = std::from_chars(text.data(), text.data() + text.size(), value);
+  if (code != std::errc{} || end != text.data() + text.size() || value <= 0) {
+    return BadHeader(name, text, "it must be a positive whole number");
+  }
+  return value;
+}
+
+result<std::string> ReadName(const http_request& request, const std::string& name) {
+  std::string text = FindHeader(request.headers, name);
+  if (text.size() <= kLongestName) return text;
+  return BadHeader(name, text.substr(0, 32) + "...",
+                   "it may have at most " + std::to_string(kLongestName) + " bytes");
+}
+
+std::string ServiceOf(const std::string& target) {
+  const std::string path = PathOf(target);
+  const size_t end = path.find('/', 1);
+  return path.substr(1, end == std::string::npos ? std::string::npos : end - 1);
+}
+
+result<uint8_t> ReadAttempt(const http_request& request) {
+  const std::string text = FindHeader(request.headers, "X-Bulrush-Attempt");
+  if (text.empty()) return 0;
+  if (text == "first") return 1;
+  if (text == "repeat") return 2;
+  return BadHeader("X-Bulrush-Attempt", text, "it must be \"first\" or \"repeat\"");
+}
+
+result<void> ReadNames(const http_request& request, forward_request& read) {
+  const std::array<std::pair<const char*, std::string*>, 4> names = {{
+      {"X-Bulrush-Key", &read.key},
+      {"X-Bulrush-Tenant", &read.tenant},
+      {"Idempotency-Key", &read.idempotency_key},
+      {"X-Bulrush-Request-Id", &read.request_id},
+  }};
+  for (const auto& [name, into] : names) {
+    auto value = ReadName(request, name);
+    if (!value) return tl::unexpected<error>(value.error());
+    *into = std::move(*value);
+  }
+  return {};
+}
+
+result<void> ReadTimes(const http_request& request, const deadline_limits& limits,
+                       forward_request& read) {
+  const auto deadline = ReadNumber(request, "X-Bulrush-Deadline-Ms");
+  if (!deadline) return tl::unexpected<error>(deadline.error());
+  read.time_left = std::chrono::milliseconds(deadline->value_or(limits.usual.count()));
+  read.time_left = std::min(read.time_left, limits.longest);
+  const auto first_sent = ReadNumber(request, "X-Bulrush-First-Sent-Ms");
+  if (!first_sent) return tl::unexpected<error>(first_sent.error());
+  read.first_sent = std::chrono::milliseconds(first_sent->value_or(0));
+  return {};
+}
+
+}  // namespace
+
+result<forward_request> ParseCallerRequest(const http_request& request,
+                                           const deadline_limits& limits,
+                                           const std::string& fallback_id) {
+  forward_request read;
+  read.service = ServiceOf(request.target);
+  if (auto names = ReadNames(request, read); !names) return tl::unexpected<error>(names.error());
+  if (auto times = ReadTimes(request, limits, read); !times) {
+    return tl::unexpected<error>(times.error());
+  }
+  const auto attempt = ReadAttempt(request);
+  if (!attempt) return tl::unexpected<error>(attempt.error());
+  read.caller_attempt = *attempt;
+  if (read.request_id.empty()) read.request_id = fallback_id;
+  const bool safe = request.method == "GET" || request.method == "HEAD";
+  read.idempotent = safe || FindHeader(request.headers, "X-Bulrush-Idempotent") == "1";
+  read.request.method = request.method;
+  read.request.target = request.target;
+  read.request.body = request.body;
+  for (const auto& header : request.headers) {
+    if (!IsHopHeader(header.first)) read.request.headers.push_back(header);
+  }
+  return read;
+}
+
+http_answer CallerAnswer(const forward_request& request, const forward_answer& answer) {
+  http_answer shown{answer.answer.status, {}, answer.answer.body};
+  for (const auto& header : answer.answer.headers) {
+    const bool repeated = header.first == "X-Bulrush-Repeated";
+    if (repeated || !IsHopHeader(header.first)) shown.headers.push_back(header);
+  }
+  shown.headers.emplace_back("X-Bulrush-Request-Id", request.request_id);
+  return shown;
+}
+
+http_answer CallerRefusal(const std::string& request_id, refusal_reason reason, run_state state,
+                          std::chrono::milliseconds retry_after, const std::string& detail,
+                          const std::vector<std::string>& home_regions) {
+  http_answer refusal;
+  refusal.status = StatusOf(reason, state);
+  refusal.headers = {{"X-Bulrush-Request-Id", request_id},
+                     {"X-Bulrush-Reason", std::string(Name(reason))},
+                     {"X-Bulrush-Run-State", std::string(Name(state))}};
+  if (retry_after.count() > 0) {
+    const auto seconds = std::chrono::ceil<std::chrono::seconds>(retry_after).count();
+    refusal.headers.emplace_back("Retry-After", std::to_string(seconds));
+    refusal.headers.emplace_back("X-Bulrush-Retry-After-Ms", std::to_string(retry_after.count()));
+  }
+  std::string regions;
+  for (const std::string& region : home_regions) regions += (regions.empty() ? "" : ", ") + region;
+  if (!regions.empty()) refusal.headers.emplace_back("X-Bulrush-Home-Regions", regions);
+  refusal.body = "The request was refused (" + std::string(Name(reason)) + ", " +
+                 std::string(Name(state)) + ").";
+  if (!detail.empty()) refusal.body += " " + detail;
+  refusal.body += "\n";
+  return refusal;
+}
+
+int StatusOf(refusal_reason reason, run_state state) {
+  switch (reason) {
+    case refusal_reason::kBadRequest:
+      return 400;
+    case refusal_reason::kUnknownService:
+      return 404;
+    case refusal_reason::kBodyTooLarge:
+      return 413;
+    case refusal_reason::kHomeRegion:
+      return 421;
+    case refusal_reason::kQuarantined:
+      return 422;
+    case refusal_reason::kTenantShare:
+      return 429;
+    case refusal_reason::kDeadlinePassed:
+    case refusal_reason::kDeadlineTooShort:
+      return 504;
+    default:
+      return state == run_state::kUnknown ? 502 : 503;
+  }
+}
+
+}  // namespace bulrushway
--- a/src/directory.cpp
+++ b/src/directory.cpp
@@ -11,17 +11,15 @@
 
 void directory::OnClaim(const ownership_claim& heard) {
   ++revision_;
-  const auto known = claims_.find(heard.node);
-  if (known != claims_.end()) {
-    DropOwner(known->second);
-  }
   auto& owners = owners_[heard.service];
+  ownership_claim& known = claims_[{heard.node, heard.part}];
+  DropOwner(known);
   for (const auto& [slice, epoch] : heard.slices) {
     if (owners.size() <= slice) owners.resize(slice + 1);
     if (owners[slice].epoch > epoch) continue;
-    owners[slice] = owner{heard.node, epoch};
+    owners[slice] = owner{heard.node, heard.term, epoch};
   }
-  claims_[heard.node] = heard;
+  known = heard;
 }
 
 void directory::OnGone(const std::string& node, uint64_t term) {
@@ -47,7 +45,8 @@
   const announcement* member = Find(node);
   if (member == nullptr) return false;
   const auto gone = gone_.find(node);
-  return gone == gone_.end() || member->term > gone->second;
+  // A process without a term serves lookups while it waits for the platform.
+  return gone == gone_.end() || member->term == 0 || member->term > gone->second;
 }
 
 std::vector<const announcement*> directory::Live() const {
@@ -68,18 +67,26 @@
 std::string directory::OwnerOf(const std::string& service, uint32_t slice) const {
   const auto owners = owners_.find(service);
   if (owners == owners_.end() || owners->second.size() <= slice) return {};
-  const std::string& node = owners->second[slice].node;
-  return Alive(node) ? node : std::string{};
+  const owner& known = owners->second[slice];
+  return Current(known) ? known.node : std::string{};
 }
 
 size_t directory::OwnedSlices(const std::string& service) const {
   const auto owners = owners_.find(service);
   if (owners == owners_.end()) return 0;
   return static_cast<size_t>(std::ranges::count_if(
-      owners->second, [this](const owner& known) { return Alive(known.node); }));
+      owners->second, [this](const owner& known) { return Current(known); }));
+}
+
+bool directory::Current(const owner& known) const {
+  if (known.node.empty() || !Alive(known.node)) return false;
+  // What an earlier process of the node claimed is void.
+  const announcement& member = members_.at(known.node);
+  return member.term != 0 && known.term >= member.first_term;
 }
 
 void directory::DropOwner(const ownership_claim& claim) {
+  if (claim.slices.empty()) return;
   auto& owners = owners_[claim.service];
   for (const auto& [slice, epoch] : claim.slices) {
     // A later owner keeps its place; the epoch stays as the floor for the next one.
--- a/src/directory.h
+++ b/src/directory.h
@@ -19,7 +19,7 @@
  public:
   /// Takes an announcement; the newest is passed in by the gossip module's versions.
   void OnAnnouncement(const announcement& heard);
-  /// Takes a claim. A claim of a later term of the same node replaces the earlier one.
+  /// Takes a claim, which replaces the earlier one of the same node and part.
   void OnClaim(const ownership_claim& heard);
   /// The term is gone: a member that announced it is not alive until it announces a later one.
   void OnGone(const std::string& node, uint64_t term);
@@ -45,14 +45,16 @@
  private:
   struct owner {
     std::string node;
+    uint64_t term = 0;
     uint64_t epoch = 0;
   };
 
   void DropOwner(const ownership_claim& claim);
+  bool Current(const owner& known) const;
 
   std::map<std::string, announcement> members_;
   std::map<std::string, uint64_t> gone_;
-  std::map<std::string, ownership_claim> claims_;
+  std::map<std::pair<std::string, uint32_t>, ownership_claim> claims_;
   std::map<std::string, std::vector<owner>> owners_;
   uint64_t revision_ = 0;
 };
--- /dev/null
+++ b/src/entry.cpp
@@ -0,0 +1,350 @@
+#include "entry.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace bulrushway {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Attempts of one request at most, the first and hedges included.
+constexpr uint32_t kMostAttempts = 6;
+
+milliseconds Millis(std::chrono::nanoseconds time) { return std::chrono::ceil<milliseconds>(time); }
+
+}  // namespace
+
+// One copy of a request on its way.
+struct entry::attempt {
+  std::string node;
+  request_ticket ticket = 0;
+  bool local = false;
+  uint64_t id = 0;
+  instant sent;
+  bool open = true;
+};
+
+// A caller's request until its answer.
+struct entry::flight {
+  uint64_t id = 0;
+  std::shared_ptr<http_exchange> exchange;
+  forward_request request;
+  const service_facts* facts = nullptr;
+  std::vector<std::string> home_regions;
+  instant arrived;
+  instant deadline;
+  uint32_t attempts = 0;
+  bool hedged = false;
+  bool done = false;
+  // Set once a copy was handed on whose outcome is unknown.
+  bool may_have_run = false;
+  std::vector<std::string> tried;
+  std::vector<attempt> open;
+  std::unique_ptr<timer> retry;
+  std::unique_ptr<timer> hedge;
+};
+
+struct entry::service_state {
+  service_targets targets;
+  scored_picker picker;
+  hedge_policy hedges;
+  latency_summary* latency = nullptr;
+  uint64_t* answered = nullptr;
+};
+
+entry::entry(event_loop& loop, metrics& counters, entry_settings settings, entry_ports ports,
+             const directory& known, forwarder& peers, gate& own_gate, uint64_t seed)
+    : loop_(loop),
+      metrics_(counters),
+      settings_(std::move(settings)),
+      ports_(std::move(ports)),
+      known_(known),
+      peers_(peers),
+      own_gate_(own_gate),
+      rng_(seed),
+      links_(link_settings{}) {}
+
+entry::~entry() = default;
+
+entry::service_state& entry::StateOf(const std::string& service) {
+  auto& state = services_[service];
+  if (!state) {
+    state = std::make_unique<service_state>();
+    state->latency = &metrics_.Latency("bulrush_request_seconds", {{"service", service}});
+    state->answered = &metrics_.Counter("bulrush_answered_total", {{"service", service}});
+  }
+  return *state;
+}
+
+void entry::Refresh(instant now) {
+  const uint64_t version = ports_.configuration_version();
+  if (known_.Revision() == seen_directory_ && version == seen_configuration_) return;
+  seen_directory_ = known_.Revision();
+  seen_configuration_ = version;
+  for (auto& [service, state] : services_) {
+    state->targets.Refresh(known_, service, settings_.place,
+                           [this, now](const announcement& to) { return ports_.may_use(now, to); });
+  }
+}
+
+void entry::Handle(instant now, std::shared_ptr<http_exchange> exchange) {
+  auto subject = std::make_shared<flight>();
+  subject->id = next_flight_++;
+  subject->exchange = std::move(exchange);
+  subject->arrived = now;
+  if (!Accept(now, subject)) return;
+  flights_.emplace(subject->id, subject);
+  subject->exchange->OnClosed([this, subject] {
+    subject->done = true;
+    CancelAttempts(boot_clock::now(), *subject);
+    flights_.erase(subject->id);
+  });
+  Begin(now, subject);
+}
+
+bool entry::Accept(instant now, const std::shared_ptr<flight>& subject) {
+  const std::string fallback = settings_.node + "-" + std::to_string(subject->id);
+  auto parsed = ParseCallerRequest(subject->exchange->request(), settings_.deadlines, fallback);
+  const auto refuse = [&](refusal_reason reason, const std::string& detail) {
+    Refuse(now, subject, reason, run_state::kNotRun, Millis(RetryAfterHint(reason)), detail);
+    return false;
+  };
+  if (!parsed) {
+    subject->request.request_id = fallback;
+    return refuse(refusal_reason::kBadRequest, parsed.error().message);
+  }
+  subject->request = std::move(*parsed);
+  forward_request& request = subject->request;
+  subject->deadline = now + request.time_left;
+  if (ports_.stopping()) return refuse(refusal_reason::kStopping, "This process is stopping.");
+  if (!ports_.configured()) {
+    return refuse(refusal_reason::kNoConfiguration,
+                  "This process has not received a configuration yet.");
+  }
+  subject->facts = ports_.find_service(request.service);
+  if (subject->facts == nullptr) {
+    return refuse(refusal_reason::kUnknownService,
+                  "There is no service \"" + request.service + "\".");
+  }
+  if (request.request.body.size() > settings_.max_body) {
+    return refuse(refusal_reason::kBodyTooLarge, "The body is too large.");
+  }
+  if (subject->facts->keyed && request.key.empty()) {
+    return refuse(refusal_reason::kBadRequest,
+                  "The service \"" + request.service + "\" needs the header X-Bulrush-Key.");
+  }
+  if (flights_.size() >= settings_.max_requests) {
+    return refuse(refusal_reason::kQueueFull, "This process has too many requests under way.");
+  }
+  subject->home_regions = ports_.home_regions(request);
+  const auto& homes = subject->home_regions;
+  if (!homes.empty() && std::ranges::find(homes, settings_.place.region) == homes.end()) {
+    return refuse(refusal_reason::kHomeRegion,
+                  "The request is bound to other regions; send it there.");
+  }
+  return true;
+}
+
+void entry::Begin(instant now, const std::shared_ptr<flight>& subject) {
+  forward_request& request = subject->request;
+  service_state& state = StateOf(request.service);
+  if (state.targets.Size() == 0) seen_directory_ = ~uint64_t{0};
+  Refresh(now);
+  extra_attempts_.OnRequest();
+  state.hedges.OnRequest();
+  request.configuration_version = ports_.configuration_version();
+  if (subject->facts->keyed) {
+    const slice_layout& layout = subject->facts->layout;
+    uint32_t partition = 0;
+    for (uint32_t i = 0; i < layout.regions.size() && partition == 0; ++i) {
+      const auto& homes = subject->home_regions;
+      if (std::ranges::find(homes, layout.regions[i]) != homes.end()) partition = i + 1;
+    }
+    request.slice = SliceOf(layout, partition, request.key);
+  }
+  if (Attempt(now, subject)) ArmHedge(now, subject);
+}
+
+bool entry::Attempt(instant now, const std::shared_ptr<flight>& subject) {
+  const announcement* to = ChooseTarget(now, *subject);
+  if (to == nullptr) {
+    const bool keyed = subject->facts->keyed;
+    ++subject->attempts;
+    OnRefused(now, subject, keyed ? refusal_reason::kNoOwner : refusal_reason::kNoTarget,
+              run_state::kNotRun, milliseconds{0});
+    return false;
+  }
+  SendTo(now, subject, *to);
+  return true;
+}
+
+const announcement* entry::ChooseTarget(instant now, flight& subject) {
+  const forward_request& request = subject.request;
+  if (subject.facts->keyed) {
+    const std::string owner = known_.OwnerOf(request.service, request.slice);
+    return owner.empty() ? nullptr : known_.Find(owner);
+  }
+  service_state& state = StateOf(request.service);
+  const announcement* chosen =
+      state.targets.Pick(now, state.picker, subject.tried, subject.home_regions, rng_);
+  if (chosen == nullptr || Pays(now, subject, *chosen)) return chosen;
+  // The paid link is used up for requests that have a choice; stay near if anybody is there.
+  const announcement* near =
+      state.targets.Pick(now, state.picker, subject.tried, {settings_.place.region}, rng_);
+  return near == nullptr ? chosen : near;
+}
+
+bool entry::Pays(instant now, flight& subject, const announcement& to) {
+  if (LocalityOf(settings_.place, to) != target_locality::kRemote) return true;
+  return links_.Spill(settings_.place.region, to.region, subject.request.request.body.size(), now);
+}
+
+void entry::SendTo(instant now, const std::shared_ptr<flight>& subject, const announcement& to) {
+  forward_request copy = subject->request;
+  copy.repeat = subject->attempts > 0;
+  copy.time_left = std::max(Millis(subject->deadline - now), milliseconds{1});
+  ++subject->attempts;
+  const uint64_t number = subject->open.size();
+  attempt sent;
+  sent.node = to.node;
+  sent.sent = now;
+  sent.local = to.node == settings_.node;
+  if (!subject->facts->keyed) {
+    sent.ticket = StateOf(copy.service).targets.Start(now, to.node);
+    subject->tried.push_back(to.node);
+  }
+  subject->open.push_back(sent);
+  const auto answered = [this, subject, number](forward_answer answer) {
+    OnAnswer(boot_clock::now(), subject, number, std::move(answer));
+  };
+  if (!sent.local) {
+    links_.Count(settings_.place.region, to.region, copy.request.body.size());
+    const uint64_t id = peers_.Send(now, to.peer, std::move(copy), answered);
+    subject->open[number].id = id;
+    return;
+  }
+  const uint64_t id = own_gate_.Handle(now, std::move(copy), answered);
+  subject->open[number].id = id;
+}
+
+void entry::ArmHedge(instant now, const std::shared_ptr<flight>& subject) {
+  if (subject->done || subject->facts->keyed) return;
+  const auto delay = StateOf(subject->request.service).hedges.Delay(subject->request.idempotent);
+  if (!delay || now + *delay >= subject->deadline) return;
+  subject->hedge =
+      std::make_unique<timer>(loop_, [this, weak = std::weak_ptr(subject)](instant then) {
+        if (const auto late = weak.lock()) OnHedgeTime(then, late);
+      });
+  subject->hedge->Once(*delay);
+}
+
+void entry::OnHedgeTime(instant now, const std::shared_ptr<flight>& subject) {
+  if (subject->done || subject->hedged || subject->attempts >= kMostAttempts) return;
+  const announcement* to = ChooseTarget(now, *subject);
+  if (to == nullptr) return;
+  if (!StateOf(subject->request.service).hedges.TakeHedge(extra_attempts_)) {
+    ++metrics_.Counter("bulrush_hedges_denied_total", {{"service", subject->request.service}});
+    return;
+  }
+  subject->hedged = true;
+  ++metrics_.Counter("bulrush_hedges_total", {{"service", subject->request.service}});
+  SendTo(now, subject, *to);
+}
+
+void entry::OnAnswer(instant now, const std::shared_ptr<flight>& subject, uint64_t number,
+                     forward_answer answer) {
+  attempt& ended = subject->open[number];
+  if (!ended.open) return;
+  ended.open = false;
+  const bool answered = answer.reason == refusal_reason::kNone;
+  service_state& state = StateOf(subject->request.service);
+  if (!subject->facts->keyed) {
+    request_end end = answered ? request_end::kAnswered : request_end::kFailed;
+    if (answer.reason == refusal_reason::kDeadlinePassed) end = request_end::kTimedOut;
+    state.targets.Finish(now, ended.node, ended.ticket, end);
+    state.targets.MarkCold(ended.node, answer.reason == refusal_reason::kColdStart);
+  }
+  if (!ended.local) {
+    if (const announcement* from = known_.Find(ended.node)) {
+      links_.Count(from->region, settings_.place.region, answer.answer.body.size());
+    }
+  }
+  if (subject->done) return;
+  if (!answered) {
+    OnRefused(now, subject, answer.reason, answer.state, answer.retry_after);
+    return;
+  }
+  state.hedges.OnAnswer(now - subject->arrived, now);
+  state.latency->Add(now - subject->arrived);
+  ++*state.answered;
+  Complete(now, subject, CallerAnswer(subject->request, answer));
+}
+
+void entry::OnRefused(instant now, const std::shared_ptr<flight>& subject, refusal_reason reason,
+                      run_state state, milliseconds retry_after) {
+  if (state == run_state::kUnknown) subject->may_have_run = true;
+  // Another copy is still under way and may answer.
+  if (std::ranges::any_of(subject->open, &attempt::open)) return;
+  const run_state whole = subject->may_have_run ? run_state::kUnknown : run_state::kNotRun;
+  const failed_attempt failure{reason, whole, retry_after};
+  retry_context context;
+  context.idempotent = subject->request.idempotent;
+  context.sole_owner = subject->facts->keyed;
+  context.attempts = subject->attempts;
+  context.deadline = subject->deadline;
+  const retry_decision decision = DecideRetry(failure, context, extra_attempts_, now, rng_);
+  if (decision.budget_exhausted) ++metrics_.Counter("bulrush_retries_denied_total");
+  if (decision.action == retry_action::kGiveUp || subject->attempts >= kMostAttempts) {
+    const auto hint = std::max(decision.retry_after, RetryAfterHint(reason));
+    Refuse(now, subject, reason, whole, Millis(hint));
+    return;
+  }
+  metrics_.CountRetry(reason);
+  if (decision.action == retry_action::kRetryElsewhere) {
+    Attempt(now, subject);
+    return;
+  }
+  subject->tried.clear();
+  subject->retry =
+      std::make_unique<timer>(loop_, [this, weak = std::weak_ptr(subject)](instant then) {
+        const auto again = weak.lock();
+        if (again && !again->done) Attempt(then, again);
+      });
+  subject->retry->Once(decision.delay);
+}
+
+void entry::CancelAttempts(instant now, flight& subject) {
+  for (attempt& other : subject.open) {
+    if (!std::exchange(other.open, false)) continue;
+    if (other.local) {
+      own_gate_.Cancel(now, other.id);
+    } else {
+      peers_.Cancel(other.id);
+    }
+    if (subject.facts->keyed) continue;
+    StateOf(subject.request.service)
+        .targets.Finish(now, other.node, other.ticket, request_end::kCancelled);
+  }
+}
+
+void entry::Refuse(instant now, const std::shared_ptr<flight>& subject, refusal_reason reason,
+                   run_state state, milliseconds retry_after, const std::string& detail) {
+  metrics_.CountRefusal(reason, state);
+  const bool elsewhere = reason == refusal_reason::kHomeRegion;
+  Complete(now, subject,
+           CallerRefusal(subject->request.request_id, reason, state, retry_after, detail,
+                         elsewhere ? subject->home_regions : std::vector<std::string>{}));
+}
+
+void entry::Complete(instant now, const std::shared_ptr<flight>& subject,
+                     const http_answer& answer) {
+  subject->done = true;
+  if (subject->facts != nullptr) CancelAttempts(now, *subject);
+  subject->exchange->Reply(answer);
+  flights_.erase(subject->id);
+  if (subject->retry) subject->retry->Cancel();
+  if (subject->hedge) subject->hedge->Cancel();
+}
+
+}  // namespace bulrushway
--- a/src/event_loop.cpp
+++ b/src/event_loop.cpp
@@ -75,7 +75,9 @@
     const timeval value = ToTimeval(expired->interval_);
     event_add(expired->event_, &value);
   }
-  expired->expired_(boot_clock::now());
+  // The callback may destroy the timer, so it is called through a copy.
+  const callback call = expired->expired_;
+  call(boot_clock::now());
 }
 
 }  // namespace bulrushway
--- a/src/forwarder.cpp
+++ b/src/forwarder.cpp
@@ -15,8 +15,8 @@
 
 }  // namespace
 
-forwarder::forwarder(event_loop& loop, peer_transport& transport, hello_message self)
-    : loop_(loop), transport_(transport), self_(std::move(self)) {}
+forwarder::forwarder(peer_transport& transport, hello_message self)
+    : transport_(transport), self_(std::move(self)) {}
 
 uint64_t forwarder::Send(instant now, const socket_address& address, forward_request request,
                          callback done) {
@@ -39,6 +39,11 @@
   waiting_.erase(found);
 }
 
+void forwarder::SendControl(instant now, const socket_address& address,
+                            const std::string& bytes) {
+  transport_.Send(PeerAt(now, address).connection, control_message{bytes});
+}
+
 void forwarder::OnAnswer(instant now, connection_id from, forward_answer answer) {
   const auto found = waiting_.find(answer.id);
   const bool ours = found != waiting_.end() && found->second.connection == from &&
@@ -55,12 +60,13 @@
   done(std::move(answer));
 }
 
-bool forwarder::OnClosed(instant, connection_id id) {
+bool forwarder::OnClosed(instant, connection_id id, bool stood) {
   for (auto it = peers_.begin(); it != peers_.end(); ++it) {
     if (it->second.connection != id) continue;
     peers_.erase(it);
     // Frames may have been taken by the kernel of the other side, so the gate may have seen them.
-    FailAll(id, refusal_reason::kOwnerUnreachable, run_state::kUnknown);
+    FailAll(id, refusal_reason::kOwnerUnreachable,
+            stood ? run_state::kUnknown : run_state::kNotRun);
     return true;
   }
   return false;
--- a/src/forwarder.h
+++ b/src/forwarder.h
@@ -11,7 +11,7 @@
 #include <memory>
 #include <string>
 
-#include "event_loop.h"
+#include "clock.h"
 #include "peer_transport.h"
 
 namespace bulrushway {
@@ -21,10 +21,9 @@
  public:
   /// Called once with the answer, or with a refusal made up here when none came.
   using callback = std::function<void(forward_answer)>;
-  using send_function = std::function<bool(connection_id, const peer_message&)>;
 
   /// Sends over `transport`; the owner of the transport hands in what comes back.
-  forwarder(event_loop& loop, peer_transport& transport, hello_message self);
+  forwarder(peer_transport& transport, hello_message self);
 
   /// Sends a request to the process at `address`. `done` is not called before Send returns. The
   /// request's id is assigned here.
@@ -32,10 +31,14 @@
   /// Tells the gate to stop working on the request; `done` is not called any more.
   void Cancel(uint64_t id);
 
+  /// Sends membership traffic that does not fit into a datagram.
+  void SendControl(instant now, const socket_address& address, const std::string& bytes);
+
   /// An answer came on a connection that this process opened.
   void OnAnswer(instant now, connection_id from, forward_answer answer);
-  /// A connection is gone. True when it belonged to the forwarder.
-  bool OnClosed(instant now, connection_id id);
+  /// A connection is gone; `stood` tells whether it was ever made. True when it belonged to the
+  /// forwarder.
+  bool OnClosed(instant now, connection_id id, bool stood);
   /// Ends requests whose time is over and replaces connections that have gone silent.
   void Tick(instant now);
 
@@ -67,7 +70,6 @@
   void FailAll(connection_id connection, refusal_reason reason, run_state state);
   void ReplaceSilent(instant now);
 
-  event_loop& loop_;
   peer_transport& transport_;
   hello_message self_;
   uint64_t next_id_ = 1;
--- /dev/null
+++ b/src/gate.cpp
@@ -0,0 +1,417 @@
+#include "gate.h"
+
+#include <algorithm>
+#include <random>
+#include <utility>
+
+#include "peer_codec.h"
+
+namespace bulrushway {
+namespace {
+
+constexpr std::chrono::milliseconds kShortestRun{2};
+constexpr std::chrono::milliseconds kRetrySoon{50};
+// Crashes reported within this time of each other are one crash: each open connection reports it.
+constexpr std::chrono::milliseconds kSameCrash{200};
+
+std::chrono::milliseconds Millis(std::chrono::nanoseconds time) {
+  return std::chrono::ceil<std::chrono::milliseconds>(time);
+}
+
+wall_time WallNow() { return std::chrono::system_clock::now(); }
+
+std::string Remember(const http_answer& answer) {
+  forward_answer kept;
+  kept.answer = answer;
+  return EncodeFrame(kept).substr(kFrameHeaderSize);
+}
+
+http_answer Recall(const std::string& bytes) {
+  auto message = DecodeFrame(bytes, "own memory");
+  return std::get<forward_answer>(*message).answer;
+}
+
+}  // namespace
+
+// A request from its arrival to its answer. Repeats under the same idempotency key that arrive
+// meanwhile wait in `joined`.
+struct gate::job {
+  ticket id = 0;
+  forward_request request;
+  reply done;
+  instant arrived;
+  instant deadline;
+  instant handed_over;
+  uint64_t epoch = 0;
+  bool keyed = false;
+  bool queued = false;
+  bool identified = false;
+  bool abandoned = false;
+  request_identity identity;
+  request_fingerprint fingerprint = 0;
+  http_client::request_id http = 0;
+  std::vector<std::shared_ptr<job>> joined;
+};
+
+gate::gate(event_loop& loop, metrics& counters, gate_settings settings, gate_ports ports)
+    : loop_(loop),
+      metrics_(counters),
+      settings_(settings),
+      ports_(std::move(ports)),
+      client_(loop, settings.connections),
+      queue_(queue_settings{}),
+      cap_(concurrency_settings{settings.slots}),
+      memory_(idempotency_settings{}),
+      poison_(poison_settings{}),
+      crash_seed_(std::random_device{}()) {}
+
+gate::~gate() = default;
+
+gate::ticket gate::Handle(instant now, forward_request request, reply done) {
+  auto subject = std::make_shared<job>();
+  subject->id = next_ticket_++;
+  subject->arrived = now;
+  subject->deadline = now + request.time_left;
+  subject->keyed = ports_.keyed();
+  subject->request = std::move(request);
+  subject->done = std::move(done);
+  subject->fingerprint =
+      MakeRequestFingerprint(subject->request.service, PathOf(subject->request.request.target),
+                             subject->request.key, subject->request.request.body);
+  const ticket id = subject->id;
+  jobs_.emplace(id, subject);
+  if (subject->keyed) ++per_slice_[subject->request.slice];
+  if (const auto refusal = Check(now, *subject)) {
+    Refuse(subject, refusal->reason, run_state::kNotRun, refusal->retry_after, refusal->owner_hint);
+    return id;
+  }
+  if (Remembered(now, subject)) return id;
+  Admit(now, subject);
+  return id;
+}
+
+std::optional<gate_refusal> gate::Check(instant now, job& subject) {
+  if (auto refusal = ports_.check_rules(now, subject.request)) return refusal;
+  if (poison_.Quarantined(subject.fingerprint, now)) {
+    return gate_refusal{refusal_reason::kQuarantined, {}, {}};
+  }
+  if (!subject.keyed) return std::nullopt;
+  const auto epoch = ports_.serves(now, subject.request.slice);
+  if (!epoch) return ports_.not_served(now, subject.request.slice);
+  subject.epoch = *epoch;
+  return std::nullopt;
+}
+
+bool gate::Remembered(instant now, const std::shared_ptr<job>& subject) {
+  const forward_request& request = subject->request;
+  if (!subject->keyed || request.idempotent || request.idempotency_key.empty()) return false;
+  subject->identity =
+      MakeRequestIdentity(request.service, request.tenant, request.key, request.idempotency_key);
+  identified_request asked{subject->identity,
+                           request.slice,
+                           subject->fingerprint,
+                           static_cast<caller_attempt>(request.caller_attempt),
+                           {}};
+  if (request.first_sent.count() > 0) asked.first_sent = wall_time(request.first_sent);
+  const repeat_decision decision = memory_.Begin(asked, now, WallNow());
+  switch (decision.verdict) {
+    case repeat_verdict::kNew:
+      subject->identified = true;
+      return false;
+    case repeat_verdict::kJoin:
+      for (const auto& [id, other] : jobs_) {
+        if (!other->identified || !(other->identity == subject->identity)) continue;
+        other->joined.push_back(subject);
+        return true;
+      }
+      Refuse(subject, refusal_reason::kDuplicateRunning, run_state::kUnknown, kRetrySoon);
+      return true;
+    case repeat_verdict::kAnswered: {
+      ++counts_.answered_from_memory;
+      forward_answer answer;
+      answer.answer = Recall(*decision.answer);
+      answer.answer.headers.emplace_back("X-Bulrush-Repeated", "1");
+      Finish(subject, answer);
+      return true;
+    }
+    case repeat_verdict::kOutcomeUnknown:
+      Refuse(subject, refusal_reason::kAnswerLost, run_state::kUnknown);
+      return true;
+    case repeat_verdict::kForgotten:
+      Refuse(subject, refusal_reason::kOutcomeForgotten, run_state::kUnknown);
+      return true;
+    case repeat_verdict::kMismatch:
+    case repeat_verdict::kBadStamp:
+      Refuse(subject, refusal_reason::kBadRequest, run_state::kNotRun);
+      return true;
+    case repeat_verdict::kFull:
+      Refuse(subject, refusal_reason::kQueueFull, run_state::kNotRun, kRetrySoon);
+      return true;
+  }
+  return false;
+}
+
+void gate::Admit(instant now, const std::shared_ptr<job>& subject) {
+  if (queue_.size() == 0 && cap_.Admits(static_cast<uint32_t>(running_.size()))) {
+    HandOver(now, subject);
+    return;
+  }
+  const auto [weight, priority] = ports_.share(subject->request);
+  const queue_outcome outcome =
+      queue_.Push({subject->id, subject->request.tenant, weight, priority, subject->deadline}, now);
+  subject->queued = true;
+  if (!outcome.refused) return;
+  const auto refused = jobs_.find(outcome.refused->id);
+  if (refused == jobs_.end()) return;
+  const auto victim = refused->second;
+  victim->queued = false;
+  refusal_reason reason = outcome.refused->reason;
+  if (reason == refusal_reason::kQueueFull && cap_.cold()) reason = refusal_reason::kColdStart;
+  Refuse(victim, reason, run_state::kNotRun, Millis(outcome.refused->retry_after));
+}
+
+void gate::HandOver(instant now, const std::shared_ptr<job>& subject) {
+  subject->queued = false;
+  // The lease and the rules may have changed while the request waited.
+  if (const auto refusal = Check(now, *subject)) {
+    Refuse(subject, refusal->reason, run_state::kNotRun, refusal->retry_after, refusal->owner_hint);
+    return;
+  }
+  instant limit = subject->deadline;
+  if (subject->keyed) limit = std::min(limit, ports_.lease_expiry());
+  if (limit - now < kShortestRun) {
+    const bool lapsing = limit < subject->deadline;
+    Refuse(subject, lapsing ? refusal_reason::kLeaseLapsed : refusal_reason::kDeadlineTooShort,
+           run_state::kNotRun, kRetrySoon);
+    return;
+  }
+  subject->handed_over = now;
+  ++counts_.handed_over;
+  running_.emplace(subject->id, subject);
+  subject->http = client_.Send(settings_.target, TargetRequest(now, *subject), Millis(limit - now),
+                               [this, subject](tl::expected<http_answer, http_failure> outcome) {
+                                 const instant then = boot_clock::now();
+                                 if (outcome) {
+                                   OnAnswer(then, subject, std::move(*outcome));
+                                 } else {
+                                   OnFailure(then, subject, outcome.error());
+                                 }
+                                 PopQueue(then);
+                               });
+}
+
+http_request gate::TargetRequest(instant now, const job& subject) const {
+  http_request sent = subject.request.request;
+  const auto add = [&sent](const char* name, const std::string& value) {
+    sent.headers.emplace_back(name, value);
+  };
+  const forward_request& request = subject.request;
+  add("X-Bulrush-Service", request.service);
+  add("X-Bulrush-Request-Id", request.request_id);
+  if (!request.key.empty()) add("X-Bulrush-Key", request.key);
+  if (!request.tenant.empty()) add("X-Bulrush-Tenant", request.tenant);
+  if (!request.idempotency_key.empty()) add("Idempotency-Key", request.idempotency_key);
+  instant limit = subject.deadline;
+  if (subject.keyed) {
+    const instant expiry = ports_.lease_expiry();
+    limit = std::min(limit, expiry);
+    add("X-Bulrush-Slice", std::to_string(request.slice));
+    add("X-Bulrush-Epoch", std::to_string(subject.epoch));
+    add("X-Bulrush-Grant-Expires-Ms",
+        std::to_string(std::chrono::floor<std::chrono::milliseconds>(expiry - now).count()));
+  }
+  add("X-Bulrush-Deadline-Ms",
+      std::to_string(std::chrono::floor<std::chrono::milliseconds>(limit - now).count()));
+  return sent;
+}
+
+void gate::OnAnswer(instant now, const std::shared_ptr<job>& subject, http_answer answer) {
+  if (running_.erase(subject->id) == 0) return;
+  const auto in_flight = static_cast<uint32_t>(running_.size()) + 1;
+  if (!target_up_) {
+    target_up_ = true;
+    ports_.target_state(now, true);
+  }
+  if (const std::string boot = FindHeader(answer.headers, "X-Bulrush-Boot-Id"); !boot.empty()) {
+    cap_.OnBootId(boot, now);
+  }
+  if (FindHeader(answer.headers, "X-Bulrush-Not-Run") == "1") {
+    cap_.OnShed(now);
+    Refuse(subject, refusal_reason::kTargetShed, run_state::kNotRun, kRetrySoon);
+    return;
+  }
+  const std::string echoed = FindHeader(answer.headers, "X-Bulrush-Request-Id");
+  if (!echoed.empty() && echoed != subject->request.request_id) {
+    ++counts_.crossed;
+    Refuse(subject, refusal_reason::kAnswerCrossed, run_state::kUnknown);
+    return;
+  }
+  if (answer.body.size() > settings_.max_answer) {
+    Refuse(subject, refusal_reason::kAnswerTooLarge, run_state::kUnknown);
+    return;
+  }
+  const auto took = now - subject->handed_over;
+  cap_.OnAnswer(took, in_flight, now);
+  queue_.OnServed(took, cap_.limit());
+  poison_.OnAnswered(subject->fingerprint, now);
+  ++counts_.answered;
+  if (subject->identified) {
+    memory_.Answered(subject->request.slice, subject->identity, Remember(answer));
+  }
+  forward_answer whole;
+  whole.answer = std::move(answer);
+  Finish(subject, whole);
+}
+
+void gate::OnFailure(instant now, const std::shared_ptr<job>& subject,
+                     const http_failure& failure) {
+  if (!running_.contains(subject->id)) return;
+  if (failure.timed_out) {
+    running_.erase(subject->id);
+    cap_.OnFailure(now);
+    const bool lapsed = subject->keyed && ports_.lease_expiry() <= now;
+    Refuse(subject, lapsed ? refusal_reason::kLeaseLapsed : refusal_reason::kDeadlinePassed,
+           run_state::kUnknown);
+    return;
+  }
+  cap_.OnConnectionLost(now);
+  if (!failure.may_have_run) {
+    running_.erase(subject->id);
+    if (std::exchange(target_up_, false)) ports_.target_state(now, false);
+    Refuse(subject, refusal_reason::kTargetUnreachable, run_state::kNotRun, kRetrySoon);
+    return;
+  }
+  OnCrash(now);
+  running_.erase(subject->id);
+  Refuse(subject, refusal_reason::kTargetCrashed, run_state::kUnknown);
+}
+
+void gate::OnCrash(instant now) {
+  if (crashes_ > 0 && now - last_crash_ < kSameCrash) return;
+  last_crash_ = now;
+  ++crashes_;
+  std::vector<suspect_request> suspects;
+  for (const auto& [id, other] : running_) {
+    suspects.push_back({other->fingerprint, ports_.home_regions(other->request)});
+  }
+  for (const auto fingerprint : poison_.OnCrash(crash_seed_ + crashes_, suspects, now)) {
+    ports_.quarantined(now, fingerprint);
+  }
+}
+
+void gate::PopQueue(instant now) {
+  queue_.SetConcurrency(cap_.limit());
+  while (cap_.Admits(static_cast<uint32_t>(running_.size()))) {
+    const queue_next next = queue_.Pop(now);
+    for (const queue_refusal& expired : next.expired) {
+      const auto found = jobs_.find(expired.id);
+      if (found == jobs_.end()) continue;
+      const auto victim = found->second;
+      victim->queued = false;
+      Refuse(victim, expired.reason, run_state::kNotRun, Millis(expired.retry_after));
+    }
+    if (!next.id) return;
+    const auto found = jobs_.find(*next.id);
+    if (found == jobs_.end()) continue;
+    const auto chosen = found->second;
+    HandOver(now, chosen);
+  }
+}
+
+void gate::Cancel(instant now, ticket id) {
+  const auto found = jobs_.find(id);
+  if (found == jobs_.end()) return;
+  const auto subject = found->second;
+  subject->done = nullptr;
+  if (subject->queued) {
+    queue_.Cancel(id);
+    Refuse(subject, refusal_reason::kCancelled, run_state::kNotRun);
+    return;
+  }
+  // What may not run twice goes on, so that a repeat finds the outcome.
+  if (!running_.contains(id) || subject->identified || !subject->request.idempotent) return;
+  client_.Cancel(subject->http);
+  running_.erase(id);
+  Refuse(subject, refusal_reason::kCancelled, run_state::kUnknown);
+  PopQueue(now);
+}
+
+void gate::Tick(instant now) { PopQueue(now); }
+
+void gate::OnLapse(instant) {
+  std::vector<std::shared_ptr<job>> cut;
+  for (const auto& [id, subject] : jobs_) {
+    if (subject->keyed) cut.push_back(subject);
+  }
+  for (const auto& subject : cut) {
+    if (!jobs_.contains(subject->id)) continue;
+    if (subject->queued) {
+      queue_.Cancel(subject->id);
+      Refuse(subject, refusal_reason::kLeaseLapsed, run_state::kNotRun, kRetrySoon);
+      continue;
+    }
+    if (running_.erase(subject->id) == 0) continue;
+    client_.Cancel(subject->http);
+    ++counts_.cut_by_lapse;
+    Refuse(subject, refusal_reason::kLeaseLapsed, run_state::kUnknown);
+  }
+}
+
+void gate::LoseSlice(uint32_t slice) { memory_.LoseSlice(slice); }
+
+void gate::GainSlice(uint32_t slice) { memory_.GainSlice(slice, WallNow()); }
+
+size_t gate::InFlight(uint32_t slice) const {
+  const auto found = per_slice_.find(slice);
+  return found == per_slice_.end() ? 0 : found->second;
+}
+
+void gate::SetSlots(uint32_t slots) {
+  if (slots == settings_.slots) return;
+  settings_.slots = slots;
+  cap_ = concurrency_cap(concurrency_settings{slots});
+}
+
+void gate::Refuse(const std::shared_ptr<job>& subject, refusal_reason reason, run_state state,
+                  std::chrono::milliseconds retry_after, const std::string& hint) {
+  if (subject->identified) {
+    if (state == run_state::kNotRun) {
+      memory_.NotRun(subject->request.slice, subject->identity);
+    } else {
+      memory_.OutcomeUnknown(subject->request.slice, subject->identity);
+    }
+  }
+  metrics_.CountRefusal(reason, state);
+  forward_answer refusal;
+  refusal.reason = reason;
+  refusal.state = state;
+  refusal.retry_after = retry_after;
+  refusal.owner_hint = hint;
+  Finish(subject, refusal);
+}
+
+void gate::Finish(const std::shared_ptr<job>& subject, const forward_answer& answer) {
+  Forget(subject);
+  const auto joined = std::move(subject->joined);
+  const auto deliver = [&answer](job& to) {
+    if (!to.done) return;
+    forward_answer own = answer;
+    own.id = to.request.id;
+    own.request_id = to.request.request_id;
+    const reply done = std::move(to.done);
+    done(std::move(own));
+  };
+  deliver(*subject);
+  for (const auto& waiting : joined) {
+    Forget(waiting);
+    deliver(*waiting);
+  }
+}
+
+void gate::Forget(const std::shared_ptr<job>& subject) {
+  if (jobs_.erase(subject->id) == 0 || !subject->keyed) return;
+  const auto found = per_slice_.find(subject->request.slice);
+  if (--found->second == 0) per_slice_.erase(found);
+}
+
+}  // namespace bulrushway
--- /dev/null
+++ b/src/gate.h
@@ -0,0 +1,150 @@
+#ifndef BULRUSHWAY_GATE_H
+#define BULRUSHWAY_GATE_H
+
+// The gate beside a target: the only way to it. Whatever asks, a request is handed over only while
+// this process holds the lease for its key, the rules allow it and the target bears it; a request
+// that must not run twice is handed over once. Each refusal says truthfully whether the request
+// ran.
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "admission_queue.h"
+#include "concurrency_cap.h"
+#include "http_client.h"
+#include "idempotency_memory.h"
+#include "metrics.h"
+#include "peer_messages.h"
+#include "poison_registry.h"
+
+namespace bulrushway {
+
+/// Why the rules or the state of the process forbid a request now.
+struct gate_refusal {
+  refusal_reason reason = refusal_reason::kNone;
+  std::chrono::milliseconds retry_after{0};
+  std::string owner_hint;
+};
+
+/// What the gate asks of the rest of the process.
+struct gate_ports {
+  /// Refuses by rule: configuration, home regions, data centre out, planned stop.
+  std::function<std::optional<gate_refusal>(instant, const forward_request&)> check_rules;
+  /// Whether the service of this target divides its keys between owners.
+  std::function<bool()> keyed;
+  /// Epoch of the slice if this node may serve it right now.
+  std::function<std::optional<uint64_t>(instant, uint32_t slice)> serves;
+  /// Until when the lease is good.
+  std::function<instant()> lease_expiry;
+  /// Why the slice is not served here: not the owner, moving, or lapsed.
+  std::function<gate_refusal(instant, uint32_t slice)> not_served;
+  /// Weight of a tenant's share and priority of a request.
+  std::function<std::pair<double, uint8_t>(const forward_request&)> share;
+  /// Regions that may know of the request; empty: all.
+  std::function<std::vector<std::string>(const forward_request&)> home_regions;
+  /// The target crashed or answers again.
+  std::function<void(instant, bool up)> target_state;
+  /// A request is quarantined from now on.
+  std::function<void(instant, uint64_t fingerprint)> quarantined;
+};
+
+/// Fixed properties of the target.
+struct gate_settings {
+  socket_address target;
+  uint32_t slots = 12;
+  uint32_t connections = 130;
+  size_t max_answer = 16 << 20;
+};
+
+/// Counts of what the gate did.
+struct gate_counts {
+  uint64_t handed_over = 0;
+  uint64_t answered = 0;
+  uint64_t crossed = 0;
+  uint64_t cut_by_lapse = 0;
+  uint64_t answered_from_memory = 0;
+};
+
+/// Hands requests to one target.
+class gate {
+ public:
+  using reply = std::function<void(forward_answer)>;
+  using ticket = uint64_t;
+
+  gate(event_loop& loop, metrics& counters, gate_settings settings, gate_ports ports);
+  ~gate();
+
+  /// Takes a request; `done` is called once, possibly at once.
+  ticket Handle(instant now, forward_request request, reply done);
+  /// The caller went away. A request that waits is dropped; one at the target is cancelled there,
+  /// unless a repeat may still ask for its answer.
+  void Cancel(instant now, ticket id);
+  /// To be called every few milliseconds: expires queued requests and fences after a lapse.
+  void Tick(instant now);
+  /// The lease lapsed: cuts what is in flight and refuses what waits.
+  void OnLapse(instant now);
+  /// The node no longer owns the slice.
+  void LoseSlice(uint32_t slice);
+  /// The node owns the slice from now on.
+  void GainSlice(uint32_t slice);
+  /// Requests at the target, or waiting, for a slice.
+  size_t InFlight(uint32_t slice) const;
+  /// Requests at the target.
+  size_t InFlight() const { return running_.size(); }
+  /// Requests waiting for the target.
+  size_t Waiting() const { return queue_.size(); }
+  /// Sets the target's slots and connections as the inventory has them.
+  void SetSlots(uint32_t slots);
+
+  const concurrency_cap& cap() const { return cap_; }
+  poison_registry& poison() { return poison_; }
+  const gate_counts& counts() const { return counts_; }
+
+ private:
+  struct job;
+  struct target_answer;
+
+  std::optional<gate_refusal> Check(instant now, job& subject);
+  bool Remembered(instant now, const std::shared_ptr<job>& subject);
+  void Admit(instant now, const std::shared_ptr<job>& subject);
+  void HandOver(instant now, const std::shared_ptr<job>& subject);
+  void PopQueue(instant now);
+  void OnAnswer(instant now, const std::shared_ptr<job>& subject, http_answer answer);
+  void OnFailure(instant now, const std::shared_ptr<job>& subject, const http_failure& failure);
+  void OnCrash(instant now);
+  void Refuse(const std::shared_ptr<job>& subject, refusal_reason reason, run_state state,
+              std::chrono::milliseconds retry_after = std::chrono::milliseconds{0},
+              const std::string& hint = {});
+  void Finish(const std::shared_ptr<job>& subject, const forward_answer& answer);
+  void Forget(const std::shared_ptr<job>& subject);
+  http_request TargetRequest(instant now, const job& subject) const;
+
+  event_loop& loop_;
+  metrics& metrics_;
+  gate_settings settings_;
+  gate_ports ports_;
+  http_client client_;
+  admission_queue queue_;
+  concurrency_cap cap_;
+  idempotency_memory memory_;
+  poison_registry poison_;
+  gate_counts counts_;
+  ticket next_ticket_ = 1;
+  std::map<ticket, std::shared_ptr<job>> jobs_;
+  std::map<ticket, std::shared_ptr<job>> running_;
+  std::map<uint32_t, size_t> per_slice_;
+  uint64_t crash_seed_;
+  uint64_t crashes_ = 0;
+  instant last_crash_;
+  bool target_up_ = true;
+};
+
+}  // namespace bulrushway
+
+#endif  // BULRUSHWAY_GATE_H
--- a/src/peer_codec.cpp
+++ b/src/peer_codec.cpp
@@ -11,8 +11,8 @@
 
 auto Fields(auto& m, const forward_request&) {
   return std::tie(m.id, m.request_id, m.service, m.tenant, m.key, m.idempotency_key, m.idempotent,
-                  m.slice, m.time_left, m.configuration_version, m.repeat, m.request.method,
-                  m.request.target, m.request.headers, m.request.body);
+                  m.caller_attempt, m.first_sent, m.slice, m.time_left, m.configuration_version,
+                  m.repeat, m.request.method, m.request.target, m.request.headers, m.request.body);
 }
 
 auto Fields(auto& m, const cancel_request&) { return std::tie(m.id); }
--- a/src/peer_messages.h
+++ b/src/peer_messages.h
@@ -32,6 +32,10 @@
   std::string key;
   std::string idempotency_key;
   bool idempotent = false;
+  /// Which attempt the caller says this is: 0 unsaid, 1 first, 2 repeat.
+  uint8_t caller_attempt = 0;
+  /// When the caller first sent it, by the caller's wall clock; zero when unsaid.
+  std::chrono::milliseconds first_sent{0};
   /// Slice of the key; meaningless for lookup services.
   uint32_t slice = 0;
   /// Time left until the caller gives up.
--- a/src/peer_transport.cpp
+++ b/src/peer_transport.cpp
@@ -150,8 +150,11 @@
 }
 
 void peer_transport::Fail(connection_id id, error reason) {
-  if (connections_.erase(id) == 0) return;
-  events_.closed(id, reason);
+  const auto found = connections_.find(id);
+  if (found == connections_.end()) return;
+  const bool stood = found->second->established;
+  connections_.erase(found);
+  events_.closed(id, stood, reason);
 }
 
 }  // namespace bulrushway
--- a/src/peer_transport.h
+++ b/src/peer_transport.h
@@ -25,8 +25,9 @@
 struct peer_events {
   /// A message came.
   std::function<void(connection_id, peer_message)> received;
-  /// The connection is gone: closed, refused, or cut off because of a bad frame.
-  std::function<void(connection_id, const error&)> closed;
+  /// The connection is gone: closed, refused, or cut off because of a bad frame. `stood` is false
+  /// when it was never made, so that nothing sent on it has left this process.
+  std::function<void(connection_id, bool stood, const error&)> closed;
 };
 
 /// All connections of one process, incoming and outgoing.
--- /dev/null
+++ b/src/service_targets.h
@@ -0,0 +1,75 @@
+#ifndef BULRUSHWAY_SERVICE_TARGETS_H
+#define BULRUSHWAY_SERVICE_TARGETS_H
+
+// The targets of one lookup service as the entry sees them: who may be chosen, in the order of
+// distance, and how this process's own requests there are going.
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "announcement.h"
+#include "directory.h"
+#include "target_load.h"
+#include "target_picker.h"
+#include "target_view.h"
+
+namespace bulrushway {
+
+/// Where this process stands.
+struct own_place {
+  std::string region;
+  std::string data_centre;
+};
+
+/// Distance of a member from this process.
+target_locality LocalityOf(const own_place& here, const announcement& member);
+
+/// The targets of one service.
+class service_targets {
+ public:
+  /// Whether the rules allow new work at a member now.
+  using allowed = std::function<bool(const announcement&)>;
+
+  /// Takes over the live members of the service; loads of members that stay are kept, those of a
+  /// restarted process are forgotten.
+  void Refresh(const directory& known, const std::string& service, const own_place& here,
+               const allowed& may_use);
+
+  /// Chooses a target among those not in `tried` that stand in one of `regions` (empty: any).
+  template <target_picker Picker>
+  const announcement* Pick(instant now, Picker& picker, const std::vector<std::string>& tried,
+                           const std::vector<std::string>& regions, std::mt19937_64& rng) {
+    std::vector<size_t> marked = MarkTried(tried, regions);
+    const auto chosen = picker.Pick(now, views_, rng);
+    for (const size_t index : marked) views_[index].tried = false;
+    return chosen ? &members_[*chosen] : nullptr;
+  }
+
+  /// Notes that a request goes to the node.
+  request_ticket Start(instant now, const std::string& node);
+  /// Notes how it ended.
+  void Finish(instant now, const std::string& node, request_ticket ticket, request_end end);
+  /// Marks a target as cold for a while, as its gate said.
+  void MarkCold(const std::string& node, bool cold);
+
+  size_t Size() const { return members_.size(); }
+
+ private:
+  std::vector<size_t> MarkTried(const std::vector<std::string>& tried,
+                                const std::vector<std::string>& regions);
+  void Update(const std::string& node);
+
+  std::vector<announcement> members_;
+  std::vector<target_view> views_;
+  std::map<std::string, size_t> index_;
+  std::map<std::string, target_load> loads_;
+  std::map<std::string, uint64_t> processes_;
+};
+
+}  // namespace bulrushway
+
+#endif  // BULRUSHWAY_SERVICE_TARGETS_H
