--- /dev/null
+++ b/src/inheritance.h
@@ -0,0 +1,78 @@
+#ifndef BULRUSHWAY_INHERITANCE_H
+#define BULRUSHWAY_INHERITANCE_H
+
+// The records of other nodes in which this node is an heir or a receiver, and what it may take over
+// from them. A slice is taken only on proof: the giver released it, or every earlier member of its
+// chain is gone and the record itself was in force.
+
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "attestation.h"
+#include "custody.h"
+#include "ownership_types.h"
+
+namespace bulrushway {
+
+/// The terms of this process: a slice may be taken by a process that was named in the record.
+struct own_terms {
+  node_name node;
+  uint64_t first_number = 0;
+  /// The active term, or 0.
+  uint64_t active_number = 0;
+};
+
+/// Records from which this node may take over.
+class inheritance {
+ public:
+  inheritance(slice_layout layout, const protocol_rules& rules)
+      : layout_(std::move(layout)), rules_(rules) {}
+
+  void OnLapse(instant now, const node_name& self, const lapse_notice& notice);
+  void OnRelease(const release_notice& notice);
+  /// The round found the term alive.
+  void OnAlive(const term_id& term);
+
+  /// Starts the rounds that are needed and returns the slices that the node holds as of now.
+  std::vector<slice_epoch> Evaluate(instant now, const own_terms& own,
+                                    const term_outcomes& outcomes, attestor& rounds, outbox& out);
+  /// Drops what is settled: `recorded` tells whether the slice with this epoch is listed by this
+  /// node's active record. Returns gone terms whose rows nobody needs any more.
+  std::vector<term_id> Settle(const own_terms& own, const term_outcomes& outcomes,
+                              const std::function<bool(const slice_epoch&)>& recorded);
+  /// Records all of whose members for some slice are gone.
+  std::vector<term_record> Orphans() const;
+
+ private:
+  struct entry {
+    term_record record;
+    bool active = false;
+    bool suspect = false;
+    instant suspect_since;
+    std::chrono::milliseconds delay{0};
+    std::set<slice_number> released;
+    bool orphan = false;
+  };
+
+  bool ProvenActive(instant now, entry& known, const term_outcomes& outcomes, attestor& rounds,
+                    outbox& out);
+  bool Mine(const own_terms& own, const heir& holder) const;
+  void EvaluateReleased(const own_terms& own, const entry& known,
+                        std::vector<slice_epoch>& taken) const;
+  void EvaluateGone(instant now, const own_terms& own, entry& known, const term_outcomes& outcomes,
+                    attestor& rounds, std::vector<slice_epoch>& taken, outbox& out);
+  void AskPaced(instant now, const term_id& term, const std::vector<node_name>& witnesses,
+                attestor& rounds, outbox& out);
+
+  slice_layout layout_;
+  protocol_rules rules_;
+  std::map<term_id, entry> entries_;
+  std::map<term_id, instant> last_asked_;
+};
+
+}  // namespace bulrushway
+
+#endif  // BULRUSHWAY_INHERITANCE_H
--- /dev/null
+++ b/src/placement.cpp
@@ -0,0 +1,211 @@
+#include "placement.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+
+namespace bulrushway {
+namespace {
+
+/// Heirs that should stand in the node's own region.
+constexpr size_t kHeirsInRegion = 2;
+
+/// A node keeps this share of surplus or deficit before slices move.
+constexpr double kShareTolerance = 0.05;
+
+uint64_t Rank(const node_name& self, const node_name& other) {
+  const std::string both = self + "|" + other;
+  return XXH3_64bits(both.data(), both.size());
+}
+
+bool Contains(const std::vector<node_name>& names, const node_name& name) {
+  return std::find(names.begin(), names.end(), name) != names.end();
+}
+
+/// How far apart the failures of two nodes are; larger is farther.
+enum class separation : uint8_t { kSameRack, kSameDataCentre, kSameRegion, kOtherRegion };
+
+separation SeparationOf(const ownership_settings& self, const member& other) {
+  if (other.region != self.region) return separation::kOtherRegion;
+  if (other.data_centre != self.data_centre) return separation::kSameRegion;
+  if (other.rack != self.rack) return separation::kSameDataCentre;
+  return separation::kSameRack;
+}
+
+/// The other nodes that do not leave, current choices first, then by rank.
+std::vector<const member*> Candidates(const ownership_settings& self,
+                                      const std::vector<member>& members,
+                                      const std::vector<node_name>& current) {
+  std::vector<const member*> candidates;
+  for (const member& other : members) {
+    if (other.node != self.node && !other.leaving) candidates.push_back(&other);
+  }
+  std::sort(candidates.begin(), candidates.end(), [&](const member* a, const member* b) {
+    const bool kept_a = Contains(current, a->node);
+    const bool kept_b = Contains(current, b->node);
+    if (kept_a != kept_b) return kept_a;
+    return Rank(self.node, a->node) < Rank(self.node, b->node);
+  });
+  return candidates;
+}
+
+/// Moves the first candidate that fits into `chosen`.
+template <class Predicate>
+bool TakeFirst(std::vector<const member*>& candidates, std::vector<const member*>& chosen,
+               Predicate fits) {
+  const auto found = std::find_if(candidates.begin(), candidates.end(), fits);
+  if (found == candidates.end()) return false;
+  chosen.push_back(*found);
+  candidates.erase(found);
+  return true;
+}
+
+bool MayOwn(const member& node, const std::string& service) {
+  return node.owner_capable && !node.leaving && node.service == service;
+}
+
+double TotalWeight(const slice_layout& layout, const std::vector<member>& members,
+                   const std::string& service, uint32_t partition) {
+  double total = 0;
+  for (const member& node : members) {
+    if (!MayOwn(node, service) || !PartitionAllowed(layout, partition, node.region)) continue;
+    total += node.weight;
+  }
+  return total;
+}
+
+double Tolerance(double share) { return std::max(1.0, share * kShareTolerance); }
+
+}  // namespace
+
+heir AsHeir(const member& node) { return {node.term, node.region, node.witnesses}; }
+
+std::vector<node_name> ChooseWitnesses(const ownership_settings& self,
+                                       const std::vector<member>& members,
+                                       const std::vector<node_name>& current) {
+  std::vector<const member*> candidates = Candidates(self, members, current);
+  std::vector<const member*> chosen;
+  const auto at = [&](separation wanted) {
+    return [&self, wanted](const member* other) { return SeparationOf(self, *other) == wanted; };
+  };
+  TakeFirst(candidates, chosen, at(separation::kSameDataCentre)) ||
+      TakeFirst(candidates, chosen, at(separation::kSameRack));
+  TakeFirst(candidates, chosen, at(separation::kSameRegion));
+  TakeFirst(candidates, chosen, at(separation::kOtherRegion));
+  while (chosen.size() < kWitnessCount) {
+    if (TakeFirst(candidates, chosen, at(separation::kSameRegion))) continue;
+    if (TakeFirst(candidates, chosen, at(separation::kSameDataCentre))) continue;
+    if (!TakeFirst(candidates, chosen, [](const member*) { return true; })) break;
+  }
+  std::vector<node_name> names;
+  for (const member* other : chosen) names.push_back(other->node);
+  if (names.empty() || names.size() == 2) names.push_back(self.node);
+  std::sort(names.begin(), names.end());
+  return names;
+}
+
+std::vector<heir> ChooseHeirs(const ownership_settings& self, const std::vector<member>& members,
+                              const std::vector<heir>& current) {
+  std::vector<node_name> kept;
+  for (const heir& entry : current) kept.push_back(entry.term.node);
+  std::vector<const member*> candidates = Candidates(self, members, kept);
+  std::erase_if(candidates, [&](const member* other) {
+    return !MayOwn(*other, self.service) || other->term.number == 0;
+  });
+  std::stable_partition(candidates.begin(), candidates.end(), [&](const member* other) {
+    return SeparationOf(self, *other) != separation::kSameRack;
+  });
+  std::vector<const member*> chosen;
+  const auto in_region = [&](const member* other) { return other->region == self.region; };
+  while (chosen.size() < std::min<size_t>(kHeirsInRegion, self.heir_count)) {
+    if (!TakeFirst(candidates, chosen, in_region)) break;
+  }
+  while (chosen.size() < self.heir_count) {
+    if (!TakeFirst(candidates, chosen, [](const member*) { return true; })) break;
+  }
+  std::vector<heir> heirs;
+  for (const member* other : chosen) {
+    const auto same = std::find_if(current.begin(), current.end(), [&](const heir& entry) {
+      return entry.term.node == other->node && entry.term.number >= other->first_number;
+    });
+    heirs.push_back(same != current.end() ? *same : AsHeir(*other));
+  }
+  std::sort(heirs.begin(), heirs.end());
+  return heirs;
+}
+
+double FairShare(const slice_layout& layout, const std::vector<member>& members,
+                 const member& node) {
+  if (!MayOwn(node, node.service)) return 0;
+  double share = 0;
+  for (uint32_t partition = 0; partition < PartitionCount(layout); ++partition) {
+    if (!PartitionAllowed(layout, partition, node.region)) continue;
+    const double total = TotalWeight(layout, members, node.service, partition);
+    if (total > 0) share += layout.slices_per_partition * node.weight / total;
+  }
+  return share;
+}
+
+std::vector<donor_share> ChooseDonors(const slice_layout& layout,
+                                      const std::vector<member>& members, const member& self) {
+  const double share = FairShare(layout, members, self);
+  double wanted = std::floor(share - self.slice_count);
+  std::vector<donor_share> donors;
+  if (wanted < Tolerance(share)) return donors;
+  struct surplus {
+    node_name node;
+    double amount = 0;
+  };
+  std::vector<surplus> rich;
+  for (const member& other : members) {
+    if (other.node == self.node || other.service != self.service) continue;
+    const double amount = other.slice_count - FairShare(layout, members, other);
+    if (amount >= 1) rich.push_back({other.node, amount});
+  }
+  std::sort(rich.begin(), rich.end(), [&](const surplus& a, const surplus& b) {
+    if (a.amount != b.amount) return a.amount > b.amount;
+    return Rank(self.node, a.node) < Rank(self.node, b.node);
+  });
+  for (const surplus& donor : rich) {
+    const double part = std::floor(std::min(wanted, donor.amount));
+    if (part < 1) break;
+    donors.push_back({donor.node, static_cast<uint32_t>(part)});
+    wanted -= part;
+  }
+  return donors;
+}
+
+std::vector<slice_gift> ChooseReceivers(const slice_layout& layout,
+                                        const std::vector<member>& members, const node_name& giver,
+                                        const std::vector<slice_number>& slices) {
+  struct room {
+    const member* node;
+    double free;
+  };
+  std::vector<room> rooms;
+  const auto giving = std::find_if(members.begin(), members.end(),
+                                   [&](const member& node) { return node.node == giver; });
+  if (giving == members.end()) return {};
+  std::vector<member> staying = members;
+  std::erase_if(staying, [&](const member& node) { return node.node == giver; });
+  for (const member& node : staying) {
+    if (!MayOwn(node, giving->service) || node.term.number == 0) continue;
+    rooms.push_back({&node, FairShare(layout, staying, node) - node.slice_count});
+  }
+  std::vector<slice_gift> gifts;
+  for (const slice_number slice : slices) {
+    room* best = nullptr;
+    for (room& candidate : rooms) {
+      if (!SliceAllowed(layout, slice, candidate.node->region)) continue;
+      if (best == nullptr || candidate.free > best->free) best = &candidate;
+    }
+    if (best == nullptr) continue;
+    best->free -= 1;
+    gifts.push_back({slice, AsHeir(*best->node)});
+  }
+  return gifts;
+}
+
+}  // namespace bulrushway
--- /dev/null
+++ b/src/slice.h
@@ -0,0 +1,41 @@
+#ifndef BULRUSHWAY_SLICE_H
+#define BULRUSHWAY_SLICE_H
+
+// Keys hash to slices, the unit of ownership, so that no state is kept for a key. The slices of a
+// service are divided into partitions: partition 0 may be held anywhere, partition p > 0 only in the
+// region with index p - 1.
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "term.h"
+
+namespace bulrushway {
+
+/// How the slices of a service are laid out.
+struct slice_layout {
+  /// Regions in the fixed order of the inventory.
+  std::vector<std::string> regions;
+  /// Slices of each partition.
+  uint32_t slices_per_partition = 1024;
+};
+
+/// Number of partitions: one for anywhere and one for each region.
+uint32_t PartitionCount(const slice_layout& layout);
+
+/// The slice of a key in a partition.
+slice_number SliceOf(const slice_layout& layout, uint32_t partition, std::string_view key);
+
+/// The partition of a slice.
+uint32_t PartitionOf(const slice_layout& layout, slice_number slice);
+
+/// Whether a node of the region may hold slices of the partition.
+bool PartitionAllowed(const slice_layout& layout, uint32_t partition, std::string_view region);
+
+/// Whether a node of the region may hold the slice.
+bool SliceAllowed(const slice_layout& layout, slice_number slice, std::string_view region);
+
+}  // namespace bulrushway
+
+#endif  // BULRUSHWAY_SLICE_H
