Read daemon settings from INI and report every mistake at once

Cause: a wrong setting must be told with file, line and remedy before a process serves anything. Conclusion: the daemon can be wired to ReadDaemonSettings().

--- /dev/null
+++ b/src/daemon_settings.cpp
@@ -0,0 +1,186 @@
+#include "daemon_settings.h"
+
+#include <array>
+#include <utility>
+
+#include "ini_section_reader.h"
+#include "quantity.h"
+
+namespace bulrushway {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::string_view kStep = "read settings";
+constexpr uint64_t kMaxWeight = 1000;
+constexpr uint64_t kMaxSlots = 10'000;
+constexpr uint64_t kMaxConnections = 100'000;
+constexpr uint64_t kMaxQueue = 100'000;
+constexpr uint64_t kLargestBody = 64ULL * 1024 * 1024;
+constexpr milliseconds kLongestDeadline{600'000};
+constexpr std::array<std::string_view, 4> kLevelNames = {"debug", "info", "warning", "error"};
+
+// A parser for whole numbers in a range.
+auto CountBetween(uint64_t least, uint64_t most) {
+  return [least, most](std::string_view text) { return ParseCount(text, least, most); };
+}
+
+parsed<milliseconds> ParseDeadline(std::string_view text) {
+  parsed<milliseconds> value = ParseDuration(text);
+  if (!value || (*value > milliseconds(0) && *value <= kLongestDeadline)) return value;
+  return tl::unexpected<std::string>("'" + std::string(text) +
+                                     "' is out of range; write a duration from 1 ms to 10 min.");
+}
+
+parsed<uint64_t> ParseBodySize(std::string_view text) {
+  parsed<uint64_t> value = ParseSize(text);
+  if (!value || (*value > 0 && *value <= kLargestBody)) return value;
+  return tl::unexpected<std::string>("'" + std::string(text) +
+                                     "' is out of range; write a size from 1 B to 64 MiB.");
+}
+
+parsed<log_level> ParseLevel(std::string_view text) {
+  for (size_t i = 0; i < kLevelNames.size(); ++i) {
+    if (kLevelNames.at(i) == text) return static_cast<log_level>(i);
+  }
+  return tl::unexpected<std::string>("'" + std::string(text) +
+                                     "' is no level; write debug, info, warning or error.");
+}
+
+parsed<std::string> ParseText(std::string_view text) {
+  if (!text.empty()) return std::string(text);
+  return tl::unexpected<std::string>("the value is empty; write a value or leave the key out.");
+}
+
+class settings_parser {
+ public:
+  settings_parser(const ini_document& document, std::vector<error>& errors)
+      : document_(document), errors_(errors) {}
+
+  daemon_settings Parse() {
+    ReportUnknownSections(document_,
+                          {"node", "listen", "target", "platform", "peers", "limits", "log"}, kStep,
+                          errors_);
+    ReadNode();
+    ReadListen();
+    ReadTarget();
+    ReadPlatform();
+    ReadPeers();
+    ReadLimits();
+    ReadLog();
+    return std::move(settings_);
+  }
+
+ private:
+  // A section that is missing reads as an empty one, so that each required key is asked for.
+  section_reader Open(std::string_view name) {
+    const ini_section* found = document_.Find(name);
+    if (found == nullptr) {
+      missing_.name = name;
+      missing_.line = 1;
+      found = &missing_;
+    }
+    return section_reader(document_.file, *found, kStep, errors_);
+  }
+
+  void ReadNode() {
+    section_reader reader = Open("node");
+    node_settings& node = settings_.node;
+    reader.Require("name", "lima-a-01", node.name, ParseName);
+    reader.Require("service", "corredores", node.service, ParseName);
+    reader.Require("region", "lima", node.region, ParseName);
+    reader.Require("data_centre", "lima-a", node.data_centre, ParseName);
+    reader.Require("rack", "r1", node.rack, ParseName);
+    reader.Accept("weight", node.weight, CountBetween(1, kMaxWeight));
+    reader.Finish();
+  }
+
+  void ReadListen() {
+    section_reader reader = Open("listen");
+    listen_settings& listen = settings_.listen;
+    reader.Require("http", "10.1.2.3:8080", listen.http, ParseAddress);
+    reader.Require("peer", "10.1.2.3:8081", listen.peer, ParseAddress);
+    if (listen.http.port != 0 && listen.http == listen.peer) {
+      reader.Report("peer", "'" + ToString(listen.peer) +
+                                "' is also the address for http; write another port.");
+    }
+    reader.Finish();
+  }
+
+  void ReadTarget() {
+    section_reader reader = Open("target");
+    target_settings& target = settings_.target;
+    reader.Require("address", "127.0.0.1:9000", target.address, ParseAddress);
+    reader.Accept("checks_grants", target.checks_grants, ParseYesNo);
+    reader.Accept("slots", target.slots, CountBetween(1, kMaxSlots));
+    reader.Accept("connections", target.connections, CountBetween(1, kMaxConnections));
+    reader.Finish();
+  }
+
+  void ReadPlatform() {
+    section_reader reader = Open("platform");
+    reader.RequireList("addresses", "10.1.2.3:7000, 10.1.2.4:7000", settings_.platform,
+                       ParseAddress);
+    reader.Finish();
+  }
+
+  void ReadPeers() {
+    section_reader reader = Open("peers");
+    reader.AcceptList("seeds", settings_.seeds, ParseAddress);
+    reader.Finish();
+  }
+
+  void ReadLimits() {
+    section_reader reader = Open("limits");
+    limit_settings& limits = settings_.limits;
+    reader.Accept("max_body", limits.max_body, ParseBodySize);
+    reader.Accept("default_deadline", limits.default_deadline, ParseDeadline);
+    reader.Accept("max_deadline", limits.max_deadline, ParseDeadline);
+    reader.Accept("queue_length", limits.queue_length, CountBetween(0, kMaxQueue));
+    reader.Accept("queue_wait", limits.queue_wait, ParseDeadline);
+    reader.Accept("caller_connections", limits.caller_connections,
+                  CountBetween(1, kMaxConnections));
+    if (limits.default_deadline > limits.max_deadline) {
+      reader.Report("default_deadline", "'" + std::to_string(limits.default_deadline.count()) +
+                                            " ms' is longer than max_deadline; write at most '" +
+                                            std::to_string(limits.max_deadline.count()) + " ms'.");
+    }
+    reader.Finish();
+  }
+
+  void ReadLog() {
+    section_reader reader = Open("log");
+    reader.Accept("level", settings_.log.level, ParseLevel);
+    reader.Accept("file", settings_.log.file, ParseText);
+    reader.Finish();
+  }
+
+  const ini_document& document_;
+  std::vector<error>& errors_;
+  ini_section missing_;
+  daemon_settings settings_;
+};
+
+checked<daemon_settings> FromDocument(const ini_document& document, std::vector<error> errors) {
+  daemon_settings settings = settings_parser(document, errors).Parse();
+  if (!errors.empty()) return tl::unexpected<std::vector<error>>(std::move(errors));
+  return settings;
+}
+
+}  // namespace
+
+std::string_view Name(log_level level) { return kLevelNames.at(static_cast<size_t>(level)); }
+
+checked<daemon_settings> ParseDaemonSettings(std::string_view file, std::string_view text) {
+  std::vector<error> errors;
+  const ini_document document = ParseIni(file, text, errors);
+  return FromDocument(document, std::move(errors));
+}
+
+checked<daemon_settings> ReadDaemonSettings(const std::string& path) {
+  const result<std::string> text = ReadTextFile(path);
+  if (!text) return tl::unexpected<std::vector<error>>({text.error()});
+  return ParseDaemonSettings(path, *text);
+}
+
+}  // namespace bulrushway
--- /dev/null
+++ b/src/ini_document.cpp
@@ -0,0 +1,223 @@
+#include "ini_document.h"
+
+#include <ini.h>
+
+#include <algorithm>
+#include <cstring>
+#include <fstream>
+#include <iterator>
+
+namespace bulrushway {
+namespace {
+
+constexpr std::string_view kStep = "parse INI";
+constexpr std::string_view kBlanks = " \t\r\n\v\f";
+constexpr std::string_view kByteOrderMark = "\xEF\xBB\xBF";
+
+std::string_view Trim(std::string_view text) {
+  const size_t first = text.find_first_not_of(kBlanks);
+  if (first == std::string_view::npos) return {};
+  return text.substr(first, text.find_last_not_of(kBlanks) - first + 1);
+}
+
+// Feeds the text to inih line by line. inih tells neither line numbers nor all bad lines, so the
+// feeder counts the lines and checks that each one was understood before it hands over the next.
+class line_feeder {
+ public:
+  line_feeder(std::string_view file, std::string_view text, std::vector<error>& errors)
+      : errors_(errors), rest_(text) {
+    document_.file = file;
+  }
+
+  ini_document Take() {
+    FinishLine();
+    ReportRepeatedSections();
+    return std::move(document_);
+  }
+
+  // Writes the next line that inih should see into `buffer`; false at the end of the text.
+  bool Next(char* buffer, size_t size) {
+    FinishLine();
+    while (!rest_.empty()) {
+      const std::string_view line = TakeLine();
+      if (Skip(line)) continue;
+      const size_t length = std::min(line.size(), size - 1);
+      std::memcpy(buffer, line.data(), length);
+      buffer[length] = '\0';
+      return true;
+    }
+    return false;
+  }
+
+  void Add(std::string_view key, std::string_view value) {
+    understood_ = true;
+    if (document_.sections.empty()) document_.sections.push_back({"", line_, {}});
+    ini_section& section = document_.sections.back();
+    if (key.empty()) {
+      Report(line_, "The line has a value but no key before the '='; write 'key = value'.");
+      return;
+    }
+    if (continuation_) {
+      AppendToLast(section, value);
+      return;
+    }
+    for (const ini_entry& earlier : section.entries) {
+      if (earlier.key != key) continue;
+      Report(line_, "The key '" + std::string(key) + "' stands twice in section [" + section.name +
+                        "], first on line " + std::to_string(earlier.line) + "; keep one of them.");
+      return;
+    }
+    section.entries.push_back({std::string(key), std::string(value), line_});
+  }
+
+ private:
+  std::string_view TakeLine() {
+    const size_t end = rest_.find('\n');
+    const std::string_view line = rest_.substr(0, end);
+    rest_.remove_prefix(end == std::string_view::npos ? rest_.size() : end + 1);
+    ++line_;
+    return line;
+  }
+
+  // Handles what inih need not or must not see. Headings are recorded here and passed on.
+  bool Skip(std::string_view line) {
+    if (line_ == 1 && line.starts_with(kByteOrderMark)) line.remove_prefix(kByteOrderMark.size());
+    const std::string_view text = Trim(line);
+    if (text.empty() || text.front() == ';' || text.front() == '#') return true;
+    if (line.size() > kMaxIniLine) {
+      Report(line_, "The line has " + std::to_string(line.size()) + " bytes; at most " +
+                        std::to_string(kMaxIniLine) +
+                        " are read. Split the value into indented continuation lines.");
+      return true;
+    }
+    if (line.find('\0') != std::string_view::npos) {
+      Report(line_, "The line holds a NUL byte; write plain text.");
+      return true;
+    }
+    const bool indented = kBlanks.find(line.front()) != std::string_view::npos;
+    continuation_ = indented && previous_was_entry_;
+    if (!continuation_ && text.front() == '[') return !OpenSection(text);
+    pending_ = true;
+    understood_ = false;
+    return false;
+  }
+
+  // True when inih should see the heading.
+  bool OpenSection(std::string_view text) {
+    previous_was_entry_ = false;
+    const size_t end = text.find(']');
+    if (end == std::string_view::npos) {
+      Report(line_, "The section heading '" + std::string(text) + "' has no closing ']'.");
+      return false;
+    }
+    const std::string_view name = text.substr(1, end - 1);
+    document_.sections.push_back({std::string(name), line_, {}});
+    if (name.empty()) Report(line_, "The section heading '[]' has no name.");
+    if (name.size() > kMaxIniSectionName) {
+      Report(line_, "The section name '" + std::string(name) + "' has " +
+                        std::to_string(name.size()) + " bytes; at most " +
+                        std::to_string(kMaxIniSectionName) + " are allowed.");
+    }
+    return true;
+  }
+
+  void FinishLine() {
+    if (!pending_) return;
+    pending_ = false;
+    previous_was_entry_ = understood_;
+    if (!understood_) {
+      Report(line_, "The line is neither '[section]', 'key = value' nor a comment (';' or '#').");
+    }
+  }
+
+  static void AppendToLast(ini_section& section, std::string_view value) {
+    if (section.entries.empty()) return;
+    section.entries.back().value += ' ';
+    section.entries.back().value += value;
+  }
+
+  void ReportRepeatedSections() {
+    const auto& sections = document_.sections;
+    for (size_t i = 0; i < sections.size(); ++i) {
+      const ini_section* first = document_.Find(sections[i].name);
+      if (first == &sections[i]) continue;
+      Report(sections[i].line, "The section [" + sections[i].name +
+                                   "] stands twice, first on line " + std::to_string(first->line) +
+                                   "; join the two.");
+    }
+  }
+
+  void Report(int line, std::string message) {
+    errors_.push_back(ErrorAtLine(kStep, document_.file, line, std::move(message)));
+  }
+
+  ini_document document_;
+  std::vector<error>& errors_;
+  std::string_view rest_;
+  int line_ = 0;
+  bool pending_ = false;
+  bool understood_ = false;
+  bool continuation_ = false;
+  bool previous_was_entry_ = false;
+};
+
+char* ReadLine(char* buffer, int size, void* stream) {
+  auto* feeder = static_cast<line_feeder*>(stream);
+  return feeder->Next(buffer, static_cast<size_t>(size)) ? buffer : nullptr;
+}
+
+int HandleEntry(void* user, const char* /*section*/, const char* key, const char* value) {
+  static_cast<line_feeder*>(user)->Add(key == nullptr ? "" : key, value == nullptr ? "" : value);
+  return 1;
+}
+
+// The defaults of inih cut lines at 200 bytes.
+void ConfigureLibrary() {
+  constexpr int kBufferSize = static_cast<int>(kMaxIniLine) + 3;
+  ini_use_stack = false;
+  ini_allow_realloc = false;
+  ini_max_line = kBufferSize;
+  ini_initial_alloc = kBufferSize;
+  ini_allow_multiline = true;
+  ini_allow_bom = true;
+}
+
+}  // namespace
+
+const ini_section* ini_document::Find(std::string_view name) const {
+  const auto found = std::find_if(sections.begin(), sections.end(),
+                                  [&](const ini_section& section) { return section.name == name; });
+  return found == sections.end() ? nullptr : &*found;
+}
+
+error ErrorAtLine(std::string_view step, std::string_view file, int line, std::string message) {
+  return error{error_kind::kUser, std::string(step), std::string(file) + ":" + std::to_string(line),
+               std::move(message)};
+}
+
+ini_document ParseIni(std::string_view file, std::string_view text, std::vector<error>& errors) {
+  ConfigureLibrary();
+  line_feeder feeder(file, text, errors);
+  const int outcome = ini_parse_stream(ReadLine, &feeder, HandleEntry, &feeder);
+  if (outcome == -2) {
+    errors.push_back({error_kind::kInternal, std::string(kStep), std::string(file),
+                      "There is no memory for a line buffer."});
+  }
+  return feeder.Take();
+}
+
+result<std::string> ReadTextFile(const std::string& path) {
+  std::ifstream stream(path, std::ios::binary);
+  if (!stream) {
+    return Failure(error_kind::kUser, "read file", path,
+                   "The file '" + path + "' cannot be opened: " + std::strerror(errno) + ".");
+  }
+  std::string text{std::istreambuf_iterator<char>(stream), std::istreambuf_iterator<char>()};
+  if (stream.bad()) {
+    return Failure(error_kind::kUser, "read file", path,
+                   "The file '" + path + "' cannot be read to its end.");
+  }
+  return text;
+}
+
+}  // namespace bulrushway
--- /dev/null
+++ b/test/error/settings_errors.cpp
@@ -0,0 +1,97 @@
+// A settings file with mistakes is answered with all of them, each with its line and a remedy.
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+
+#include "daemon_settings.h"
+
+namespace bulrushway {
+
+namespace {
+
+constexpr const char* kGood =
+    "[node]\nname = lima-a-01\nservice = corredores\nregion = lima\ndata_centre = lima-a\n"
+    "rack = r1\n[listen]\nhttp = 10.1.2.3:8080\npeer = 10.1.2.3:8081\n[target]\n"
+    "address = 127.0.0.1:9000\n[platform]\naddresses = 10.1.2.4:7000\n";
+
+std::vector<error> ErrorsOf(const std::string& text) {
+  const checked<daemon_settings> settings = ParseDaemonSettings("node.ini", text);
+  return settings ? std::vector<error>{} : settings.error();
+}
+
+bool Has(const std::vector<error>& errors, const std::string& peer, const std::string& words) {
+  return std::any_of(errors.begin(), errors.end(), [&](const error& one) {
+    return one.kind == error_kind::kUser && one.peer == peer &&
+           one.message.find(words) != std::string::npos;
+  });
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(settings)
+
+BOOST_AUTO_TEST_CASE(a_complete_file_is_read_with_defaults) {
+  const checked<daemon_settings> settings = ParseDaemonSettings("node.ini", kGood);
+  BOOST_REQUIRE(settings);
+  BOOST_TEST(settings->node.name == "lima-a-01");
+  BOOST_TEST(ToString(settings->listen.peer) == "10.1.2.3:8081");
+  BOOST_TEST(settings->limits.max_body == 1024U * 1024U);
+  BOOST_TEST(settings->limits.default_deadline.count() == 2000);
+  BOOST_TEST(settings->target.slots.has_value() == false);
+}
+
+BOOST_AUTO_TEST_SUITE(mistakes)
+
+BOOST_AUTO_TEST_CASE(an_unknown_key_names_the_nearest_one) {
+  const auto errors = ErrorsOf(std::string(kGood) + "[limits]\nmax_bdy = 1 MiB\n");
+  BOOST_TEST(errors.size() == 1U);
+  BOOST_TEST(Has(errors, "node.ini:15", "did you mean 'max_body'?"));
+}
+
+BOOST_AUTO_TEST_CASE(an_unknown_section_names_the_nearest_one) {
+  BOOST_TEST(Has(ErrorsOf(std::string(kGood) + "[limit]\n"), "node.ini:14", "'limits'"));
+}
+
+BOOST_AUTO_TEST_CASE(a_missing_unit_is_told_with_an_example) {
+  const auto errors = ErrorsOf(std::string(kGood) + "[limits]\ndefault_deadline = 250\n");
+  BOOST_TEST(Has(errors, "node.ini:15", "'250' has no unit"));
+  BOOST_TEST(Has(errors, "node.ini:15", "'250 ms'"));
+}
+
+BOOST_AUTO_TEST_CASE(an_empty_file_asks_for_every_required_key) {
+  const auto errors = ErrorsOf("");
+  BOOST_TEST(errors.size() == 9U);
+  BOOST_TEST(Has(errors, "node.ini:1", "'addresses = 10.1.2.3:7000, 10.1.2.4:7000'"));
+}
+
+BOOST_AUTO_TEST_CASE(all_mistakes_are_reported_at_once) {
+  const auto errors = ErrorsOf(
+      "[node]\nname = Lima A\nservice = corredores\nregion = lima\ndata_centre = lima-a\n"
+      "rack = r1\nweight = 0\nweight = 5\n[listen]\nhttp = 10.1.2.3:8080\npeer = 10.1.2.3:8080\n"
+      "[target]\naddress = localhost:9000\nchecks_grants = true\n[platform]\n"
+      "addresses = 10.1.2.4:7000, 10.1.2.4:7000,\nnonsense\n[limits]\nmax_body = 1 MB\n"
+      "default_deadline = 40 s\n[log]\nlevel = loud\n");
+  BOOST_TEST(errors.size() == 12U);
+  BOOST_TEST(Has(errors, "node.ini:2", "'Lima A' is no name"));
+  BOOST_TEST(Has(errors, "node.ini:7", "from 1 to 1000"));
+  BOOST_TEST(Has(errors, "node.ini:8", "stands twice in section [node], first on line 7"));
+  BOOST_TEST(Has(errors, "node.ini:11", "also the address for http"));
+  BOOST_TEST(Has(errors, "node.ini:13", "\"localhost:9000\" is not an IPv4 number"));
+  BOOST_TEST(Has(errors, "node.ini:14", "'true' is neither 'yes' nor 'no'"));
+  BOOST_TEST(Has(errors, "node.ini:16", "stands twice in the list"));
+  BOOST_TEST(Has(errors, "node.ini:16", "\"\" has no port"));
+  BOOST_TEST(Has(errors, "node.ini:17", "neither '[section]'"));
+  BOOST_TEST(Has(errors, "node.ini:19", "unknown unit 'MB'"));
+  BOOST_TEST(Has(errors, "node.ini:20", "longer than max_deadline"));
+  BOOST_TEST(Has(errors, "node.ini:22", "'loud' is no level"));
+}
+
+BOOST_AUTO_TEST_CASE(a_file_that_is_not_there_is_a_user_error) {
+  const auto settings = ReadDaemonSettings("/nonexistent/node.ini");
+  BOOST_REQUIRE(!settings);
+  BOOST_TEST(Has(settings.error(), "/nonexistent/node.ini", "cannot be opened"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace bulrushway
