Add daemon and admin paths (first cut)

Cause: the parts need one process that holds them. Change: daemon with named services, operators' paths. Measured: not yet built whole. Conclusion: waits for configuration.

--- a/src/announcement.cpp
+++ b/src/announcement.cpp
@@ -28,7 +28,7 @@
 template <class Value>
 result<Value> DecodeValue(const std::string& bytes, const char* step) {
   try {
-    const msgpack::object_handle handle = msgpack::unpack(bytes.data(), bytes.size());
+    const msgpack::object_handle handle = msgpack_fields::Parse(bytes);
     Value value;
     msgpack_fields::Unpack(handle.get(), Fields(value, value));
     return value;
--- a/src/control_codec.cpp
+++ b/src/control_codec.cpp
@@ -55,6 +55,10 @@
 template <class Value>
 concept has_fields = requires(Value& value) { Fields(value, value); };
 
+template <class Packer, class Value>
+  requires has_fields<const Value>
+void Write(Packer& packer, const std::vector<Value>& values);
+
 template <class Packer, class Value>
 void Write(Packer& packer, const Value& value) {
   if constexpr (has_fields<const Value>) {
@@ -169,7 +173,7 @@
     return Failure(error_kind::kPeer, "decode control message", peer, why);
   };
   try {
-    const msgpack::object_handle handle = msgpack::unpack(bytes.data(), bytes.size());
+    const msgpack::object_handle handle = msgpack_fields::Parse(bytes);
     const msgpack::object& whole = handle.get();
     if (whole.type != msgpack::type::ARRAY || whole.via.array.size != 5) {
       return fail("The message is not an array of five.");
--- /dev/null
+++ b/src/daemon.cpp
@@ -0,0 +1,322 @@
+#include "daemon.h"
+
+#include <algorithm>
+#include <chrono>
+#include <random>
+#include <utility>
+
+namespace bulrushway {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kTickInterval{5};
+constexpr milliseconds kForwarderInterval{50};
+// A planned stop that has not given everything away by then ends all the same.
+constexpr std::chrono::seconds kLongestStop{30};
+// Callers and peers get this long to notice that the process is leaving.
+constexpr milliseconds kFarewell{700};
+// Connections to the platform.
+constexpr size_t kPlatformConnections = 4;
+constexpr milliseconds kRetrySoon{50};
+constexpr milliseconds kRetryLater{500};
+
+std::chrono::sys_seconds WallNow() {
+  return std::chrono::floor<std::chrono::seconds>(std::chrono::system_clock::now());
+}
+
+event_level ToEventLevel(log_level level) {
+  switch (level) {
+    case log_level::kWarning:
+      return event_level::kWarning;
+    case log_level::kError:
+      return event_level::kError;
+    default:
+      return event_level::kInfo;
+  }
+}
+
+entry_settings MakeEntrySettings(const daemon_settings& settings) {
+  entry_settings made;
+  made.node = settings.node.name;
+  made.place = {settings.node.region, settings.node.data_centre};
+  made.deadlines = {settings.limits.default_deadline, settings.limits.max_deadline};
+  made.max_body = settings.limits.max_body;
+  return made;
+}
+
+gate_settings MakeGateSettings(const daemon_settings& settings) {
+  gate_settings made;
+  made.target = settings.target.address;
+  made.slots = settings.target.slots.value_or(made.slots);
+  made.connections = settings.target.connections.value_or(made.connections);
+  return made;
+}
+
+}  // namespace
+
+daemon::daemon(daemon_settings settings, uint64_t seed)
+    : settings_(std::move(settings)),
+      log_(settings_.node.name, settings_.log.file.value_or(""),
+           ToEventLevel(settings_.log.level)),
+      platform_client_(loop_, kPlatformConnections),
+      table_(platform_client_, settings_.platform),
+      transport_(loop_, {[this](connection_id from, peer_message message) {
+                           OnPeerMessage(from, std::move(message));
+                         },
+                         [this](connection_id id, bool stood, const error& reason) {
+                           OnPeerClosed(id, stood, reason);
+                         }}),
+      forwarder_(transport_,
+                 {settings_.node.name, settings_.node.data_centre, settings_.node.region}),
+      membership_(loop_, log_, metrics_, table_, forwarder_, MakeAnnouncement(), settings_.seeds,
+                  seed),
+      configuration_(loop_, log_, table_, membership_, rules_, seed),
+      gate_(loop_, metrics_, MakeGateSettings(settings_), MakeGatePorts()),
+      entry_(loop_, metrics_, MakeEntrySettings(settings_), MakeEntryPorts(),
+             membership_.Known(), forwarder_, gate_, seed),
+      http_(loop_, {settings_.limits.max_body},
+            [this](std::shared_ptr<http_exchange> exchange) { OnExchange(std::move(exchange)); }),
+      tick_(loop_, [this](instant now) { Tick(now); }) {
+  membership_.SetPorts(MakeMembershipPorts());
+  configuration_.OnAdopted([this](instant now) { OnRules(now); });
+  kernel_.Add("peers", peers_);
+  kernel_.Add("membership", membership_);
+  kernel_.Add("configuration", configuration_);
+  kernel_.Add("callers", callers_);
+}
+
+daemon::~daemon() = default;
+
+result<void> daemon::callers_service::Start(instant) {
+  return owner->http_.Listen(owner->settings_.listen.http);
+}
+
+void daemon::callers_service::Stop(instant) {}
+
+result<void> daemon::peers_service::Start(instant) {
+  return owner->transport_.Listen(owner->settings_.listen.peer);
+}
+
+void daemon::peers_service::Stop(instant) {}
+
+result<void> daemon::Start(instant now) {
+  if (auto started = kernel_.Start(now); !started) {
+    log_.Write(event_id::kServiceFailed, started.error());
+    return started;
+  }
+  loop_.OnTermination([this] { BeginStop(boot_clock::now()); });
+  tick_.Every(kTickInterval);
+  log_.Write(event_id::kStarted, {{"http", ToString(settings_.listen.http)},
+                                  {"peer", ToString(settings_.listen.peer)},
+                                  {"target", ToString(settings_.target.address)}});
+  return {};
+}
+
+void daemon::Run() { loop_.Run(); }
+
+void daemon::BeginStop(instant now) {
+  if (std::exchange(stopping_, true)) return loop_.Stop();
+  log_.Write(event_id::kStopping);
+  stop_deadline_ = now + kLongestStop;
+  drained_since_ = now;
+  membership_.BeginStop(now);
+}
+
+void daemon::CheckStopped(instant now) {
+  const bool idle = gate_.InFlight() == 0 && gate_.Waiting() == 0 && entry_.InFlight() == 0;
+  if (!idle || !membership_.Stopped()) drained_since_ = now;
+  const bool drained = now - drained_since_ >= kFarewell;
+  if (!drained && now < stop_deadline_) return;
+  log_.Write(event_id::kStopped, {{"drained", drained ? "yes" : "no"}});
+  kernel_.Stop(now);
+  loop_.Stop();
+}
+
+announcement daemon::MakeAnnouncement() const {
+  announcement self;
+  self.node = settings_.node.name;
+  self.service = settings_.node.service;
+  self.region = settings_.node.region;
+  self.data_centre = settings_.node.data_centre;
+  self.rack = settings_.node.rack;
+  self.peer = settings_.listen.peer;
+  self.http = settings_.listen.http;
+  self.weight = settings_.node.weight;
+  self.slots = settings_.target.slots.value_or(0);
+  self.target_up = true;
+  return self;
+}
+
+gate_ports daemon::MakeGatePorts() {
+  gate_ports ports;
+  ports.check_rules = [this](instant now, const forward_request& request) {
+    return CheckRules(now, request);
+  };
+  ports.keyed = [this] {
+    const service_facts* facts = rules_.FindService(settings_.node.service);
+    return facts != nullptr && facts->keyed;
+  };
+  ports.serves = [this](instant now, uint32_t slice) { return membership_.Serves(now, slice); };
+  ports.lease_expiry = [this] { return membership_.LeaseExpiry(); };
+  ports.not_served = [this](instant now, uint32_t slice) { return NotServed(now, slice); };
+  ports.share = [this](const forward_request& request) { return rules_.Share(request); };
+  ports.home_regions = [this](const forward_request& request) {
+    return rules_.HomeRegions(request);
+  };
+  ports.target_state = [this](instant, bool up) {
+    target_up_ = up;
+    log_.Write(up ? event_id::kTargetUp : event_id::kTargetDown,
+               {{"target", ToString(settings_.target.address)}});
+  };
+  ports.quarantined = [this](instant, uint64_t fingerprint) {
+    log_.Write(event_id::kRequestQuarantined, {{"fingerprint", std::to_string(fingerprint)}});
+  };
+  return ports;
+}
+
+entry_ports daemon::MakeEntryPorts() {
+  entry_ports ports;
+  ports.configured = [this] { return rules_.Configured(); };
+  ports.find_service = [this](const std::string& service) { return rules_.FindService(service); };
+  ports.home_regions = [this](const forward_request& request) {
+    return rules_.HomeRegions(request);
+  };
+  ports.may_use = [this](instant, const announcement& to) { return rules_.MayUse(to, WallNow()); };
+  ports.configuration_version = [this] { return rules_.Version(); };
+  ports.stopping = [this] { return stopping_; };
+  return ports;
+}
+
+membership_ports daemon::MakeMembershipPorts() {
+  membership_ports ports;
+  ports.gained = [this](instant, const std::vector<slice_epoch>& slices) {
+    for (const slice_epoch& gained : slices) gate_.GainSlice(gained.slice);
+  };
+  ports.lost = [this](instant now, const std::vector<slice_number>& slices, bool lapsed) {
+    if (lapsed) {
+      gate_.OnLapse(now);
+      if (const uint64_t cut = gate_.counts().cut_by_lapse; cut > 0) {
+        log_.Write(event_id::kInFlightCut, {{"total", std::to_string(cut)}});
+      }
+    }
+    for (const slice_number slice : slices) gate_.LoseSlice(slice);
+  };
+  ports.in_flight = [this](slice_number slice) { return gate_.InFlight(slice); };
+  ports.item = [this](instant now, const gossip_item& item) { configuration_.OnItem(now, item); };
+  return ports;
+}
+
+std::optional<gate_refusal> daemon::CheckRules(instant, const forward_request& request) const {
+  if (!rules_.Configured()) {
+    return gate_refusal{refusal_reason::kNoConfiguration, kRetryLater, {}};
+  }
+  if (request.service != settings_.node.service) {
+    return gate_refusal{refusal_reason::kUnknownService, {}, {}};
+  }
+  const auto homes = rules_.HomeRegions(request);
+  if (!homes.empty() && std::ranges::find(homes, settings_.node.region) == homes.end()) {
+    return gate_refusal{refusal_reason::kHomeRegion, {}, {}};
+  }
+  if (rules_.DataCentreOut(settings_.node.data_centre)) {
+    return gate_refusal{refusal_reason::kDataCentreOut, kRetrySoon, {}};
+  }
+  // A keyed process that stops still serves the slices that it has not yet given away.
+  const bool leaving = stopping_ || rules_.PlannedStop(settings_.node.name, WallNow());
+  const service_facts* facts = rules_.FindService(request.service);
+  const bool keyed = facts != nullptr && facts->keyed;
+  if (leaving && !keyed) return gate_refusal{refusal_reason::kStopping, kRetrySoon, {}};
+  return std::nullopt;
+}
+
+gate_refusal daemon::NotServed(instant now, uint32_t slice) const {
+  gate_refusal refusal{refusal_reason::kNotOwner, kRetrySoon, {}};
+  refusal.owner_hint = membership_.Known().OwnerOf(settings_.node.service, slice);
+  if (refusal.owner_hint == settings_.node.name) refusal.owner_hint.clear();
+  if (membership_.Self().term != 0 && membership_.LeaseExpiry() <= now) {
+    refusal.reason = refusal_reason::kLeaseLapsed;
+  } else if (refusal.owner_hint.empty()) {
+    refusal.reason = refusal_reason::kMoving;
+  }
+  return refusal;
+}
+
+void daemon::OnExchange(std::shared_ptr<http_exchange> exchange) {
+  const instant now = boot_clock::now();
+  const http_request& request = exchange->request();
+  if (request.target.starts_with("/-/")) return exchange->Reply(Administer(now, request));
+  entry_.Handle(now, std::move(exchange));
+}
+
+void daemon::OnPeerMessage(connection_id from, peer_message message) {
+  const instant now = boot_clock::now();
+  if (auto* request = std::get_if<forward_request>(&message)) {
+    OnForwarded(now, from, std::move(*request));
+  } else if (auto* answer = std::get_if<forward_answer>(&message)) {
+    forwarder_.OnAnswer(now, from, std::move(*answer));
+  } else if (const auto* cancel = std::get_if<cancel_request>(&message)) {
+    const auto found = incoming_.find({from, cancel->id});
+    if (found == incoming_.end()) return;
+    const gate::ticket ticket = found->second;
+    incoming_.erase(found);
+    gate_.Cancel(now, ticket);
+  } else if (const auto* control = std::get_if<control_message>(&message)) {
+    membership_.OnControl(now, control->bytes, std::to_string(from));
+  }
+}
+
+void daemon::OnForwarded(instant now, connection_id from, forward_request request) {
+  const uint64_t id = request.id;
+  // The gate may answer at once, before the ticket is known.
+  auto answered = std::make_shared<bool>(false);
+  const gate::ticket ticket =
+      gate_.Handle(now, std::move(request), [this, from, id, answered](forward_answer answer) {
+        *answered = true;
+        incoming_.erase({from, id});
+        answer.id = id;
+        transport_.Send(from, std::move(answer));
+      });
+  if (!*answered) incoming_[{from, id}] = ticket;
+}
+
+void daemon::OnPeerClosed(connection_id id, bool stood, const error& reason) {
+  const instant now = boot_clock::now();
+  if (forwarder_.OnClosed(now, id, stood)) return;
+  if (reason.step != "keep connection") log_.Write(event_id::kBadFrame, reason);
+  // Nobody is left to take the answers of these requests.
+  std::vector<gate::ticket> orphans;
+  const auto first = incoming_.lower_bound({id, 0});
+  auto last = first;
+  for (; last != incoming_.end() && last->first.first == id; ++last) {
+    orphans.push_back(last->second);
+  }
+  incoming_.erase(first, last);
+  for (const gate::ticket ticket : orphans) gate_.Cancel(now, ticket);
+}
+
+void daemon::Tick(instant now) {
+  gate_.Tick(now);
+  static_assert(kForwarderInterval >= kTickInterval);
+  forwarder_.Tick(now);
+  entry_.Refresh(now);
+  const bool leaving = stopping_ || data_centre_out_ ||
+                       rules_.PlannedStop(settings_.node.name, WallNow());
+  membership_.SetState(now, target_up_, leaving, rules_.Version(),
+                       rules_.Configured()
+                           ? rules_.Capacity(settings_.node.name, settings_.node.service).first
+                           : 0);
+  if (stopping_) CheckStopped(now);
+}
+
+void daemon::OnRules(instant now) {
+  const service_facts* facts = rules_.FindService(settings_.node.service);
+  if (facts == nullptr) return;
+  gate_.SetSlots(rules_.Capacity(settings_.node.name, settings_.node.service).first);
+  membership_.BeginOwnership(now, facts->layout, facts->keyed);
+  const bool out = rules_.DataCentreOut(settings_.node.data_centre);
+  if (out == std::exchange(data_centre_out_, out)) return;
+  log_.Write(out ? event_id::kDataCentreOut : event_id::kDataCentreBack,
+             {{"data_centre", settings_.node.data_centre}});
+}
+
+}  // namespace bulrushway
--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -156,11 +156,7 @@
   request.configuration_version = ports_.configuration_version();
   if (subject->facts->keyed) {
     const slice_layout& layout = subject->facts->layout;
-    uint32_t partition = 0;
-    for (uint32_t i = 0; i < layout.regions.size() && partition == 0; ++i) {
-      const auto& homes = subject->home_regions;
-      if (std::ranges::find(homes, layout.regions[i]) != homes.end()) partition = i + 1;
-    }
+    const uint32_t partition = PartitionFor(layout, subject->home_regions);
     request.slice = SliceOf(layout, partition, request.key);
   }
   if (Attempt(now, subject)) ArmHedge(now, subject);
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -133,7 +133,7 @@
   settings.rack = self_.rack;
   settings.layout = layout;
   settings.weight = self_.weight;
-  settings.owner_capable = owns_keys;
+  (void)owns_keys;
   core_ = std::make_unique<ownership_core>(settings, seed_);
   core_->SetInFlightQuery(ports_.in_flight);
   core_->Start(now);
--- a/src/msgpack_fields.h
+++ b/src/msgpack_fields.h
@@ -7,6 +7,7 @@
 
 #include <chrono>
 #include <msgpack.hpp>
+#include <string_view>
 #include <tuple>
 #include <vector>
 
@@ -38,6 +39,15 @@
 
 namespace bulrushway::msgpack_fields {
 
+/// Parses bytes. No array or string may claim more elements than there are bytes, so that a few bytes
+/// cannot make the parser reserve gigabytes. Throws what msgpack throws on bad input.
+inline msgpack::object_handle Parse(std::string_view bytes) {
+  constexpr size_t kDeepest = 16;
+  const size_t most = bytes.size();
+  return msgpack::unpack(bytes.data(), bytes.size(), nullptr, nullptr,
+                         msgpack::unpack_limit(most, most, most, most, most, kDeepest));
+}
+
 /// Packs the fields of a value as one array.
 template <class Packer, class Tuple>
 void Pack(Packer& packer, const Tuple& fields) {
--- a/src/peer_codec.cpp
+++ b/src/peer_codec.cpp
@@ -106,7 +106,7 @@
     return Failure(error_kind::kPeer, "decode frame", peer, why);
   };
   try {
-    const msgpack::object_handle handle = msgpack::unpack(body.data(), body.size());
+    const msgpack::object_handle handle = msgpack_fields::Parse(body);
     const msgpack::object& frame = handle.get();
     if (frame.type != msgpack::type::ARRAY || frame.via.array.size != 3) {
       return fail("The frame is not an array of version, type and fields.");
--- a/src/slice.cpp
+++ b/src/slice.cpp
@@ -1,5 +1,7 @@
 #include "slice.h"
 
+#include <algorithm>
+
 #include <xxhash.h>
 
 namespace bulrushway {
@@ -8,6 +10,15 @@
   return static_cast<uint32_t>(layout.regions.size()) + 1;
 }
 
+uint32_t PartitionFor(const slice_layout& layout, const std::vector<std::string>& home_regions) {
+  for (uint32_t i = 0; i < layout.regions.size(); ++i) {
+    const bool home =
+        std::find(home_regions.begin(), home_regions.end(), layout.regions[i]) != home_regions.end();
+    if (home) return i + 1;
+  }
+  return 0;
+}
+
 slice_number SliceOf(const slice_layout& layout, uint32_t partition, std::string_view key) {
   const uint64_t hash = XXH3_64bits(key.data(), key.size());
   return partition * layout.slices_per_partition +
--- a/src/slice.h
+++ b/src/slice.h
@@ -24,6 +24,10 @@
 /// Number of partitions: one for anywhere and one for each region.
 uint32_t PartitionCount(const slice_layout& layout);
 
+/// The partition for keys bound to these regions: that of the first region of the layout among them,
+/// or 0 when there are none.
+uint32_t PartitionFor(const slice_layout& layout, const std::vector<std::string>& home_regions);
+
 /// The slice of a key in a partition.
 slice_number SliceOf(const slice_layout& layout, uint32_t partition, std::string_view key);
 
