--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -182,6 +182,9 @@
   ports.home_regions = [this](const forward_request& request) {
     return rules_.HomeRegions(request);
   };
+  ports.idempotent_route = [this](const forward_request& request) {
+    return rules_.IdempotentRoute(request);
+  };
   ports.may_use = [this](instant, const announcement& to) { return rules_.MayUse(to, WallNow()); };
   ports.configuration_version = [this] { return rules_.Version(); };
   ports.stopping = [this] { return stopping_; };
@@ -296,8 +299,10 @@
 
 void daemon::Tick(instant now) {
   gate_.Tick(now);
-  static_assert(kForwarderInterval >= kTickInterval);
-  forwarder_.Tick(now);
+  if (now >= next_forwarder_tick_) {
+    next_forwarder_tick_ = now + kForwarderInterval;
+    forwarder_.Tick(now);
+  }
   entry_.Refresh(now);
   const bool leaving = stopping_ || data_centre_out_ ||
                        rules_.PlannedStop(settings_.node.name, WallNow());
--- a/src/daemon.h
+++ b/src/daemon.h
@@ -97,6 +97,7 @@
   bool target_up_ = true;
   bool stopping_ = false;
   bool data_centre_out_ = false;
+  instant next_forwarder_tick_;
   instant stop_deadline_;
   instant drained_since_;
 };
--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -137,6 +137,7 @@
   if (flights_.size() >= settings_.max_requests) {
     return refuse(refusal_reason::kQueueFull, "This process has too many requests under way.");
   }
+  if (ports_.idempotent_route(request)) request.idempotent = true;
   subject->home_regions = ports_.home_regions(request);
   const auto& homes = subject->home_regions;
   if (!homes.empty() && std::ranges::find(homes, settings_.place.region) == homes.end()) {
--- a/src/entry.h
+++ b/src/entry.h
@@ -43,6 +43,8 @@
   std::function<const service_facts*(const std::string& service)> find_service;
   /// Regions to which the request is bound; empty: none.
   std::function<std::vector<std::string>(const forward_request&)> home_regions;
+  /// Whether the inventory says that the request may run twice without harm.
+  std::function<bool(const forward_request&)> idempotent_route;
   /// Whether the rules allow new work at the member.
   std::function<bool(instant, const announcement&)> may_use;
   /// Version of the configuration in force.
--- /dev/null
+++ b/src/rules_view.cpp
@@ -0,0 +1,69 @@
+#include "rules_view.h"
+
+#include <utility>
+
+namespace bulrushway {
+
+void rules_view::Adopt(std::shared_ptr<const configuration> in_force, uint64_t version) {
+  in_force_ = std::move(in_force);
+  version_ = version;
+  std::map<std::string, service_facts> services;
+  for (const service_entry& entry : in_force_->places.services) {
+    service_facts facts;
+    facts.keyed = entry.kind == service_kind::kKeyed;
+    facts.default_deadline = entry.default_deadline;
+    facts.layout.slices_per_partition = entry.slices;
+    for (const region_entry& region : in_force_->places.regions) {
+      facts.layout.regions.push_back(region.name);
+    }
+    services.emplace(entry.name, std::move(facts));
+  }
+  services_ = std::move(services);
+}
+
+const service_facts* rules_view::FindService(const std::string& service) const {
+  const auto found = services_.find(service);
+  return found == services_.end() ? nullptr : &found->second;
+}
+
+std::vector<std::string> rules_view::HomeRegions(const forward_request& request) const {
+  if (!in_force_) return {};
+  return bulrushway::HomeRegions(in_force_->rules, request.service, request.tenant,
+                                 PathOf(request.request.target));
+}
+
+bool rules_view::IdempotentRoute(const forward_request& request) const {
+  const service_entry* service =
+      in_force_ ? in_force_->places.FindService(request.service) : nullptr;
+  return service != nullptr && IsIdempotentRoute(*service, PathOf(request.request.target));
+}
+
+bool rules_view::DataCentreOut(const std::string& data_centre) const {
+  return in_force_ && in_force_->rules.IsOut(data_centre);
+}
+
+bool rules_view::PlannedStop(const std::string& upstream, std::chrono::sys_seconds wall_now) const {
+  return in_force_ && StopInForce(in_force_->rules, upstream, wall_now) != nullptr;
+}
+
+bool rules_view::MayUse(const announcement& to, std::chrono::sys_seconds wall_now) const {
+  return !DataCentreOut(to.data_centre) && !PlannedStop(to.node, wall_now);
+}
+
+std::pair<uint32_t, uint32_t> rules_view::Capacity(const std::string& upstream,
+                                                   const std::string& service) const {
+  if (!in_force_) return {0, 0};
+  return {SlotsOf(in_force_->places, upstream, service),
+          ConnectionsOf(in_force_->places, upstream, service)};
+}
+
+std::pair<double, uint8_t> rules_view::Share(const forward_request& request) const {
+  const tenant_entry* tenant =
+      in_force_ ? in_force_->rules.FindTenant(request.tenant) : nullptr;
+  if (tenant == nullptr) return {100, 5};
+  // The rules count 0 as the most important, the queue the largest number.
+  constexpr uint32_t kHighest = 9;
+  return {tenant->share, static_cast<uint8_t>(kHighest - tenant->priority)};
+}
+
+}  // namespace bulrushway
--- a/src/rules_view.h
+++ b/src/rules_view.h
@@ -32,6 +32,8 @@
   const service_facts* FindService(const std::string& service) const;
   /// Regions to which the request is bound; empty when it may go anywhere.
   std::vector<std::string> HomeRegions(const forward_request& request) const;
+  /// Whether the inventory says that the request may run twice without harm.
+  bool IdempotentRoute(const forward_request& request) const;
   /// Whether operators have taken the data centre out.
   bool DataCentreOut(const std::string& data_centre) const;
   /// Whether a planned stop of the upstream is in force.
