Add the platform's stand-in

Cause: the thin path needs a table and an object store on loopback. Change: platform_store decides without I/O, platform_server serves it over HTTP with faults that can be injected at run time; http_exchange::Drop closes a connection without an answer. Result: each endpoint and the outages tried by hand with curl; no measurement. Conclusion: usable for the thin whole path.

--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -66,6 +66,15 @@
   evbuffer_free(body);
 }
 
+void http_exchange::Drop() {
+  if (raw_ == nullptr) return;
+  evhttp_connection* connection = evhttp_request_get_connection(raw_);
+  raw_ = nullptr;
+  closed_ = nullptr;
+  evhttp_connection_set_closecb(connection, nullptr, nullptr);
+  evhttp_connection_free(connection);
+}
+
 void http_exchange::ConnectionClosed(evhttp_connection*, void* self) {
   auto* exchange = static_cast<http_exchange*>(self);
   exchange->raw_ = nullptr;
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -30,6 +30,8 @@
   const http_request& request() const { return request_; }
   /// Sends the answer; later calls and calls after the caller went away do nothing.
   void Reply(const http_answer& answer);
+  /// Closes the caller's connection without an answer. Not to be called from within the handler.
+  void Drop();
   /// Calls `closed` once if the caller goes away before the answer is sent.
   void OnClosed(std::function<void()> closed) { closed_ = std::move(closed); }
   /// True once answered or once the caller went away.
--- /dev/null
+++ b/standins/common/json_fields.h
@@ -0,0 +1,85 @@
+#ifndef BULRUSHWAY_JSON_FIELDS_H
+#define BULRUSHWAY_JSON_FIELDS_H
+
+// Reads optional fields of a JSON object into typed values and reports what does not fit. Included
+// by .cpp files only, since it brings the JSON library.
+
+#include <chrono>
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "error.h"
+
+namespace bulrushway {
+
+/// Reader of one flat JSON object. Fields that are absent leave their value as it is; a field that
+/// nobody read is an error, so that a misspelt fault does not pass as none.
+class json_fields {
+ public:
+  explicit json_fields(const std::string& text)
+      : object_(nlohmann::json::parse(text, nullptr, false)) {
+    if (!object_.is_object()) Complain("The text is not a JSON object");
+  }
+
+  void Read(const char* name, bool& value) {
+    const auto* field = Find(name);
+    if (field == nullptr) return;
+    if (!field->is_boolean()) return Complain(Quoted(name) + " is neither true nor false");
+    value = field->get<bool>();
+  }
+  void Read(const char* name, double& value) {
+    const auto* field = Find(name);
+    if (field == nullptr) return;
+    if (!field->is_number() || field->get<double>() < 0) {
+      return Complain(Quoted(name) + " is not a number of at least 0");
+    }
+    value = field->get<double>();
+  }
+  void Read(const char* name, uint64_t& value) {
+    const auto* field = Find(name);
+    if (field == nullptr) return;
+    if (!field->is_number_unsigned()) return Complain(Quoted(name) + " is not a whole number");
+    value = field->get<uint64_t>();
+  }
+  void Read(const char* name, std::chrono::milliseconds& value) {
+    auto count = static_cast<uint64_t>(value.count());
+    Read(name, count);
+    value = std::chrono::milliseconds{count};
+  }
+  void Read(const char* name, std::string& value) {
+    const auto* field = Find(name);
+    if (field == nullptr) return;
+    if (!field->is_string()) return Complain(Quoted(name) + " is not a text");
+    value = field->get<std::string>();
+  }
+
+  /// The first problem met, unread fields included.
+  result<void> Finish(const std::string& step) {
+    if (object_.is_object() && !object_.empty()) {
+      Complain(Quoted(object_.begin().key()) + " is not a known field");
+    }
+    if (problem_.empty()) return {};
+    return Failure(error_kind::kUser, step, "", problem_ + ".");
+  }
+
+ private:
+  static std::string Quoted(const std::string& name) { return "\"" + name + "\""; }
+  void Complain(const std::string& problem) {
+    if (problem_.empty()) problem_ = problem;
+  }
+  // Takes the field out of the object, which leaves the unread ones.
+  const nlohmann::json* Find(const char* name) {
+    if (!object_.is_object() || !object_.contains(name)) return nullptr;
+    taken_ = object_[name];
+    object_.erase(name);
+    return &taken_;
+  }
+
+  nlohmann::json object_;
+  nlohmann::json taken_;
+  std::string problem_;
+};
+
+}  // namespace bulrushway
+
+#endif  // BULRUSHWAY_JSON_FIELDS_H
--- /dev/null
+++ b/standins/common/platform_server.h
@@ -0,0 +1,73 @@
+#ifndef BULRUSHWAY_PLATFORM_SERVER_H
+#define BULRUSHWAY_PLATFORM_SERVER_H
+
+// The HTTP side of the platform's stand-in: the table and the objects on one address, the faults
+// and the counts on the same address and on one that stays open through an outage.
+
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+
+#include "delayed_calls.h"
+#include "event_loop.h"
+#include "http_server.h"
+#include "platform_faults.h"
+#include "platform_store.h"
+#include "rate_meter.h"
+
+namespace bulrushway {
+
+/// Settings of a platform's stand-in.
+struct platform_settings {
+  socket_address listen;
+  /// Only /faults and /stats are served here, also while `listen` refuses connections.
+  std::optional<socket_address> control;
+  /// File that keeps table and objects over a restart; empty for none.
+  std::string state_file;
+  platform_faults faults;
+  uint64_t seed = 1;
+};
+
+/// Serves one platform.
+class platform_server {
+ public:
+  platform_server(event_loop& loop, platform_settings settings);
+
+  /// Loads the state and listens.
+  result<void> Start(instant now);
+  /// Saves the state.
+  void Stop(instant now);
+
+ private:
+  using exchange = std::shared_ptr<http_exchange>;
+
+  void Handle(const exchange& caller, bool control);
+  void HandleFaults(const exchange& caller);
+  void HandleData(const exchange& caller);
+  http_answer Serve(const http_request& request, instant now);
+  http_answer ServeTransaction(const http_request& request, instant now);
+  http_answer ServeRows(const http_request& request) const;
+  http_answer ServeObject(const http_request& request);
+  http_answer Stats(instant now);
+  result<void> ListenForData();
+
+  event_loop& loop_;
+  platform_settings settings_;
+  platform_store store_;
+  platform_faults faults_;
+  std::mt19937_64 random_;
+  rate_meter reads_;
+  rate_meter writes_;
+  rate_meter conflicts_;
+  uint64_t lost_answers_ = 0;
+  uint64_t unavailable_ = 0;
+  delayed_calls delayed_;
+  timer reopen_;
+  std::unique_ptr<http_server> data_;
+  std::unique_ptr<http_server> control_;
+};
+
+}  // namespace bulrushway
+
+#endif  // BULRUSHWAY_PLATFORM_SERVER_H
--- /dev/null
+++ b/standins/common/rate_meter.h
@@ -0,0 +1,40 @@
+#ifndef BULRUSHWAY_RATE_METER_H
+#define BULRUSHWAY_RATE_METER_H
+
+// Counts events in total and per second, and holds them to a limit per second.
+
+#include <cstdint>
+
+#include "clock.h"
+
+namespace bulrushway {
+
+/// Counter of one kind of event.
+class rate_meter {
+ public:
+  /// Counts one event. False, and not counted, when `limit` events were counted in this second
+  /// already; a limit of 0 means none.
+  bool Count(uint64_t limit, instant now);
+  /// Events since the start.
+  uint64_t Total() const { return total_; }
+  /// Events of the last whole second.
+  uint64_t LastSecond(instant now);
+  /// The largest count of one second.
+  uint64_t Largest() const { return largest_; }
+  /// Events that were over the limit.
+  uint64_t Refused() const { return refused_; }
+
+ private:
+  void Roll(instant now);
+
+  int64_t second_ = 0;
+  uint64_t current_ = 0;
+  uint64_t last_ = 0;
+  uint64_t largest_ = 0;
+  uint64_t total_ = 0;
+  uint64_t refused_ = 0;
+};
+
+}  // namespace bulrushway
+
+#endif  // BULRUSHWAY_RATE_METER_H
--- /dev/null
+++ b/standins/common/standin_main.h
@@ -0,0 +1,55 @@
+#ifndef BULRUSHWAY_STANDIN_MAIN_H
+#define BULRUSHWAY_STANDIN_MAIN_H
+
+// What the main functions of the stand-ins share.
+
+#include <cstdio>
+#include <cstdlib>
+#include <sstream>
+#include <string>
+#include <vector>
+
+#include "event_loop.h"
+#include "kernel.h"
+#include "socket_address.h"
+
+namespace bulrushway {
+
+/// Ends the program with the reason on standard error.
+[[noreturn]] inline void Exit(const error& failure) {
+  std::fprintf(stderr, "%s\n", ToString(failure).c_str());
+  std::exit(2);
+}
+
+/// Reads an address of the command line or ends the program.
+inline socket_address AddressOrExit(const std::string& text) {
+  const auto address = ParseSocketAddress(text);
+  if (!address) Exit(address.error());
+  return *address;
+}
+
+/// Reads addresses divided by commas or ends the program.
+inline std::vector<socket_address> AddressesOrExit(const std::string& text) {
+  std::vector<socket_address> addresses;
+  std::stringstream parts(text);
+  std::string part;
+  while (std::getline(parts, part, ',')) addresses.push_back(AddressOrExit(part));
+  return addresses;
+}
+
+/// Starts one service, runs the loop until the process is told to end, and stops the service.
+template <kernel_service Service>
+int RunService(event_loop& loop, const std::string& name, Service& service) {
+  kernel services;
+  services.Add(name, service);
+  const auto started = services.Start(boot_clock::now());
+  if (!started) Exit(started.error());
+  loop.OnTermination([&loop] { loop.Stop(); });
+  loop.Run();
+  services.Stop(boot_clock::now());
+  return 0;
+}
+
+}  // namespace bulrushway
+
+#endif  // BULRUSHWAY_STANDIN_MAIN_H
--- /dev/null
+++ b/standins/platform.cpp
@@ -0,0 +1,31 @@
+// A stand-in for the platform: transactional table and object store over HTTP, with faults that can
+// be injected while it runs.
+
+#include <gflags/gflags.h>
+
+#include "platform_server.h"
+#include "standin_main.h"
+
+DEFINE_string(listen, "127.0.0.1:9000", "address of the table and the objects");
+DEFINE_string(control, "",
+              "address that serves /faults and /stats also while --listen refuses connections");
+DEFINE_string(state, "", "file that keeps table and objects over a restart");
+DEFINE_uint64(seed, 1, "seed of the choice of answers that are lost");
+DEFINE_uint64(max_writes_per_second, 0, "writes beyond are answered 429; 0 means no limit");
+DEFINE_uint64(max_reads_per_second, 0, "reads beyond are answered 429; 0 means no limit");
+
+int main(int argc, char** argv) {
+  using namespace bulrushway;
+  gflags::SetUsageMessage("stand-in for the platform's table service and object store");
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  platform_settings settings;
+  settings.listen = AddressOrExit(FLAGS_listen);
+  if (!FLAGS_control.empty()) settings.control = AddressOrExit(FLAGS_control);
+  settings.state_file = FLAGS_state;
+  settings.seed = FLAGS_seed;
+  settings.faults.max_writes = FLAGS_max_writes_per_second;
+  settings.faults.max_reads = FLAGS_max_reads_per_second;
+  event_loop loop;
+  platform_server server(loop, settings);
+  return RunService(loop, "platform", server);
+}
