Notice a caller that leaves while its request is worked on

Cause: evhttp disables reading while a request waits for its answer, so http_exchange::OnClosed was never called before the answer was written; no cancellation reached a target. Change: OnClosed watches the socket for the end of the stream with an event of its own. evhttp must not read itself here: it exits the process on bytes that come in this state. Peer() tells the caller's address. A caller that half closes counts as gone.

--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -1,8 +1,11 @@
 #include "http_server.h"
 
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
+#include <sys/socket.h>
 
 #include <cerrno>
 #include <cstring>
@@ -47,12 +50,22 @@
 }
 
 http_exchange::~http_exchange() {
+  StopWatching();
   if (raw_ == nullptr) return;
   Reply({500, {}, "The request was dropped without an answer.\n"});
 }
 
+socket_address http_exchange::Peer() const {
+  if (raw_ == nullptr) return {};
+  char* ip = nullptr;
+  uint16_t port = 0;
+  evhttp_connection_get_peer(evhttp_request_get_connection(raw_), &ip, &port);
+  return {ip == nullptr ? "" : ip, port};
+}
+
 void http_exchange::Reply(const http_answer& answer) {
   if (raw_ == nullptr) return;
+  StopWatching();
   evhttp_request* raw = raw_;
   raw_ = nullptr;
   closed_ = nullptr;
@@ -68,6 +81,7 @@
 
 void http_exchange::Drop() {
   if (raw_ == nullptr) return;
+  StopWatching();
   evhttp_connection* connection = evhttp_request_get_connection(raw_);
   raw_ = nullptr;
   closed_ = nullptr;
@@ -75,8 +89,35 @@
   evhttp_connection_free(connection);
 }
 
+// evhttp stops reading from a connection while its request is answered, so that it would notice
+// that the caller went away only when it writes the answer.
+void http_exchange::OnClosed(std::function<void()> closed) {
+  closed_ = std::move(closed);
+  if (raw_ == nullptr || watch_ != nullptr) return;
+  evhttp_connection* connection = evhttp_request_get_connection(raw_);
+  const int socket = bufferevent_getfd(evhttp_connection_get_bufferevent(connection));
+  watch_ = event_new(evhttp_connection_get_base(connection), socket, EV_READ, &Readable, this);
+  event_add(watch_, nullptr);
+}
+
+void http_exchange::Readable(int socket, short, void* self) {
+  char byte = 0;
+  const ssize_t read = recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  // A byte here is the caller's next request, which evhttp reads after this one is answered.
+  if (read > 0 || (read < 0 && (errno == EAGAIN || errno == EINTR))) return;
+  auto* exchange = static_cast<http_exchange*>(self);
+  // Calls ConnectionClosed.
+  evhttp_connection_free(evhttp_request_get_connection(exchange->raw_));
+}
+
+void http_exchange::StopWatching() {
+  if (watch_ != nullptr) event_free(watch_);
+  watch_ = nullptr;
+}
+
 void http_exchange::ConnectionClosed(evhttp_connection*, void* self) {
   auto* exchange = static_cast<http_exchange*>(self);
+  exchange->StopWatching();
   exchange->raw_ = nullptr;
   if (auto closed = std::move(exchange->closed_)) closed();
 }
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -12,6 +12,7 @@
 #include "http_message.h"
 #include "socket_address.h"
 
+struct event;
 struct evhttp;
 struct evhttp_request;
 struct evhttp_connection;
@@ -28,20 +29,26 @@
 
   /// The request, whole.
   const http_request& request() const { return request_; }
+  /// Address at the caller's end of the connection.
+  socket_address Peer() const;
   /// Sends the answer; later calls and calls after the caller went away do nothing.
   void Reply(const http_answer& answer);
   /// Closes the caller's connection without an answer. Not to be called from within the handler.
   void Drop();
-  /// Calls `closed` once if the caller goes away before the answer is sent.
-  void OnClosed(std::function<void()> closed) { closed_ = std::move(closed); }
+  /// Calls `closed` once if the caller goes away before the answer is sent. A caller that closes
+  /// only its sending side counts as gone.
+  void OnClosed(std::function<void()> closed);
   /// True once answered or once the caller went away.
   bool Finished() const { return raw_ == nullptr; }
 
  private:
   static void ConnectionClosed(evhttp_connection*, void* self);
+  static void Readable(int socket, short, void* self);
+  void StopWatching();
 
   evhttp_request* raw_;
   http_request request_;
+  event* watch_ = nullptr;
   std::function<void()> closed_;
 };
 
--- /dev/null
+++ b/test/error/caller_leaves_test.cpp
@@ -0,0 +1,132 @@
+// A caller that goes away is noticed while its request is still worked on, not only when the answer
+// is written.
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <boost/test/unit_test.hpp>
+#include <string>
+#include <vector>
+
+#include "http_server.h"
+
+namespace bulrushway {
+namespace {
+
+constexpr std::chrono::seconds kTestLimit{10};
+const std::string kRequest = "GET /a HTTP/1.1\r\nHost: a\r\n\r\n";
+
+// A caller on a plain socket, so that the test decides how the connection ends.
+class raw_caller {
+ public:
+  explicit raw_caller(const socket_address& address) : socket_(socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in to{};
+    to.sin_family = AF_INET;
+    to.sin_port = htons(address.port);
+    inet_pton(AF_INET, address.ip.c_str(), &to.sin_addr);
+    BOOST_REQUIRE_EQUAL(connect(socket_, reinterpret_cast<sockaddr*>(&to), sizeof to), 0);
+  }
+  ~raw_caller() { Close(); }
+  raw_caller(const raw_caller&) = delete;
+  raw_caller& operator=(const raw_caller&) = delete;
+
+  void Send(const std::string& text) const {
+    BOOST_REQUIRE_EQUAL(send(socket_, text.data(), text.size(), 0),
+                        static_cast<ssize_t>(text.size()));
+  }
+  void Close() {
+    if (socket_ >= 0) close(socket_);
+    socket_ = -1;
+  }
+  // Ends the connection by a reset in place of an orderly close.
+  void Reset() {
+    const linger at_once{1, 0};
+    setsockopt(socket_, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+    Close();
+  }
+
+ private:
+  int socket_;
+};
+
+// A server that holds every request and tells the test what happens.
+struct holding_server {
+  event_loop loop;
+  socket_address address{"127.0.0.1", 0};
+  std::vector<std::shared_ptr<http_exchange>> held;
+  int left = 0;
+  std::function<void()> on_request = [] {};
+  http_server server{loop, {}, [this](std::shared_ptr<http_exchange> caller) {
+                       caller->OnClosed([this] {
+                         ++left;
+                         loop.Stop();
+                       });
+                       held.push_back(std::move(caller));
+                       on_request();
+                     }};
+  bool timed_out = false;
+  timer limit{loop, [this](instant) {
+                timed_out = true;
+                loop.Stop();
+              }};
+
+  holding_server() {
+    // The kernel hands out a port that is free at this moment.
+    const int probe = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in any{};
+    any.sin_family = AF_INET;
+    inet_pton(AF_INET, "127.0.0.1", &any.sin_addr);
+    socklen_t length = sizeof any;
+    BOOST_REQUIRE_EQUAL(bind(probe, reinterpret_cast<sockaddr*>(&any), length), 0);
+    getsockname(probe, reinterpret_cast<sockaddr*>(&any), &length);
+    close(probe);
+    address.port = ntohs(any.sin_port);
+    BOOST_REQUIRE(server.Listen(address));
+    limit.Once(kTestLimit);
+  }
+};
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(a_caller_leaves)
+
+BOOST_AUTO_TEST_CASE(by_closing_its_connection) {
+  holding_server fixture;
+  raw_caller caller(fixture.address);
+  fixture.on_request = [&] { caller.Close(); };
+  caller.Send(kRequest);
+  fixture.loop.Run();
+  BOOST_TEST(!fixture.timed_out);
+  BOOST_TEST(fixture.left == 1);
+  BOOST_TEST(fixture.held.at(0)->Finished());
+}
+
+BOOST_AUTO_TEST_CASE(by_a_reset) {
+  holding_server fixture;
+  raw_caller caller(fixture.address);
+  fixture.on_request = [&] { caller.Reset(); };
+  caller.Send(kRequest);
+  fixture.loop.Run();
+  BOOST_TEST(!fixture.timed_out);
+  BOOST_TEST(fixture.left == 1);
+}
+
+BOOST_AUTO_TEST_CASE(but_one_that_sends_its_next_request_early_stays) {
+  holding_server fixture;
+  raw_caller caller(fixture.address);
+  timer answer(fixture.loop, [&](instant) { fixture.held.at(0)->Reply({}); });
+  fixture.on_request = [&] {
+    if (fixture.held.size() == 1) answer.Once(std::chrono::milliseconds{20});
+    if (fixture.held.size() == 2) fixture.loop.Stop();
+  };
+  caller.Send(kRequest + kRequest);
+  fixture.loop.Run();
+  BOOST_TEST(!fixture.timed_out);
+  BOOST_TEST(fixture.left == 0);
+  BOOST_TEST(fixture.held.size() == 2u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace bulrushway
