Add the target's stand-in

Cause: the thin path needs targets with slots, limits and faults. Change: service times with cold start, grants, execution log, faults and reports, each apart from the HTTP side. Conclusion: usable for the thin whole path.

--- /dev/null
+++ b/standins/common/execution_log.cpp
@@ -0,0 +1,23 @@
+#include "execution_log.h"
+
+namespace bulrushway {
+
+void execution_log::Count(const std::string& id, bool idempotent) {
+  ++total_;
+  if (id.empty()) return;
+  execution_count& entry = ids_[id];
+  ++entry.count;
+  entry.idempotent = idempotent;
+  if (entry.count > 1 && !idempotent) ++doubles_;
+}
+
+void execution_log::CountOwner(const owned_slice& owned, instant now) {
+  owner_span& span = owners_[owned];
+  if (span.count == 0) span.first = now;
+  span.last = now;
+  ++span.count;
+}
+
+void execution_log::Clear() { *this = execution_log{}; }
+
+}  // namespace bulrushway
--- /dev/null
+++ b/standins/common/execution_log.h
@@ -0,0 +1,64 @@
+#ifndef BULRUSHWAY_EXECUTION_LOG_H
+#define BULRUSHWAY_EXECUTION_LOG_H
+
+// What a target's stand-in ran: how often each request, and for which owner's epoch each slice.
+// Double runs and two owners at once show here.
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <unordered_map>
+
+#include "clock.h"
+
+namespace bulrushway {
+
+/// How often one request ran.
+struct execution_count {
+  uint64_t count = 0;
+  bool idempotent = false;
+};
+
+/// Executions of one slice under one epoch.
+struct owner_span {
+  instant first;
+  instant last;
+  uint64_t count = 0;
+};
+
+/// A slice under an epoch of its owner.
+struct owned_slice {
+  std::string service;
+  uint64_t slice = 0;
+  uint64_t epoch = 0;
+
+  auto operator<=>(const owned_slice&) const = default;
+};
+
+/// Record of all executions.
+class execution_log {
+ public:
+  /// Counts a request as run, named by its idempotency key or else by its request id.
+  void Count(const std::string& id, bool idempotent);
+  /// Counts a run for the owner of a slice.
+  void CountOwner(const owned_slice& owned, instant now);
+  /// Forgets everything.
+  void Clear();
+
+  /// Runs of all requests.
+  uint64_t Total() const { return total_; }
+  /// Runs beyond the first of requests that are not idempotent.
+  uint64_t Doubles() const { return doubles_; }
+  const std::unordered_map<std::string, execution_count>& Ids() const { return ids_; }
+  const std::map<owned_slice, owner_span>& Owners() const { return owners_; }
+
+ private:
+  std::unordered_map<std::string, execution_count> ids_;
+  std::map<owned_slice, owner_span> owners_;
+  uint64_t total_ = 0;
+  uint64_t doubles_ = 0;
+};
+
+}  // namespace bulrushway
+
+#endif  // BULRUSHWAY_EXECUTION_LOG_H
--- /dev/null
+++ b/standins/common/service_times.cpp
@@ -0,0 +1,58 @@
+#include "service_times.h"
+
+#include <algorithm>
+
+namespace bulrushway {
+namespace {
+
+constexpr double kLognormalSigma = 0.6;
+// A cold target that gets too much at once slows down by this power of the excess.
+constexpr int kCollapsePower = 2;
+
+}  // namespace
+
+service_times::service_times(const service_settings& settings, uint64_t seed, instant now)
+    : settings_(settings), random_(seed), cold_since_(now) {}
+
+std::chrono::nanoseconds service_times::Draw(uint64_t running, instant now) {
+  double factor = DrawFactor();
+  if (Cold(now)) {
+    factor *= settings_.cold_factor;
+    largest_while_cold_ = std::max(largest_while_cold_, running);
+    if (running > settings_.cold_bearable) {
+      ++overloads_;
+      const double excess =
+          static_cast<double>(running) / static_cast<double>(settings_.cold_bearable);
+      for (int i = 0; i < kCollapsePower; ++i) factor *= excess;
+    }
+  }
+  return std::chrono::duration_cast<std::chrono::nanoseconds>(settings_.mean * factor);
+}
+
+void service_times::TurnCold(instant now) {
+  cold_since_ = now;
+  done_ = 0;
+}
+
+bool service_times::Cold(instant now) const {
+  if (settings_.cold_requests == 0 && settings_.cold_time.count() == 0) return false;
+  if (settings_.cold_requests > 0 && done_ >= settings_.cold_requests) return false;
+  return settings_.cold_time.count() == 0 || now - cold_since_ < settings_.cold_time;
+}
+
+double service_times::DrawFactor() {
+  switch (settings_.shape) {
+    case service_shape::kExponential:
+      return std::exponential_distribution<double>(1)(random_);
+    case service_shape::kLognormal: {
+      // The mean of a lognormal distribution is exp(mu + sigma^2 / 2); this mu makes it 1.
+      constexpr double kMu = -kLognormalSigma * kLognormalSigma / 2;
+      return std::lognormal_distribution<double>(kMu, kLognormalSigma)(random_);
+    }
+    case service_shape::kFixed:
+      break;
+  }
+  return 1;
+}
+
+}  // namespace bulrushway
--- /dev/null
+++ b/standins/common/target_server.h
@@ -0,0 +1,113 @@
+#ifndef BULRUSHWAY_TARGET_SERVER_H
+#define BULRUSHWAY_TARGET_SERVER_H
+
+// The stand-in for a target: runs requests in its slots and shows the faults that targets show.
+
+#include <deque>
+#include <list>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+
+#include "delayed_calls.h"
+#include "event_loop.h"
+#include "execution_log.h"
+#include "http_server.h"
+#include "open_sockets.h"
+#include "service_times.h"
+#include "target_faults.h"
+#include "target_request.h"
+
+namespace bulrushway {
+
+/// Settings of a target's stand-in.
+struct target_settings {
+  std::string name = "target";
+  /// Tells one start of the target from another.
+  std::string boot_id;
+  socket_address listen;
+  uint64_t slots = 12;
+  /// Requests that wait for a slot; further ones are refused as not run.
+  uint64_t queue = 100;
+  /// Open connections; requests on further ones are refused as not run.
+  uint64_t connections = 130;
+  service_settings service;
+  bool check_grants = false;
+  /// Bytes of filling in each answer.
+  uint64_t padding = 200;
+  uint64_t seed = 1;
+};
+
+/// Serves one target.
+class target_server {
+ public:
+  target_server(event_loop& loop, target_settings settings, instant now);
+
+  /// Listens.
+  result<void> Start(instant now);
+  /// Nothing is kept.
+  void Stop(instant) {}
+
+ private:
+  struct job;
+  struct load_sample {
+    instant at;
+    uint64_t running = 0;
+    uint64_t waiting = 0;
+  };
+  struct counters {
+    uint64_t done = 0;
+    uint64_t cancelled = 0;
+    uint64_t shed = 0;
+    uint64_t refused_grants = 0;
+    uint64_t over_connections = 0;
+    uint64_t past_deadline = 0;
+    uint64_t largest_running = 0;
+  };
+  using exchange = std::shared_ptr<http_exchange>;
+  using job_pointer = std::shared_ptr<job>;
+
+  void Handle(const exchange& caller);
+  void HandleControl(const exchange& caller, const std::string& path, instant now);
+  void ChangeFaultsBy(const exchange& caller, instant now);
+  void Arrive(const job_pointer& work, instant now);
+  void Admit(const job_pointer& work, instant now);
+  bool RefusedAtOnce(const job_pointer& work);
+  void StartWaiting(instant now);
+  void Run(const job_pointer& work, instant now);
+  void Finish(const job_pointer& work, instant now);
+  void Cancelled(const job_pointer& work);
+  void LeaveSlot(const job_pointer& work, instant now);
+  void Answer(const job_pointer& work);
+  void Refuse(const job_pointer& work, int status, const std::string& why);
+  http_answer WithBootId(http_answer answer) const;
+  std::string Health(instant now) const;
+  std::string Load(instant now) const;
+  std::string Executions(bool all_ids, instant now) const;
+  void SampleLoad(instant now);
+
+  event_loop& loop_;
+  target_settings settings_;
+  target_faults faults_;
+  service_times times_;
+  std::mt19937_64 random_;
+  grant_register grants_;
+  execution_log executions_;
+  counters counters_;
+  std::deque<job_pointer> waiting_;
+  uint64_t running_ = 0;
+  std::set<socket_address> seen_;
+  std::set<socket_address> silent_;
+  std::list<exchange> unanswered_;
+  std::deque<load_sample> samples_;
+  std::string last_request_id_;
+  delayed_calls delayed_;
+  timer sampling_;
+  open_sockets sockets_;
+  std::unique_ptr<http_server> server_;
+};
+
+}  // namespace bulrushway
+
+#endif  // BULRUSHWAY_TARGET_SERVER_H
