Add the load stand-in

Cause: what callers feel has to be counted from the planned send time, and each answer and each execution checked. Change: load_plan draws the load from a seed, load_client sends it in an open loop and reads the targets' executions, load_report evaluates, load_output prints a table or JSON.

--- /dev/null
+++ b/standins/common/load_client.cpp
@@ -0,0 +1,154 @@
+#include "load_client.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace bulrushway {
+namespace {
+
+using json = nlohmann::json;
+
+// An entry that refused a connection is passed over for this time.
+constexpr std::chrono::milliseconds kRefusedPause{200};
+// A caller waits for so long past its deadline before it takes the answer for lost.
+constexpr std::chrono::milliseconds kPatience{2000};
+constexpr std::chrono::milliseconds kTargetTimeout{5000};
+constexpr int kTargetAttempts = 3;
+
+}  // namespace
+
+load_client::load_client(event_loop& loop, load_plan plan, load_client_settings settings)
+    : loop_(loop),
+      plan_(std::move(plan)),
+      settings_(std::move(settings)),
+      report_(plan_.Settings(), settings_.window),
+      http_(loop, settings_.connections),
+      send_(loop, [this](instant now) { SendDue(now); }) {
+  for (const auto& address : settings_.entries) entries_.push_back({address});
+}
+
+result<void> load_client::Start(instant now) {
+  if (entries_.empty()) {
+    return Failure(error_kind::kUser, "start load", "", "No entry is given by --entries.");
+  }
+  started_ = now;
+  next_ = plan_.Next();
+  SendDue(now);
+  return {};
+}
+
+load_sender_figures load_client::SenderFigures() {
+  return {started_, http_.Opened(), Summarize(lags_)};
+}
+
+void load_client::SendDue(instant now) {
+  while (next_ && started_ + next_->at <= now) {
+    lags_.push_back(now - (started_ + next_->at));
+    ++open_;
+    Send(*next_, 0, now);
+    next_ = plan_.Next();
+  }
+  if (next_) {
+    const auto delay = started_ + next_->at - boot_clock::now();
+    send_.Once(std::max<std::chrono::nanoseconds>(delay, std::chrono::nanoseconds{0}));
+    return;
+  }
+  all_sent_ = true;
+  FinishIfDone();
+}
+
+size_t load_client::PickEntry(instant now) {
+  for (size_t i = 0; i < entries_.size(); ++i) {
+    const size_t index = next_entry_++ % entries_.size();
+    if (entries_[index].refused_until <= now) return index;
+  }
+  return next_entry_++ % entries_.size();
+}
+
+void load_client::Send(const planned_request& planned, size_t refusals, instant now) {
+  const size_t index = PickEntry(now);
+  const auto timeout = std::chrono::duration_cast<std::chrono::milliseconds>(
+      started_ + planned.at + settings_.deadline + kPatience - now);
+  const auto done = [this, planned, refusals,
+                     index](const tl::expected<http_answer, http_failure>& answer) {
+    const instant at = boot_clock::now();
+    load_result finished;
+    finished.request = planned;
+    finished.latency = at - (started_ + planned.at);
+    if (answer) {
+      Classify(*answer, KeyName(planned), PathEnd(planned), settings_.deadline, finished);
+      return Finish(std::move(finished));
+    }
+    if (answer.error().may_have_run) return Finish(std::move(finished));
+    entries_[index].refused_until = at + kRefusedPause;
+    if (refusals + 1 < entries_.size()) return Send(planned, refusals + 1, at);
+    finished.outcome = load_outcome::kUnreachable;
+    finished.not_run = true;
+    Finish(std::move(finished));
+  };
+  http_.Send(entries_[index].address, Compose(planned),
+             std::max(timeout, std::chrono::milliseconds{1}), done);
+}
+
+void load_client::Finish(load_result finished) {
+  report_.Add(std::move(finished));
+  --open_;
+  FinishIfDone();
+}
+
+void load_client::FinishIfDone() {
+  if (!all_sent_ || open_ > 0) return;
+  if (settings_.targets.empty()) return loop_.Stop();
+  for (size_t i = 0; i < settings_.targets.size(); ++i) ReadTarget(i, 1);
+}
+
+void load_client::ReadTarget(size_t index, int attempt) {
+  const auto done = [this, index, attempt](const tl::expected<http_answer, http_failure>& answer) {
+    if (answer && answer->status == 200) return TargetRead(index, answer->body);
+    if (attempt < kTargetAttempts) return ReadTarget(index, attempt + 1);
+    ++targets_unread_;
+    TargetRead(index, "");
+  };
+  http_.Send(settings_.targets[index], {"GET", "/-/executions?ids=all", {}, {}}, kTargetTimeout,
+             done);
+}
+
+void load_client::TargetRead(size_t, const std::string& body) {
+  const json parsed = json::parse(body, nullptr, false);
+  if (parsed.is_object()) {
+    ++targets_read_;
+    executions_ += parsed.value("executions", uint64_t{0});
+    for (const json& id : parsed.value("ids", json::array())) {
+      runs_[id.value("id", "")] += id.value("count", uint64_t{0});
+    }
+  }
+  if (targets_read_ + targets_unread_ < settings_.targets.size()) return;
+  report_.CheckExecutions(runs_, targets_read_, targets_unread_, executions_);
+  loop_.Stop();
+}
+
+std::string load_client::KeyName(const planned_request& planned) const {
+  return "key" + std::to_string(planned.key);
+}
+
+std::string load_client::PathEnd(const planned_request& planned) const {
+  return "/" + plan_.Settings().item + "/" + KeyName(planned);
+}
+
+http_request load_client::Compose(const planned_request& planned) const {
+  const load_service& service = plan_.Settings().services[planned.service];
+  http_request request;
+  request.method = planned.idempotent ? "GET" : "POST";
+  request.target = "/" + service.name + PathEnd(planned);
+  request.headers.emplace_back("X-Bulrush-Request-Id", planned.request_id);
+  request.headers.emplace_back("X-Bulrush-Tenant", "tenant" + std::to_string(planned.tenant));
+  request.headers.emplace_back("X-Bulrush-Deadline-Ms", std::to_string(settings_.deadline.count()));
+  if (service.keyed) request.headers.emplace_back("X-Bulrush-Key", KeyName(planned));
+  if (!planned.idempotency_key.empty()) {
+    request.headers.emplace_back("Idempotency-Key", planned.idempotency_key);
+  }
+  if (!planned.idempotent) request.body.assign(settings_.body_bytes, 'b');
+  return request;
+}
+
+}  // namespace bulrushway
--- /dev/null
+++ b/standins/common/load_client.h
@@ -0,0 +1,81 @@
+#ifndef BULRUSHWAY_LOAD_CLIENT_H
+#define BULRUSHWAY_LOAD_CLIENT_H
+
+// Sends a planned load through the entries at the planned times, then asks the targets what they
+// ran.
+
+#include <functional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "event_loop.h"
+#include "http_client.h"
+#include "load_output.h"
+#include "load_plan.h"
+#include "load_report.h"
+
+namespace bulrushway {
+
+/// Settings of the sending.
+struct load_client_settings {
+  std::vector<socket_address> entries;
+  std::vector<socket_address> targets;
+  std::chrono::milliseconds deadline{1000};
+  std::chrono::milliseconds window{1000};
+  uint64_t connections = 512;
+  uint64_t body_bytes = 100;
+};
+
+/// Runs one load.
+class load_client {
+ public:
+  load_client(event_loop& loop, load_plan plan, load_client_settings settings);
+
+  /// Starts to send; the loop is stopped when everything is answered and the targets are read.
+  result<void> Start(instant now);
+  /// Sends nothing any more.
+  void Stop(instant) { send_.Cancel(); }
+
+  const load_report& Report() const { return report_; }
+  load_sender_figures SenderFigures();
+
+ private:
+  struct entry_state {
+    socket_address address;
+    instant refused_until{};
+  };
+
+  void SendDue(instant now);
+  void Send(const planned_request& planned, size_t refusals, instant now);
+  void Finish(load_result finished);
+  void FinishIfDone();
+  void ReadTarget(size_t index, int attempt);
+  void TargetRead(size_t index, const std::string& body);
+  size_t PickEntry(instant now);
+  http_request Compose(const planned_request& planned) const;
+  std::string KeyName(const planned_request& planned) const;
+  std::string PathEnd(const planned_request& planned) const;
+
+  event_loop& loop_;
+  load_plan plan_;
+  load_client_settings settings_;
+  std::vector<entry_state> entries_;
+  size_t next_entry_ = 0;
+  instant started_{};
+  std::optional<planned_request> next_;
+  uint64_t open_ = 0;
+  bool all_sent_ = false;
+  load_report report_;
+  std::vector<std::chrono::nanoseconds> lags_;
+  std::unordered_map<std::string, uint64_t> runs_;
+  uint64_t executions_ = 0;
+  uint64_t targets_read_ = 0;
+  uint64_t targets_unread_ = 0;
+  http_client http_;
+  timer send_;
+};
+
+}  // namespace bulrushway
+
+#endif  // BULRUSHWAY_LOAD_CLIENT_H
--- /dev/null
+++ b/standins/common/load_plan.h
@@ -0,0 +1,91 @@
+#ifndef BULRUSHWAY_LOAD_PLAN_H
+#define BULRUSHWAY_LOAD_PLAN_H
+
+// The load that the load stand-in offers: which request is sent when, drawn from a seed. The plan
+// does not depend on answers (open loop), so that slow answers do not thin out the load.
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "error.h"
+
+namespace bulrushway {
+
+/// One service's part in the load.
+struct load_service {
+  std::string name;
+  /// Keyed services get a key with each request and have a share of writes.
+  bool keyed = false;
+  /// Share of all requests, 0 to 1.
+  double share = 1;
+};
+
+/// Reads "corredores:lookup:0.8,cronometraje:keyed:0.2".
+result<std::vector<load_service>> ParseLoadServices(const std::string& text);
+
+/// Parameters of a load.
+struct load_settings {
+  std::vector<load_service> services;
+  /// Requests a second, with exponential intervals.
+  double rate = 100;
+  std::chrono::milliseconds duration{10000};
+  uint64_t keys = 100;
+  /// Exponent of the Zipf distribution of keys; 0 for a uniform one.
+  double zipf = 0;
+  uint64_t tenants = 4;
+  /// Share of the requests to keyed services that are not idempotent.
+  double write_share = 0.5;
+  /// Share of the writes that carry an idempotency key.
+  double idempotency_share = 0.5;
+  /// Share of the writes with an idempotency key that are sent a second time shortly after.
+  double repeat_share = 0;
+  /// Path element before the key, for example "poison".
+  std::string item = "item";
+  uint64_t seed = 1;
+};
+
+/// One planned request.
+struct planned_request {
+  /// Time of sending, from the start of the load.
+  std::chrono::nanoseconds at{0};
+  uint32_t service = 0;
+  uint32_t key = 0;
+  uint32_t tenant = 0;
+  bool idempotent = true;
+  std::string request_id;
+  std::string idempotency_key;
+  /// Request id of the first sending when this is a repeat under one idempotency key.
+  std::string repeat_of;
+};
+
+/// Draws the requests of a load one after the other.
+class load_plan {
+ public:
+  explicit load_plan(load_settings settings);
+
+  /// The next request in the order of time; nothing when the load is over.
+  std::optional<planned_request> Next();
+  const load_settings& Settings() const { return settings_; }
+
+ private:
+  planned_request Draw();
+  uint32_t DrawService();
+  uint32_t DrawKey();
+  double Uniform();
+
+  load_settings settings_;
+  std::mt19937_64 random_;
+  std::vector<double> cumulative_;
+  std::chrono::nanoseconds at_{0};
+  uint64_t number_ = 0;
+  std::optional<planned_request> drawn_;
+  std::vector<planned_request> repeats_;
+};
+
+}  // namespace bulrushway
+
+#endif  // BULRUSHWAY_LOAD_PLAN_H
