--- a/programs/bulrushd.cpp
+++ b/programs/bulrushd.cpp
@@ -8,6 +8,7 @@
 #include "daemon_settings.h"
 
 DEFINE_string(settings, "", "the settings file of this process (INI); see docs/SETTINGS.md");
+DEFINE_bool(allow_faults, false, "let POST /-/faults make this process drop traffic; for tests");
 DEFINE_bool(check, false, "only check the settings file");
 
 int main(int argc, char** argv) {
@@ -29,6 +30,7 @@
   std::random_device entropy;
   const uint64_t seed = uint64_t{entropy()} << 32 | entropy();
   bulrushway::daemon daemon(std::move(*settings), seed);
+  if (FLAGS_allow_faults) daemon.AllowFaults();
   if (const auto started = daemon.Start(bulrushway::boot_clock::now()); !started) {
     std::fprintf(stderr, "bulrushd: %s\n", ToString(started.error()).c_str());
     return 1;
--- a/src/announcement.h
+++ b/src/announcement.h
@@ -56,8 +56,8 @@
 /// Slices in one claim at most, so that a claim fits into a datagram.
 inline constexpr size_t kSlicesPerClaim = 150;
 
-/// Some of the slices that a node holds. A node with many slices makes several claims, numbered from
-/// zero; one that has shrunk leaves empty claims behind.
+/// Some of the slices that a node holds. A node with many slices makes several claims, numbered
+/// from zero; one that has shrunk leaves empty claims behind.
 struct ownership_claim {
   std::string node;
   std::string service;
--- a/src/control_codec.cpp
+++ b/src/control_codec.cpp
@@ -15,8 +15,8 @@
 auto Fields(auto& m, const heir&) { return std::tie(m.term, m.region, m.witnesses); }
 auto Fields(auto& m, const slice_gift&) { return std::tie(m.slice, m.receiver); }
 auto Fields(auto& m, const term_record&) {
-  return std::tie(m.id, m.service, m.region, m.slices, m.witnesses, m.heirs, m.gifts,
-                  m.predecessor, m.predecessor_witnesses, m.first_number);
+  return std::tie(m.id, m.service, m.region, m.slices, m.witnesses, m.heirs, m.gifts, m.predecessor,
+                  m.predecessor_witnesses, m.first_number);
 }
 auto Fields(auto& m, const renew_request&) {
   return std::tie(m.term, m.sequence, m.witness_process, m.active, m.record);
@@ -53,10 +53,12 @@
 constexpr auto HighestOf(attest_status) { return attest_status::kHigherBallot; }
 
 template <class Value>
-concept has_fields = requires(Value& value) { Fields(value, value); };
+concept has_fields = requires(Value& value) {
+  Fields(value, value);
+};
 
 template <class Packer, class Value>
-  requires has_fields<const Value>
+requires has_fields<const Value>
 void Write(Packer& packer, const std::vector<Value>& values);
 
 template <class Packer, class Value>
@@ -73,7 +75,7 @@
 }
 
 template <class Packer, class Value>
-  requires has_fields<const Value>
+requires has_fields<const Value>
 void Write(Packer& packer, const std::vector<Value>& values) {
   packer.pack_array(static_cast<uint32_t>(values.size()));
   for (const Value& value : values) Write(packer, value);
@@ -83,7 +85,7 @@
 void Read(const msgpack::object& from, Value& value);
 
 template <class Value>
-  requires has_fields<Value>
+requires has_fields<Value>
 void Read(const msgpack::object& from, std::vector<Value>& values) {
   if (from.type != msgpack::type::ARRAY) throw msgpack::type_error();
   values.resize(from.via.array.size);
--- a/src/control_codec.h
+++ b/src/control_codec.h
@@ -1,8 +1,9 @@
 #ifndef BULRUSHWAY_CONTROL_CODEC_H
 #define BULRUSHWAY_CONTROL_CODEC_H
 
-// Membership and lease traffic on the wire: msgpack, small enough for a datagram where it is steady.
-// Each message names the node it is meant for, since an address may have passed to another process.
+// Membership and lease traffic on the wire: msgpack, small enough for a datagram where it is
+// steady. Each message names the node it is meant for, since an address may have passed to another
+// process.
 
 #include <string>
 #include <string_view>
--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -57,8 +57,7 @@
 
 daemon::daemon(daemon_settings settings, uint64_t seed)
     : settings_(std::move(settings)),
-      log_(settings_.node.name, settings_.log.file.value_or(""),
-           ToEventLevel(settings_.log.level)),
+      log_(settings_.node.name, settings_.log.file.value_or(""), ToEventLevel(settings_.log.level)),
       platform_client_(loop_, kPlatformConnections),
       table_(platform_client_, settings_.platform),
       transport_(loop_, {[this](connection_id from, peer_message message) {
@@ -73,8 +72,8 @@
                   seed),
       configuration_(loop_, log_, table_, membership_, rules_, seed),
       gate_(loop_, metrics_, MakeGateSettings(settings_), MakeGatePorts()),
-      entry_(loop_, metrics_, MakeEntrySettings(settings_), MakeEntryPorts(),
-             membership_.Known(), forwarder_, gate_, seed),
+      entry_(loop_, metrics_, MakeEntrySettings(settings_), MakeEntryPorts(), membership_.Known(),
+             forwarder_, gate_, seed),
       http_(loop_, {settings_.limits.max_body},
             [this](std::shared_ptr<http_exchange> exchange) { OnExchange(std::move(exchange)); }),
       tick_(loop_, [this](instant now) { Tick(now); }) {
@@ -253,6 +252,8 @@
 
 void daemon::OnPeerMessage(connection_id from, peer_message message) {
   const instant now = boot_clock::now();
+  if (const auto* hello = std::get_if<hello_message>(&message)) hellos_[from] = hello->node;
+  if (!dropped_.empty() && Dropped(from)) return;
   if (auto* request = std::get_if<forward_request>(&message)) {
     OnForwarded(now, from, std::move(*request));
   } else if (auto* answer = std::get_if<forward_answer>(&message)) {
@@ -268,6 +269,14 @@
   }
 }
 
+bool daemon::Dropped(connection_id from) const {
+  const auto hello = hellos_.find(from);
+  if (hello != hellos_.end()) return dropped_.contains(hello->second);
+  const auto address = ParseSocketAddress(transport_.PeerAddress(from));
+  const announcement* peer = address ? membership_.Known().FindByPeer(*address) : nullptr;
+  return peer != nullptr && dropped_.contains(peer->node);
+}
+
 void daemon::OnForwarded(instant now, connection_id from, forward_request request) {
   const uint64_t id = request.id;
   // The gate may answer at once, before the ticket is known.
@@ -284,6 +293,7 @@
 
 void daemon::OnPeerClosed(connection_id id, bool stood, const error& reason) {
   const instant now = boot_clock::now();
+  hellos_.erase(id);
   if (forwarder_.OnClosed(now, id, stood)) return;
   if (reason.step != "keep connection") log_.Write(event_id::kBadFrame, reason);
   // Nobody is left to take the answers of these requests.
@@ -304,12 +314,11 @@
     forwarder_.Tick(now);
   }
   entry_.Refresh(now);
-  const bool leaving = stopping_ || data_centre_out_ ||
-                       rules_.PlannedStop(settings_.node.name, WallNow());
-  membership_.SetState(now, target_up_, leaving, rules_.Version(),
-                       rules_.Configured()
-                           ? rules_.Capacity(settings_.node.name, settings_.node.service).first
-                           : 0);
+  const bool leaving =
+      stopping_ || data_centre_out_ || rules_.PlannedStop(settings_.node.name, WallNow());
+  membership_.SetState(
+      now, target_up_, leaving, rules_.Version(),
+      rules_.Configured() ? rules_.Capacity(settings_.node.name, settings_.node.service).first : 0);
   if (stopping_) CheckStopped(now);
 }
 
--- a/src/daemon.h
+++ b/src/daemon.h
@@ -5,7 +5,9 @@
 // gate beside the target, membership, configuration and the operators' paths.
 
 #include <chrono>
+#include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 #include "configuration_service.h"
@@ -32,6 +34,8 @@
   daemon(daemon_settings settings, uint64_t seed);
   ~daemon();
 
+  /// Lets operators of a test make this process drop traffic (POST /-/faults).
+  void AllowFaults() { faults_allowed_ = true; }
   /// Listens on all addresses and joins the fleet.
   result<void> Start(instant now);
   /// Runs until a planned stop is complete.
@@ -73,6 +77,8 @@
   http_answer ShowOwner(const http_request& request) const;
   http_answer ShowMetrics(instant now);
   http_answer ShowEvents(const http_request& request) const;
+  http_answer SetFaults(const http_request& request);
+  bool Dropped(connection_id from) const;
   http_answer Quarantine(instant now, const http_request& request);
 
   daemon_settings settings_;
@@ -94,6 +100,9 @@
   peers_service peers_{this};
   timer tick_;
   std::map<std::pair<connection_id, uint64_t>, gate::ticket> incoming_;
+  std::map<connection_id, std::string> hellos_;
+  std::set<std::string> dropped_;
+  bool faults_allowed_ = false;
   bool target_up_ = true;
   bool stopping_ = false;
   bool data_centre_out_ = false;
--- a/src/daemon_admin.cpp
+++ b/src/daemon_admin.cpp
@@ -58,6 +58,9 @@
   if (path == "/-/metrics") return ShowMetrics(now);
   if (path == "/-/events") return ShowEvents(request);
   if (path == "/-/quarantine") return Quarantine(now, request);
+  if (path == "/-/faults" && faults_allowed_ && request.method == "POST") {
+    return SetFaults(request);
+  }
   if (path == "/-/config/poke" && request.method == "POST") {
     configuration_.Poke(now);
     return JsonAnswer({{"version", rules_.Version()}});
@@ -76,7 +79,7 @@
   }
   json status = ToJson(self, true);
   status["lease_ms"] = ownership ? lease.count() : 0;
-  status["state"] = stopping_         ? "stopping"
+  status["state"] = stopping_          ? "stopping"
                     : data_centre_out_ ? "out"
                     : ownership        ? PhaseName(ownership->phase)
                                        : "waiting for configuration";
@@ -156,6 +159,19 @@
   return JsonAnswer({{"node", settings_.node.name}, {"events", events}});
 }
 
+http_answer daemon::SetFaults(const http_request& request) {
+  if (const std::string node = QueryValue(request.target, "drop_from"); !node.empty()) {
+    dropped_.insert(node);
+    membership_.SetDropped(node, true);
+  }
+  if (const std::string node = QueryValue(request.target, "pass_from"); !node.empty()) {
+    dropped_.erase(node);
+    membership_.SetDropped(node, false);
+  }
+  json nodes = dropped_;
+  return JsonAnswer({{"dropped", nodes}});
+}
+
 http_answer daemon::Quarantine(instant now, const http_request& request) {
   if (request.method == "POST") {
     const std::string fingerprint = QueryValue(request.target, "release");
--- a/src/directory.cpp
+++ b/src/directory.cpp
@@ -74,8 +74,8 @@
 size_t directory::OwnedSlices(const std::string& service) const {
   const auto owners = owners_.find(service);
   if (owners == owners_.end()) return 0;
-  return static_cast<size_t>(std::ranges::count_if(
-      owners->second, [this](const owner& known) { return Current(known); }));
+  return static_cast<size_t>(
+      std::ranges::count_if(owners->second, [this](const owner& known) { return Current(known); }));
 }
 
 bool directory::Current(const owner& known) const {
--- a/src/forwarder.cpp
+++ b/src/forwarder.cpp
@@ -39,8 +39,7 @@
   waiting_.erase(found);
 }
 
-void forwarder::SendControl(instant now, const socket_address& address,
-                            const std::string& bytes) {
+void forwarder::SendControl(instant now, const socket_address& address, const std::string& bytes) {
   transport_.Send(PeerAt(now, address).connection, control_message{bytes});
 }
 
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -142,6 +142,14 @@
   RunActions(now);
 }
 
+void membership::SetDropped(const std::string& node, bool dropped) {
+  if (dropped) {
+    dropped_.insert(node);
+  } else {
+    dropped_.erase(node);
+  }
+}
+
 void membership::OnControl(instant now, const std::string& bytes, const std::string& peer) {
   const auto envelope = DecodeControl(bytes, peer);
   if (!envelope) return log_.Write(event_id::kBadFrame, envelope.error());
@@ -150,8 +158,8 @@
 
 void membership::Publish(instant now, gossip_item item) { gossip_.Publish(now, std::move(item)); }
 
-void membership::SetState(instant now, bool target_up, bool leaving,
-                          uint64_t configuration_version, uint32_t slots) {
+void membership::SetState(instant now, bool target_up, bool leaving, uint64_t configuration_version,
+                          uint32_t slots) {
   const auto state = [](const announcement& a) {
     return std::tuple(a.target_up, a.leaving, a.configuration_version, a.slots);
   };
@@ -228,6 +236,7 @@
 void membership::Receive(instant now, const control_envelope& envelope,
                          const socket_address* from) {
   if (!envelope.to.empty() && envelope.to != self_.node) return;
+  if (dropped_.contains(envelope.from)) return;
   if (const auto* message = std::get_if<gossip_message>(&envelope.body)) {
     std::optional<gossip_message> reply;
     for (const gossip_item& item : gossip_.Receive(now, *message, reply)) OnItem(now, item);
@@ -282,8 +291,7 @@
     last_version_ = std::max(last_version_, version);
     announce_ = true;
     if (heard.process != self_.process && ++conflicts_ >= kConflictsOfDuplicate) {
-      log_.Write(event_id::kDuplicateNode,
-                 {{"node", heard.node}, {"other", ToString(heard.peer)}});
+      log_.Write(event_id::kDuplicateNode, {{"node", heard.node}, {"other", ToString(heard.peer)}});
       conflicts_ = 0;
     }
     return;
@@ -345,26 +353,26 @@
 }
 
 void membership::Perform(instant, const commit_action& action) {
-  table_.Commit(action.change, [this, operation = action.change.operation](
-                                   const result<void>& outcome) {
-    commit_outcome told = commit_outcome::kApplied;
-    if (!outcome) {
-      const bool conflict = outcome.error().kind == error_kind::kConflict;
-      told = conflict ? commit_outcome::kConflict : commit_outcome::kUnknown;
-    }
-    const instant now = boot_clock::now();
-    core_->OnCommit(now, operation, told);
-    RunActions(now);
-  });
+  table_.Commit(action.change,
+                [this, operation = action.change.operation](const result<void>& outcome) {
+                  commit_outcome told = commit_outcome::kApplied;
+                  if (!outcome) {
+                    const bool conflict = outcome.error().kind == error_kind::kConflict;
+                    told = conflict ? commit_outcome::kConflict : commit_outcome::kUnknown;
+                  }
+                  const instant now = boot_clock::now();
+                  core_->OnCommit(now, operation, told);
+                  RunActions(now);
+                });
 }
 
 void membership::Perform(instant, const read_prefix_action& action) {
-  table_.ReadPrefix(action.prefix, [this, prefix = action.prefix](
-                                       const result<std::vector<table_row>>& rows) {
-    const instant now = boot_clock::now();
-    core_->OnRows(now, prefix, rows);
-    RunActions(now);
-  });
+  table_.ReadPrefix(action.prefix,
+                    [this, prefix = action.prefix](const result<std::vector<table_row>>& rows) {
+                      const instant now = boot_clock::now();
+                      core_->OnRows(now, prefix, rows);
+                      RunActions(now);
+                    });
 }
 
 void membership::Perform(instant now, const publish_claim_action& action) {
@@ -384,8 +392,8 @@
   for (const ownership_claim& claim : claims) {
     directory_.OnClaim(claim);
     gossip_.Publish(now, {static_cast<uint8_t>(gossip_kind::kClaim),
-                          self_.node + "/" + std::to_string(claim.part),
-                          NextVersion(last_version_), Encode(claim)});
+                          self_.node + "/" + std::to_string(claim.part), NextVersion(last_version_),
+                          Encode(claim)});
   }
 }
 
--- a/src/membership.h
+++ b/src/membership.h
@@ -2,14 +2,15 @@
 #define BULRUSHWAY_MEMBERSHIP_H
 
 // Binds the pure modules of membership and ownership to the world: gossip and leases travel as
-// datagrams, terms are written to the platform's table, and what changes is told to the gate and the
-// log. It decides nothing itself.
+// datagrams, terms are written to the platform's table, and what changes is told to the gate and
+// the log. It decides nothing itself.
 
 #include <chrono>
 #include <functional>
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -43,8 +44,7 @@
 class membership {
  public:
   membership(event_loop& loop, event_log& log, metrics& counters, http_table_service& table,
-             forwarder& peers, announcement self, std::vector<socket_address> seeds,
-             uint64_t seed);
+             forwarder& peers, announcement self, std::vector<socket_address> seeds, uint64_t seed);
   ~membership();
 
   /// To be called before Start.
@@ -55,6 +55,8 @@
   /// The layout of the service's slices is known from the first configuration on; ownership begins
   /// then. `owns_keys` is false for lookup services, whose processes only witness.
   void BeginOwnership(instant now, const slice_layout& layout, bool owns_keys);
+  /// Drops all control messages of a node, as a network partition would. For failure tests.
+  void SetDropped(const std::string& node, bool dropped);
   /// A control message that came over a connection.
   void OnControl(instant now, const std::string& bytes, const std::string& peer);
   /// Publishes an item of another module to all processes.
@@ -121,6 +123,7 @@
   instant next_search_;
   instant last_tick_;
   bool announce_ = true;
+  std::set<std::string> dropped_;
   uint64_t conflicts_ = 0;
   uint64_t control_messages_ = 0;
   uint64_t control_bytes_ = 0;
--- a/src/msgpack_fields.h
+++ b/src/msgpack_fields.h
@@ -39,8 +39,8 @@
 
 namespace bulrushway::msgpack_fields {
 
-/// Parses bytes. No array or string may claim more elements than there are bytes, so that a few bytes
-/// cannot make the parser reserve gigabytes. Throws what msgpack throws on bad input.
+/// Parses bytes. No array or string may claim more elements than there are bytes, so that a few
+/// bytes cannot make the parser reserve gigabytes. Throws what msgpack throws on bad input.
 inline msgpack::object_handle Parse(std::string_view bytes) {
   constexpr size_t kDeepest = 16;
   const size_t most = bytes.size();
--- a/src/peer_transport.cpp
+++ b/src/peer_transport.cpp
@@ -96,6 +96,11 @@
   return found != connections_.end() && found->second->established;
 }
 
+std::string peer_transport::PeerAddress(connection_id id) const {
+  const auto found = connections_.find(id);
+  return found == connections_.end() ? "" : found->second->peer;
+}
+
 connection_id peer_transport::Adopt(bufferevent* raw, const std::string& peer, bool established) {
   const connection_id id = next_id_++;
   auto link = std::make_unique<connection>();
--- a/src/rules_view.cpp
+++ b/src/rules_view.cpp
@@ -58,8 +58,7 @@
 }
 
 std::pair<double, uint8_t> rules_view::Share(const forward_request& request) const {
-  const tenant_entry* tenant =
-      in_force_ ? in_force_->rules.FindTenant(request.tenant) : nullptr;
+  const tenant_entry* tenant = in_force_ ? in_force_->rules.FindTenant(request.tenant) : nullptr;
   if (tenant == nullptr) return {100, 5};
   // The rules count 0 as the most important, the queue the largest number.
   constexpr uint32_t kHighest = 9;
--- a/src/slice.cpp
+++ b/src/slice.cpp
@@ -1,9 +1,9 @@
 #include "slice.h"
 
-#include <algorithm>
-
 #include <xxhash.h>
 
+#include <algorithm>
+
 namespace bulrushway {
 
 uint32_t PartitionCount(const slice_layout& layout) {
@@ -12,8 +12,8 @@
 
 uint32_t PartitionFor(const slice_layout& layout, const std::vector<std::string>& home_regions) {
   for (uint32_t i = 0; i < layout.regions.size(); ++i) {
-    const bool home =
-        std::find(home_regions.begin(), home_regions.end(), layout.regions[i]) != home_regions.end();
+    const bool home = std::find(home_regions.begin(), home_regions.end(), layout.regions[i]) !=
+                      home_regions.end();
     if (home) return i + 1;
   }
   return 0;
--- a/src/slice.h
+++ b/src/slice.h
@@ -2,8 +2,8 @@
 #define BULRUSHWAY_SLICE_H
 
 // Keys hash to slices, the unit of ownership, so that no state is kept for a key. The slices of a
-// service are divided into partitions: partition 0 may be held anywhere, partition p > 0 only in the
-// region with index p - 1.
+// service are divided into partitions: partition 0 may be held anywhere, partition p > 0 only in
+// the region with index p - 1.
 
 #include <string>
 #include <string_view>
@@ -24,8 +24,8 @@
 /// Number of partitions: one for anywhere and one for each region.
 uint32_t PartitionCount(const slice_layout& layout);
 
-/// The partition for keys bound to these regions: that of the first region of the layout among them,
-/// or 0 when there are none.
+/// The partition for keys bound to these regions: that of the first region of the layout among
+/// them, or 0 when there are none.
 uint32_t PartitionFor(const slice_layout& layout, const std::vector<std::string>& home_regions);
 
 /// The slice of a key in a partition.
--- a/test/correctness/peer_codec_test.cpp
+++ b/test/correctness/peer_codec_test.cpp
@@ -54,7 +54,8 @@
 }
 
 BOOST_AUTO_TEST_CASE(a_renewal_fits_many_times_into_a_datagram) {
-  const control_envelope renewal{"lima1-a", "cusco1-b", ownership_message{renew_request{{"lima1-a", 12}, 99, 5, true, {}}}};
+  const control_envelope renewal{
+      "lima1-a", "cusco1-b", ownership_message{renew_request{{"lima1-a", 12}, 99, 5, true, {}}}};
   const std::string bytes = EncodeControl(renewal);
   BOOST_TEST(bytes.size() < 100U);
   const auto read = DecodeControl(bytes, "peer");
--- /dev/null
+++ b/test/support/test_fleet.h
@@ -0,0 +1,110 @@
+#ifndef BULRUSHWAY_TEST_FLEET_H
+#define BULRUSHWAY_TEST_FLEET_H
+
+// A small fleet of real processes on loopback for the failure tests: the platform's stand-in,
+// targets and the processes beside them. Everything ends with the object.
+
+#include <chrono>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "child_process.h"
+#include "event_loop.h"
+#include "http_client.h"
+#include "http_message.h"
+#include "socket_address.h"
+
+namespace bulrushway::testing {
+
+/// A node to be started.
+struct node_plan {
+  std::string name;
+  std::string service;
+  std::string region;
+  std::string data_centre;
+  std::string rack;
+};
+
+/// Processes of one test.
+class test_fleet {
+ public:
+  /// Starts the platform. `name` names the folder of its logs.
+  explicit test_fleet(const std::string& name);
+  ~test_fleet();
+
+  /// Starts a target and the process beside it.
+  void StartNode(const node_plan& plan);
+  /// Starts only the process of a node that was started before.
+  void RestartDaemon(const std::string& node);
+  /// Kills the process beside the target and the target, as the loss of an instance does.
+  void KillInstance(const std::string& node);
+  /// Kills only the process beside the target.
+  void KillDaemon(const std::string& node);
+  child_process& Daemon(const std::string& node) { return *nodes_.at(node).daemon; }
+  child_process& Target(const std::string& node) { return *nodes_.at(node).target; }
+
+  /// Applies a configuration with the operators' command; the test fails if it is refused.
+  void Apply(const std::string& inventory, const std::string& rules);
+  /// Runs the operators' command; returns exit status and output.
+  std::pair<int, std::string> Ctl(std::vector<std::string> arguments) const;
+
+  /// One request to a process; status 0 when it has no answer.
+  http_answer Call(const socket_address& to, const http_request& request,
+                   std::chrono::milliseconds timeout = std::chrono::milliseconds{3000});
+  /// A keyed request that must not run twice, sent to a node.
+  http_answer Post(const std::string& node, const std::string& service, const std::string& key,
+                   const header_list& headers = {}, const std::string& body = "x");
+  http_answer Get(const std::string& node, const std::string& path,
+                  const header_list& headers = {});
+  /// Owner of the key according to a node; empty when none.
+  std::string OwnerOf(const std::string& node, const std::string& service, const std::string& key);
+  /// Sets faults of the platform or of a target (JSON).
+  void PlatformFaults(const std::string& json);
+  void TargetFaults(const std::string& node, const std::string& json);
+  /// Drops all traffic between two processes, in one direction.
+  void Cut(const std::string& from, const std::string& to, bool cut);
+  /// Executions that a target counts.
+  std::string Executions(const std::string& node);
+
+  /// Polls until the condition holds; false after `limit`.
+  bool Until(const std::function<bool()>& holds,
+             std::chrono::milliseconds limit = std::chrono::milliseconds{15000});
+  /// All slices of the service have a live owner according to each of the nodes.
+  bool AllOwned(const std::string& service, size_t slices);
+
+  const socket_address& Http(const std::string& node) const { return nodes_.at(node).http; }
+  const socket_address& TargetAddress(const std::string& node) const {
+    return nodes_.at(node).target_address;
+  }
+  const socket_address& Platform() const { return platform_address_; }
+  std::vector<std::string> Nodes() const;
+
+ private:
+  struct node {
+    node_plan plan;
+    socket_address http;
+    socket_address peer;
+    socket_address target_address;
+    std::string settings;
+    std::unique_ptr<child_process> target;
+    std::unique_ptr<child_process> daemon;
+  };
+
+  std::string folder_;
+  event_loop loop_;
+  http_client client_;
+  socket_address platform_address_;
+  std::unique_ptr<child_process> platform_;
+  std::map<std::string, node> nodes_;
+};
+
+/// A loopback address whose port is free for TCP and UDP.
+socket_address FreeAddress();
+
+}  // namespace bulrushway::testing
+
+#endif  // BULRUSHWAY_TEST_FLEET_H
