--- a/src/lease.cpp
+++ b/src/lease.cpp
@@ -57,6 +57,7 @@
     case renew_status::kAcknowledged:
       if (answer.witness_process != state.process) return {};
       state.has_record = true;
+      state.acknowledged_by = state.process;
       Acknowledge(now, state, answer.sequence);
       return {};
     case renew_status::kClosed:
@@ -66,11 +67,13 @@
     case renew_status::kRecordNeeded:
       break;
   }
+  // The witnesses' processes are fixed once the first supersede request was sent.
+  if (!next_.empty()) return {};
   const bool changed = state.process != answer.witness_process || state.has_record;
   state.process = answer.witness_process;
   state.has_record = false;
   state.closed = false;
-  if (!changed || !next_.empty()) return {};
+  if (!changed) return {};
   return {MakeRenewal(now, from, active)};
 }
 
@@ -94,6 +97,8 @@
   std::vector<send_message_action> messages;
   if (lapsed_ || next_.empty()) return messages;
   for (auto& [name, state] : witnesses_) {
+    // A witness that restarted since its last acknowledgement has no say in this term any more.
+    if (state.process == 0 || state.acknowledged_by != state.process) continue;
     if (state.ever_sent && now - state.last_sent < kSupersedeInterval) continue;
     supersede_request request;
     request.term = record_.id;
@@ -109,13 +114,7 @@
   const auto found = witnesses_.find(from);
   if (lapsed_ || answer.term != record_.id || found == witnesses_.end()) return;
   witness_state& state = found->second;
-  if (answer.status == renew_status::kOtherProcess) {
-    state.process = answer.witness_process;
-    state.ever_sent = false;
-    // The restarted witness has forgotten what its earlier process promised.
-    state.superseded = false;
-    return;
-  }
+  if (answer.status == renew_status::kOtherProcess) return;
   if (answer.witness_process != state.process) return;
   if (answer.status == renew_status::kClosed) {
     state.closed = true;
--- a/src/lease.h
+++ b/src/lease.h
@@ -57,6 +57,8 @@
   };
   struct witness_state {
     uint64_t process = 0;
+    /// The process that acknowledged a renewal last.
+    uint64_t acknowledged_by = 0;
     bool has_record = false;
     bool closed = false;
     bool superseded = false;
