--- a/src/attestation.cpp
+++ b/src/attestation.cpp
@@ -12,9 +12,9 @@
 constexpr int kProcessBits = 32;
 
 size_t CountStatus(const auto& replies, attest_status status) {
-  return static_cast<size_t>(std::count_if(
-      replies.begin(), replies.end(),
-      [status](const auto& entry) { return entry.second.answer.status == status; }));
+  return static_cast<size_t>(
+      std::count_if(replies.begin(), replies.end(),
+                    [status](const auto& entry) { return entry.second.answer.status == status; }));
 }
 
 }  // namespace
@@ -111,9 +111,8 @@
   round* running = Current(now, answer.term, answer.round);
   if (running == nullptr || !answer.accepted || !running->replies.contains(from)) return;
   running->replies[from].accepted = true;
-  const auto accepted =
-      std::count_if(running->replies.begin(), running->replies.end(),
-                    [](const auto& entry) { return entry.second.accepted; });
+  const auto accepted = std::count_if(running->replies.begin(), running->replies.end(),
+                                      [](const auto& entry) { return entry.second.accepted; });
   if (static_cast<size_t>(accepted) < QuorumOf(running->witnesses.size())) return;
   const bool gone = running->proposed == term_outcome::kGone;
   Finish(answer.term, gone ? attest_verdict::kGone : attest_verdict::kSuperseded);
--- a/src/attestation.h
+++ b/src/attestation.h
@@ -2,8 +2,8 @@
 #define BULRUSHWAY_ATTESTATION_H
 
 // Finds out with a term's witnesses how the term ended. A round asks all of them, and with the
-// promises of a quorum inside its window has them accept one outcome: what a witness accepted before,
-// or else gone. Answers of earlier rounds are thrown away.
+// promises of a quorum inside its window has them accept one outcome: what a witness accepted
+// before, or else gone. Answers of earlier rounds are thrown away.
 
 #include <map>
 #include <vector>
--- a/src/custody.h
+++ b/src/custody.h
@@ -1,9 +1,10 @@
 #ifndef BULRUSHWAY_CUSTODY_H
 #define BULRUSHWAY_CUSTODY_H
 
-// Who holds a slice, from a term record and the known outcomes of terms. Each slice of a record has a
-// chain of members; the first member that is not gone holds it. A member that was superseded goes on
-// under its next term, unless the next term's record lists the slice itself: then that record rules.
+// Who holds a slice, from a term record and the known outcomes of terms. Each slice of a record has
+// a chain of members; the first member that is not gone holds it. A member that was superseded goes
+// on under its next term, unless the next term's record lists the slice itself: then that record
+// rules.
 
 #include <deque>
 #include <map>
--- a/src/inheritance.cpp
+++ b/src/inheritance.cpp
@@ -52,8 +52,7 @@
 }
 
 void inheritance::AskPaced(instant now, const term_id& term,
-                           const std::vector<node_name>& witnesses, attestor& rounds,
-                           outbox& out) {
+                           const std::vector<node_name>& witnesses, attestor& rounds, outbox& out) {
   const auto last = last_asked_.find(term);
   if (last != last_asked_.end() && now - last->second < kAskInterval) return;
   if (last_asked_.size() > kMaxRecords) last_asked_.clear();
@@ -84,8 +83,7 @@
                                    std::vector<slice_epoch>& taken) const {
   for (const slice_gift& gift : known.record.gifts) {
     if (!Mine(own, gift.receiver)) continue;
-    const bool released =
-        known.released.contains(gift.slice) || !rules_.receiver_waits_for_release;
+    const bool released = known.released.contains(gift.slice) || !rules_.receiver_waits_for_release;
     const std::optional<uint64_t> epoch = EpochOf(known.record, gift.slice);
     if (released && epoch) taken.push_back({gift.slice, *epoch});
   }
@@ -96,8 +94,7 @@
                                std::vector<slice_epoch>& taken, outbox& out) {
   known.orphan = false;
   for (const slice_epoch& listed : known.record.slices) {
-    const std::optional<custodian> found =
-        HolderOf(layout_, outcomes, known.record, listed.slice);
+    const std::optional<custodian> found = HolderOf(layout_, outcomes, known.record, listed.slice);
     if (!found) {
       known.orphan = true;
     } else if (found->recorded_elsewhere) {
@@ -128,9 +125,8 @@
   return taken;
 }
 
-std::vector<term_id> inheritance::Settle(
-    const own_terms& own, const term_outcomes& outcomes,
-    const std::function<bool(const slice_epoch&)>& recorded) {
+std::vector<term_id> inheritance::Settle(const own_terms& own, const term_outcomes& outcomes,
+                                         const std::function<bool(const slice_epoch&)>& recorded) {
   std::vector<term_id> unneeded;
   std::vector<term_id> settled;
   for (const auto& [term, known] : entries_) {
--- a/src/lease.cpp
+++ b/src/lease.cpp
@@ -152,9 +152,8 @@
 }
 
 size_t lease::ClosedWitnesses() const {
-  return static_cast<size_t>(
-      std::count_if(witnesses_.begin(), witnesses_.end(),
-                    [](const auto& entry) { return entry.second.closed; }));
+  return static_cast<size_t>(std::count_if(witnesses_.begin(), witnesses_.end(),
+                                           [](const auto& entry) { return entry.second.closed; }));
 }
 
 }  // namespace bulrushway
--- a/src/ownership_core.cpp
+++ b/src/ownership_core.cpp
@@ -171,8 +171,7 @@
   outcome_notice notice;
   notice.term = found.term;
   notice.next = found.next;
-  notice.outcome =
-      found.next.empty() ? term_outcome::kGone : term_outcome::kSuperseded;
+  notice.outcome = found.next.empty() ? term_outcome::kGone : term_outcome::kSuperseded;
   for (const node_name& name : record.witnesses) out_.Send(name, notice);
   for (const heir& entry : record.heirs) out_.Send(entry.term.node, notice);
 }
--- a/src/ownership_core.h
+++ b/src/ownership_core.h
@@ -2,8 +2,8 @@
 #define BULRUSHWAY_OWNERSHIP_CORE_H
 
 // Ownership of slices by one node: its terms and leases, its duty as a witness of others, take-over
-// from lost nodes and planned moves. It does no I/O and reads no clock: inputs are method calls with
-// the present time, outputs are actions to be taken after each call.
+// from lost nodes and planned moves. It does no I/O and reads no clock: inputs are method calls
+// with the present time, outputs are actions to be taken after each call.
 
 #include <cstdint>
 #include <map>
@@ -26,7 +26,14 @@
 namespace bulrushway {
 
 /// How far a node is.
-enum class ownership_phase : uint8_t { kIdle, kStarting, kWriting, kGainingLease, kServing, kStopped };
+enum class ownership_phase : uint8_t {
+  kIdle,
+  kStarting,
+  kWriting,
+  kGainingLease,
+  kServing,
+  kStopped
+};
 
 /// What operators see of a node.
 struct ownership_status {
--- a/src/ownership_core_terms.cpp
+++ b/src/ownership_core_terms.cpp
@@ -30,6 +30,7 @@
 }  // namespace
 
 void ownership_core::AdvancePhase(instant now) {
+  if (const auto activated = tenure_.TakeActivation()) OnActivation(now, *activated);
   switch (phase_) {
     case ownership_phase::kIdle:
     case ownership_phase::kStopped:
@@ -83,8 +84,8 @@
 
 void ownership_core::OnActivation(instant now, const tenure::activation& activated) {
   const term_record& record = activated.active;
-  out_.Log(ownership_event::kTermActive, ToString(record.id) + " with " +
-                                             std::to_string(record.slices.size()) + " slices");
+  out_.Log(ownership_event::kTermActive,
+           ToString(record.id) + " with " + std::to_string(record.slices.size()) + " slices");
   claim_changed_ = true;
   next_change_at_ = now + kPauseAfterChange;
   change_wanted_since_.reset();
@@ -250,15 +251,13 @@
 }
 
 void ownership_core::PlanStop(instant now) {
-  const bool moving =
-      handover_.HasPlans() || handover_.OutgoingCount() > 0 || tenure_.Changing();
+  const bool moving = handover_.HasPlans() || handover_.OutgoingCount() > 0 || tenure_.Changing();
   if (!held_.empty() && !handover_.HasPlans()) {
     std::vector<member> all = members_;
     all.push_back(SelfMember());
     std::vector<slice_number> slices;
     for (const auto& [slice, epoch] : held_) slices.push_back(slice);
-    for (const slice_gift& gift :
-         ChooseReceivers(settings_.layout, all, settings_.node, slices)) {
+    for (const slice_gift& gift : ChooseReceivers(settings_.layout, all, settings_.node, slices)) {
       handover_.Plan(gift);
       leaving_since_ = now;
     }
--- a/src/ownership_messages.h
+++ b/src/ownership_messages.h
@@ -2,8 +2,9 @@
 #define BULRUSHWAY_OWNERSHIP_MESSAGES_H
 
 // Messages between the ownership modules of two nodes. A term ends in one of two outcomes, gone or
-// superseded, and the term's three witnesses agree on it as the acceptors of a consensus on a single
-// value: the holder proposes "superseded" with ballot 0, an heir proposes with a higher ballot.
+// superseded, and the term's three witnesses agree on it as the acceptors of a consensus on a
+// single value: the holder proposes "superseded" with ballot 0, an heir proposes with a higher
+// ballot.
 
 #include <cstdint>
 #include <variant>
@@ -60,8 +61,8 @@
   uint64_t round = 0;
   term_id term;
   uint64_t ballot = 0;
-  /// The table, read after the start of the round, shows no successor of the term, so a witness that
-  /// never heard of the term may count it as lapsed.
+  /// The table, read after the start of the round, shows no successor of the term, so a witness
+  /// that never heard of the term may count it as lapsed.
   bool no_successor_recorded = false;
 };
 
@@ -114,7 +115,8 @@
   bool active = false;
 };
 
-/// Giver to receiver, repeated until taken: the slices of `record` that are released to the receiver.
+/// Giver to receiver, repeated until taken: the slices of `record` that are released to the
+/// receiver.
 struct release_notice {
   term_record record;
   std::vector<slice_number> released;
--- a/src/placement.h
+++ b/src/placement.h
@@ -18,8 +18,8 @@
 constexpr size_t kWitnessCount = 3;
 
 /// Up to three witnesses: the own data centre in another rack, a sister data centre of the region,
-/// another region; whatever comes nearest when such nodes are missing. Members of `current` that are
-/// as good as any other are kept. With two other nodes the node itself is the third.
+/// another region; whatever comes nearest when such nodes are missing. Members of `current` that
+/// are as good as any other are kept. With two other nodes the node itself is the third.
 std::vector<node_name> ChooseWitnesses(const ownership_settings& self,
                                        const std::vector<member>& members,
                                        const std::vector<node_name>& current);
--- a/src/slice.h
+++ b/src/slice.h
@@ -2,8 +2,8 @@
 #define BULRUSHWAY_SLICE_H
 
 // Keys hash to slices, the unit of ownership, so that no state is kept for a key. The slices of a
-// service are divided into partitions: partition 0 may be held anywhere, partition p > 0 only in the
-// region with index p - 1.
+// service are divided into partitions: partition 0 may be held anywhere, partition p > 0 only in
+// the region with index p - 1.
 
 #include <string>
 #include <string_view>
--- a/src/startup.cpp
+++ b/src/startup.cpp
@@ -45,8 +45,8 @@
   out.Add(read_prefix_action{Prefix()});
 }
 
-void startup::Tick(instant now, term_store& store, const term_outcomes& outcomes,
-                   attestor& rounds, outbox& out) {
+void startup::Tick(instant now, term_store& store, const term_outcomes& outcomes, attestor& rounds,
+                   outbox& out) {
   if (step_ == step::kNodeRow && store.state() == term_store_state::kRead) {
     const auto& row = store.view().row;
     latest_number_ = row ? row->latest_number : 0;
@@ -80,8 +80,8 @@
 
 void startup::OnPreviousRow(instant now, const std::vector<table_row>& rows, outbox& out) {
   const std::string key = Prefix();
-  const auto found = std::find_if(rows.begin(), rows.end(),
-                                  [&](const table_row& row) { return row.key == key; });
+  const auto found =
+      std::find_if(rows.begin(), rows.end(), [&](const table_row& row) { return row.key == key; });
   if (found == rows.end()) {
     Enter(now, step::kGenesis, out);
     return;
@@ -100,8 +100,8 @@
   for (uint32_t partition = 0; partition < PartitionCount(settings_.layout); ++partition) {
     if (!PartitionAllowed(settings_.layout, partition, settings_.region)) continue;
     const std::string key = GenesisKey(settings_.service, partition);
-    const bool claimed = std::any_of(rows.begin(), rows.end(),
-                                     [&](const table_row& row) { return row.key == key; });
+    const bool claimed =
+        std::any_of(rows.begin(), rows.end(), [&](const table_row& row) { return row.key == key; });
     if (!claimed) unclaimed_.push_back(partition);
   }
   Enter(now, step::kReady, out);
--- a/src/startup.h
+++ b/src/startup.h
@@ -2,7 +2,8 @@
 #define BULRUSHWAY_STARTUP_H
 
 // What a process finds out before it writes its first term: the latest term number of its node,
-// whether an earlier process of that name still lives, and which partitions have no first owner yet.
+// whether an earlier process of that name still lives, and which partitions have no first owner
+// yet.
 
 #include <optional>
 #include <string>
@@ -23,8 +24,8 @@
   void Begin(instant now, term_store& store, outbox& out);
   void Tick(instant now, term_store& store, const term_outcomes& outcomes, attestor& rounds,
             outbox& out);
-  void OnRows(instant now, const std::string& prefix,
-              const result<std::vector<table_row>>& rows, outbox& out);
+  void OnRows(instant now, const std::string& prefix, const result<std::vector<table_row>>& rows,
+              outbox& out);
   void OnAttested(instant now, const attest_result& found, outbox& out);
 
   /// The first term may be written.
--- a/src/tenure.cpp
+++ b/src/tenure.cpp
@@ -55,8 +55,7 @@
   if (next_) out.Send(next_->OnAnswer(now, from, answer, false));
 }
 
-void tenure::OnSupersedeAnswer(instant now, const node_name& from,
-                               const supersede_answer& answer) {
+void tenure::OnSupersedeAnswer(instant now, const node_name& from, const supersede_answer& answer) {
   if (lapsed_ || !superseding_) return;
   active_->OnSupersedeAnswer(now, from, answer);
   Advance(now);
--- a/src/term_codec.cpp
+++ b/src/term_codec.cpp
@@ -84,9 +84,9 @@
     }
     return parse(value);
   } catch (const json::exception& failure) {
-    return Failure(error_kind::kPeer, "decode row", peer,
-                   "The row '" + std::string(text.substr(0, 80)) +
-                       "' is not valid: " + failure.what() + ".");
+    return Failure(
+        error_kind::kPeer, "decode row", peer,
+        "The row '" + std::string(text.substr(0, 80)) + "' is not valid: " + failure.what() + ".");
   }
 }
 
--- a/src/term_store.cpp
+++ b/src/term_store.cpp
@@ -36,8 +36,8 @@
                         outbox& out) {
   term_key_ = TermKey(record.id);
   term_text_ = EncodeTerm(record);
-  change_.operation = ToString(record.id) + "/" + std::to_string(process_) + "/" +
-                      std::to_string(++operations_);
+  change_.operation =
+      ToString(record.id) + "/" + std::to_string(process_) + "/" + std::to_string(++operations_);
   change_.conditions = std::move(conditions);
   change_.conditions.push_back({NodeKey(node_), view_.version});
   change_.conditions.push_back({term_key_, 0});
@@ -107,8 +107,7 @@
     SendStep(now, out);
     return;
   }
-  state_ =
-      found->value == term_text_ ? term_store_state::kApplied : term_store_state::kConflict;
+  state_ = found->value == term_text_ ? term_store_state::kApplied : term_store_state::kConflict;
 }
 
 void term_store::OnCommit(instant now, const std::string& operation, commit_outcome outcome,
--- a/src/witness.cpp
+++ b/src/witness.cpp
@@ -88,8 +88,7 @@
   }
   entry* known = FindOrAdd(request.term);
   if (known == nullptr) return std::nullopt;
-  const bool done =
-      known->accepted == term_outcome::kSuperseded && known->accepted_ballot == 0;
+  const bool done = known->accepted == term_outcome::kSuperseded && known->accepted_ballot == 0;
   const bool open = known->promised == 0 && known->accepted == term_outcome::kNone;
   if (!done && !open) {
     answer.status = renew_status::kClosed;
@@ -113,8 +112,8 @@
   answer.term = request.term;
   answer.witness_process = process_;
   entry* known = Find(request.term);
-  const bool presumable = request.no_successor_recorded &&
-                          now - started_ >= rules_.lease_time + rules_.drift_margin;
+  const bool presumable =
+      request.no_successor_recorded && now - started_ >= rules_.lease_time + rules_.drift_margin;
   if (known == nullptr && presumable) {
     known = FindOrAdd(request.term);
     if (known != nullptr) known->presumed = true;
--- a/src/witness.h
+++ b/src/witness.h
@@ -1,9 +1,9 @@
 #ifndef BULRUSHWAY_WITNESS_H
 #define BULRUSHWAY_WITNESS_H
 
-// The witness's side of leases: it hears renewals, and with the term's other witnesses agrees on the
-// term's one outcome. It keeps everything in memory. After a restart it keeps silent for longer than
-// a lease, and takes no part for a term of which it heard nothing since.
+// The witness's side of leases: it hears renewals, and with the term's other witnesses agrees on
+// the term's one outcome. It keeps everything in memory. After a restart it keeps silent for longer
+// than a lease, and takes no part for a term of which it heard nothing since.
 
 #include <map>
 #include <optional>
--- a/test/support/ownership_fleet.h
+++ b/test/correctness/ownership_fleet.h
@@ -22,6 +22,8 @@
   bool check_progress = true;
   /// Planned stops and slow requests take part.
   bool planned_moves = true;
+  /// Latest events that the report of a failure quotes.
+  size_t notes = 40;
 };
 
 /// Runs one fleet. Returns a description of the first violation, or an empty string.
--- a/test/correctness/ownership_interleaving_test.cpp
+++ b/test/correctness/ownership_interleaving_test.cpp
@@ -1,5 +1,5 @@
-// Drives several ownership cores through random interleavings of messages, faults and table outages,
-// and checks after every step that no slice has two owners and that no epoch goes back.
+// Drives several ownership cores through random interleavings of messages, faults and table
+// outages, and checks after every step that no slice has two owners and that no epoch goes back.
 
 #include <boost/test/unit_test.hpp>
 
@@ -43,6 +43,47 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(a_broken_rule_is_noticed)
+
+BOOST_AUTO_TEST_CASE(receiver_does_not_wait_for_the_release) {
+  fleet_options options{.faults = 2, .check_progress = false};
+  options.rules.receiver_waits_for_release = false;
+  CheckCaught(options, 300);
+}
+
+BOOST_AUTO_TEST_CASE(no_margin_for_drift) {
+  fleet_options options{.faults = 4, .drift = 0.15, .check_progress = false};
+  options.rules.drift_margin = std::chrono::milliseconds{0};
+  CheckCaught(options, 1000);
+}
+
+BOOST_AUTO_TEST_CASE(lease_counts_from_the_answer) {
+  fleet_options options{.faults = 4, .check_progress = false};
+  options.rules.lease_from_sending = false;
+  CheckCaught(options, 1000);
+}
+
+BOOST_AUTO_TEST_CASE(lapsed_lease_is_resumed) {
+  fleet_options options{.faults = 4, .check_progress = false};
+  options.rules.lapse_is_final = false;
+  CheckCaught(options, 1000);
+}
+
+BOOST_AUTO_TEST_CASE(witness_answers_right_after_its_start) {
+  fleet_options options{.faults = 6, .check_progress = false};
+  options.rules.quiet_time = std::chrono::milliseconds{0};
+  options.rules.witness_checks_process = false;
+  CheckCaught(options, 3000);
+}
+
+BOOST_AUTO_TEST_CASE(new_term_is_used_before_the_old_one_is_closed) {
+  fleet_options options{.faults = 4, .check_progress = false};
+  options.rules.activation_waits_for_supersede = false;
+  CheckCaught(options, 1000);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace bulrushway
