--- a/src/ownership_core.cpp
+++ b/src/ownership_core.cpp
@@ -116,11 +116,13 @@
     if constexpr (std::is_same_v<kind, outcome_notice>) {
       if (item.outcome == term_outcome::kGone) outcomes_.NoteGone(item.term);
       if (!item.next.empty()) outcomes_.NoteSuperseded(item.term, item.next.front());
-      witness_->OnOutcome(item.term);
+      witness_->OnOutcome(item.term, item.outcome);
     }
     if constexpr (std::is_same_v<kind, lapse_notice>) {
       inheritance_.OnLapse(now, settings_.node, item);
+      out_.Send(from, lapse_answer{item.record.id});
     }
+    if constexpr (std::is_same_v<kind, lapse_answer>) witness_->OnLapseAnswer(from, item);
     if constexpr (std::is_same_v<kind, release_notice>) OnReleaseNotice(now, from, item);
     if constexpr (std::is_same_v<kind, taken_notice>) handover_.OnTaken(item);
     if constexpr (std::is_same_v<kind, slices_request>) OnSlicesRequest(item);
@@ -236,7 +238,7 @@
   if (!witness_) return;
   Enter(now);
   outcomes_.NoteGone(gone);
-  witness_->OnOutcome(gone);
+  witness_->OnOutcome(gone, term_outcome::kGone);
   Settle(now);
 }
 
--- a/src/ownership_messages.h
+++ b/src/ownership_messages.h
@@ -109,12 +109,17 @@
   std::vector<term_record> next;
 };
 
-/// Witness to heirs and receivers: the term of this record lapsed here.
+/// Witness to heirs and receivers, repeated until answered: the term of this record lapsed here.
 struct lapse_notice {
   term_record record;
   bool active = false;
 };
 
+/// Heir or receiver to witness: the notice arrived.
+struct lapse_answer {
+  term_id term;
+};
+
 /// Giver to receiver, repeated until taken: the slices of `record` that are released to the
 /// receiver.
 struct release_notice {
@@ -137,7 +142,7 @@
 using ownership_message =
     std::variant<renew_request, renew_answer, supersede_request, supersede_answer, attest_request,
                  attest_answer, accept_request, accept_answer, outcome_notice, lapse_notice,
-                 release_notice, taken_notice, slices_request>;
+                 release_notice, taken_notice, slices_request, lapse_answer>;
 
 }  // namespace bulrushway
 
--- a/src/witness.cpp
+++ b/src/witness.cpp
@@ -45,7 +45,9 @@
   if (entry* known = Find(term)) return known;
   if (terms_.size() >= kMaxWitnessedTerms) {
     const auto closed = std::find_if(terms_.begin(), terms_.end(),
-                                     [](const auto& item) { return item.second.decided; });
+                                     [](const auto& item) {
+                                       return item.second.known_outcome != term_outcome::kNone;
+                                     });
     if (closed == terms_.end()) return nullptr;
     terms_.erase(closed);
   }
@@ -75,6 +77,7 @@
   known->heard_at = now;
   known->active = known->active || request.active;
   known->notices = 0;
+  known->notified.clear();
   return answer;
 }
 
@@ -155,8 +158,12 @@
   return answer;
 }
 
-void witness::OnOutcome(const term_id& term) {
-  if (entry* known = Find(term)) known->decided = true;
+void witness::OnOutcome(const term_id& term, term_outcome outcome) {
+  if (entry* known = Find(term)) known->known_outcome = outcome;
+}
+
+void witness::OnLapseAnswer(const node_name& from, const lapse_answer& answer) {
+  if (entry* known = Find(answer.term)) known->notified.insert(from);
 }
 
 void witness::AllowForOwnPause(instant now) {
@@ -172,14 +179,17 @@
   AllowForOwnPause(now);
   std::vector<send_message_action> messages;
   for (auto& [term, known] : terms_) {
-    if (known.decided || known.record.empty() || !Stale(now, known)) continue;
+    if (known.record.empty() || !Stale(now, known)) continue;
     if (known.accepted == term_outcome::kSuperseded) continue;
+    if (known.known_outcome == term_outcome::kSuperseded) continue;
     const auto interval = known.notices < kQuickNotices ? kNoticeInterval : kSlowNoticeInterval;
     if (known.notices > 0 && now - known.last_notice < interval) continue;
     known.last_notice = now;
     ++known.notices;
     const lapse_notice notice{known.record.front(), known.active};
-    for (const node_name& node : Concerned(notice.record)) messages.push_back({node, notice});
+    for (const node_name& node : Concerned(notice.record)) {
+      if (!known.notified.contains(node)) messages.push_back({node, notice});
+    }
   }
   return messages;
 }
--- a/src/witness.h
+++ b/src/witness.h
@@ -7,6 +7,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "clock.h"
@@ -27,8 +28,10 @@
   std::optional<supersede_answer> OnSupersede(instant now, const supersede_request& request);
   std::optional<attest_answer> OnAttest(instant now, const attest_request& request);
   std::optional<accept_answer> OnAccept(instant now, const accept_request& request);
-  /// The outcome is known: no more notices are sent for the term.
-  void OnOutcome(const term_id& term);
+  /// The outcome is known. A superseded term needs no notices any more.
+  void OnOutcome(const term_id& term, term_outcome outcome);
+  /// The heir or receiver has the notice.
+  void OnLapseAnswer(const node_name& from, const lapse_answer& answer);
 
   /// Notices of lapses that are due, each to one heir or receiver.
   std::vector<send_message_action> Tick(instant now);
@@ -47,7 +50,9 @@
     term_outcome accepted = term_outcome::kNone;
     uint64_t accepted_ballot = 0;
     std::vector<term_record> next;
-    bool decided = false;
+    term_outcome known_outcome = term_outcome::kNone;
+    /// Heirs and receivers that have the notice of the lapse.
+    std::set<node_name> notified;
     instant last_notice;
     uint32_t notices = 0;
   };
