--- a/src/ownership_core_terms.cpp
+++ b/src/ownership_core_terms.cpp
@@ -30,6 +30,7 @@
 }  // namespace
 
 void ownership_core::AdvancePhase(instant now) {
+  if (const auto activated = tenure_.TakeActivation()) OnActivation(now, *activated);
   switch (phase_) {
     case ownership_phase::kIdle:
     case ownership_phase::kStopped:
