--- /dev/null
+++ b/src/configuration_follower.cpp
@@ -0,0 +1,320 @@
+#include "configuration_follower.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "configuration_parser.h"
+
+namespace bulrushway {
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+// Fetches beyond the first ones go to another data centre once in this many times.
+constexpr uint64_t kFarPeerOneIn = 4;
+
+uint64_t RankOf(const std::string& node) { return XXH3_64bits(node.data(), node.size()); }
+
+milliseconds Scaled(milliseconds interval, double factor) {
+  return milliseconds(static_cast<int64_t>(static_cast<double>(interval.count()) * factor));
+}
+
+std::string SourceName(const std::string& peer) {
+  return peer.empty() ? "the platform" : "peer '" + peer + "'";
+}
+
+}  // namespace
+
+configuration_follower::configuration_follower(std::string node, instant now, uint64_t seed)
+    : node_(std::move(node)), random_(seed), started_(now) {}
+
+follower_actions configuration_follower::Tick(instant now, const known_members& members) {
+  follower_actions actions;
+  Poll(now, members, actions);
+  TryAdopt(now, actions);
+  Fetch(now, members, actions);
+  ReportStaleness(now, actions);
+  return actions;
+}
+
+follower_actions configuration_follower::OnPolled(instant now, instant sent,
+                                                  const std::optional<std::string>& head) {
+  polling_ = false;
+  platform_is_empty_ = !head;
+  follower_actions actions;
+  if (!head) return actions;
+  const result<configuration_head> decoded = DecodeHead(*head, "platform");
+  if (decoded) Confirm(decoded->version, sent);
+  Offer(now, *head, "", actions);
+  TryAdopt(now, actions);
+  return actions;
+}
+
+void configuration_follower::OnPollFailed(instant /*now*/) { polling_ = false; }
+
+follower_actions configuration_follower::OnHeadTold(instant now, const std::string& head,
+                                                    const std::string& peer) {
+  follower_actions actions;
+  Offer(now, head, peer, actions);
+  TryAdopt(now, actions);
+  return actions;
+}
+
+void configuration_follower::OnConfirmed(instant sent, uint64_t version, milliseconds age) {
+  Confirm(version, sent - age);
+}
+
+void configuration_follower::OnVersionSeen(instant now, uint64_t version) {
+  const uint64_t known = std::max(Version(), candidate_ ? candidate_->head.version : 0);
+  if (version <= std::max(known, seen_version_)) return;
+  seen_version_ = version;
+  std::uniform_int_distribution<int64_t> spread(0, kSeenPollSpread.count());
+  if (!seen_poll_) seen_poll_ = now + kSeenPollDelay + milliseconds(spread(random_));
+}
+
+follower_actions configuration_follower::OnDocument(instant now, const std::string& hash,
+                                                    const std::string& bytes,
+                                                    const std::string& peer) {
+  follower_actions actions;
+  const bool wanted = candidate_ && (candidate_->head.inventory_hash == hash ||
+                                     candidate_->head.rules_hash == hash);
+  if (!wanted || documents_.contains(hash)) return actions;
+  if (HashDocument(bytes) != hash) {
+    candidate_->next_fetch = now + kFetchRetry;
+    actions.push_back(report_event{follower_event::kRefused,
+                                   "The document '" + hash + "' from " + SourceName(peer) +
+                                       " is damaged; it is fetched again."});
+    return actions;
+  }
+  documents_[hash] = bytes;
+  candidate_->next_fetch = now;
+  TryAdopt(now, actions);
+  return actions;
+}
+
+void configuration_follower::OnFetchFailed(instant now, const std::string& hash) {
+  if (candidate_ && MissingDocument() == hash) candidate_->next_fetch = now + kFetchRetry;
+}
+
+const std::string* configuration_follower::FindDocument(const std::string& hash) const {
+  const auto found = documents_.find(hash);
+  return found == documents_.end() ? nullptr : &found->second;
+}
+
+std::optional<milliseconds> configuration_follower::Staleness(instant now) const {
+  if (!confirmed_) return std::nullopt;
+  return duration_cast<milliseconds>(now - *confirmed_);
+}
+
+bool configuration_follower::TooStale(instant now) const {
+  if (!in_force_ || !in_force_->rules.max_staleness) return false;
+  return now - confirmed_.value_or(started_) > *in_force_->rules.max_staleness;
+}
+
+bool configuration_follower::IsPoller(const known_members& members) const {
+  const uint64_t own = RankOf(node_);
+  const auto before =
+      std::count_if(members.near.begin(), members.near.end(), [&](const std::string& other) {
+        return other != node_ && std::pair(RankOf(other), other) < std::pair(own, node_);
+      });
+  return static_cast<size_t>(before) < kPollersPerDataCentre;
+}
+
+std::string configuration_follower::WhyNone() const {
+  if (in_force_) return {};
+  if (candidate_) {
+    return "Version " + std::to_string(candidate_->head.version) +
+           " of the configuration is known, but its document '" + MissingDocument() +
+           "' has not come from the platform or a peer.";
+  }
+  if (!refused_.empty()) return "A configuration was offered and refused; see the log.";
+  if (platform_is_empty_) {
+    return "The platform holds no configuration; put one in force with 'bulrushctl apply'.";
+  }
+  return "Neither the platform nor a peer has offered a configuration.";
+}
+
+void configuration_follower::Offer(instant now, const std::string& bytes, const std::string& peer,
+                                   follower_actions& actions) {
+  const result<configuration_head> head = DecodeHead(bytes, SourceName(peer));
+  if (!head) {
+    // Version 0 is never used, so damage is reported once and not at each poll.
+    return Refuse(0, head.error().message, actions);
+  }
+  if (Refuses(*head, peer, actions)) return;
+  if (head->version >= seen_version_) seen_poll_.reset();
+  if (candidate_ && !Outranks(now, *head, peer)) return;
+  candidate_ = candidate{*head, peer, now, now, 0};
+  DropDocuments();
+}
+
+// Whether an offered head takes the place of the candidate.
+bool configuration_follower::Outranks(instant now, const configuration_head& head,
+                                      const std::string& peer) const {
+  if (head.version > candidate_->head.version) return true;
+  if (head == candidate_->head) return false;
+  // A peer may have told a version that was never committed; it must not keep out the real one.
+  if (head.version == candidate_->head.version) return peer.empty();
+  return now - candidate_->since >= kCandidateTimeout;
+}
+
+bool configuration_follower::Refuses(const configuration_head& head, const std::string& peer,
+                                     follower_actions& actions) {
+  if (head.version < Version() || refused_.contains(head.version)) return true;
+  if (head.format > kHeadFormat) {
+    Refuse(head.version,
+           "Version " + std::to_string(head.version) + " from " + SourceName(peer) +
+               " was written by a newer program (format " + std::to_string(head.format) + ").",
+           actions);
+    return true;
+  }
+  if (head.version > Version()) return false;
+  if (head != *head_) {
+    Refuse(head.version,
+           "Version " + std::to_string(head.version) + " from " + SourceName(peer) +
+               " differs from the version of this number in force: was the table replaced?",
+           actions);
+  }
+  return true;
+}
+
+void configuration_follower::Refuse(uint64_t version, std::string message,
+                                    follower_actions& actions) {
+  if (!refused_.insert(version).second) return;
+  const std::string kept =
+      in_force_ ? " Version " + std::to_string(Version()) + " stays in force." : "";
+  actions.push_back(report_event{follower_event::kRefused, std::move(message) + kept});
+}
+
+bool configuration_follower::MayAdopt(instant now) const {
+  if (!candidate_ || !MissingDocument().empty()) return false;
+  if (in_force_) return true;
+  // A fresh process does not know which version it ran before it was restarted. It hears several
+  // sources first, and waits for a version that it sees in use, so as not to begin with an older
+  // one.
+  if (now - started_ < kFirstGathering) return false;
+  return candidate_->head.version >= seen_version_ || now - started_ >= kLongestGathering;
+}
+
+void configuration_follower::TryAdopt(instant now, follower_actions& actions) {
+  if (!MayAdopt(now)) return;
+  const configuration_head head = candidate_->head;
+  candidate_.reset();
+  configuration_texts texts;
+  texts.inventory = documents_.at(head.inventory_hash);
+  texts.rules = documents_.at(head.rules_hash);
+  // The time serves only warnings, which operators have seen.
+  checked<checked_configuration> outcome = ParseConfiguration(texts, std::chrono::sys_seconds{});
+  if (!outcome) {
+    Refuse(head.version,
+           "Version " + std::to_string(head.version) +
+               " is not valid for this program: " + ToString(outcome.error().front()),
+           actions);
+    DropDocuments();
+    return;
+  }
+  outcome->value.version = head.version;
+  in_force_ = std::make_shared<const configuration>(std::move(outcome->value));
+  head_ = head;
+  refused_.erase(refused_.begin(), refused_.upper_bound(head.version));
+  DropDocuments();
+  if (newest_.version == head.version) Confirm(newest_.version, newest_.at);
+  actions.push_back(adopt_configuration{head, in_force_});
+  actions.push_back(publish_head{head});
+}
+
+void configuration_follower::DropDocuments() {
+  const auto names = [&](const std::optional<configuration_head>& head, const std::string& hash) {
+    return head && (head->inventory_hash == hash || head->rules_hash == hash);
+  };
+  const std::optional<configuration_head> next =
+      candidate_ ? std::optional(candidate_->head) : std::nullopt;
+  std::erase_if(documents_, [&](const auto& document) {
+    return !names(head_, document.first) && !names(next, document.first);
+  });
+}
+
+std::string configuration_follower::MissingDocument() const {
+  if (!documents_.contains(candidate_->head.rules_hash)) return candidate_->head.rules_hash;
+  if (!documents_.contains(candidate_->head.inventory_hash)) return candidate_->head.inventory_hash;
+  return {};
+}
+
+void configuration_follower::Fetch(instant now, const known_members& members,
+                                   follower_actions& actions) {
+  if (!candidate_ || now < candidate_->next_fetch) return;
+  const std::string missing = MissingDocument();
+  if (missing.empty()) return;
+  actions.push_back(fetch_document{missing, ChooseSource(now, members)});
+  candidate_->next_fetch = now + kFetchTimeout;
+  ++candidate_->fetches;
+}
+
+std::string configuration_follower::ChooseSource(instant now, const known_members& members) {
+  const bool from_platform = candidate_->told_by.empty();
+  if (candidate_->fetches == 0) return candidate_->told_by;
+  const bool platform_allowed = from_platform || now - candidate_->since >= kPeerFetchTime;
+  if (platform_allowed && candidate_->fetches % 2 == 0) return {};
+  return ChoosePeer(now, members);
+}
+
+// Any peer may have the document: those that do double with each round of asking.
+std::string configuration_follower::ChoosePeer(instant now, const known_members& members) {
+  const bool late = now - candidate_->since >= kPeerFetchTime;
+  const bool far = members.near.empty() || (late && random_() % kFarPeerOneIn == 0);
+  std::vector<std::string> peers = far && !members.far.empty() ? members.far : members.near;
+  std::erase(peers, node_);
+  if (peers.empty()) return {};
+  std::uniform_int_distribution<size_t> choice(0, peers.size() - 1);
+  return peers[choice(random_)];
+}
+
+bool configuration_follower::PollDue(instant now, const known_members& members) const {
+  if (polling_ && now - *last_poll_ < kPollTimeout) return false;
+  if (!last_poll_ || poked_ || (seen_poll_ && now >= *seen_poll_)) return true;
+  const bool often = !in_force_ || IsPoller(members);
+  const milliseconds interval = often
+                                    ? Scaled(kPollerInterval, 1 + kPollerJitter * poll_jitter_)
+                                    : Scaled(kIdlePollInterval, 1 + kIdlePollJitter * poll_jitter_);
+  return now - *last_poll_ >= interval;
+}
+
+void configuration_follower::Poll(instant now, const known_members& members,
+                                  follower_actions& actions) {
+  if (!PollDue(now, members)) return;
+  polling_ = true;
+  poked_ = false;
+  seen_poll_.reset();
+  last_poll_ = now;
+  poll_jitter_ = std::uniform_real_distribution<double>(-1, 1)(random_);
+  actions.push_back(poll_head{});
+}
+
+void configuration_follower::ReportStaleness(instant now, follower_actions& actions) {
+  if (!in_force_) return;
+  const bool stale = now - confirmed_.value_or(started_) > kStaleAfter;
+  if (stale == reported_stale_) return;
+  reported_stale_ = stale;
+  const std::string version = "Version " + std::to_string(Version());
+  actions.push_back(stale ? report_event{follower_event::kStale,
+                                         version + " has not been confirmed as the newest for " +
+                                             std::to_string(kStaleAfter.count()) +
+                                             " ms; it stays in force."}
+                          : report_event{follower_event::kFreshAgain,
+                                         version + " is confirmed as the newest again."});
+}
+
+// What the version in force was confirmed at also holds for a later one, which was committed after
+// that.
+void configuration_follower::Confirm(uint64_t version, instant at) {
+  if (version > newest_.version || (version == newest_.version && at > newest_.at)) {
+    newest_ = {version, at};
+  }
+  if (version != Version() || !head_) return;
+  if (!confirmed_ || at > *confirmed_) confirmed_ = at;
+}
+
+}  // namespace bulrushway
--- /dev/null
+++ b/src/configuration_store.h
@@ -0,0 +1,250 @@
+#ifndef BULRUSHWAY_CONFIGURATION_STORE_H
+#define BULRUSHWAY_CONFIGURATION_STORE_H
+
+// Reads and commits versions of the configuration in the platform's table and object store.
+// Documents are stored before the head that names them; the head is committed against the row
+// version at which the edit began. A commit without an answer is settled by reading the version's
+// history row back, and repeated under its operation id as long as that row does not exist.
+
+#include <algorithm>
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "configuration_change.h"
+#include "configuration_head.h"
+#include "table_service.h"
+
+namespace bulrushway {
+
+/// Client of the stored configuration. Callbacks run on the loop of the table and the object store;
+/// the store outlives the calls under way.
+template <table_service Table, object_store Objects>
+class configuration_store {
+ public:
+  /// Calls a function after a delay.
+  using wait_function = std::function<void(std::chrono::milliseconds, std::function<void()>)>;
+  using head_callback = std::function<void(result<stored_head>)>;
+  using configuration_callback = std::function<void(result<stored_configuration>)>;
+  using history_callback = std::function<void(result<std::vector<configuration_head>>)>;
+  using apply_callback = std::function<void(apply_outcome)>;
+
+  configuration_store(Table& table, Objects& objects, wait_function wait)
+      : table_(table), objects_(objects), wait_(std::move(wait)) {}
+
+  /// Reads the newest head.
+  void ReadHead(head_callback done) {
+    table_.ReadPrefix(std::string(kHeadKey), [done = std::move(done)](
+                                                 const result<std::vector<table_row>>& rows) {
+      done(rows ? FindHead(*rows) : result<stored_head>(tl::unexpected<error>(rows.error())));
+    });
+  }
+
+  /// Reads the newest head with its documents. Without any, the answer has version 0 and no
+  /// documents.
+  void ReadCurrent(configuration_callback done) {
+    ReadHead([this, done = std::move(done)](const result<stored_head>& head) {
+      if (!head) return done(tl::unexpected<error>(head.error()));
+      ReadDocuments(*head, done);
+    });
+  }
+
+  /// Reads an earlier version with its documents; one that never was is a user error.
+  void ReadVersion(uint64_t version, configuration_callback done) {
+    ReadHistoryRow(version, [this, version, done = std::move(done)](
+                                const result<std::optional<configuration_head>>& head) {
+      if (!head) return done(tl::unexpected<error>(head.error()));
+      if (!*head) {
+        return done(Failure(error_kind::kUser, "read version", "",
+                            "There is no version " + std::to_string(version) + "."));
+      }
+      ReadDocuments(stored_head{*head, 0}, done);
+    });
+  }
+
+  /// Reads up to `count` heads from `newest` downwards.
+  void ReadHistory(uint64_t newest, size_t count, history_callback done) {
+    ReadHistoryPart(newest, count, {}, std::move(done));
+  }
+
+  /// Commits a change. The outcome says truthfully whether the change is in force.
+  void Apply(const configuration_change& change, apply_callback done) {
+    if (std::string fault = FaultOf(change); !fault.empty()) {
+      return done({apply_state::kNotApplied, {}, {}, std::move(fault)});
+    }
+    auto run = std::make_shared<apply_run>();
+    run->change = change;
+    run->done = std::move(done);
+    ReadBase(run);
+  }
+
+ private:
+  struct apply_run {
+    configuration_change change;
+    apply_callback done;
+    configuration_head head;
+    uint64_t row_version = 0;
+    int failures = 0;
+  };
+  using run_pointer = std::shared_ptr<apply_run>;
+
+  void ReadDocuments(const stored_head& head, configuration_callback done) {
+    if (!head.head) return done(stored_configuration{});
+    if (head.head->format > kHeadFormat) return done(NewerFormat(*head.head));
+    const std::string rules_hash = head.head->rules_hash;
+    ReadDocument(head.head->inventory_hash, [this, head, rules_hash, done = std::move(done)](
+                                                const result<std::string>& inventory) {
+      if (!inventory) return done(tl::unexpected<error>(inventory.error()));
+      ReadDocument(rules_hash,
+                   [head, inventory = *inventory, done](const result<std::string>& rules) {
+                     if (!rules) return done(tl::unexpected<error>(rules.error()));
+                     done(stored_configuration{head, inventory, *rules});
+                   });
+    });
+  }
+
+  void ReadDocument(const std::string& hash, object_callback done) {
+    objects_.Get(DocumentName(hash),
+                 [hash, done = std::move(done)](const result<std::string>& bytes) {
+                   done(bytes ? VerifyDocument(hash, *bytes) : bytes);
+                 });
+  }
+
+  void ReadHistoryRow(uint64_t version,
+                      std::function<void(result<std::optional<configuration_head>>)> done) {
+    table_.ReadPrefix(HistoryKey(version), [version, done = std::move(done)](
+                                               const result<std::vector<table_row>>& rows) {
+      if (!rows) return done(tl::unexpected<error>(rows.error()));
+      done(FindHistory(*rows, version));
+    });
+  }
+
+  // Rows sort by version, so a prefix without the last digit names ten of them.
+  void ReadHistoryPart(uint64_t newest, size_t count, std::vector<configuration_head> found,
+                       history_callback done) {
+    if (newest == 0 || found.size() >= count) return done(std::move(found));
+    std::string prefix = HistoryKey(newest);
+    prefix.pop_back();
+    table_.ReadPrefix(prefix,
+                      [this, newest, count, found = std::move(found),
+                       done = std::move(done)](const result<std::vector<table_row>>& rows) mutable {
+                        if (!rows) return done(tl::unexpected<error>(rows.error()));
+                        AddHistory(*rows, newest, count, found);
+                        const uint64_t first_of_part = newest - newest % 10;
+                        ReadHistoryPart(first_of_part == 0 ? 0 : first_of_part - 1, count,
+                                        std::move(found), std::move(done));
+                      });
+  }
+
+  void ReadBase(const run_pointer& run) {
+    ReadHead([this, run](const result<stored_head>& head) {
+      if (!head) {
+        return Again(run, head.error(), apply_state::kNotApplied, [this, run] { ReadBase(run); });
+      }
+      if (head->head && head->head->format > kHeadFormat) {
+        return run->done(
+            {apply_state::kNotApplied, {}, {}, NewerFormat(*head->head).value().message});
+      }
+      if (head->version() != run->change.base_version) return ReportConflict(run, head->version());
+      run->row_version = head->row_version;
+      run->head = MakeHead(run->change);
+      run->failures = 0;
+      StoreInventory(run, head->head ? &*head->head : nullptr);
+    });
+  }
+
+  void StoreInventory(const run_pointer& run, const configuration_head* base) {
+    const bool rules_stored = base != nullptr && base->rules_hash == run->head.rules_hash;
+    const bool places_stored = base != nullptr && base->inventory_hash == run->head.inventory_hash;
+    const auto store_rules = [this, run, rules_stored] {
+      if (rules_stored) return Commit(run);
+      StoreDocument(run, run->change.rules, [this, run] { Commit(run); });
+    };
+    if (places_stored) return store_rules();
+    StoreDocument(run, run->change.inventory, store_rules);
+  }
+
+  // Repeating is harmless: the name is the hash of the bytes.
+  void StoreDocument(const run_pointer& run, const std::string& bytes, std::function<void()> next) {
+    objects_.Put(DocumentName(HashDocument(bytes)), bytes,
+                 [this, run, bytes, next](const result<void>& stored) {
+                   if (stored) return next();
+                   Again(run, stored.error(), apply_state::kNotApplied,
+                         [this, run, bytes, next] { StoreDocument(run, bytes, next); });
+                 });
+  }
+
+  void Commit(const run_pointer& run) {
+    table_.Commit(MakeTransaction(run->head, run->row_version), [this, run](
+                                                                    const result<void>& committed) {
+      if (committed) return Accept(run);
+      if (committed.error().kind == error_kind::kConflict) return ReadBack(run, true);
+      Again(run, committed.error(), apply_state::kUnknown, [this, run] { ReadBack(run, false); });
+    });
+  }
+
+  // The version's history row was written in the same transaction as its head: whose it is, is the
+  // outcome.
+  void ReadBack(const run_pointer& run, bool condition_failed) {
+    ReadHistoryRow(run->head.version, [this, run, condition_failed](
+                                          const result<std::optional<configuration_head>>& row) {
+      if (!row) {
+        return Again(run, row.error(), apply_state::kUnknown,
+                     [this, run, condition_failed] { ReadBack(run, condition_failed); });
+      }
+      if (*row && (*row)->operation == run->head.operation) return Accept(run);
+      if (*row || condition_failed) return ReportConflictNow(run);
+      Commit(run);
+    });
+  }
+
+  void Accept(const run_pointer& run) {
+    run->done({apply_state::kAccepted, run->head, {}, Describe(run->head) + " is accepted."});
+  }
+
+  void ReportConflictNow(const run_pointer& run) {
+    ReadHead([this, run](const result<stored_head>& head) {
+      ReportConflict(run, head ? head->version() : run->head.version);
+    });
+  }
+
+  void ReportConflict(const run_pointer& run, uint64_t newest) {
+    const uint64_t base = run->change.base_version;
+    const size_t count = newest > base ? std::min<size_t>(newest - base, kMostConflictsTold) : 0;
+    // The base itself is read too, to tell what the first change after it changed.
+    ReadHistory(
+        newest, count + 1, [run, newest](const result<std::vector<configuration_head>>& heads) {
+          std::vector<configuration_head> meanwhile;
+          if (heads) meanwhile = *heads;
+          const uint64_t base_version = run->change.base_version;
+          std::string message = DescribeConflict(base_version, newest, meanwhile);
+          std::erase_if(meanwhile, [&](const auto& head) { return head.version <= base_version; });
+          run->done({apply_state::kConflict, {}, std::move(meanwhile), std::move(message)});
+        });
+  }
+
+  // Tries again after a growing wait; gives up after a bounded number of failures.
+  void Again(const run_pointer& run, const error& cause, apply_state state_at_end,
+             std::function<void()> next) {
+    ++run->failures;
+    if (run->failures >= kMostApplyFailures) {
+      return run->done({state_at_end,
+                        run->head,
+                        {},
+                        DescribeGivingUp(state_at_end, run->change.operation, cause)});
+    }
+    wait_(kFirstApplyWait * (1 << (run->failures - 1)), std::move(next));
+  }
+
+  Table& table_;
+  Objects& objects_;
+  wait_function wait_;
+};
+
+}  // namespace bulrushway
+
+#endif  // BULRUSHWAY_CONFIGURATION_STORE_H
--- a/src/ini_document.cpp
+++ b/src/ini_document.cpp
@@ -6,6 +6,7 @@
 #include <cstring>
 #include <fstream>
 #include <iterator>
+#include <unordered_map>
 
 namespace bulrushway {
 namespace {
@@ -67,7 +68,7 @@
                         "], first on line " + std::to_string(earlier.line) + "; keep one of them.");
       return;
     }
-    section.entries.push_back({std::string(key), std::string(value), line_});
+    section.entries.push_back({std::string(key), std::string(value), line_, line_});
   }
 
  private:
@@ -130,20 +131,20 @@
     }
   }
 
-  static void AppendToLast(ini_section& section, std::string_view value) {
+  void AppendToLast(ini_section& section, std::string_view value) const {
     if (section.entries.empty()) return;
+    section.entries.back().last_line = line_;
     section.entries.back().value += ' ';
     section.entries.back().value += value;
   }
 
   void ReportRepeatedSections() {
-    const auto& sections = document_.sections;
-    for (size_t i = 0; i < sections.size(); ++i) {
-      const ini_section* first = document_.Find(sections[i].name);
-      if (first == &sections[i]) continue;
-      Report(sections[i].line, "The section [" + sections[i].name +
-                                   "] stands twice, first on line " + std::to_string(first->line) +
-                                   "; join the two.");
+    std::unordered_map<std::string_view, int> first_lines;
+    for (const ini_section& section : document_.sections) {
+      const auto [first, inserted] = first_lines.emplace(section.name, section.line);
+      if (inserted) continue;
+      Report(section.line, "The section [" + section.name + "] stands twice, first on line " +
+                               std::to_string(first->second) + "; join the two.");
     }
   }
 
--- a/src/ini_document.h
+++ b/src/ini_document.h
@@ -22,6 +22,8 @@
   std::string key;
   std::string value;
   int line = 0;
+  /// Line of the last continuation, or `line`.
+  int last_line = 0;
 };
 
 /// One `[name]` section. Entries before the first heading stand in a section with an empty name.
--- a/src/quantity.cpp
+++ b/src/quantity.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 constexpr std::string_view kBlanks = " \t";
-constexpr size_t kMaxNameLength = 40;
+constexpr size_t kMaxNameLength = 32;
 
 std::string_view Trim(std::string_view text) {
   const size_t first = text.find_first_not_of(kBlanks);
@@ -201,6 +201,15 @@
       std::to_string(kMaxNameLength) + " characters.");
 }
 
+parsed<std::string> ParseRoute(std::string_view text) {
+  const std::string_view trimmed = Trim(text);
+  const bool good = trimmed.starts_with('/') && trimmed.find("//") == std::string_view::npos &&
+                    trimmed.find_first_of(" \t?#") == std::string_view::npos;
+  if (good) return std::string(trimmed);
+  return tl::unexpected<std::string>(
+      Quote(trimmed) + " is no route; write a path that starts with '/', such as '/bibs'.");
+}
+
 std::vector<std::string> SplitList(std::string_view text) {
   std::vector<std::string> parts;
   if (Trim(text).empty()) return parts;
--- a/src/quantity.h
+++ b/src/quantity.h
@@ -43,9 +43,12 @@
 /// "2027-03-14 06:30:00", UTC.
 std::string FormatTime(std::chrono::sys_seconds time);
 
-/// A name: lower-case letters, digits, '-' and '_', starting with a letter, at most 40 characters.
+/// A name: lower-case letters, digits, '-' and '_', starting with a letter, at most 32 characters.
 parsed<std::string> ParseName(std::string_view text);
 
+/// A path prefix of routes: starts with '/', without query, '//' or blanks, such as "/bibs".
+parsed<std::string> ParseRoute(std::string_view text);
+
 /// The parts of a list separated by commas, trimmed. An empty text is an empty list.
 std::vector<std::string> SplitList(std::string_view text);
 
