--- a/src/configuration_follower.cpp
+++ b/src/configuration_follower.cpp
@@ -83,7 +83,7 @@
                                      candidate_->head.rules_hash == hash);
   if (!wanted || documents_.contains(hash)) return actions;
   if (HashDocument(bytes) != hash) {
-    candidate_->next_fetch = now + kFetchRetry;
+    candidate_->next_fetch = std::min(candidate_->next_fetch, now + kFetchRetry);
     actions.push_back(report_event{follower_event::kRefused,
                                    "The document '" + hash + "' from " + SourceName(peer) +
                                        " is damaged; it is fetched again."});
@@ -96,7 +96,8 @@
 }
 
 void configuration_follower::OnFetchFailed(instant now, const std::string& hash) {
-  if (candidate_ && MissingDocument() == hash) candidate_->next_fetch = now + kFetchRetry;
+  if (!candidate_ || MissingDocument() != hash) return;
+  candidate_->next_fetch = std::min(candidate_->next_fetch, now + kFetchRetry);
 }
 
 const std::string* configuration_follower::FindDocument(const std::string& hash) const {
--- /dev/null
+++ b/test/correctness/configuration_follower.cpp
@@ -0,0 +1,223 @@
+// A process finds out about versions, fetches their documents and puts them in force, older ones
+// never.
+#include "configuration_follower.h"
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <random>
+#include <set>
+
+#include "follower_driver.h"
+
+namespace bulrushway {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+BOOST_FIXTURE_TEST_SUITE(following_the_configuration, follower_driver)
+
+BOOST_AUTO_TEST_SUITE(start)
+
+BOOST_AUTO_TEST_CASE(a_fresh_process_says_why_it_has_none) {
+  Pass(milliseconds(20));
+  BOOST_TEST(polls.size() == 1U);
+  BOOST_TEST(follower.WhyNone().find("Neither the platform nor a peer") != std::string::npos);
+  Take(follower.OnPolled(now, now, std::nullopt));
+  BOOST_TEST(follower.WhyNone().find("bulrushctl apply") != std::string::npos);
+  Polled(HeadNumber(3));
+  BOOST_TEST(follower.WhyNone().find(HashDocument(RulesNumber(3))) != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(with_the_platform_down_it_starts_from_peers) {
+  follower.OnPollFailed(now);
+  Told(HeadNumber(5), "seed");
+  Pass(milliseconds(40));
+  BOOST_REQUIRE(!fetches.empty());
+  BOOST_TEST(fetches.front().peer == "seed");
+  Serve(5);
+  Pass(kFirstGathering);
+  BOOST_TEST(follower.Version() == 5U);
+  BOOST_TEST(!follower.Staleness(now).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(it_hears_several_sources_before_its_first_version) {
+  Told(HeadNumber(5), "lagging");
+  Serve(5);
+  Polled(HeadNumber(6));
+  Serve(6);
+  Pass(seconds(1));
+  BOOST_TEST(adopted == std::vector<uint64_t>{6}, boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(it_waits_a_while_for_a_version_that_it_sees_in_use) {
+  follower.OnVersionSeen(now, 9);
+  Polled(HeadNumber(8));
+  Serve(8);
+  Pass(seconds(2));
+  BOOST_TEST(adopted.empty());
+  Pass(kLongestGathering);
+  BOOST_TEST(follower.Version() == 8U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+BOOST_AUTO_TEST_SUITE(changes)
+
+BOOST_AUTO_TEST_CASE(only_the_changed_document_is_fetched_and_the_head_is_passed_on) {
+  StartWith(1);
+  fetches.clear();
+  Told(HeadNumber(2), "n3");
+  Pass(milliseconds(20));
+  BOOST_REQUIRE(fetches.size() == 1U);
+  BOOST_TEST(fetches[0].hash == HashDocument(RulesNumber(2)));
+  Give(RulesNumber(2));
+  BOOST_TEST(adopted.back() == 2U);
+  BOOST_TEST(published.back() == 2U);
+  BOOST_TEST(follower.InForce()->rules.tenants.at(0).share == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(a_burst_ends_with_the_newest_in_force) {
+  StartWith(1);
+  for (uint64_t version = 2; version <= 40; ++version) Told(HeadNumber(version), "n3");
+  Pass(milliseconds(20));
+  Give(RulesNumber(40));
+  BOOST_TEST(adopted.back() == 40U);
+  BOOST_TEST(adopted.size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(a_peer_without_the_document_leads_to_another_and_at_last_to_the_platform) {
+  StartWith(1);
+  fetches.clear();
+  Told(HeadNumber(2), "n3");
+  std::set<std::string> asked;
+  for (int i = 0; i < 60; ++i) {
+    Pass(milliseconds(20));
+    if (!fetches.empty()) asked.insert(fetches.back().peer);
+    follower.OnFetchFailed(now, HashDocument(RulesNumber(2)));
+  }
+  BOOST_TEST(asked.size() > 4U);
+  BOOST_TEST(asked.contains(""));
+  BOOST_TEST(!asked.contains("n1"));
+}
+
+BOOST_AUTO_TEST_CASE(a_silent_peer_costs_one_fetch_timeout) {
+  StartWith(1);
+  fetches.clear();
+  Told(HeadNumber(2), "n3");
+  Pass(kFetchTimeout + milliseconds(40));
+  BOOST_TEST(fetches.size() == 2U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+BOOST_AUTO_TEST_SUITE(never_back)
+
+BOOST_AUTO_TEST_CASE(older_heads_from_peers_and_the_platform_change_nothing) {
+  StartWith(7);
+  Told(HeadNumber(6), "lagging");
+  Polled(HeadNumber(5));
+  Serve(6);
+  Serve(5);
+  Pass(seconds(10));
+  BOOST_TEST(adopted == std::vector<uint64_t>{7}, boost::test_tools::per_element());
+  BOOST_TEST(events.empty());
+}
+
+BOOST_AUTO_TEST_CASE(versions_only_rise_over_random_deliveries) {
+  for (uint64_t seed = 1; seed <= 200; ++seed) {
+    follower_driver one("n1", seed);
+    std::mt19937_64 random(seed);
+    for (int step = 0; step < 200; ++step) {
+      const uint64_t version = 1 + random() % 12;
+      switch (random() % 5) {
+        case 0:
+          one.Told(HeadNumber(version), "n" + std::to_string(1 + random() % 8));
+          break;
+        case 1:
+          one.Polled(HeadNumber(version));
+          break;
+        case 2:
+          one.Serve(version);
+          break;
+        case 3:
+          one.follower.OnVersionSeen(one.now, version);
+          break;
+        default:
+          one.Pass(milliseconds(random() % 300));
+      }
+      const uint64_t in_force = one.adopted.empty() ? 0 : one.adopted.back();
+      BOOST_REQUIRE(one.follower.Version() == in_force);
+    }
+    const auto not_rising = std::adjacent_find(one.adopted.begin(), one.adopted.end(),
+                                               [](uint64_t a, uint64_t b) { return a >= b; });
+    BOOST_REQUIRE((not_rising == one.adopted.end()));
+    one.Polled(HeadNumber(13));
+    one.Serve(13);
+    one.Pass(kLongestGathering);
+    BOOST_REQUIRE(one.follower.Version() == 13U);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+BOOST_AUTO_TEST_SUITE(polling)
+
+BOOST_AUTO_TEST_CASE(a_data_centre_has_three_pollers_and_replaces_one_that_dies) {
+  std::vector<std::string> pollers;
+  for (const std::string& name : members.near) {
+    if (follower_driver(name).follower.IsPoller(members)) pollers.push_back(name);
+  }
+  BOOST_REQUIRE(pollers.size() == kPollersPerDataCentre);
+  std::erase(members.near, pollers.front());
+  size_t after = 0;
+  for (const std::string& name : members.near) {
+    after += follower_driver(name).follower.IsPoller(members) ? 1 : 0;
+  }
+  BOOST_TEST(after == kPollersPerDataCentre);
+}
+
+BOOST_AUTO_TEST_CASE(pollers_read_each_second_and_others_twice_a_minute) {
+  for (const std::string& name : members.near) {
+    follower_driver one(name);
+    one.StartWith(1);
+    one.polls.clear();
+    for (int i = 0; i < 120 * 50; ++i) {
+      const size_t before = one.polls.size();
+      one.Pass(milliseconds(20));
+      if (one.polls.size() > before) one.Polled(HeadNumber(1));
+    }
+    if (one.follower.IsPoller(members)) {
+      BOOST_TEST(one.polls.size() >= 105U);
+      BOOST_TEST(one.polls.size() <= 135U);
+    } else {
+      BOOST_TEST(one.polls.size() >= 3U);
+      BOOST_TEST(one.polls.size() <= 6U);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_poke_polls_at_once) {
+  StartWith(1);
+  polls.clear();
+  follower.Poke();
+  Pass(milliseconds(20));
+  BOOST_TEST(polls.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_newer_version_in_use_leads_to_a_poll_unless_its_head_comes) {
+  std::string idle;
+  for (const std::string& name : members.near) {
+    if (!follower_driver(name).follower.IsPoller(members)) idle = name;
+  }
+  for (const bool head_comes : {false, true}) {
+    follower_driver one(idle);
+    one.StartWith(1);
+    one.polls.clear();
+    one.follower.OnVersionSeen(one.now, 2);
+    if (head_comes) one.Told(HeadNumber(2), "n3");
+    one.Pass(kSeenPollDelay + kSeenPollSpread + milliseconds(40));
+    BOOST_TEST(one.polls.size() == (head_comes ? 0U : 1U));
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace bulrushway
--- /dev/null
+++ b/test/support/follower_driver.h
@@ -0,0 +1,99 @@
+#ifndef BULRUSHWAY_TEST_FOLLOWER_DRIVER_H
+#define BULRUSHWAY_TEST_FOLLOWER_DRIVER_H
+
+// Drives a configuration_follower on a hand-set clock and sorts the actions that it asks for.
+
+#include <chrono>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "configuration_follower.h"
+
+namespace bulrushway {
+
+inline constexpr const char* kPlaces =
+    "[region lima]\ndata_centres = lima-a, lima-b\n[service cronometraje]\nkind = keyed\n";
+
+/// Rules that differ from each other by their share.
+inline std::string RulesNumber(uint64_t number) {
+  return "[tenant t]\nshare = " + std::to_string(number) + "\n";
+}
+
+/// The head of a version with RulesNumber(version).
+inline configuration_head HeadNumber(uint64_t version) {
+  configuration_head head;
+  head.version = version;
+  head.base_version = version - 1;
+  head.inventory_hash = HashDocument(kPlaces);
+  head.rules_hash = HashDocument(RulesNumber(version));
+  head.author = "ana";
+  head.operation = "op-" + std::to_string(version);
+  return head;
+}
+
+/// Everything that the follower asked for, in order.
+struct follower_driver {
+  instant now{std::chrono::hours(1)};
+  known_members members{{"n1", "n2", "n3", "n4", "n5", "n6", "n7", "n8"}, {"far-1", "far-2"}};
+  configuration_follower follower;
+  std::vector<poll_head> polls;
+  std::vector<fetch_document> fetches;
+  std::vector<uint64_t> adopted;
+  std::vector<uint64_t> published;
+  std::vector<report_event> events;
+
+  explicit follower_driver(const std::string& node = "n1", uint64_t seed = 7)
+      : follower(node, instant(std::chrono::hours(1)), seed) {}
+
+  void Take(const follower_actions& actions) {
+    for (const follower_action& action : actions) {
+      if (std::holds_alternative<poll_head>(action)) polls.push_back({});
+      if (const auto* fetch = std::get_if<fetch_document>(&action)) fetches.push_back(*fetch);
+      if (const auto* one = std::get_if<adopt_configuration>(&action)) {
+        adopted.push_back(one->value->version);
+      }
+      if (const auto* one = std::get_if<publish_head>(&action)) {
+        published.push_back(one->head.version);
+      }
+      if (const auto* event = std::get_if<report_event>(&action)) events.push_back(*event);
+    }
+  }
+
+  /// Lets time pass in steps of 20 ms.
+  void Pass(std::chrono::milliseconds time) {
+    for (const instant end = now + time; now < end; now += std::chrono::milliseconds(20)) {
+      Take(follower.Tick(now, members));
+    }
+  }
+
+  /// The platform answers a poll with a head.
+  void Polled(const configuration_head& head) { Take(follower.OnPolled(now, now, Encode(head))); }
+
+  /// A peer tells a head.
+  void Told(const configuration_head& head, const std::string& peer) {
+    Take(follower.OnHeadTold(now, Encode(head), peer));
+  }
+
+  /// Answers fetches from now on with the documents of this version, until none is asked for.
+  void Serve(uint64_t version) {
+    Give(RulesNumber(version));
+    Give(kPlaces);
+  }
+
+  void Give(const std::string& bytes) {
+    Take(follower.OnDocument(now, HashDocument(bytes), bytes, ""));
+  }
+
+  /// Starts with this version in force.
+  void StartWith(uint64_t version) {
+    Pass(std::chrono::milliseconds(20));
+    Polled(HeadNumber(version));
+    Serve(version);
+    Pass(kFirstGathering + std::chrono::milliseconds(20));
+  }
+};
+
+}  // namespace bulrushway
+
+#endif  // BULRUSHWAY_TEST_FOLLOWER_DRIVER_H
