--- /dev/null
+++ b/src/ctl_commit.cpp
@@ -0,0 +1,188 @@
+#include "ctl_commit.h"
+
+#include <nlohmann/json.hpp>
+#include <random>
+
+#include "configuration_check.h"
+#include "configuration_diff.h"
+#include "ctl_survey.h"
+
+namespace bulrushway {
+namespace {
+
+using json = nlohmann::json;
+
+constexpr std::chrono::milliseconds kWaitStep{50};
+
+// When each node had the version in force, counted from the commit.
+struct spread {
+  bool waited = false;
+  std::chrono::milliseconds time{0};
+  std::vector<std::string> lagging;
+};
+
+std::string NewOperation(const std::string& author) {
+  std::random_device entropy;
+  const uint64_t number = uint64_t{entropy()} << 32 | entropy();
+  return author + "-" + std::to_string(number);
+}
+
+configuration_change MakeChange(const ctl_session& session, const ctl_edit& edit) {
+  const ctl_options& options = session.options();
+  configuration_change change;
+  change.base_version = edit.base_version;
+  change.inventory = edit.texts.inventory;
+  change.rules = edit.texts.rules;
+  change.author = options.author;
+  change.note = options.note.empty() ? edit.default_note : options.note;
+  change.operation = NewOperation(options.author);
+  change.time = UtcNow();
+  return change;
+}
+
+// A poll at once spares the nodes the wait for their next one; nodes that miss it need it not.
+void PokeNodes(ctl_session& session) {
+  session.Ask(session.options().nodes, {"POST", "/-/config/poke", {}, {}});
+}
+
+std::vector<std::string> Lagging(const std::vector<node_status>& fleet, uint64_t version) {
+  std::vector<std::string> names;
+  for (const node_status& status : fleet) {
+    if (status.reachable && status.config_version >= version) continue;
+    names.push_back(status.node.empty() ? ToString(status.address) : status.node);
+  }
+  return names;
+}
+
+spread WaitForNodes(ctl_session& session, uint64_t version, instant accepted) {
+  spread outcome;
+  const instant end = accepted + session.options().wait;
+  outcome.waited = true;
+  while (true) {
+    outcome.lagging = Lagging(SurveyFleet(session), version);
+    outcome.time =
+        std::chrono::duration_cast<std::chrono::milliseconds>(boot_clock::now() - accepted);
+    if (outcome.lagging.empty() || boot_clock::now() >= end) return outcome;
+    session.Sleep(kWaitStep);
+  }
+}
+
+json ToJsonList(const std::vector<configuration_warning>& warnings) {
+  json list = json::array();
+  for (const auto& one : warnings) {
+    list.push_back({{"place", one.place}, {"message", one.message}});
+  }
+  return list;
+}
+
+json ToJsonList(const std::vector<configuration_head>& heads) {
+  json list = json::array();
+  for (const configuration_head& head : heads) list.push_back(json::parse(Encode(head)));
+  return list;
+}
+
+void PrintOutcome(const ctl_session& session, const apply_outcome& outcome,
+                  const configuration_diff& diff,
+                  const std::vector<configuration_warning>& warnings, const spread& reached) {
+  if (!session.options().json) {
+    session.Print(outcome.message);
+    if (!reached.waited) return;
+    session.Print(reached.lagging.empty()
+                      ? "In force at every node after " + std::to_string(reached.time.count()) +
+                            " ms."
+                      : "Not in force at " + std::to_string(reached.lagging.size()) +
+                            " nodes after " + std::to_string(reached.time.count()) + " ms:");
+    for (const std::string& name : reached.lagging) session.Print("  " + name);
+    return;
+  }
+  json value = {{"state", Name(outcome.state)},
+                {"message", outcome.message},
+                {"operation", outcome.head.operation},
+                {"version", outcome.head.version},
+                {"diff", json::parse(ToJson(diff))},
+                {"warnings", ToJsonList(warnings)},
+                {"meanwhile", ToJsonList(outcome.meanwhile)}};
+  if (reached.waited) {
+    value["in_force_after_ms"] = reached.time.count();
+    value["lagging"] = reached.lagging;
+  }
+  session.Print(value.dump(2, ' ', false, json::error_handler_t::replace));
+}
+
+ctl_exit ExitOf(const apply_outcome& outcome, const spread& reached) {
+  switch (outcome.state) {
+    case apply_state::kAccepted:
+      return reached.lagging.empty() ? ctl_exit::kOk : ctl_exit::kUnreachable;
+    case apply_state::kConflict:
+      return ctl_exit::kConflict;
+    case apply_state::kNotApplied:
+    case apply_state::kUnknown:
+      return ctl_exit::kUnreachable;
+  }
+  return ctl_exit::kUnreachable;
+}
+
+}  // namespace
+
+std::chrono::sys_seconds UtcNow() {
+  return std::chrono::floor<std::chrono::seconds>(std::chrono::system_clock::now());
+}
+
+checked<checked_configuration> ParseStored(const stored_configuration& stored) {
+  if (!stored.at.head) return checked_configuration{};
+  const std::string version = "version " + std::to_string(stored.at.version());
+  return ParseConfiguration(
+      {version + " inventory", stored.inventory, version + " rules", stored.rules}, UtcNow());
+}
+
+ctl_exit ReportErrors(const ctl_session& session, const std::vector<error>& errors) {
+  for (const error& one : errors) session.PrintError(ToString(one));
+  if (session.options().json) {
+    json list = json::array();
+    for (const error& one : errors) {
+      list.push_back({{"step", one.step}, {"place", one.peer}, {"message", one.message}});
+    }
+    session.Print(json{{"state", "invalid"}, {"errors", list}}.dump(
+        2, ' ', false, json::error_handler_t::replace));
+  }
+  return ctl_exit::kUser;
+}
+
+ctl_exit ReportFailure(const ctl_session& session, const error& failure) {
+  ReportErrors(session, {failure});
+  return failure.kind == error_kind::kUser ? ctl_exit::kUser : ctl_exit::kUnreachable;
+}
+
+void ReportWarnings(const ctl_session& session,
+                    const std::vector<configuration_warning>& warnings) {
+  for (const configuration_warning& one : warnings) {
+    session.PrintError("warning: " + one.place + ": " + one.message);
+  }
+}
+
+ctl_exit CommitEdit(ctl_session& session, const stored_configuration& current,
+                    const ctl_edit& edit) {
+  const auto after = ParseConfiguration(edit.texts, UtcNow());
+  if (!after) return ReportErrors(session, after.error());
+  ReportWarnings(session, after->warnings);
+  // A stored version that this program cannot read is no reason to refuse its successor.
+  const configuration before = ParseStored(current).value_or(checked_configuration{}).value;
+  const std::vector<error> impossible =
+      CheckChange(before, after->value, edit.texts.inventory_file);
+  if (!impossible.empty()) return ReportErrors(session, impossible);
+  const configuration_diff diff = Diff(before, after->value);
+  if (!session.options().json) session.Print(ToText(diff));
+  const apply_outcome outcome = session.Apply(MakeChange(session, edit));
+  const instant accepted = boot_clock::now();
+  spread reached;
+  if (outcome.state == apply_state::kAccepted && !session.options().nodes.empty()) {
+    PokeNodes(session);
+    if (session.options().wait.count() > 0) {
+      reached = WaitForNodes(session, outcome.head.version, accepted);
+    }
+  }
+  PrintOutcome(session, outcome, diff, after->warnings, reached);
+  return ExitOf(outcome, reached);
+}
+
+}  // namespace bulrushway
--- /dev/null
+++ b/src/ctl_configuration.cpp
@@ -0,0 +1,202 @@
+// Verbs on the stored configuration: check, export, diff, apply, rollback, history.
+#include <filesystem>
+#include <fstream>
+#include <nlohmann/json.hpp>
+
+#include "configuration_diff.h"
+#include "ctl_commit.h"
+#include "ctl_verbs.h"
+#include "quantity.h"
+
+namespace bulrushway {
+namespace {
+
+using json = nlohmann::json;
+
+constexpr std::string_view kInventoryFile = "inventory.ini";
+constexpr std::string_view kRulesFile = "rules.ini";
+// Written by export: the version that the files were made from.
+constexpr std::string_view kVersionFile = "VERSION";
+constexpr uint64_t kMostVersion = 999'999'999'999;
+constexpr uint64_t kMostHistory = 10'000;
+
+std::string PathIn(const std::string& folder, std::string_view file) {
+  return (std::filesystem::path(folder) / file).string();
+}
+
+checked<configuration_texts> ReadTexts(const std::string& folder) {
+  configuration_texts texts;
+  texts.inventory_file = PathIn(folder, kInventoryFile);
+  texts.rules_file = PathIn(folder, kRulesFile);
+  const result<std::string> inventory = ReadTextFile(texts.inventory_file);
+  const result<std::string> rules = ReadTextFile(texts.rules_file);
+  std::vector<error> errors;
+  if (!inventory) errors.push_back(inventory.error());
+  if (!rules) errors.push_back(rules.error());
+  if (!errors.empty()) return tl::unexpected<std::vector<error>>(std::move(errors));
+  texts.inventory = *inventory;
+  texts.rules = *rules;
+  return texts;
+}
+
+result<void> WriteTextFile(const std::string& path, const std::string& text) {
+  std::ofstream stream(path, std::ios::binary);
+  stream << text;
+  stream.close();
+  if (stream) return {};
+  return Failure(error_kind::kUser, "write file", path,
+                 "The file '" + path + "' cannot be written.");
+}
+
+result<uint64_t> ParseVersion(const std::string& text) {
+  const parsed<uint64_t> version = ParseCount(text, 0, kMostVersion);
+  if (version) return *version;
+  return Failure(error_kind::kUser, "read version", "", "The version " + version.error());
+}
+
+// The version that the files in `folder` were edited at.
+result<uint64_t> BaseOf(const ctl_options& options, const std::string& folder,
+                        const stored_configuration& current) {
+  if (!options.base.empty()) return ParseVersion(options.base);
+  const std::string path = PathIn(folder, kVersionFile);
+  if (const result<std::string> text = ReadTextFile(path)) {
+    return ParseVersion(text->substr(0, text->find('\n')));
+  }
+  if (!current.at.head) return 0;
+  return Failure(error_kind::kUser, "read base version", path,
+                 "It is not said which version the files were edited at, and version " +
+                     std::to_string(current.at.version()) +
+                     " is in force. Export that first, or name the version with --base.");
+}
+
+json ToJson(const std::vector<configuration_head>& heads) {
+  json list = json::array();
+  for (const configuration_head& head : heads) list.push_back(json::parse(Encode(head)));
+  return list;
+}
+
+ctl_exit ShowDiff(const ctl_session& session, const checked<checked_configuration>& before,
+                  const checked<checked_configuration>& after) {
+  if (!before) return ReportErrors(session, before.error());
+  if (!after) return ReportErrors(session, after.error());
+  const configuration_diff diff = Diff(before->value, after->value);
+  session.Print(session.options().json ? ToJson(diff) : ToText(diff));
+  return ctl_exit::kOk;
+}
+
+result<stored_configuration> ReadVersionNamed(ctl_session& session, const std::string& text) {
+  const result<uint64_t> version = ParseVersion(text);
+  if (!version) return tl::unexpected<error>(version.error());
+  return session.ReadVersion(*version);
+}
+
+}  // namespace
+
+ctl_exit CtlCheck(ctl_session& session, const ctl_arguments& arguments) {
+  const auto texts = ReadTexts(arguments[0]);
+  if (!texts) return ReportErrors(session, texts.error());
+  const auto outcome = ParseConfiguration(*texts, UtcNow());
+  if (!outcome) return ReportErrors(session, outcome.error());
+  ReportWarnings(session, outcome->warnings);
+  const inventory& places = outcome->value.places;
+  if (!session.options().json) {
+    session.Print("Valid: " + std::to_string(places.regions.size()) + " regions, " +
+                  std::to_string(places.services.size()) + " services, " +
+                  std::to_string(places.upstreams.size()) + " upstreams; " +
+                  std::to_string(outcome->warnings.size()) + " warnings.");
+    return ctl_exit::kOk;
+  }
+  json warnings = json::array();
+  for (const auto& one : outcome->warnings) {
+    warnings.push_back({{"place", one.place}, {"message", one.message}});
+  }
+  session.Print(json{{"state", "valid"}, {"warnings", warnings}}.dump(2));
+  return ctl_exit::kOk;
+}
+
+ctl_exit CtlExport(ctl_session& session, const ctl_arguments& arguments) {
+  const auto stored =
+      arguments.size() > 1 ? ReadVersionNamed(session, arguments[1]) : session.ReadCurrent();
+  if (!stored) return ReportFailure(session, stored.error());
+  if (!stored->at.head) {
+    session.PrintError("The platform holds no configuration yet; there is nothing to export.");
+    return ctl_exit::kUser;
+  }
+  const std::string& folder = arguments[0];
+  std::error_code ignored;
+  std::filesystem::create_directories(folder, ignored);
+  const std::string version = std::to_string(stored->at.version());
+  for (const auto& [file, text] :
+       {std::pair(kInventoryFile, stored->inventory), std::pair(kRulesFile, stored->rules),
+        std::pair(kVersionFile, version + "\n")}) {
+    const result<void> written = WriteTextFile(PathIn(folder, file), text);
+    if (!written) return ReportFailure(session, written.error());
+  }
+  session.Print(session.options().json ? Encode(*stored->at.head)
+                                       : "Wrote version " + version + " into " + folder + ".");
+  return ctl_exit::kOk;
+}
+
+ctl_exit CtlDiff(ctl_session& session, const ctl_arguments& arguments) {
+  if (arguments.size() == 2) {
+    const auto before = ReadVersionNamed(session, arguments[0]);
+    if (!before) return ReportFailure(session, before.error());
+    const auto after = ReadVersionNamed(session, arguments[1]);
+    if (!after) return ReportFailure(session, after.error());
+    return ShowDiff(session, ParseStored(*before), ParseStored(*after));
+  }
+  const auto texts = ReadTexts(arguments[0]);
+  if (!texts) return ReportErrors(session, texts.error());
+  const auto current = session.ReadCurrent();
+  if (!current) return ReportFailure(session, current.error());
+  return ShowDiff(session, ParseStored(*current), ParseConfiguration(*texts, UtcNow()));
+}
+
+ctl_exit CtlApply(ctl_session& session, const ctl_arguments& arguments) {
+  const std::string& folder = arguments[0];
+  const auto texts = ReadTexts(folder);
+  if (!texts) return ReportErrors(session, texts.error());
+  const auto valid = ParseConfiguration(*texts, UtcNow());
+  if (!valid) return ReportErrors(session, valid.error());
+  const auto current = session.ReadCurrent();
+  if (!current) return ReportFailure(session, current.error());
+  const result<uint64_t> base = BaseOf(session.options(), folder, *current);
+  if (!base) return ReportFailure(session, base.error());
+  const ctl_exit outcome = CommitEdit(session, *current, {*texts, *base, ""});
+  const std::string path = PathIn(folder, kVersionFile);
+  // Files that were exported stay in step, so that the next edit begins at this version.
+  if (outcome == ctl_exit::kOk && std::filesystem::exists(path)) {
+    const result<void> written = WriteTextFile(path, std::to_string(*base + 1) + "\n");
+    if (!written) session.PrintError(ToString(written.error()));
+  }
+  return outcome;
+}
+
+ctl_exit CtlRollback(ctl_session& session, const ctl_arguments& arguments) {
+  const auto earlier = ReadVersionNamed(session, arguments[0]);
+  if (!earlier) return ReportFailure(session, earlier.error());
+  const auto current = session.ReadCurrent();
+  if (!current) return ReportFailure(session, current.error());
+  const std::string name = "version " + arguments[0];
+  return CommitEdit(session, *current,
+                    {{name + " inventory", earlier->inventory, name + " rules", earlier->rules},
+                     current->at.version(),
+                     "rollback to " + name});
+}
+
+ctl_exit CtlHistory(ctl_session& session, const ctl_arguments&) {
+  const auto current = session.ReadCurrent();
+  if (!current) return ReportFailure(session, current.error());
+  const uint64_t limit = std::min(session.options().limit, kMostHistory);
+  const auto heads = session.ReadHistory(current->at.version(), limit);
+  if (!heads) return ReportFailure(session, heads.error());
+  if (session.options().json) {
+    session.Print(ToJson(*heads).dump(2));
+    return ctl_exit::kOk;
+  }
+  if (heads->empty()) session.Print("There is no version yet.");
+  for (const configuration_head& head : *heads) session.Print(Describe(head));
+  return ctl_exit::kOk;
+}
+
+}  // namespace bulrushway
--- /dev/null
+++ b/src/ctl_fleet.cpp
@@ -0,0 +1,247 @@
+// Verbs that ask the nodes: status, owner, events, metrics, quarantine. Each asks every node that
+// is known and reports those that do not answer.
+#include <event2/http.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <cstdlib>
+#include <map>
+#include <nlohmann/json.hpp>
+
+#include "ctl_survey.h"
+#include "ctl_verbs.h"
+
+namespace bulrushway {
+namespace {
+
+using json = nlohmann::json;
+
+std::string Dump(const json& value) {
+  return value.dump(2, ' ', false, json::error_handler_t::replace);
+}
+
+std::string Encoded(const std::string& text) {
+  char* encoded = evhttp_uriencode(text.c_str(), static_cast<ev_ssize_t>(text.size()), 0);
+  std::string copy = encoded;
+  std::free(encoded);
+  return copy;
+}
+
+std::string Padded(std::string text, size_t width) {
+  text.resize(std::max(text.size() + 1, width), ' ');
+  return text;
+}
+
+json ToJson(const node_status& status, uint64_t newest) {
+  return {{"node", status.node},
+          {"address", ToString(status.address)},
+          {"reachable", status.reachable},
+          {"failure", status.failure},
+          {"service", status.service},
+          {"data_centre", status.data_centre},
+          {"state", status.state},
+          {"term", status.term},
+          {"lease_ms", status.lease_ms},
+          {"slices", status.slices},
+          {"config_version", status.config_version},
+          {"lags", status.reachable && status.config_version < newest}};
+}
+
+uint64_t NewestInForce(const std::vector<node_status>& fleet) {
+  uint64_t newest = 0;
+  for (const node_status& status : fleet) newest = std::max(newest, status.config_version);
+  return newest;
+}
+
+// The newest version of all: that of the platform, or of the nodes when it cannot be asked.
+uint64_t NewestVersion(ctl_session& session, const std::vector<node_status>& fleet) {
+  if (session.options().platform.empty()) return NewestInForce(fleet);
+  const auto current = session.ReadCurrent();
+  if (current) return std::max(current->at.version(), NewestInForce(fleet));
+  session.PrintError("The platform does not answer; the newest version in force is taken: " +
+                     ToString(current.error()));
+  return NewestInForce(fleet);
+}
+
+void PrintStatus(const ctl_session& session, const std::vector<node_status>& fleet,
+                 uint64_t newest) {
+  session.Print(Padded("NODE", 28) + Padded("DATA CENTRE", 14) + Padded("STATE", 16) +
+                Padded("TERM", 8) + Padded("SLICES", 8) + "CONFIGURATION");
+  for (const node_status& status : fleet) {
+    const bool lags = status.reachable && status.config_version < newest;
+    session.Print(Padded(status.node.empty() ? ToString(status.address) : status.node, 28) +
+                  Padded(status.data_centre, 14) +
+                  Padded(status.reachable ? status.state : "unreachable", 16) +
+                  Padded(std::to_string(status.term), 8) +
+                  Padded(std::to_string(status.slices), 8) + std::to_string(status.config_version) +
+                  (lags ? " (lags)" : ""));
+  }
+  const auto lagging = std::count_if(fleet.begin(), fleet.end(), [&](const node_status& status) {
+    return status.reachable && status.config_version < newest;
+  });
+  session.Print("Newest version " + std::to_string(newest) + "; " + std::to_string(lagging) +
+                " of " + std::to_string(fleet.size()) + " nodes lag.");
+}
+
+// Asks all nodes and hands each whole answer on. The outcome says whether all answered.
+template <class Take>
+ctl_exit AskFleet(ctl_session& session, const http_request& request, Take take) {
+  const std::vector<node_status> fleet = SurveyFleet(session);
+  ctl_exit outcome = ctl_exit::kOk;
+  std::vector<node_status> reachable;
+  for (const node_status& status : fleet) {
+    if (status.reachable) reachable.push_back(status);
+  }
+  const auto answers = session.Ask(AddressesOf(reachable), request);
+  for (size_t i = 0; i < answers.size(); ++i) {
+    if (answers[i].answer) {
+      take(reachable[i], *answers[i].answer);
+      continue;
+    }
+    session.PrintError("The node " + reachable[i].node + " does not answer: " + answers[i].failure);
+    outcome = ctl_exit::kUnreachable;
+  }
+  return std::max(outcome, ReportUnreachable(session, fleet));
+}
+
+std::string EventLine(const json& event) {
+  std::string line = event.value("node", "") + " " + event.value("time", "") + " " +
+                     std::to_string(event.value("number", 0)) + " " + event.value("name", "");
+  if (!event.contains("fields") || !event["fields"].is_object()) return line;
+  for (const auto& [key, value] : event["fields"].items()) {
+    line += " " + key + "=" + (value.is_string() ? value.get<std::string>() : value.dump());
+  }
+  return line;
+}
+
+ctl_exit ListQuarantine(ctl_session& session) {
+  json list = json::array();
+  const ctl_exit outcome = AskFleet(session, {"GET", "/-/quarantine", {}, {}},
+                                    [&](const node_status& node, const http_answer& answer) {
+                                      const json value = json::parse(answer.body, nullptr, false);
+                                      if (!value.is_object() || !value.contains("entries")) return;
+                                      for (json entry : value["entries"]) {
+                                        entry["node"] = node.node;
+                                        list.push_back(std::move(entry));
+                                      }
+                                    });
+  if (session.options().json) {
+    session.Print(Dump(list));
+    return outcome;
+  }
+  if (list.empty()) session.Print("No request is quarantined.");
+  for (const json& entry : list) session.Print(entry.dump());
+  return outcome;
+}
+
+ctl_exit ReleaseQuarantine(ctl_session& session, const std::string& fingerprint) {
+  std::vector<std::string> released;
+  const ctl_exit outcome =
+      AskFleet(session, {"POST", "/-/quarantine?release=" + Encoded(fingerprint), {}, {}},
+               [&](const node_status& node, const http_answer& answer) {
+                 if (answer.status == 200) released.push_back(node.node);
+               });
+  if (session.options().json) {
+    session.Print(Dump({{"fingerprint", fingerprint}, {"released_at", released}}));
+  } else {
+    session.Print("Released '" + fingerprint + "' at " + std::to_string(released.size()) +
+                  " nodes.");
+  }
+  if (released.empty() && outcome == ctl_exit::kOk) {
+    session.PrintError("No node holds '" + fingerprint + "' in quarantine.");
+    return ctl_exit::kUser;
+  }
+  return outcome;
+}
+
+}  // namespace
+
+ctl_exit CtlStatus(ctl_session& session, const ctl_arguments&) {
+  const std::vector<node_status> fleet = SurveyFleet(session);
+  const uint64_t newest = NewestVersion(session, fleet);
+  if (session.options().json) {
+    json nodes = json::array();
+    for (const node_status& status : fleet) nodes.push_back(ToJson(status, newest));
+    session.Print(Dump({{"newest_version", newest}, {"nodes", nodes}}));
+  } else {
+    PrintStatus(session, fleet, newest);
+  }
+  return ReportUnreachable(session, fleet);
+}
+
+ctl_exit CtlOwner(ctl_session& session, const ctl_arguments& arguments) {
+  const std::string query = "/-/owner?service=" + Encoded(arguments[0]) +
+                            "&key=" + Encoded(arguments[1]) +
+                            "&tenant=" + Encoded(session.options().tenant);
+  std::map<std::string, std::vector<std::string>> told;
+  std::string refusal;
+  const ctl_exit outcome = AskFleet(
+      session, {"GET", query, {}, {}}, [&](const node_status& node, const http_answer& answer) {
+        const json value = json::parse(answer.body, nullptr, false);
+        if (answer.status != 200 || !value.is_object()) {
+          if (value.is_object()) refusal = value.value("error", "");
+          return;
+        }
+        const bool named = value.contains("owner") && value["owner"].is_string();
+        told[named ? value["owner"].get<std::string>() : ""].push_back(node.node);
+      });
+  if (session.options().json) session.Print(Dump({{"owners_by_answer", told}}));
+  if (told.empty()) {
+    session.PrintError(refusal.empty() ? "No node told an owner." : refusal);
+    return refusal.empty() ? ctl_exit::kUnreachable : ctl_exit::kUser;
+  }
+  if (session.options().json) return outcome;
+  for (const auto& [owner, nodes] : told) {
+    session.Print((owner.empty() ? "no owner" : owner) + " (according to " +
+                  std::to_string(nodes.size()) + " nodes)");
+  }
+  return outcome;
+}
+
+ctl_exit CtlEvents(ctl_session& session, const ctl_arguments&) {
+  const std::string limit = std::to_string(session.options().limit);
+  std::vector<json> events;
+  const ctl_exit outcome = AskFleet(session, {"GET", "/-/events?limit=" + limit, {}, {}},
+                                    [&](const node_status& node, const http_answer& answer) {
+                                      const json value = json::parse(answer.body, nullptr, false);
+                                      if (!value.is_object() || !value.contains("events")) return;
+                                      for (json event : value["events"]) {
+                                        if (!event.is_object()) continue;
+                                        event["node"] = node.node;
+                                        events.push_back(std::move(event));
+                                      }
+                                    });
+  std::stable_sort(events.begin(), events.end(), [](const json& left, const json& right) {
+    return left.value("time", "") < right.value("time", "");
+  });
+  if (session.options().json) session.Print(Dump(events));
+  if (session.options().json) return outcome;
+  for (const json& event : events) session.Print(EventLine(event));
+  return outcome;
+}
+
+ctl_exit CtlMetrics(ctl_session& session, const ctl_arguments&) {
+  json all = json::object();
+  const ctl_exit outcome = AskFleet(
+      session, {"GET", "/-/metrics", {}, {}},
+      [&](const node_status& node, const http_answer& answer) { all[node.node] = answer.body; });
+  if (session.options().json) {
+    session.Print(Dump(all));
+    return outcome;
+  }
+  for (const auto& [node, text] : all.items()) {
+    session.Print("# node " + node + "\n" + text.get<std::string>());
+  }
+  return outcome;
+}
+
+ctl_exit CtlQuarantine(ctl_session& session, const ctl_arguments& arguments) {
+  if (arguments[0] == "list" && arguments.size() == 1) return ListQuarantine(session);
+  if (arguments[0] == "release" && arguments.size() == 2) {
+    return ReleaseQuarantine(session, arguments[1]);
+  }
+  session.PrintError("Write 'bulrushctl quarantine list' or 'quarantine release FINGERPRINT'.");
+  return ctl_exit::kUser;
+}
+
+}  // namespace bulrushway
--- /dev/null
+++ b/src/ctl_survey.cpp
@@ -0,0 +1,127 @@
+#include "ctl_survey.h"
+
+#include <algorithm>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <set>
+
+namespace bulrushway {
+namespace {
+
+using json = nlohmann::json;
+
+// Nodes know each other, so that one round beyond the named ones usually finds all.
+constexpr int kMostRounds = 4;
+
+std::string TextOf(const json& value, const char* key) {
+  return value.contains(key) && value[key].is_string() ? value[key].get<std::string>() : "";
+}
+
+template <class Number>
+Number NumberOf(const json& value, const char* key) {
+  return value.contains(key) && value[key].is_number_integer() ? value[key].get<Number>() : 0;
+}
+
+void ReadStatus(const json& value, node_status& status) {
+  status.node = TextOf(value, "node");
+  status.service = TextOf(value, "service");
+  status.data_centre = TextOf(value, "data_centre");
+  status.state = TextOf(value, "state");
+  status.term = NumberOf<uint64_t>(value, "term");
+  status.lease_ms = NumberOf<int64_t>(value, "lease_ms");
+  status.slices = NumberOf<uint64_t>(value, "slices");
+  status.config_version = NumberOf<uint64_t>(value, "config_version");
+}
+
+class survey {
+ public:
+  explicit survey(ctl_session& session) : session_(session) {}
+
+  std::vector<node_status> Run() {
+    std::vector<socket_address> next = session_.options().nodes;
+    for (int round = 0; round < kMostRounds && !next.empty(); ++round) {
+      for (const node_answer& answer : session_.Ask(next, {"GET", "/-/status", {}, {}})) {
+        Take(answer);
+      }
+      next = NotAsked();
+    }
+    return Sorted();
+  }
+
+ private:
+  void Take(const node_answer& answer) {
+    node_status& status = found_[answer.address];
+    status.address = answer.address;
+    asked_.insert(answer.address);
+    if (!answer.answer) {
+      status.failure = answer.failure;
+      return;
+    }
+    const json value = json::parse(answer.answer->body, nullptr, false);
+    if (answer.answer->status != 200 || !value.is_object()) {
+      status.failure =
+          "It answered with status " + std::to_string(answer.answer->status) + " and no state.";
+      return;
+    }
+    status.reachable = true;
+    ReadStatus(value, status);
+    if (value.contains("members") && value["members"].is_array()) TakeMembers(value["members"]);
+  }
+
+  void TakeMembers(const json& members) {
+    for (const json& member : members) {
+      if (!member.is_object()) continue;
+      const auto address = ParseSocketAddress(TextOf(member, "http"));
+      if (!address || found_.contains(*address)) continue;
+      node_status& status = found_[*address];
+      status.address = *address;
+      ReadStatus(member, status);
+    }
+  }
+
+  std::vector<socket_address> NotAsked() const {
+    std::vector<socket_address> addresses;
+    for (const auto& [address, unused] : found_) {
+      if (!asked_.contains(address)) addresses.push_back(address);
+    }
+    return addresses;
+  }
+
+  std::vector<node_status> Sorted() const {
+    std::vector<node_status> fleet;
+    for (const auto& [unused, status] : found_) fleet.push_back(status);
+    std::sort(fleet.begin(), fleet.end(), [](const node_status& left, const node_status& right) {
+      return std::pair(left.node, left.address) < std::pair(right.node, right.address);
+    });
+    return fleet;
+  }
+
+  ctl_session& session_;
+  std::map<socket_address, node_status> found_;
+  std::set<socket_address> asked_;
+};
+
+}  // namespace
+
+std::vector<node_status> SurveyFleet(ctl_session& session) { return survey(session).Run(); }
+
+std::vector<socket_address> AddressesOf(const std::vector<node_status>& fleet) {
+  std::vector<socket_address> addresses;
+  addresses.reserve(fleet.size());
+  for (const node_status& status : fleet) addresses.push_back(status.address);
+  return addresses;
+}
+
+ctl_exit ReportUnreachable(const ctl_session& session, const std::vector<node_status>& fleet) {
+  ctl_exit outcome = ctl_exit::kOk;
+  for (const node_status& status : fleet) {
+    if (status.reachable) continue;
+    const std::string name = status.node.empty() ? "" : " (" + status.node + ")";
+    session.PrintError("The node at " + ToString(status.address) + name +
+                       " does not answer: " + status.failure);
+    outcome = ctl_exit::kUnreachable;
+  }
+  return outcome;
+}
+
+}  // namespace bulrushway
--- /dev/null
+++ b/src/ctl_verbs.cpp
@@ -0,0 +1,130 @@
+#include "ctl_verbs.h"
+
+#include <algorithm>
+#include <array>
+
+#include "quantity.h"
+
+namespace bulrushway {
+namespace {
+
+// What a verb needs besides its arguments.
+enum class need { kNothing, kPlatform, kNodes };
+
+struct verb {
+  std::string_view name;
+  std::string_view arguments;
+  size_t least_arguments;
+  size_t most_arguments;
+  need needs;
+  ctl_exit (*run)(ctl_session&, const ctl_arguments&);
+  std::string_view help;
+};
+
+constexpr std::array<verb, 16> kVerbs = {{
+    {"check", "DIR", 1, 1, need::kNothing, CtlCheck,
+     "check DIR/inventory.ini and DIR/rules.ini; all errors and warnings"},
+    {"export", "DIR [VERSION]", 1, 2, need::kPlatform, CtlExport,
+     "write a version's files into DIR, to be edited"},
+    {"diff", "DIR | VERSION VERSION", 1, 2, need::kPlatform, CtlDiff,
+     "what applying DIR would change, or what two versions differ in"},
+    {"apply", "DIR", 1, 1, need::kPlatform, CtlApply,
+     "check DIR, show the difference, and put it in force as a new version"},
+    {"rollback", "VERSION", 1, 1, need::kPlatform, CtlRollback,
+     "put an earlier version in force again, as a new version"},
+    {"history", "", 0, 0, need::kPlatform, CtlHistory, "who changed what and when"},
+    {"out", "DATA_CENTRE", 1, 1, need::kPlatform, CtlOut,
+     "take a data centre out: it gets no new work"},
+    {"back", "DATA_CENTRE", 1, 1, need::kPlatform, CtlBack, "bring a data centre back"},
+    {"drain", "NODE", 1, 1, need::kPlatform, CtlDrain, "give a node no new work, until undrain"},
+    {"undrain", "NODE", 1, 1, need::kPlatform, CtlUndrain,
+     "remove all drains and planned stops of a node"},
+    {"stop", "NODE", 1, 1, need::kPlatform, CtlStop,
+     "plan a stop of a node: no new work --from TIME --until TIME"},
+    {"status", "", 0, 0, need::kNodes, CtlStatus,
+     "state, owner's term and configuration of each node, and who lags"},
+    {"owner", "SERVICE KEY", 2, 2, need::kNodes, CtlOwner, "which node owns a key"},
+    {"events", "", 0, 0, need::kNodes, CtlEvents, "latest events of all nodes"},
+    {"metrics", "", 0, 0, need::kNodes, CtlMetrics, "counters of all nodes"},
+    {"quarantine", "list | release FINGERPRINT", 1, 2, need::kNodes, CtlQuarantine,
+     "requests that crashed targets"},
+}};
+
+std::string UsageOf(const verb& one) {
+  std::string text = "  " + std::string(one.name);
+  if (!one.arguments.empty()) text += " " + std::string(one.arguments);
+  constexpr size_t kHelpColumn = 38;
+  text.resize(std::max(text.size() + 1, kHelpColumn), ' ');
+  return text + std::string(one.help) + "\n";
+}
+
+const verb* FindVerb(const std::string& name) {
+  const auto found =
+      std::find_if(kVerbs.begin(), kVerbs.end(), [&](const verb& one) { return one.name == name; });
+  return found == kVerbs.end() ? nullptr : &*found;
+}
+
+std::string UnknownVerb(const std::string& name) {
+  std::vector<std::string> names;
+  for (const verb& one : kVerbs) names.emplace_back(one.name);
+  const std::string nearest = NearestName(name, names);
+  return "There is no verb '" + name + "'" +
+         (nearest.empty() ? "; see bulrushctl --help." : "; did you mean '" + nearest + "'?");
+}
+
+std::string FaultOf(const verb& one, const ctl_arguments& arguments, const ctl_options& options) {
+  const size_t count = arguments.size() - 1;
+  if (count < one.least_arguments || count > one.most_arguments) {
+    return "Write 'bulrushctl " + std::string(one.name) + " " + std::string(one.arguments) + "'.";
+  }
+  if (one.needs == need::kPlatform && options.platform.empty()) {
+    return "Name the platform, for example --platform 10.1.2.3:7000.";
+  }
+  if (one.needs == need::kNodes && options.nodes.empty()) {
+    return "Name one node or more, for example --nodes 10.1.2.3:8080.";
+  }
+  return {};
+}
+
+}  // namespace
+
+std::string CtlUsage() {
+  std::string text = "operates a fleet of bulrushd\n\n  bulrushctl [flags] VERB [arguments]\n\n";
+  for (const verb& one : kVerbs) text += UsageOf(one);
+  text +=
+      "\nFlags (--flag=value or --flag value):\n"
+      "  --platform ip:port[,ip:port]   the platform's table service and object store\n"
+      "  --nodes ip:port[,ip:port]      HTTP addresses of some nodes; others are learned from "
+      "them\n"
+      "  --json                         print JSON\n"
+      "  --author NAME, --note TEXT     who and why, for the history\n"
+      "  --base VERSION                 the version that the files of DIR were edited at\n"
+      "  --from TIME, --until TIME      UTC, such as '2027-03-14 06:30'\n"
+      "  --wait '5 s'                   after a change, wait until each node has it in force\n"
+      "  --tenant NAME                  tenant of the key, for owner\n"
+      "  --limit N                      entries of history and events\n"
+      "  --timeout '1 s'                time limit of one call to a node\n"
+      "\nExit codes: 0 done, 1 user error, 2 conflict with another change, 3 platform or nodes did "
+      "not answer.\n";
+  return text;
+}
+
+ctl_exit RunCtl(const ctl_arguments& arguments, ctl_options options) {
+  ctl_session session(std::move(options));
+  if (arguments.empty()) {
+    session.PrintError("Name a verb; see bulrushctl --help.");
+    return ctl_exit::kUser;
+  }
+  const verb* one = FindVerb(arguments.front());
+  if (one == nullptr) {
+    session.PrintError(UnknownVerb(arguments.front()));
+    return ctl_exit::kUser;
+  }
+  if (std::string fault = FaultOf(*one, arguments, session.options()); !fault.empty()) {
+    session.PrintError(fault);
+    return ctl_exit::kUser;
+  }
+  return one->run(session, ctl_arguments(arguments.begin() + 1, arguments.end()));
+}
+
+}  // namespace bulrushway
