Score targets by squared latency over marginal utility, hedge after the 99th percentile

Change: the score squares the latency and divides by the marginal utility on this process's part of the slots; hedges ask again while the request is late, two at most.

--- a/src/hedge_policy.cpp
+++ b/src/hedge_policy.cpp
@@ -30,7 +30,8 @@
   return delay_;
 }
 
-bool hedge_policy::TakeHedge(retry_budget& extra_attempts) {
+bool hedge_policy::TakeHedge(uint32_t hedges, retry_budget& extra_attempts) {
+  if (hedges >= kMostHedges) return false;
   if (!budget_.CanTake() || !extra_attempts.CanTake()) return false;
   budget_.Take();
   extra_attempts.Take();
--- a/src/hedge_policy.h
+++ b/src/hedge_policy.h
@@ -5,6 +5,7 @@
 // first answer wins and the caller of this module cancels the other attempt.
 
 #include <chrono>
+#include <cstdint>
 #include <optional>
 
 #include "clock.h"
@@ -16,7 +17,7 @@
 /// Parameters of hedging.
 struct hedge_settings {
   /// A request is late when it takes longer than this share of recent requests.
-  double quantile = 0.95;
+  double quantile = 0.99;
   /// Hedges per request, at most.
   double share = 0.045;
   /// Hedges that may be saved up.
@@ -37,13 +38,18 @@
   /// Notes the latency of an answered request, from its first attempt to its answer.
   void OnAnswer(std::chrono::nanoseconds latency, instant now);
 
-  /// Time after the first attempt at which to ask `TakeHedge`. None for requests that must not run
-  /// twice and while too few latencies are known.
+  /// Time after the first attempt at which to ask `TakeHedge`, and between further questions: the
+  /// question is repeated while the request is late, since the budget may have been empty or the
+  /// hedge may be late too. None for requests that must not run twice and while too few latencies
+  /// are known.
   std::optional<std::chrono::nanoseconds> Delay(bool idempotent) const;
 
-  /// Pays for a hedge from its own budget and from the budget of all extra attempts; false: do not
-  /// send one.
-  bool TakeHedge(retry_budget& extra_attempts);
+  /// Pays for a hedge of a request that got `hedges` of them before, from the budget of hedges and
+  /// from the budget of all extra attempts; false: do not send one now.
+  bool TakeHedge(uint32_t hedges, retry_budget& extra_attempts);
+
+  /// Hedges of one request.
+  static constexpr uint32_t kMostHedges = 2;
 
  private:
   hedge_settings settings_;
--- a/src/target_picker.cpp
+++ b/src/target_picker.cpp
@@ -32,6 +32,11 @@
   return static_cast<double>(target.in_flight) / std::max<uint32_t>(target.slots, 1);
 }
 
+// What one more request adds to the utility s log(1 + x / s) of x requests on s slots.
+double MarginalUtility(double slots, double requests) {
+  return slots * std::log1p(1 / (slots + requests));
+}
+
 std::optional<size_t> DrawByScan(std::span<const target_view> targets, std::mt19937_64& rng) {
   std::optional<size_t> chosen;
   size_t seen = 0;
@@ -144,25 +149,23 @@
                                                     std::span<const target_view> targets,
                                                     std::mt19937_64& rng) {
   const auto negative_gain = [](const target_view& target) {
-    const double slots = std::max<uint32_t>(target.slots, 1);
-    const double occupancy = target.in_flight;
-    return -slots * std::log((slots + occupancy + 1) / (slots + occupancy));
+    return -MarginalUtility(std::max<uint32_t>(target.slots, 1), target.in_flight);
   };
   return PickCheapest(targets, rng, negative_gain);
 }
 
-double scored_picker::Score(const target_view& target, instant now) {
+double scored_picker::Score(const target_view& target, size_t processes, instant now) {
   const double fresh = EvidenceWeight(now - target.last_finished);
   const double assumed = static_cast<double>(std::chrono::nanoseconds(kAssumedLatency).count());
   double latency = std::max(assumed, static_cast<double>(target.latency.count()) * fresh);
   if (target.oldest_start) {
     latency = std::max(latency, static_cast<double>((now - *target.oldest_start).count()));
   }
-  const double requests = static_cast<double>(target.in_flight) + 1;
-  const double load = requests / std::max<uint32_t>(target.slots, 1);
+  const double slots = std::max<uint32_t>(target.slots, 1);
+  const double own_slots = slots / static_cast<double>(std::max<size_t>(processes, 1));
   const double errors = 1 + kErrorPenalty * target.error_share * fresh;
   const double cold = target.cold ? kColdPenalty : 1;
-  return latency * load * errors * cold;
+  return latency * latency * errors * cold / MarginalUtility(own_slots, target.in_flight);
 }
 
 std::optional<size_t> scored_picker::Pick(instant now, std::span<const target_view> targets,
@@ -177,7 +180,7 @@
                              [tier](const target_view& t) { return t.locality <= tier; });
     const auto end = static_cast<size_t>(tier_end - targets.begin());
     const double penalty = kLocalityPenalty.at(static_cast<size_t>(tier));
-    const auto cost = [now, penalty](const target_view& t) { return Score(t, now) * penalty; };
+    const auto cost = [&](const target_view& t) { return Score(t, targets.size(), now) * penalty; };
     const auto members = targets.subspan(begin, end - begin);
     const std::optional<size_t> candidate = PickAmongDrawn(members, choices_, rng, cost);
     if (candidate && cost(members[*candidate]) < best_cost) {
--- a/src/target_picker.h
+++ b/src/target_picker.h
@@ -61,7 +61,9 @@
                              std::mt19937_64& rng);
 };
 
-/// The target with the lowest expected cost among a few drawn at random, the nearest tier first.
+/// The target with the lowest cost among a few drawn at random from each tier of locality. A
+/// farther tier is used only where it is clearly better. There are about as many processes that
+/// choose as there are targets, since one stands beside each.
 class scored_picker {
  public:
   /// Draws this many targets of each tier.
@@ -71,10 +73,12 @@
   std::optional<size_t> Pick(instant now, std::span<const target_view> targets,
                              std::mt19937_64& rng);
 
-  /// Expected cost of one more request at the target, in nanoseconds, larger is worse: recent
-  /// latency or the age of the oldest request under way, whichever is larger, raised by the
-  /// requests per slot, by errors and by cold start.
-  static double Score(const target_view& target, instant now);
+  /// Cost of one more request at the target, only meaningful in comparison, larger is worse: the
+  /// square of the recent latency or of the age of the oldest request under way, whichever is
+  /// larger, over the marginal utility of the request on this process's part of the slots, raised
+  /// by errors and by cold start. `processes` share the target. The square makes slowness outweigh
+  /// the few requests that one process has under way at each target.
+  static double Score(const target_view& target, size_t processes, instant now);
 
  private:
   static constexpr size_t kDefaultChoices = 4;
