Put the stand-ins into a namespace of their own

Cause: target_settings of the stand-in and of the daemon's settings are two types of one name in one namespace, which breaks the one-definition rule where both are linked (test programs). Change: everything under standins is in bulrushway::standin; mains without using-directives. Conclusion: no type name can clash any more.

--- a/standins/common/answer_text.cpp
+++ b/standins/common/answer_text.cpp
@@ -5,7 +5,7 @@
 #include <array>
 #include <sstream>
 
-namespace bulrushway {
+namespace bulrushway::standin {
 namespace {
 
 const std::string kChecksumName = "checksum: ";
@@ -48,4 +48,4 @@
   return answer_fields{values[0], values[1], values[2], values[3]};
 }
 
-}  // namespace bulrushway
+}  // namespace bulrushway::standin
--- a/standins/common/answer_text.h
+++ b/standins/common/answer_text.h
@@ -8,7 +8,7 @@
 #include <optional>
 #include <string>
 
-namespace bulrushway {
+namespace bulrushway::standin {
 
 /// What an answer says.
 struct answer_fields {
@@ -25,6 +25,6 @@
 /// The fields of a whole body; nothing when it was cut or changed.
 std::optional<answer_fields> ParseAnswer(const std::string& body);
 
-}  // namespace bulrushway
+}  // namespace bulrushway::standin
 
 #endif  // BULRUSHWAY_ANSWER_TEXT_H
--- a/standins/common/execution_log.cpp
+++ b/standins/common/execution_log.cpp
@@ -1,6 +1,6 @@
 #include "execution_log.h"
 
-namespace bulrushway {
+namespace bulrushway::standin {
 
 void execution_log::Count(const std::string& id, bool idempotent) {
   ++total_;
@@ -20,4 +20,4 @@
 
 void execution_log::Clear() { *this = execution_log{}; }
 
-}  // namespace bulrushway
+}  // namespace bulrushway::standin
--- a/standins/common/execution_log.h
+++ b/standins/common/execution_log.h
@@ -11,7 +11,7 @@
 
 #include "clock.h"
 
-namespace bulrushway {
+namespace bulrushway::standin {
 
 /// How often one request ran.
 struct execution_count {
@@ -59,6 +59,6 @@
   uint64_t doubles_ = 0;
 };
 
-}  // namespace bulrushway
+}  // namespace bulrushway::standin
 
 #endif  // BULRUSHWAY_EXECUTION_LOG_H
--- a/standins/common/json_fields.h
+++ b/standins/common/json_fields.h
@@ -10,7 +10,7 @@
 
 #include "error.h"
 
-namespace bulrushway {
+namespace bulrushway::standin {
 
 /// Reader of one flat JSON object. Fields that are absent leave their value as it is; a field that
 /// nobody read is an error, so that a misspelt fault does not pass as none.
@@ -80,6 +80,6 @@
   std::string problem_;
 };
 
-}  // namespace bulrushway
+}  // namespace bulrushway::standin
 
 #endif  // BULRUSHWAY_JSON_FIELDS_H
--- a/standins/common/load_client.cpp
+++ b/standins/common/load_client.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
-namespace bulrushway {
+namespace bulrushway::standin {
 namespace {
 
 using json = nlohmann::json;
@@ -151,4 +151,4 @@
   return request;
 }
 
-}  // namespace bulrushway
+}  // namespace bulrushway::standin
--- a/standins/common/load_client.h
+++ b/standins/common/load_client.h
@@ -15,7 +15,7 @@
 #include "load_plan.h"
 #include "load_report.h"
 
-namespace bulrushway {
+namespace bulrushway::standin {
 
 /// Settings of the sending.
 struct load_client_settings {
@@ -76,6 +76,6 @@
   timer send_;
 };
 
-}  // namespace bulrushway
+}  // namespace bulrushway::standin
 
 #endif  // BULRUSHWAY_LOAD_CLIENT_H
--- a/standins/common/load_output.cpp
+++ b/standins/common/load_output.cpp
@@ -4,7 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
-namespace bulrushway {
+namespace bulrushway::standin {
 namespace {
 
 using json = nlohmann::json;
@@ -144,4 +144,4 @@
   return text;
 }
 
-}  // namespace bulrushway
+}  // namespace bulrushway::standin
--- a/standins/common/load_output.h
+++ b/standins/common/load_output.h
@@ -8,7 +8,7 @@
 #include "clock.h"
 #include "load_report.h"
 
-namespace bulrushway {
+namespace bulrushway::standin {
 
 /// Figures about the sending itself.
 struct load_sender_figures {
@@ -24,6 +24,6 @@
 /// The report as a table for a terminal.
 std::string ReportAsTable(const load_report& report, const load_sender_figures& sender);
 
-}  // namespace bulrushway
+}  // namespace bulrushway::standin
 
 #endif  // BULRUSHWAY_LOAD_OUTPUT_H
--- a/standins/common/load_plan.cpp
+++ b/standins/common/load_plan.cpp
@@ -4,7 +4,7 @@
 #include <cmath>
 #include <sstream>
 
-namespace bulrushway {
+namespace bulrushway::standin {
 namespace {
 
 // A repeat follows its first sending after at most this time.
@@ -121,4 +121,4 @@
 
 double load_plan::Uniform() { return std::uniform_real_distribution<double>(0, 1)(random_); }
 
-}  // namespace bulrushway
+}  // namespace bulrushway::standin
--- a/standins/common/load_plan.h
+++ b/standins/common/load_plan.h
@@ -13,7 +13,7 @@
 
 #include "error.h"
 
-namespace bulrushway {
+namespace bulrushway::standin {
 
 /// One service's part in the load.
 struct load_service {
@@ -86,6 +86,6 @@
   std::vector<planned_request> repeats_;
 };
 
-}  // namespace bulrushway
+}  // namespace bulrushway::standin
 
 #endif  // BULRUSHWAY_LOAD_PLAN_H
--- a/standins/common/load_report.cpp
+++ b/standins/common/load_report.cpp
@@ -4,7 +4,7 @@
 
 #include "answer_text.h"
 
-namespace bulrushway {
+namespace bulrushway::standin {
 namespace {
 
 using std::chrono::nanoseconds;
@@ -208,4 +208,4 @@
   return gaps;
 }
 
-}  // namespace bulrushway
+}  // namespace bulrushway::standin
--- a/standins/common/load_report.h
+++ b/standins/common/load_report.h
@@ -14,7 +14,7 @@
 #include "http_message.h"
 #include "load_plan.h"
 
-namespace bulrushway {
+namespace bulrushway::standin {
 
 /// What became of one request.
 enum class load_outcome {
@@ -131,6 +131,6 @@
   execution_check executions_;
 };
 
-}  // namespace bulrushway
+}  // namespace bulrushway::standin
 
 #endif  // BULRUSHWAY_LOAD_REPORT_H
--- a/standins/common/open_sockets.cpp
+++ b/standins/common/open_sockets.cpp
@@ -3,7 +3,7 @@
 #include <filesystem>
 #include <system_error>
 
-namespace bulrushway {
+namespace bulrushway::standin {
 namespace {
 
 constexpr std::chrono::milliseconds kRecountInterval{20};
@@ -22,4 +22,4 @@
   return count_;
 }
 
-}  // namespace bulrushway
+}  // namespace bulrushway::standin
--- a/standins/common/open_sockets.h
+++ b/standins/common/open_sockets.h
@@ -7,7 +7,7 @@
 
 #include "clock.h"
 
-namespace bulrushway {
+namespace bulrushway::standin {
 
 /// Counts the sockets of this process, at most once in a while.
 class open_sockets {
@@ -20,6 +20,6 @@
   uint64_t count_ = 0;
 };
 
-}  // namespace bulrushway
+}  // namespace bulrushway::standin
 
 #endif  // BULRUSHWAY_OPEN_SOCKETS_H
--- a/standins/common/platform_faults.cpp
+++ b/standins/common/platform_faults.cpp
@@ -2,7 +2,7 @@
 
 #include "json_fields.h"
 
-namespace bulrushway {
+namespace bulrushway::standin {
 namespace {
 
 result<platform_outage> ParseOutage(const std::string& name) {
@@ -43,4 +43,4 @@
   return std::uniform_real_distribution<double>(0, 1)(random) < faults.lose_answers;
 }
 
-}  // namespace bulrushway
+}  // namespace bulrushway::standin
--- a/standins/common/platform_faults.h
+++ b/standins/common/platform_faults.h
@@ -10,7 +10,7 @@
 
 #include "error.h"
 
-namespace bulrushway {
+namespace bulrushway::standin {
 
 /// How the platform is out of service.
 enum class platform_outage {
@@ -45,6 +45,6 @@
 /// Whether the answer of one write is lost; counts down `lose_next`.
 bool LosesAnswer(platform_faults& faults, std::mt19937_64& random);
 
-}  // namespace bulrushway
+}  // namespace bulrushway::standin
 
 #endif  // BULRUSHWAY_PLATFORM_FAULTS_H
--- a/standins/common/platform_server.cpp
+++ b/standins/common/platform_server.cpp
@@ -7,7 +7,7 @@
 #include <nlohmann/json.hpp>
 #include <sstream>
 
-namespace bulrushway {
+namespace bulrushway::standin {
 namespace {
 
 using json = nlohmann::json;
@@ -198,4 +198,4 @@
                           {"unavailable", unavailable_}});
 }
 
-}  // namespace bulrushway
+}  // namespace bulrushway::standin
--- a/standins/common/platform_server.h
+++ b/standins/common/platform_server.h
@@ -16,7 +16,7 @@
 #include "platform_store.h"
 #include "rate_meter.h"
 
-namespace bulrushway {
+namespace bulrushway::standin {
 
 /// Settings of a platform's stand-in.
 struct platform_settings {
@@ -68,6 +68,6 @@
   std::unique_ptr<http_server> control_;
 };
 
-}  // namespace bulrushway
+}  // namespace bulrushway::standin
 
 #endif  // BULRUSHWAY_PLATFORM_SERVER_H
--- a/standins/common/platform_store.cpp
+++ b/standins/common/platform_store.cpp
@@ -2,7 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
-namespace bulrushway {
+namespace bulrushway::standin {
 
 using json = nlohmann::json;
 
@@ -10,7 +10,7 @@
   Forget(now);
   const auto known = outcomes_.find(txn.operation);
   if (known != outcomes_.end()) return known->second;
-  const commit_outcome outcome = Check(txn);
+  commit_outcome outcome = Check(txn);
   if (!outcome) Apply(txn);
   if (txn.operation.empty()) return outcome;
   outcomes_.emplace(txn.operation, outcome);
@@ -108,4 +108,4 @@
   }
 }
 
-}  // namespace bulrushway
+}  // namespace bulrushway::standin
--- a/standins/common/platform_store.h
+++ b/standins/common/platform_store.h
@@ -15,7 +15,7 @@
 #include "clock.h"
 #include "table_service.h"
 
-namespace bulrushway {
+namespace bulrushway::standin {
 
 /// First condition of a transaction that did not hold.
 struct commit_conflict {
@@ -69,6 +69,6 @@
   std::deque<remembered> order_;
 };
 
-}  // namespace bulrushway
+}  // namespace bulrushway::standin
 
 #endif  // BULRUSHWAY_PLATFORM_STORE_H
--- a/standins/common/rate_meter.cpp
+++ b/standins/common/rate_meter.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace bulrushway {
+namespace bulrushway::standin {
 
 bool rate_meter::Count(uint64_t limit, instant now) {
   Roll(now);
@@ -30,4 +30,4 @@
   second_ = second;
 }
 
-}  // namespace bulrushway
+}  // namespace bulrushway::standin
--- a/standins/common/rate_meter.h
+++ b/standins/common/rate_meter.h
@@ -7,7 +7,7 @@
 
 #include "clock.h"
 
-namespace bulrushway {
+namespace bulrushway::standin {
 
 /// Counter of one kind of event.
 class rate_meter {
@@ -35,6 +35,6 @@
   uint64_t refused_ = 0;
 };
 
-}  // namespace bulrushway
+}  // namespace bulrushway::standin
 
 #endif  // BULRUSHWAY_RATE_METER_H
--- a/standins/common/service_times.cpp
+++ b/standins/common/service_times.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace bulrushway {
+namespace bulrushway::standin {
 namespace {
 
 constexpr double kLognormalSigma = 0.6;
@@ -55,4 +55,4 @@
   return 1;
 }
 
-}  // namespace bulrushway
+}  // namespace bulrushway::standin
--- a/standins/common/service_times.h
+++ b/standins/common/service_times.h
@@ -10,7 +10,7 @@
 
 #include "clock.h"
 
-namespace bulrushway {
+namespace bulrushway::standin {
 
 /// Shape of the distribution of service times.
 enum class service_shape { kFixed, kExponential, kLognormal };
@@ -58,6 +58,6 @@
   uint64_t largest_while_cold_ = 0;
 };
 
-}  // namespace bulrushway
+}  // namespace bulrushway::standin
 
 #endif  // BULRUSHWAY_SERVICE_TIMES_H
--- a/standins/common/standin_main.h
+++ b/standins/common/standin_main.h
@@ -13,7 +13,7 @@
 #include "kernel.h"
 #include "socket_address.h"
 
-namespace bulrushway {
+namespace bulrushway::standin {
 
 /// Ends the program with the reason on standard error.
 [[noreturn]] inline void Exit(const error& failure) {
@@ -50,6 +50,6 @@
   return 0;
 }
 
-}  // namespace bulrushway
+}  // namespace bulrushway::standin
 
 #endif  // BULRUSHWAY_STANDIN_MAIN_H
--- a/standins/common/target_faults.cpp
+++ b/standins/common/target_faults.cpp
@@ -2,7 +2,7 @@
 
 #include "json_fields.h"
 
-namespace bulrushway {
+namespace bulrushway::standin {
 
 result<target_fault_change> ChangeFaults(const target_faults& faults,
                                          const std::string& json_text) {
@@ -39,4 +39,4 @@
   return FlapIsOn(faults, now) ? faults.slowdown : 1;
 }
 
-}  // namespace bulrushway
+}  // namespace bulrushway::standin
--- a/standins/common/target_faults.h
+++ b/standins/common/target_faults.h
@@ -10,7 +10,7 @@
 #include "clock.h"
 #include "error.h"
 
-namespace bulrushway {
+namespace bulrushway::standin {
 
 /// Faults in force.
 struct target_faults {
@@ -58,6 +58,6 @@
 /// Factor on the time of work that starts at `now`.
 double SlowdownNow(const target_faults& faults, instant now);
 
-}  // namespace bulrushway
+}  // namespace bulrushway::standin
 
 #endif  // BULRUSHWAY_TARGET_FAULTS_H
--- a/standins/common/target_reports.cpp
+++ b/standins/common/target_reports.cpp
@@ -4,7 +4,7 @@
 
 #include "target_server.h"
 
-namespace bulrushway {
+namespace bulrushway::standin {
 namespace {
 
 using json = nlohmann::json;
@@ -123,4 +123,4 @@
   std::erase_if(unanswered_, [](const exchange& caller) { return caller->Finished(); });
 }
 
-}  // namespace bulrushway
+}  // namespace bulrushway::standin
--- a/standins/common/target_request.cpp
+++ b/standins/common/target_request.cpp
@@ -2,7 +2,7 @@
 
 #include <charconv>
 
-namespace bulrushway {
+namespace bulrushway::standin {
 namespace {
 
 std::optional<uint64_t> ReadNumber(const header_list& headers, const std::string& name) {
@@ -52,4 +52,4 @@
   return std::nullopt;
 }
 
-}  // namespace bulrushway
+}  // namespace bulrushway::standin
--- a/standins/common/target_request.h
+++ b/standins/common/target_request.h
@@ -12,7 +12,7 @@
 #include "execution_log.h"
 #include "http_message.h"
 
-namespace bulrushway {
+namespace bulrushway::standin {
 
 /// A request as the target sees it.
 struct target_request {
@@ -41,6 +41,6 @@
   std::map<std::pair<std::string, uint64_t>, uint64_t> epochs_;
 };
 
-}  // namespace bulrushway
+}  // namespace bulrushway::standin
 
 #endif  // BULRUSHWAY_TARGET_REQUEST_H
--- a/standins/common/target_server.cpp
+++ b/standins/common/target_server.cpp
@@ -5,7 +5,7 @@
 
 #include "answer_text.h"
 
-namespace bulrushway {
+namespace bulrushway::standin {
 namespace {
 
 constexpr http_limits kLimits{4 << 20, 16 << 10, std::chrono::seconds{60}};
@@ -189,4 +189,4 @@
   return answer;
 }
 
-}  // namespace bulrushway
+}  // namespace bulrushway::standin
--- a/standins/common/target_server.h
+++ b/standins/common/target_server.h
@@ -19,7 +19,7 @@
 #include "target_faults.h"
 #include "target_request.h"
 
-namespace bulrushway {
+namespace bulrushway::standin {
 
 /// Settings of a target's stand-in.
 struct target_settings {
@@ -108,6 +108,6 @@
   std::unique_ptr<http_server> server_;
 };
 
-}  // namespace bulrushway
+}  // namespace bulrushway::standin
 
 #endif  // BULRUSHWAY_TARGET_SERVER_H
--- a/standins/load.cpp
+++ b/standins/load.cpp
@@ -29,10 +29,10 @@
 DEFINE_uint64(seed, 1, "seed of the plan");
 DEFINE_string(json, "", "file for the report as JSON; - prints it in place of the table");
 
+namespace bulrushway::standin {
 namespace {
 
-bulrushway::load_settings PlanSettings() {
-  using namespace bulrushway;
+load_settings PlanSettings() {
   load_settings settings;
   auto services = ParseLoadServices(FLAGS_services);
   if (!services) Exit(services.error());
@@ -50,10 +50,7 @@
   return settings;
 }
 
-}  // namespace
-
-int main(int argc, char** argv) {
-  using namespace bulrushway;
+int Run(int argc, char** argv) {
   gflags::SetUsageMessage("open loop of requests, checked against their answers");
   gflags::ParseCommandLineFlags(&argc, &argv, true);
   load_client_settings settings;
@@ -75,3 +72,8 @@
   std::fputs(ReportAsTable(client.Report(), client.SenderFigures()).c_str(), stdout);
   return 0;
 }
+
+}  // namespace
+}  // namespace bulrushway::standin
+
+int main(int argc, char** argv) { return bulrushway::standin::Run(argc, argv); }
--- a/standins/platform.cpp
+++ b/standins/platform.cpp
@@ -14,8 +14,10 @@
 DEFINE_uint64(max_writes_per_second, 0, "writes beyond are answered 429; 0 means no limit");
 DEFINE_uint64(max_reads_per_second, 0, "reads beyond are answered 429; 0 means no limit");
 
-int main(int argc, char** argv) {
-  using namespace bulrushway;
+namespace bulrushway::standin {
+namespace {
+
+int Run(int argc, char** argv) {
   gflags::SetUsageMessage("stand-in for the platform's table service and object store");
   gflags::ParseCommandLineFlags(&argc, &argv, true);
   platform_settings settings;
@@ -29,3 +31,8 @@
   platform_server server(loop, settings);
   return RunService(loop, "platform", server);
 }
+
+}  // namespace
+}  // namespace bulrushway::standin
+
+int main(int argc, char** argv) { return bulrushway::standin::Run(argc, argv); }
--- a/standins/target.cpp
+++ b/standins/target.cpp
@@ -22,15 +22,15 @@
 DEFINE_uint64(seed, 1, "seed of the service times");
 DEFINE_string(boot_id, "", "tells one start from another; made up when empty");
 
+namespace bulrushway::standin {
 namespace {
 
-bulrushway::service_shape ShapeOrExit(const std::string& name) {
-  using bulrushway::service_shape;
+service_shape ShapeOrExit(const std::string& name) {
   if (name == "fixed") return service_shape::kFixed;
   if (name == "exponential") return service_shape::kExponential;
   if (name == "lognormal") return service_shape::kLognormal;
-  bulrushway::Exit({bulrushway::error_kind::kUser, "read flags", "--shape",
-                    "The shape \"" + name + "\" is none of fixed, exponential, lognormal."});
+  Exit({error_kind::kUser, "read flags", "--shape",
+        "The shape \"" + name + "\" is none of fixed, exponential, lognormal."});
 }
 
 std::string RandomBootId() {
@@ -38,10 +38,7 @@
   return std::to_string((static_cast<uint64_t>(device()) << 32) | device());
 }
 
-}  // namespace
-
-int main(int argc, char** argv) {
-  using namespace bulrushway;
+int Run(int argc, char** argv) {
   gflags::SetUsageMessage("stand-in for a target");
   gflags::ParseCommandLineFlags(&argc, &argv, true);
   target_settings settings;
@@ -64,3 +61,8 @@
   target_server server(loop, settings, boot_clock::now());
   return RunService(loop, "target", server);
 }
+
+}  // namespace
+}  // namespace bulrushway::standin
+
+int main(int argc, char** argv) { return bulrushway::standin::Run(argc, argv); }
--- a/test/correctness/load_report_test.cpp
+++ b/test/correctness/load_report_test.cpp
@@ -7,7 +7,7 @@
 
 #include "answer_text.h"
 
-namespace bulrushway {
+namespace bulrushway::standin {
 namespace {
 
 using std::chrono::milliseconds;
@@ -163,4 +163,4 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
-}  // namespace bulrushway
+}  // namespace bulrushway::standin
--- a/test/correctness/platform_store_test.cpp
+++ b/test/correctness/platform_store_test.cpp
@@ -6,7 +6,7 @@
 
 #include "platform_faults.h"
 
-namespace bulrushway {
+namespace bulrushway::standin {
 namespace {
 
 const instant kStart{std::chrono::hours{1}};
@@ -127,4 +127,4 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
-}  // namespace bulrushway
+}  // namespace bulrushway::standin
--- a/test/correctness/standin_target_test.cpp
+++ b/test/correctness/standin_target_test.cpp
@@ -7,7 +7,7 @@
 #include "target_faults.h"
 #include "target_request.h"
 
-namespace bulrushway {
+namespace bulrushway::standin {
 namespace {
 
 using std::chrono::milliseconds;
@@ -120,4 +120,4 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
-}  // namespace bulrushway
+}  // namespace bulrushway::standin
