Follow the configuration by polls, gossip and peers

Cause: a process must find the newest version without the platform and never go back. Change: the follower decides, the service polls, fetches documents from peers and object store, asks peers how fresh they are.

--- a/src/announcement.cpp
+++ b/src/announcement.cpp
@@ -14,7 +14,7 @@
 }
 
 // Runs travel as one flat list of numbers, which is shorter than a list of lists.
-auto Fields(auto& c, auto& numbers) {
+auto ClaimFields(auto& c, auto& numbers) {
   return std::tie(c.node, c.service, c.first_term, c.part, numbers);
 }
 
@@ -76,7 +76,7 @@
   for (const slice_run& run : value.runs) {
     numbers.insert(numbers.end(), {run.first, run.count, run.epoch});
   }
-  return PackFields(Fields(value, numbers));
+  return PackFields(ClaimFields(value, numbers));
 }
 
 result<announcement> DecodeAnnouncement(const std::string& bytes) {
@@ -91,7 +91,7 @@
   return Decode<ownership_claim>(bytes, "decode claim", [](const msgpack::object& from) {
     ownership_claim value;
     std::vector<uint64_t> numbers;
-    msgpack_fields::Unpack(from, Fields(value, numbers));
+    msgpack_fields::Unpack(from, ClaimFields(value, numbers));
     for (size_t i = 0; i + kNumbersPerRun <= numbers.size(); i += kNumbersPerRun) {
       const slice_run run{static_cast<uint32_t>(numbers[i]), static_cast<uint32_t>(numbers[i + 1]),
                           numbers[i + 2]};
--- a/src/configuration_service.h
+++ b/src/configuration_service.h
@@ -1,15 +1,21 @@
 #ifndef BULRUSHWAY_CONFIGURATION_SERVICE_H
 #define BULRUSHWAY_CONFIGURATION_SERVICE_H
 
-// Keeps the configuration of this process current: polls the head, fetches documents, adopts.
+// Carries out what the configuration follower decides: polls the platform, fetches documents from
+// peers and the object store, spreads heads by gossip, and puts adopted versions in force.
 
 #include <functional>
+#include <map>
+#include <string>
 
+#include "configuration_follower.h"
 #include "configuration_store.h"
 #include "event_log.h"
 #include "event_loop.h"
+#include "forwarder.h"
 #include "http_table_service.h"
 #include "membership.h"
+#include "peer_transport.h"
 #include "rules_view.h"
 
 namespace bulrushway {
@@ -18,25 +24,53 @@
 class configuration_service {
  public:
   configuration_service(event_loop& loop, event_log& log, http_table_service& table,
-                        membership& members, rules_view& rules, uint64_t seed);
+                        forwarder& peers, peer_transport& transport, membership& members,
+                        rules_view& rules, uint64_t seed);
 
   /// Calls `adopted` after each adoption.
   void OnAdopted(std::function<void(instant)> adopted) { adopted_ = std::move(adopted); }
   result<void> Start(instant now);
   void Stop(instant now);
-  /// Reads the head now.
+  /// Reads the head now: an operator says that it has changed.
   void Poke(instant now);
-  /// A gossip item of this module arrived.
+  /// A head arrived by gossip.
   void OnItem(instant now, const gossip_item& item);
+  /// A message of this module arrived on a connection; other messages are left alone.
+  void OnMessage(instant now, connection_id from, const peer_message& message);
+  /// Whether the rules forbid new work because they have not been confirmed for too long.
+  bool TooStale(instant now) const { return follower_.TooStale(now); }
+  /// Time since the version in force was known to be the newest; absent when it never was.
+  std::optional<std::chrono::milliseconds> Staleness(instant now) const {
+    return follower_.Staleness(now);
+  }
+  /// Why there is no configuration; empty when there is one.
+  std::string WhyNone() const { return follower_.WhyNone(); }
 
  private:
-  void Adopt(const stored_configuration& stored);
+  void Tick(instant now);
+  void AskFreshness(instant now);
+  known_members Members() const;
+  void Run(instant now, const follower_actions& actions);
+  void Perform(instant now, const poll_head& action);
+  void Perform(instant now, const fetch_document& action);
+  void Perform(instant now, const adopt_configuration& action);
+  void Perform(instant now, const publish_head& action);
+  void Perform(instant now, const report_event& action);
 
   event_log& log_;
+  http_table_service& table_;
+  forwarder& peers_;
+  peer_transport& transport_;
+  membership& members_;
   rules_view& rules_;
-  configuration_store<http_table_service, http_table_service> store_;
-  timer poll_;
+  configuration_follower follower_;
+  timer tick_;
   std::function<void(instant)> adopted_;
+  std::map<uint64_t, instant> freshness_asked_;
+  uint64_t freshness_sequence_ = 0;
+  instant next_freshness_;
+  bool missing_told_ = false;
+  instant started_;
 };
 
 }  // namespace bulrushway
--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -70,7 +70,7 @@
                  {settings_.node.name, settings_.node.data_centre, settings_.node.region}),
       membership_(loop_, log_, metrics_, table_, forwarder_, MakeAnnouncement(), settings_.seeds,
                   seed),
-      configuration_(loop_, log_, table_, membership_, rules_, seed),
+      configuration_(loop_, log_, table_, forwarder_, transport_, membership_, rules_, seed),
       gate_(loop_, metrics_, MakeGateSettings(settings_), MakeGatePorts()),
       entry_(loop_, metrics_, MakeEntrySettings(settings_), MakeEntryPorts(), membership_.Known(),
              forwarder_, gate_, seed),
@@ -209,10 +209,13 @@
   return ports;
 }
 
-std::optional<gate_refusal> daemon::CheckRules(instant, const forward_request& request) const {
+std::optional<gate_refusal> daemon::CheckRules(instant now, const forward_request& request) const {
   if (!rules_.Configured()) {
     return gate_refusal{refusal_reason::kNoConfiguration, kRetryLater, {}};
   }
+  if (configuration_.TooStale(now)) {
+    return gate_refusal{refusal_reason::kStaleRules, kRetryLater, {}};
+  }
   if (request.service != settings_.node.service) {
     return gate_refusal{refusal_reason::kUnknownService, {}, {}};
   }
@@ -265,7 +268,9 @@
     incoming_.erase(found);
     gate_.Cancel(now, ticket);
   } else if (const auto* control = std::get_if<control_message>(&message)) {
-    membership_.OnControl(now, control->bytes, std::to_string(from));
+    membership_.OnControl(now, control->bytes, transport_.PeerAddress(from));
+  } else {
+    configuration_.OnMessage(now, from, message);
   }
 }
 
--- a/src/daemon_admin.cpp
+++ b/src/daemon_admin.cpp
@@ -90,6 +90,9 @@
   status["cold"] = gate_.cap().cold();
   status["owned_slices_of_service"] = membership_.Known().OwnedSlices(self.service);
   status["witnessed_terms"] = ownership ? ownership->witnessed_terms : 0;
+  const auto staleness = configuration_.Staleness(now);
+  status["config_age_ms"] = staleness ? json(staleness->count()) : json();
+  status["why_not"] = configuration_.WhyNone();
   status["members"] = members;
   return JsonAnswer(status);
 }
--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -35,7 +35,7 @@
   instant arrived;
   instant deadline;
   uint32_t attempts = 0;
-  bool hedged = false;
+  uint32_t hedges = 0;
   bool done = false;
   // Set once a copy was handed on whose outcome is unknown.
   bool may_have_run = false;
@@ -229,23 +229,28 @@
   if (subject->done || subject->facts->keyed) return;
   const auto delay = StateOf(subject->request.service).hedges.Delay(subject->request.idempotent);
   if (!delay || now + *delay >= subject->deadline) return;
-  subject->hedge =
-      std::make_unique<timer>(loop_, [this, weak = std::weak_ptr(subject)](instant then) {
-        if (const auto late = weak.lock()) OnHedgeTime(then, late);
-      });
+  if (!subject->hedge) {
+    subject->hedge = std::make_unique<timer>(
+        loop_, [this, weak = std::weak_ptr(subject)](instant then) {
+          if (const auto late = weak.lock()) OnHedgeTime(then, late);
+        });
+  }
   subject->hedge->Once(*delay);
 }
 
 void entry::OnHedgeTime(instant now, const std::shared_ptr<flight>& subject) {
-  if (subject->done || subject->hedged || subject->attempts >= kMostAttempts) return;
+  const bool enough = subject->hedges >= hedge_policy::kMostHedges;
+  if (subject->done || enough || subject->attempts >= kMostAttempts) return;
+  ArmHedge(now, subject);
   const announcement* to = ChooseTarget(now, *subject);
   if (to == nullptr) return;
-  if (!StateOf(subject->request.service).hedges.TakeHedge(extra_attempts_)) {
-    ++metrics_.Counter("bulrush_hedges_denied_total", {{"service", subject->request.service}});
+  const std::string& service = subject->request.service;
+  if (!StateOf(service).hedges.TakeHedge(subject->hedges, extra_attempts_)) {
+    ++metrics_.Counter("bulrush_hedges_denied_total", {{"service", service}});
     return;
   }
-  subject->hedged = true;
-  ++metrics_.Counter("bulrush_hedges_total", {{"service", subject->request.service}});
+  ++subject->hedges;
+  ++metrics_.Counter("bulrush_hedges_total", {{"service", service}});
   SendTo(now, subject, *to);
 }
 
--- a/src/forwarder.cpp
+++ b/src/forwarder.cpp
@@ -39,8 +39,9 @@
   waiting_.erase(found);
 }
 
-void forwarder::SendControl(instant now, const socket_address& address, const std::string& bytes) {
-  transport_.Send(PeerAt(now, address).connection, control_message{bytes});
+void forwarder::SendMessage(instant now, const socket_address& address,
+                            const peer_message& message) {
+  transport_.Send(PeerAt(now, address).connection, message);
 }
 
 void forwarder::OnAnswer(instant now, connection_id from, forward_answer answer) {
--- a/src/forwarder.h
+++ b/src/forwarder.h
@@ -31,8 +31,9 @@
   /// Tells the gate to stop working on the request; `done` is not called any more.
   void Cancel(uint64_t id);
 
-  /// Sends membership traffic that does not fit into a datagram.
-  void SendControl(instant now, const socket_address& address, const std::string& bytes);
+
+  /// Sends another message to the process at `address`; answers to it come through the transport.
+  void SendMessage(instant now, const socket_address& address, const peer_message& message);
 
   /// An answer came on a connection that this process opened.
   void OnAnswer(instant now, connection_id from, forward_answer answer);
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -319,7 +319,7 @@
   if (bytes.size() <= kMaxDatagram) return datagrams_.Send(address, bytes);
   ++control_messages_;
   control_bytes_ += bytes.size();
-  peers_.SendControl(boot_clock::now(), address, bytes);
+  peers_.SendMessage(boot_clock::now(), address, control_message{bytes});
 }
 
 void membership::Announce(instant now) {
--- a/src/peer_codec.cpp
+++ b/src/peer_codec.cpp
@@ -19,6 +19,16 @@
 
 auto Fields(auto& m, const control_message&) { return std::tie(m.bytes); }
 
+auto Fields(auto& m, const document_request&) { return std::tie(m.hash); }
+
+auto Fields(auto& m, const document_answer&) { return std::tie(m.hash, m.found, m.bytes); }
+
+auto Fields(auto& m, const freshness_request&) { return std::tie(m.sequence); }
+
+auto Fields(auto& m, const freshness_answer&) {
+  return std::tie(m.sequence, m.version, m.age);
+}
+
 // The answer's enumerators pass through plain integers.
 struct answer_codes {
   uint32_t reason = 0;
--- a/src/peer_messages.h
+++ b/src/peer_messages.h
@@ -71,9 +71,34 @@
   std::string bytes;
 };
 
-/// Any message between processes.
+/// Asks a peer for a document of the configuration.
+struct document_request {
+  std::string hash;
+};
+
+/// The document, or found = false.
+struct document_answer {
+  std::string hash;
+  bool found = false;
+  std::string bytes;
+};
+
+/// Asks a peer how fresh its configuration is known to be.
+struct freshness_request {
+  uint64_t sequence = 0;
+};
+
+/// The newest version that the platform is known to have had `age` before this answer.
+struct freshness_answer {
+  uint64_t sequence = 0;
+  uint64_t version = 0;
+  std::chrono::milliseconds age{0};
+};
+
+/// Any message between processes. The order is part of the protocol: append only.
 using peer_message =
-    std::variant<hello_message, forward_request, forward_answer, cancel_request, control_message>;
+    std::variant<hello_message, forward_request, forward_answer, cancel_request, control_message,
+                 document_request, document_answer, freshness_request, freshness_answer>;
 
 }  // namespace bulrushway
 
--- a/src/refusal.cpp
+++ b/src/refusal.cpp
@@ -36,6 +36,7 @@
     "cancelled",
     "target_crashed",
     "internal",
+    "stale_rules",
 };
 
 }  // namespace
--- a/src/refusal.h
+++ b/src/refusal.h
@@ -40,6 +40,7 @@
   kCancelled,
   kTargetCrashed,
   kInternal,
+  kStaleRules,
   kCount,
 };
 
