--- a/programs/bulrushd.cpp
+++ b/programs/bulrushd.cpp
@@ -9,6 +9,8 @@
 
 DEFINE_string(settings, "", "the settings file of this process (INI); see docs/SETTINGS.md");
 DEFINE_bool(allow_faults, false, "let POST /-/faults make this process drop traffic; for tests");
+DEFINE_string(picker, "scored", "how targets of lookup requests are chosen; for comparisons");
+DEFINE_bool(hedge, true, "send late idempotent requests a second time; for comparisons");
 DEFINE_bool(check, false, "only check the settings file");
 
 int main(int argc, char** argv) {
@@ -27,9 +29,14 @@
     return 1;
   }
   if (FLAGS_check) return 0;
+  const auto picker = bulrushway::MakePicker(FLAGS_picker);
+  if (!picker) {
+    std::fprintf(stderr, "bulrushd: %s\n", ToString(picker.error()).c_str());
+    return 1;
+  }
   std::random_device entropy;
   const uint64_t seed = uint64_t{entropy()} << 32 | entropy();
-  bulrushway::daemon daemon(std::move(*settings), seed);
+  bulrushway::daemon daemon(std::move(*settings), *picker, FLAGS_hedge, seed);
   if (FLAGS_allow_faults) daemon.AllowFaults();
   if (const auto started = daemon.Start(bulrushway::boot_clock::now()); !started) {
     std::fprintf(stderr, "bulrushd: %s\n", ToString(started.error()).c_str());
--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -36,12 +36,14 @@
   }
 }
 
-entry_settings MakeEntrySettings(const daemon_settings& settings) {
+entry_settings MakeEntrySettings(const daemon_settings& settings, any_picker picker, bool hedge) {
   entry_settings made;
   made.node = settings.node.name;
   made.place = {settings.node.region, settings.node.data_centre};
   made.deadlines = {settings.limits.default_deadline, settings.limits.max_deadline};
   made.max_body = settings.limits.max_body;
+  made.picker = picker;
+  made.hedge = hedge;
   return made;
 }
 
@@ -55,7 +57,7 @@
 
 }  // namespace
 
-daemon::daemon(daemon_settings settings, uint64_t seed)
+daemon::daemon(daemon_settings settings, any_picker picker, bool hedge, uint64_t seed)
     : settings_(std::move(settings)),
       log_(settings_.node.name, settings_.log.file.value_or(""), ToEventLevel(settings_.log.level)),
       platform_client_(loop_, kPlatformConnections),
@@ -72,7 +74,7 @@
                   seed),
       configuration_(loop_, log_, table_, forwarder_, transport_, membership_, rules_, seed),
       gate_(loop_, metrics_, MakeGateSettings(settings_), MakeGatePorts()),
-      entry_(loop_, metrics_, MakeEntrySettings(settings_), MakeEntryPorts(), membership_.Known(),
+      entry_(loop_, metrics_, MakeEntrySettings(settings_, picker, hedge), MakeEntryPorts(), membership_.Known(),
              forwarder_, gate_, seed),
       http_(loop_, {settings_.limits.max_body},
             [this](std::shared_ptr<http_exchange> exchange) { OnExchange(std::move(exchange)); }),
--- a/src/daemon.h
+++ b/src/daemon.h
@@ -31,7 +31,7 @@
 /// One process beside a target.
 class daemon {
  public:
-  daemon(daemon_settings settings, uint64_t seed);
+  daemon(daemon_settings settings, any_picker picker, bool hedge, uint64_t seed);
   ~daemon();
 
   /// Lets operators of a test make this process drop traffic (POST /-/faults).
--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -47,12 +47,25 @@
 
 struct entry::service_state {
   service_targets targets;
-  scored_picker picker;
+  any_picker picker;
   hedge_policy hedges;
   latency_summary* latency = nullptr;
   uint64_t* answered = nullptr;
 };
 
+result<any_picker> MakePicker(const std::string& name) {
+  if (name == "scored") return scored_picker{};
+  if (name == "random") return random_picker{};
+  if (name == "round_robin") return round_robin_picker{};
+  if (name == "least_requests") return least_requests_picker{};
+  if (name == "two_choices") return two_choices_picker{};
+  if (name == "marginal_utility") return marginal_utility_picker{};
+  return Failure(error_kind::kUser, "choose policy", "",
+                 "There is no policy \"" + name +
+                     "\"; there are scored, random, round_robin, least_requests, two_choices and "
+                     "marginal_utility.");
+}
+
 entry::entry(event_loop& loop, metrics& counters, entry_settings settings, entry_ports ports,
              const directory& known, forwarder& peers, gate& own_gate, uint64_t seed)
     : loop_(loop),
@@ -71,6 +84,7 @@
   auto& state = services_[service];
   if (!state) {
     state = std::make_unique<service_state>();
+    state->picker = settings_.picker;
     state->latency = &metrics_.Latency("bulrush_request_seconds", {{"service", service}});
     state->answered = &metrics_.Counter("bulrush_answered_total", {{"service", service}});
   }
@@ -183,12 +197,17 @@
     return owner.empty() ? nullptr : known_.Find(owner);
   }
   service_state& state = StateOf(request.service);
-  const announcement* chosen =
-      state.targets.Pick(now, state.picker, subject.tried, subject.home_regions, rng_);
+  const auto pick = [&](const std::vector<std::string>& regions) {
+    return std::visit(
+        [&](auto& picker) {
+          return state.targets.Pick(now, picker, subject.tried, regions, rng_);
+        },
+        state.picker);
+  };
+  const announcement* chosen = pick(subject.home_regions);
   if (chosen == nullptr || Pays(now, subject, *chosen)) return chosen;
   // The paid link is used up for requests that have a choice; stay near if anybody is there.
-  const announcement* near =
-      state.targets.Pick(now, state.picker, subject.tried, {settings_.place.region}, rng_);
+  const announcement* near = pick({settings_.place.region});
   return near == nullptr ? chosen : near;
 }
 
@@ -226,7 +245,7 @@
 }
 
 void entry::ArmHedge(instant now, const std::shared_ptr<flight>& subject) {
-  if (subject->done || subject->facts->keyed) return;
+  if (subject->done || subject->facts->keyed || !settings_.hedge) return;
   const auto delay = StateOf(subject->request.service).hedges.Delay(subject->request.idempotent);
   if (!delay || now + *delay >= subject->deadline) return;
   if (!subject->hedge) {
--- a/src/entry.h
+++ b/src/entry.h
@@ -12,6 +12,7 @@
 #include <optional>
 #include <random>
 #include <string>
+#include <variant>
 
 #include "caller_request.h"
 #include "directory.h"
@@ -53,6 +54,15 @@
   std::function<bool()> stopping;
 };
 
+/// The policies that can choose a target. `scored` is the one in use; the others are kept for
+/// comparison on real processes.
+using any_picker = std::variant<scored_picker, random_picker, round_robin_picker,
+                                least_requests_picker, two_choices_picker, marginal_utility_picker>;
+
+/// The policy of this name: scored, random, round_robin, least_requests, two_choices or
+/// marginal_utility. Another name is a user error.
+result<any_picker> MakePicker(const std::string& name);
+
 /// Who and where this process is, and its limits.
 struct entry_settings {
   std::string node;
@@ -61,6 +71,10 @@
   size_t max_body = 1 << 20;
   /// Requests of callers under way at most.
   size_t max_requests = 20000;
+  /// Chooses the targets of lookup requests.
+  any_picker picker;
+  /// Whether late requests get a second copy.
+  bool hedge = true;
 };
 
 /// The callers' side of one process.
