Tell peers of suspect requests; start tests of real processes

Cause: a request that crashes one target after another is stopped only if the processes tell each other. Change: suspects spread by gossip unless bound to regions; a fleet of processes for tests.

--- a/src/announcement.cpp
+++ b/src/announcement.cpp
@@ -18,6 +18,10 @@
   return std::tie(c.node, c.service, c.first_term, c.part, numbers);
 }
 
+auto Fields(auto& p, const poison_entry&) {
+  return std::tie(p.fingerprint, p.crashes, p.release, p.remaining, p.home_regions);
+}
+
 constexpr size_t kNumbersPerRun = 3;
 
 std::string PackFields(const auto& fields) {
@@ -71,6 +75,16 @@
 
 std::string Encode(const announcement& value) { return PackFields(Fields(value, value)); }
 
+std::string Encode(const poison_entry& value) { return PackFields(Fields(value, value)); }
+
+result<poison_entry> DecodePoison(const std::string& bytes) {
+  return Decode<poison_entry>(bytes, "decode quarantine", [](const msgpack::object& from) {
+    poison_entry value;
+    msgpack_fields::Unpack(from, Fields(value, value));
+    return value;
+  });
+}
+
 std::string Encode(const ownership_claim& value) {
   std::vector<uint64_t> numbers;
   for (const slice_run& run : value.runs) {
--- a/src/announcement.h
+++ b/src/announcement.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "error.h"
+#include "poison_registry.h"
 #include "socket_address.h"
 
 namespace bulrushway {
@@ -68,13 +69,13 @@
 /// Runs in one claim at most, so that a claim fits into a datagram.
 inline constexpr size_t kRunsPerClaim = 100;
 
-/// Some of the slices that a node holds. A node with many runs of slices makes several claims, numbered
-/// from zero; one that has shrunk leaves empty claims behind.
+/// Some of the slices that a node holds. A node with many runs of slices makes several claims,
+/// numbered from zero; one that has shrunk leaves empty claims behind.
 struct ownership_claim {
   std::string node;
   std::string service;
-  /// First term of the process that claims: what an earlier process claimed is void. The term itself
-  /// is left out, so that a new term changes only the claims whose slices change.
+  /// First term of the process that claims: what an earlier process claimed is void. The term
+  /// itself is left out, so that a new term changes only the claims whose slices change.
   uint64_t first_term = 0;
   uint32_t part = 0;
   /// Sorted by slice.
@@ -83,8 +84,8 @@
   bool operator==(const ownership_claim&) const = default;
 };
 
-/// Divides slices, given with their epochs in order, into claims. `least_parts` is the number of claims
-/// made before.
+/// Divides slices, given with their epochs in order, into claims. `least_parts` is the number of
+/// claims made before.
 std::vector<ownership_claim> MakeClaims(const std::string& node, const std::string& service,
                                         uint64_t first_term,
                                         const std::vector<std::pair<uint32_t, uint64_t>>& slices,
@@ -93,10 +94,12 @@
 /// Bytes for a gossip payload.
 std::string Encode(const announcement& value);
 std::string Encode(const ownership_claim& value);
+std::string Encode(const poison_entry& value);
 
 /// Reads a gossip payload; a damaged one is a peer error.
 result<announcement> DecodeAnnouncement(const std::string& bytes);
 result<ownership_claim> DecodeClaim(const std::string& bytes);
+result<poison_entry> DecodePoison(const std::string& bytes);
 
 }  // namespace bulrushway
 
--- a/src/configuration_service.cpp
+++ b/src/configuration_service.cpp
@@ -50,12 +50,11 @@
                                       const peer_message& message) {
   if (const auto* wanted = std::get_if<document_request>(&message)) {
     const std::string* bytes = follower_.FindDocument(wanted->hash);
-    transport_.Send(from,
-                    document_answer{wanted->hash, bytes != nullptr, bytes ? *bytes : ""});
+    transport_.Send(from, document_answer{wanted->hash, bytes != nullptr, bytes ? *bytes : ""});
   } else if (const auto* document = std::get_if<document_answer>(&message)) {
     if (!document->found) return follower_.OnFetchFailed(now, document->hash);
-    Run(now, follower_.OnDocument(now, document->hash, document->bytes,
-                                  transport_.PeerAddress(from)));
+    Run(now,
+        follower_.OnDocument(now, document->hash, document->bytes, transport_.PeerAddress(from)));
   } else if (const auto* asked = std::get_if<freshness_request>(&message)) {
     const auto age = follower_.Staleness(now);
     if (age) transport_.Send(from, freshness_answer{asked->sequence, follower_.Version(), *age});
@@ -113,15 +112,15 @@
 }
 
 void configuration_service::Perform(instant now, const poll_head&) {
-  table_.ReadPrefix(
-      std::string(kHeadKey), [this, sent = now](const result<std::vector<table_row>>& rows) {
-        const instant then = boot_clock::now();
-        if (!rows) return follower_.OnPollFailed(then);
-        const auto head = std::ranges::find(*rows, kHeadKey, &table_row::key);
-        std::optional<std::string> bytes;
-        if (head != rows->end()) bytes = head->value;
-        Run(then, follower_.OnPolled(then, sent, bytes));
-      });
+  table_.ReadPrefix(std::string(kHeadKey),
+                    [this, sent = now](const result<std::vector<table_row>>& rows) {
+                      const instant then = boot_clock::now();
+                      if (!rows) return follower_.OnPollFailed(then);
+                      const auto head = std::ranges::find(*rows, kHeadKey, &table_row::key);
+                      std::optional<std::string> bytes;
+                      if (head != rows->end()) bytes = head->value;
+                      Run(then, follower_.OnPolled(then, sent, bytes));
+                    });
 }
 
 void configuration_service::Perform(instant now, const fetch_document& action) {
--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -74,8 +74,8 @@
                   seed),
       configuration_(loop_, log_, table_, forwarder_, transport_, membership_, rules_, seed),
       gate_(loop_, metrics_, MakeGateSettings(settings_), MakeGatePorts()),
-      entry_(loop_, metrics_, MakeEntrySettings(settings_, picker, hedge), MakeEntryPorts(), membership_.Known(),
-             forwarder_, gate_, seed),
+      entry_(loop_, metrics_, MakeEntrySettings(settings_, picker, hedge), MakeEntryPorts(),
+             membership_.Known(), forwarder_, gate_, seed),
       http_(loop_, {settings_.limits.max_body},
             [this](std::shared_ptr<http_exchange> exchange) { OnExchange(std::move(exchange)); }),
       tick_(loop_, [this](instant now) { Tick(now); }) {
@@ -173,6 +173,7 @@
   ports.quarantined = [this](instant, uint64_t fingerprint) {
     log_.Write(event_id::kRequestQuarantined, {{"fingerprint", std::to_string(fingerprint)}});
   };
+  ports.suspects_changed = [this](instant now) { PublishSuspects(now); };
   return ports;
 }
 
@@ -207,10 +208,31 @@
     for (const slice_number slice : slices) gate_.LoseSlice(slice);
   };
   ports.in_flight = [this](slice_number slice) { return gate_.InFlight(slice); };
-  ports.item = [this](instant now, const gossip_item& item) { configuration_.OnItem(now, item); };
+  ports.item = [this](instant now, const gossip_item& item) { OnItem(now, item); };
   return ports;
 }
 
+void daemon::PublishSuspects(instant now) {
+  const auto version =
+      std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch());
+  for (const poison_entry& entry : gate_.poison().Export(settings_.node.region, now)) {
+    // Gossip reaches all regions, so what is bound to some of them stays at this process.
+    if (!entry.home_regions.empty()) continue;
+    membership_.Publish(now, {static_cast<uint8_t>(gossip_kind::kQuarantine),
+                              settings_.node.name + "/" + std::to_string(entry.fingerprint),
+                              static_cast<uint64_t>(version.count()), Encode(entry)});
+  }
+}
+
+void daemon::OnItem(instant now, const gossip_item& item) {
+  if (item.kind != static_cast<uint8_t>(gossip_kind::kQuarantine)) {
+    return configuration_.OnItem(now, item);
+  }
+  const auto entry = DecodePoison(item.payload);
+  if (!entry) return log_.Write(event_id::kBadDatagram, entry.error());
+  gate_.poison().Merge(*entry, now);
+}
+
 std::optional<gate_refusal> daemon::CheckRules(instant now, const forward_request& request) const {
   if (!rules_.Configured()) {
     return gate_refusal{refusal_reason::kNoConfiguration, kRetryLater, {}};
--- a/src/daemon.h
+++ b/src/daemon.h
@@ -67,6 +67,8 @@
   void OnPeerMessage(connection_id from, peer_message message);
   void OnPeerClosed(connection_id id, bool stood, const error& reason);
   void OnForwarded(instant now, connection_id from, forward_request request);
+  void PublishSuspects(instant now);
+  void OnItem(instant now, const gossip_item& item);
   void Tick(instant now);
   void OnRules(instant now);
   void CheckStopped(instant now);
--- a/src/daemon_admin.cpp
+++ b/src/daemon_admin.cpp
@@ -183,6 +183,7 @@
     if (!number || !gate_.poison().Release(std::stoull(fingerprint), now)) {
       return JsonAnswer({{"error", "No request \"" + fingerprint + "\" is quarantined."}}, 404);
     }
+    PublishSuspects(now);
     log_.Write(event_id::kQuarantineReleased, {{"fingerprint", fingerprint}});
     return JsonAnswer({{"released", fingerprint}});
   }
--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -199,9 +199,7 @@
   service_state& state = StateOf(request.service);
   const auto pick = [&](const std::vector<std::string>& regions) {
     return std::visit(
-        [&](auto& picker) {
-          return state.targets.Pick(now, picker, subject.tried, regions, rng_);
-        },
+        [&](auto& picker) { return state.targets.Pick(now, picker, subject.tried, regions, rng_); },
         state.picker);
   };
   const announcement* chosen = pick(subject.home_regions);
@@ -249,8 +247,8 @@
   const auto delay = StateOf(subject->request.service).hedges.Delay(subject->request.idempotent);
   if (!delay || now + *delay >= subject->deadline) return;
   if (!subject->hedge) {
-    subject->hedge = std::make_unique<timer>(
-        loop_, [this, weak = std::weak_ptr(subject)](instant then) {
+    subject->hedge =
+        std::make_unique<timer>(loop_, [this, weak = std::weak_ptr(subject)](instant then) {
           if (const auto late = weak.lock()) OnHedgeTime(then, late);
         });
   }
--- a/src/forwarder.h
+++ b/src/forwarder.h
@@ -31,7 +31,6 @@
   /// Tells the gate to stop working on the request; `done` is not called any more.
   void Cancel(uint64_t id);
 
-
   /// Sends another message to the process at `address`; answers to it come through the transport.
   void SendMessage(instant now, const socket_address& address, const peer_message& message);
 
--- a/src/gate.cpp
+++ b/src/gate.cpp
@@ -297,6 +297,7 @@
   for (const auto fingerprint : poison_.OnCrash(crash_seed_ + crashes_, suspects, now)) {
     ports_.quarantined(now, fingerprint);
   }
+  ports_.suspects_changed(now);
 }
 
 void gate::PopQueue(instant now) {
--- a/src/gate.h
+++ b/src/gate.h
@@ -52,6 +52,8 @@
   std::function<void(instant, bool up)> target_state;
   /// A request is quarantined from now on.
   std::function<void(instant, uint64_t fingerprint)> quarantined;
+  /// The target crashed: what is known of suspect requests has changed.
+  std::function<void(instant)> suspects_changed;
 };
 
 /// Fixed properties of the target.
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -394,9 +394,9 @@
   for (size_t part = 0; part < claims.size(); ++part) {
     if (claims[part] == published_claims_[part]) continue;
     directory_.OnClaim(claims[part]);
-    gossip_.Publish(now, {static_cast<uint8_t>(gossip_kind::kClaim),
-                          self_.node + "/" + std::to_string(part), NextVersion(last_version_),
-                          Encode(claims[part])});
+    gossip_.Publish(
+        now, {static_cast<uint8_t>(gossip_kind::kClaim), self_.node + "/" + std::to_string(part),
+              NextVersion(last_version_), Encode(claims[part])});
     published_claims_[part] = std::move(claims[part]);
   }
 }
--- a/src/peer_codec.cpp
+++ b/src/peer_codec.cpp
@@ -25,9 +25,7 @@
 
 auto Fields(auto& m, const freshness_request&) { return std::tie(m.sequence); }
 
-auto Fields(auto& m, const freshness_answer&) {
-  return std::tie(m.sequence, m.version, m.age);
-}
+auto Fields(auto& m, const freshness_answer&) { return std::tie(m.sequence, m.version, m.age); }
 
 // The answer's enumerators pass through plain integers.
 struct answer_codes {
--- a/test/support/test_fleet.cpp
+++ b/test/support/test_fleet.cpp
@@ -96,29 +96,28 @@
                      "\n[platform]\naddresses = " + ToString(platform_address_) + "\n";
   if (!seeds.empty()) text += "[peers]\nseeds = " + seeds + "\n";
   WriteFile(started.settings, text);
-  started.target = std::make_unique<child_process>(
-      Program("standin_target"),
-      std::vector<std::string>{"--listen=" + ToString(started.target_address),
-                               "--name=" + plan.name, "--service_ms=2"},
-      folder_ + "/" + plan.name + ".target.log");
   RestartDaemon(plan.name);
 }
 
 void test_fleet::RestartDaemon(const std::string& name) {
   node& restarted = nodes_.at(name);
-  if (restarted.target == nullptr || !restarted.target->Running()) {
-    restarted.target = std::make_unique<child_process>(
-        Program("standin_target"),
-        std::vector<std::string>{"--listen=" + ToString(restarted.target_address), "--name=" + name,
-                                 "--service_ms=2"},
-        folder_ + "/" + name + ".target.log");
-  }
+  RestartTarget(name);
   restarted.daemon = std::make_unique<child_process>(
       Program("bulrushd"),
       std::vector<std::string>{"--settings=" + restarted.settings, "--allow_faults"},
       folder_ + "/" + name + ".log");
 }
 
+void test_fleet::RestartTarget(const std::string& name) {
+  node& restarted = nodes_.at(name);
+  if (restarted.target != nullptr && restarted.target->Running()) return;
+  restarted.target = std::make_unique<child_process>(
+      Program("standin_target"),
+      std::vector<std::string>{"--listen=" + ToString(restarted.target_address), "--name=" + name,
+                               "--service_ms=2"},
+      folder_ + "/" + name + ".target.log");
+}
+
 void test_fleet::KillInstance(const std::string& name) {
   nodes_.at(name).daemon->Kill();
   nodes_.at(name).target->Kill();
--- a/test/support/test_fleet.h
+++ b/test/support/test_fleet.h
@@ -40,6 +40,8 @@
   void StartNode(const node_plan& plan);
   /// Starts only the process of a node that was started before.
   void RestartDaemon(const std::string& node);
+  /// Starts the target of a node again if it has ended.
+  void RestartTarget(const std::string& node);
   /// Kills the process beside the target and the target, as the loss of an instance does.
   void KillInstance(const std::string& node);
   /// Kills only the process beside the target.
