--- a/src/concurrency_cap.cpp
+++ b/src/concurrency_cap.cpp
@@ -34,6 +34,7 @@
 }
 
 void concurrency_cap::OnAnswer(nanoseconds latency, uint32_t in_flight, instant now) {
+  if (raised_ == instant{}) raised_ = now;
   if (LooksColdAfterIdle(latency, now)) StartCold(now);
   last_answer_ = now;
   round_sum_ += latency;
--- a/src/concurrency_cap.h
+++ b/src/concurrency_cap.h
@@ -64,6 +64,7 @@
   bool cold_ = true;
   // Above this the cap rises only by one step a second: the target shed work there.
   uint32_t ceiling_;
+  // Last step up, or the first answer.
   instant raised_{};
   instant lowered_{};
   instant last_answer_{};
--- /dev/null
+++ b/test/correctness/concurrency_cap_test.cpp
@@ -0,0 +1,125 @@
+// The cap of a cold target rises with its warmth and falls at once with it.
+#include "concurrency_cap.h"
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+
+namespace bulrushway::test {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::nanoseconds;
+
+constexpr instant kStart{std::chrono::seconds(100)};
+constexpr milliseconds kAnswerTime{4};
+
+// A target under full load that bears two requests at its start and one more in each `warming`.
+struct loaded_target {
+  explicit loaded_target(milliseconds warming_time) : warming(warming_time) {}
+
+  uint32_t Bears() const {
+    return std::min<uint32_t>(12, 2 + static_cast<uint32_t>((now - started) / warming));
+  }
+
+  // Fills the target up to the cap for a while; above what it bears it sheds.
+  void Run(milliseconds length) {
+    for (const instant end = now + length; now < end; now += kAnswerTime) {
+      const uint32_t in_flight = cap.limit();
+      most_above = std::max(most_above, in_flight > Bears() ? in_flight - Bears() : 0);
+      if (in_flight > Bears()) {
+        ++sheds;
+        cap.OnShed(now);
+        continue;
+      }
+      for (uint32_t i = 0; i < in_flight; ++i) cap.OnAnswer(kAnswerTime, in_flight, now);
+    }
+  }
+
+  milliseconds warming;
+  instant started = kStart;
+  instant now = kStart;
+  concurrency_cap cap{concurrency_settings{}};
+  uint32_t most_above = 0;
+  int sheds = 0;
+};
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(concurrency_cap_follows_the_target)
+
+BOOST_AUTO_TEST_SUITE(rising)
+
+BOOST_AUTO_TEST_CASE(a_target_that_warms_in_time_is_never_overrun_and_reaches_its_slots) {
+  loaded_target target(milliseconds(200));
+  BOOST_TEST(target.cap.limit() == 2U);
+  target.Run(milliseconds(3000));
+  BOOST_TEST(target.most_above == 0U);
+  BOOST_TEST(target.cap.limit() == 12U);
+  BOOST_TEST(!target.cap.cold());
+}
+
+BOOST_AUTO_TEST_CASE(a_target_that_warms_slowly_is_overrun_by_one_at_most_and_seldom) {
+  loaded_target target(milliseconds(2000));
+  target.Run(milliseconds(30000));
+  BOOST_TEST(target.most_above <= 1U);
+  BOOST_TEST(target.sheds <= 30);
+  BOOST_TEST(target.cap.limit() >= 11U);
+}
+
+BOOST_AUTO_TEST_CASE(an_idle_target_gives_no_evidence) {
+  concurrency_cap cap{concurrency_settings{}};
+  for (int i = 0; i < 1000; ++i) cap.OnAnswer(kAnswerTime, 1, kStart + i * milliseconds(10));
+  BOOST_TEST(cap.limit() == 2U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(falling)
+
+struct warm_target : loaded_target {
+  warm_target() : loaded_target(milliseconds(1)) {
+    Run(milliseconds(3000));
+    BOOST_REQUIRE(cap.limit() == 12U);
+  }
+};
+
+BOOST_FIXTURE_TEST_CASE(another_boot_is_a_cold_start, warm_target) {
+  cap.OnBootId("one", now);
+  BOOST_TEST(cap.limit() == 12U);
+  cap.OnBootId("one", now);
+  BOOST_TEST(cap.limit() == 12U);
+  cap.OnBootId("two", now);
+  BOOST_TEST(cap.limit() == 2U);
+  BOOST_TEST(cap.cold());
+}
+
+BOOST_FIXTURE_TEST_CASE(a_lost_connection_is_a_cold_start, warm_target) {
+  cap.OnConnectionLost(now);
+  BOOST_TEST(cap.limit() == 2U);
+}
+
+BOOST_FIXTURE_TEST_CASE(shed_work_halves_the_cap_once_for_one_cause, warm_target) {
+  cap.OnShed(now);
+  cap.OnShed(now + milliseconds(1));
+  BOOST_TEST(cap.limit() == 6U);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_slow_first_answer_after_a_pause_is_a_cold_start, warm_target) {
+  cap.OnAnswer(kAnswerTime, 1, now + std::chrono::seconds(5));
+  BOOST_TEST(cap.limit() == 12U);
+  cap.OnAnswer(10 * kAnswerTime, 1, now + std::chrono::seconds(10));
+  BOOST_TEST(cap.limit() == 2U);
+}
+
+BOOST_FIXTURE_TEST_CASE(latency_that_grows_with_the_load_lowers_the_cap, warm_target) {
+  for (int i = 0; i < 200; ++i) {
+    cap.OnAnswer(8 * kAnswerTime, cap.limit(), now + i * milliseconds(10));
+  }
+  BOOST_TEST(cap.limit() <= 6U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace bulrushway::test
