--- a/standins/common/load_client.cpp
+++ b/standins/common/load_client.cpp
@@ -19,11 +19,19 @@
 
 load_client::load_client(event_loop& loop, load_plan plan, load_client_settings settings)
     : loop_(loop),
-      plan_(std::move(plan)),
       settings_(std::move(settings)),
-      report_(plan_.Settings(), settings_.window),
+      report_(plan.Settings(), settings_.window),
       http_(loop, settings_.connections),
-      send_(loop, [this](instant now) { SendDue(now); }) {
+      player_(
+          loop, std::move(plan),
+          [this](const planned_request& planned, instant now) {
+            ++open_;
+            Send(planned, 0, now);
+          },
+          [this] {
+            all_sent_ = true;
+            FinishIfDone();
+          }) {
   for (const auto& address : settings_.entries) entries_.push_back({address});
 }
 
@@ -31,30 +39,12 @@
   if (entries_.empty()) {
     return Failure(error_kind::kUser, "start load", "", "No entry is given by --entries.");
   }
-  started_ = now;
-  next_ = plan_.Next();
-  SendDue(now);
+  player_.Start(now);
   return {};
 }
 
 load_sender_figures load_client::SenderFigures() {
-  return {started_, http_.Opened(), Summarize(lags_)};
-}
-
-void load_client::SendDue(instant now) {
-  while (next_ && started_ + next_->at <= now) {
-    lags_.push_back(now - (started_ + next_->at));
-    ++open_;
-    Send(*next_, 0, now);
-    next_ = plan_.Next();
-  }
-  if (next_) {
-    const auto delay = started_ + next_->at - boot_clock::now();
-    send_.Once(std::max<std::chrono::nanoseconds>(delay, std::chrono::nanoseconds{0}));
-    return;
-  }
-  all_sent_ = true;
-  FinishIfDone();
+  return {player_.Started(), http_.Opened(), player_.Lag()};
 }
 
 size_t load_client::PickEntry(instant now) {
@@ -68,13 +58,13 @@
 void load_client::Send(const planned_request& planned, size_t refusals, instant now) {
   const size_t index = PickEntry(now);
   const auto timeout = std::chrono::duration_cast<std::chrono::milliseconds>(
-      started_ + planned.at + settings_.deadline + kPatience - now);
+      player_.Due(planned) + settings_.deadline + kPatience - now);
   const auto done = [this, planned, refusals,
                      index](const tl::expected<http_answer, http_failure>& answer) {
     const instant at = boot_clock::now();
     load_result finished;
     finished.request = planned;
-    finished.latency = at - (started_ + planned.at);
+    finished.latency = at - player_.Due(planned);
     if (answer) {
       Classify(*answer, KeyName(planned), PathEnd(planned), settings_.deadline, finished);
       return Finish(std::move(finished));
@@ -132,11 +122,11 @@
 }
 
 std::string load_client::PathEnd(const planned_request& planned) const {
-  return "/" + plan_.Settings().item + "/" + KeyName(planned);
+  return "/" + player_.Settings().item + "/" + KeyName(planned);
 }
 
 http_request load_client::Compose(const planned_request& planned) const {
-  const load_service& service = plan_.Settings().services[planned.service];
+  const load_service& service = player_.Settings().services[planned.service];
   http_request request;
   request.method = planned.idempotent ? "GET" : "POST";
   request.target = "/" + service.name + PathEnd(planned);
--- a/standins/common/load_client.h
+++ b/standins/common/load_client.h
@@ -14,6 +14,7 @@
 #include "load_output.h"
 #include "load_plan.h"
 #include "load_report.h"
+#include "plan_player.h"
 
 namespace bulrushway::standin {
 
@@ -35,7 +36,7 @@
   /// Starts to send; the loop is stopped when everything is answered and the targets are read.
   result<void> Start(instant now);
   /// Sends nothing any more.
-  void Stop(instant) { send_.Cancel(); }
+  void Stop(instant) { player_.Stop(); }
 
   const load_report& Report() const { return report_; }
   load_sender_figures SenderFigures();
@@ -46,7 +47,6 @@
     instant refused_until{};
   };
 
-  void SendDue(instant now);
   void Send(const planned_request& planned, size_t refusals, instant now);
   void Finish(load_result finished);
   void FinishIfDone();
@@ -58,22 +58,18 @@
   std::string PathEnd(const planned_request& planned) const;
 
   event_loop& loop_;
-  load_plan plan_;
   load_client_settings settings_;
   std::vector<entry_state> entries_;
   size_t next_entry_ = 0;
-  instant started_{};
-  std::optional<planned_request> next_;
   uint64_t open_ = 0;
   bool all_sent_ = false;
   load_report report_;
-  std::vector<std::chrono::nanoseconds> lags_;
   std::unordered_map<std::string, uint64_t> runs_;
   uint64_t executions_ = 0;
   uint64_t targets_read_ = 0;
   uint64_t targets_unread_ = 0;
   http_client http_;
-  timer send_;
+  plan_player player_;
 };
 
 }  // namespace bulrushway::standin
--- /dev/null
+++ b/standins/common/plan_player.h
@@ -0,0 +1,50 @@
+#ifndef BULRUSHWAY_PLAN_PLAYER_H
+#define BULRUSHWAY_PLAN_PLAYER_H
+
+// Plays a load plan in real time: calls for each request at its planned time, whatever became of
+// the earlier ones, and keeps how far the calls fell behind the plan.
+
+#include <functional>
+#include <optional>
+#include <vector>
+
+#include "event_loop.h"
+#include "load_plan.h"
+#include "load_report.h"
+
+namespace bulrushway::standin {
+
+/// Player of one plan.
+class plan_player {
+ public:
+  using sender = std::function<void(const planned_request& planned, instant now)>;
+
+  /// `send` is called for each request, `over` once after the last one.
+  plan_player(event_loop& loop, load_plan plan, sender send, std::function<void()> over);
+
+  /// Starts to play.
+  void Start(instant now);
+  /// Plays no further.
+  void Stop() { next_due_.Cancel(); }
+  instant Started() const { return started_; }
+  /// Time at which the request is due.
+  instant Due(const planned_request& planned) const { return started_ + planned.at; }
+  /// How far the calls fell behind the plan.
+  latency_summary Lag() { return Summarize(lags_); }
+  const load_settings& Settings() const { return plan_.Settings(); }
+
+ private:
+  void PlayDue(instant now);
+
+  load_plan plan_;
+  sender send_;
+  std::function<void()> over_;
+  instant started_{};
+  std::optional<planned_request> next_;
+  std::vector<std::chrono::nanoseconds> lags_;
+  timer next_due_;
+};
+
+}  // namespace bulrushway::standin
+
+#endif  // BULRUSHWAY_PLAN_PLAYER_H
--- a/standins/common/target_server.cpp
+++ b/standins/common/target_server.cpp
@@ -124,7 +124,9 @@
   const auto plain = times_.Draw(running_, now);
   const auto time =
       std::chrono::duration_cast<std::chrono::nanoseconds>(plain * SlowdownNow(faults_, now));
-  delayed_.At(now + time, [this, work](instant later) { Finish(work, later); });
+  // The work stops at the deadline, since nobody waits for it any more.
+  const instant end = std::min(now + time, request.deadline.value_or(instant::max()));
+  delayed_.At(end, [this, work](instant later) { Finish(work, later); });
 }
 
 void target_server::Finish(const job_pointer& work, instant now) {
