--- a/standins/balance.cpp
+++ b/standins/balance.cpp
@@ -50,12 +50,12 @@
   plan.services = {{"corredores", false, 1.0}};
   plan.rate = FLAGS_rate;
   plan.duration = std::chrono::milliseconds{static_cast<int64_t>(FLAGS_duration_s * 1000)};
+  plan.deadline = std::chrono::milliseconds{FLAGS_deadline_ms};
   plan.seed = FLAGS_seed;
   balance_settings settings;
   settings.targets = AddressesOrExit(FLAGS_targets);
   settings.routers = FLAGS_routers;
   settings.hedge = FLAGS_hedge;
-  settings.deadline = std::chrono::milliseconds{FLAGS_deadline_ms};
   return RunNamed(FLAGS_policy, plan, settings);
 }
 
--- a/standins/common/balance_client.h
+++ b/standins/common/balance_client.h
@@ -28,7 +28,6 @@
   /// Processes that choose independently of each other; requests go to them in turn.
   size_t routers = 5;
   bool hedge = false;
-  std::chrono::milliseconds deadline{1000};
   std::chrono::milliseconds window{1000};
   size_t connections = 60;
 };
@@ -89,6 +88,7 @@
     router* from = nullptr;
     instant first_sent;
     std::map<uint64_t, attempt> attempts;
+    uint32_t hedges = 0;
     bool finished = false;
   };
   using flight_pointer = std::shared_ptr<flight>;
@@ -102,16 +102,23 @@
     subject->from->hedges.OnRequest();
     subject->from->extra.OnRequest();
     Attempt(subject, now);
-    if (!settings_.hedge) return;
+    if (settings_.hedge) ArmHedge(subject, now);
+  }
+
+  void ArmHedge(const flight_pointer& subject, instant now) {
     const auto delay = subject->from->hedges.Delay(true);
-    if (!delay) return;
+    if (!delay || subject->hedges >= hedge_policy::kMostHedges) return;
     delayed_.At(now + *delay, [this, subject](instant later) { Hedge(subject, later); });
   }
 
   void Hedge(const flight_pointer& subject, instant now) {
-    if (subject->finished || !subject->from->hedges.TakeHedge(subject->from->extra)) return;
-    ++hedges_;
-    Attempt(subject, now);
+    if (subject->finished) return;
+    if (subject->from->hedges.TakeHedge(subject->hedges, subject->from->extra)) {
+      ++subject->hedges;
+      ++hedges_;
+      Attempt(subject, now);
+    }
+    ArmHedge(subject, now);
   }
 
   void Attempt(const flight_pointer& subject, instant now) {
@@ -126,7 +133,7 @@
     sent.ticket = from.loads[*chosen].Start(now);
     from.loads[*chosen].WriteTo(from.views[*chosen]);
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
-        player_.Due(subject->planned) + settings_.deadline - now);
+        player_.Due(subject->planned) + player_.Settings().deadline - now);
     sent.http = from.http->Send(
         settings_.targets[*chosen], Compose(subject->planned),
         std::max(left, std::chrono::milliseconds{1}),
@@ -141,7 +148,8 @@
     load_result finished;
     finished.request = subject->planned;
     finished.latency = now - player_.Due(subject->planned);
-    if (answer) Classify(*answer, KeyName(subject->planned), "", settings_.deadline, finished);
+    if (answer)
+      Classify(*answer, KeyName(subject->planned), "", player_.Settings().deadline, finished);
     const bool whole = finished.outcome == load_outcome::kWhole;
     const bool timed_out = !answer && answer.error().timed_out;
     EndAttempt(*subject, number,
@@ -183,7 +191,7 @@
     http_request request{"GET", "/" + service + "/item/" + KeyName(planned), {}, {}};
     request.headers.emplace_back("X-Bulrush-Request-Id", planned.request_id);
     request.headers.emplace_back("X-Bulrush-Deadline-Ms",
-                                 std::to_string(settings_.deadline.count()));
+                                 std::to_string(player_.Settings().deadline.count()));
     return request;
   }
 
--- a/standins/common/load_client.cpp
+++ b/standins/common/load_client.cpp
@@ -58,7 +58,7 @@
 void load_client::Send(const planned_request& planned, size_t refusals, instant now) {
   const size_t index = PickEntry(now);
   const auto timeout = std::chrono::duration_cast<std::chrono::milliseconds>(
-      player_.Due(planned) + settings_.deadline + kPatience - now);
+      player_.Due(planned) + player_.Settings().deadline + kPatience - now);
   const auto done = [this, planned, refusals,
                      index](const tl::expected<http_answer, http_failure>& answer) {
     const instant at = boot_clock::now();
@@ -66,7 +66,7 @@
     finished.request = planned;
     finished.latency = at - player_.Due(planned);
     if (answer) {
-      Classify(*answer, KeyName(planned), PathEnd(planned), settings_.deadline, finished);
+      Classify(*answer, KeyName(planned), PathEnd(planned), player_.Settings().deadline, finished);
       return Finish(std::move(finished));
     }
     if (answer.error().may_have_run) return Finish(std::move(finished));
@@ -132,7 +132,8 @@
   request.target = "/" + service.name + PathEnd(planned);
   request.headers.emplace_back("X-Bulrush-Request-Id", planned.request_id);
   request.headers.emplace_back("X-Bulrush-Tenant", "tenant" + std::to_string(planned.tenant));
-  request.headers.emplace_back("X-Bulrush-Deadline-Ms", std::to_string(settings_.deadline.count()));
+  request.headers.emplace_back("X-Bulrush-Deadline-Ms",
+                               std::to_string(player_.Settings().deadline.count()));
   if (service.keyed) request.headers.emplace_back("X-Bulrush-Key", KeyName(planned));
   if (!planned.idempotency_key.empty()) {
     request.headers.emplace_back("Idempotency-Key", planned.idempotency_key);
--- a/standins/common/load_client.h
+++ b/standins/common/load_client.h
@@ -22,7 +22,6 @@
 struct load_client_settings {
   std::vector<socket_address> entries;
   std::vector<socket_address> targets;
-  std::chrono::milliseconds deadline{1000};
   std::chrono::milliseconds window{1000};
   uint64_t connections = 512;
   uint64_t body_bytes = 100;
--- a/standins/common/load_output.cpp
+++ b/standins/common/load_output.cpp
@@ -88,7 +88,9 @@
   const load_settings& settings = report.Settings();
   json services = json::object();
   for (uint32_t i = 0; i < settings.services.size(); ++i) {
-    services[settings.services[i].name] = ToJson(report.Latency(i));
+    json service = ToJson(report.Latency(i));
+    service["all"] = ToJson(report.LatencyOfAll(i));
+    services[settings.services[i].name] = service;
   }
   json windows = json::array();
   for (const load_window& window : report.Windows()) windows.push_back(ToJson(window));
--- a/standins/common/load_plan.h
+++ b/standins/common/load_plan.h
@@ -33,6 +33,8 @@
   /// Requests a second, with exponential intervals.
   double rate = 100;
   std::chrono::milliseconds duration{10000};
+  /// Deadline of each request, from the planned send time.
+  std::chrono::milliseconds deadline{1000};
   uint64_t keys = 100;
   /// Exponent of the Zipf distribution of keys; 0 for a uniform one.
   double zipf = 0;
--- a/standins/common/load_report.cpp
+++ b/standins/common/load_report.cpp
@@ -170,6 +170,16 @@
   return Summarize(latencies);
 }
 
+latency_summary load_report::LatencyOfAll(uint32_t service) const {
+  std::vector<nanoseconds> latencies;
+  for (const load_result& each : results_) {
+    if (each.request.service != service) continue;
+    const nanoseconds failed = std::max<nanoseconds>(settings_.deadline, each.latency);
+    latencies.push_back(Answered(each.outcome) ? each.latency : failed);
+  }
+  return Summarize(latencies);
+}
+
 std::vector<load_window> load_report::Windows() const {
   std::map<int64_t, load_window> windows;
   std::map<int64_t, std::vector<nanoseconds>> latencies;
--- a/standins/common/load_report.h
+++ b/standins/common/load_report.h
@@ -118,6 +118,9 @@
   std::map<std::string, uint64_t> Refusals() const;
   /// Latency of the requests of one service that were answered whole, late ones included.
   latency_summary Latency(uint32_t service) const;
+  /// Latency of all requests of one service; one without a whole answer counts with the deadline
+  /// or its own end, whichever is later, so that failing fast does not look quick.
+  latency_summary LatencyOfAll(uint32_t service) const;
   std::vector<load_window> Windows() const;
   /// Gaps of all keys of keyed services, longest first.
   std::vector<key_gap> Gaps() const;
--- a/standins/common/target_reports.cpp
+++ b/standins/common/target_reports.cpp
@@ -102,6 +102,7 @@
               {"boot_id", settings_.boot_id},
               {"executions", executions_.Total()},
               {"double", executions_.Doubles()},
+              {"arrivals", counters_.arrivals},
               {"done", counters_.done},
               {"cancelled", counters_.cancelled},
               {"shed", counters_.shed},
--- a/standins/common/target_server.cpp
+++ b/standins/common/target_server.cpp
@@ -44,6 +44,7 @@
   const instant now = boot_clock::now();
   const std::string path = PathOf(caller->request().target);
   if (path.starts_with("/-/")) return HandleControl(caller, path, now);
+  ++counters_.arrivals;
   const socket_address peer = caller->Peer();
   seen_.insert(peer);
   if (silent_.contains(peer)) {
--- a/standins/common/target_server.h
+++ b/standins/common/target_server.h
@@ -57,6 +57,7 @@
     uint64_t waiting = 0;
   };
   struct counters {
+    uint64_t arrivals = 0;
     uint64_t done = 0;
     uint64_t cancelled = 0;
     uint64_t shed = 0;
--- a/standins/load.cpp
+++ b/standins/load.cpp
@@ -39,6 +39,7 @@
   settings.services = std::move(*services);
   settings.rate = FLAGS_rate;
   settings.duration = std::chrono::milliseconds{static_cast<int64_t>(FLAGS_duration_s * 1000)};
+  settings.deadline = std::chrono::milliseconds{FLAGS_deadline_ms};
   settings.keys = FLAGS_keys;
   settings.zipf = FLAGS_zipf;
   settings.tenants = FLAGS_tenants;
@@ -56,7 +57,6 @@
   load_client_settings settings;
   settings.entries = AddressesOrExit(FLAGS_entries);
   settings.targets = AddressesOrExit(FLAGS_targets);
-  settings.deadline = std::chrono::milliseconds{FLAGS_deadline_ms};
   settings.window = std::chrono::milliseconds{FLAGS_window_ms};
   settings.connections = FLAGS_connections;
   settings.body_bytes = FLAGS_body_bytes;
--- a/test/correctness/load_report_test.cpp
+++ b/test/correctness/load_report_test.cpp
@@ -126,6 +126,16 @@
   BOOST_TEST((report.Gaps()[0].length == milliseconds{1510}));
 }
 
+BOOST_AUTO_TEST_CASE(a_failed_request_counts_with_the_deadline) {
+  load_report report(Settings(), milliseconds{1000});
+  report.Add(Result(0, load_outcome::kWhole, 5));
+  report.Add(Result(1, load_outcome::kRefused, 1, true));
+  report.Add(Result(2, load_outcome::kLost, 3000));
+  BOOST_TEST((report.Latency(1).largest == milliseconds{5}));
+  BOOST_TEST((report.LatencyOfAll(1).p50 == milliseconds{1000}));
+  BOOST_TEST((report.LatencyOfAll(1).largest == milliseconds{3000}));
+}
+
 BOOST_AUTO_TEST_CASE(windows_sorts_by_the_planned_time) {
   load_report report(Settings(), milliseconds{1000});
   report.Add(Result(999, load_outcome::kWhole, 5000));
--- a/tools/lib/fleet.py
+++ b/tools/lib/fleet.py
@@ -218,6 +218,7 @@
         self.platform_control = self._address(1)
         self.nodes = {}
         self.loads = []
+        self.target_flags = []
         for i, upstream in enumerate(deployment.upstreams):
             self.nodes[upstream.name] = Node(
                 upstream,
@@ -293,6 +294,7 @@
 
     def start(self, *target_flags, limit_s=60):
         """Starts everything, applies the configuration and waits until every key is owned."""
+        self.target_flags = list(target_flags)
         self.start_platform()
         for name in self.nodes:
             self.start_target(name, *target_flags)
