--- a/src/lease.cpp
+++ b/src/lease.cpp
@@ -84,6 +84,7 @@
   const instant counted = rules_.lease_from_sending ? sent->at : now;
   state.acknowledged = state.heard ? std::max(state.acknowledged, counted) : counted;
   state.heard = true;
+  ComputeExpiry();
   if (Good(now)) was_good_ = true;
 }
 
@@ -137,18 +138,18 @@
 
 bool lease::Good(instant now) const {
   if (lapsed_ || witnesses_.empty()) return false;
-  return now < Expiry();
+  return now < expiry_;
 }
 
-instant lease::Expiry() const {
+void lease::ComputeExpiry() {
   std::vector<instant> acknowledged;
   for (const auto& [name, state] : witnesses_) {
     if (state.heard) acknowledged.push_back(state.acknowledged);
   }
   const size_t quorum = QuorumOf(witnesses_.size());
-  if (acknowledged.size() < quorum) return instant{};
+  if (acknowledged.size() < quorum) return;
   std::sort(acknowledged.rbegin(), acknowledged.rend());
-  return acknowledged[quorum - 1] + rules_.lease_time;
+  expiry_ = acknowledged[quorum - 1] + rules_.lease_time;
 }
 
 size_t lease::ClosedWitnesses() const {
--- a/src/lease.h
+++ b/src/lease.h
@@ -45,7 +45,7 @@
   /// The lease was good once and lapsed for ever.
   bool Lapsed() const { return lapsed_; }
   /// When the lease ends, or the epoch of the clock if it never began.
-  instant Expiry() const;
+  instant Expiry() const { return expiry_; }
   /// Witnesses that will never renew this term again.
   size_t ClosedWitnesses() const;
   const term_record& record() const { return record_; }
@@ -70,6 +70,7 @@
     std::deque<sent_renewal> in_flight;
   };
 
+  void ComputeExpiry();
   uint64_t NoteSent(instant now, witness_state& state);
   void Acknowledge(instant now, witness_state& state, uint64_t sequence);
   send_message_action MakeRenewal(instant now, const node_name& to, bool active);
@@ -79,6 +80,7 @@
   std::vector<term_record> next_;
   std::map<node_name, witness_state> witnesses_;
   uint64_t sequence_ = 0;
+  instant expiry_;
   bool was_good_ = false;
   bool lapsed_ = false;
 };
