--- a/src/msgpack_fields.h
+++ b/src/msgpack_fields.h
@@ -1,42 +1,22 @@
 #ifndef BULRUSHWAY_MSGPACK_FIELDS_H
 #define BULRUSHWAY_MSGPACK_FIELDS_H
 
-// Internal to the codecs: packs structs by listing their fields once, as a tuple of references that
-// serves both directions. A struct takes part through a function `Fields(value)` in its codec's
-// file. Included by .cpp files only, since msgpack is slow to compile.
+// Internal to the codecs: writes and reads structs by listing their fields once. A struct takes
+// part through a static function `Fields(value, const T&)` in namespace bulrushway that ties its
+// fields, an enumeration through `HighestOf(T)`, its last enumerator:
+//
+//   static auto Fields(auto& m, const cancel_request&) { return std::tie(m.id); }
+//
+// Included by .cpp files only, since msgpack is slow to compile.
 
 #include <chrono>
 #include <msgpack.hpp>
+#include <optional>
 #include <string_view>
 #include <tuple>
+#include <type_traits>
 #include <vector>
 
-namespace msgpack {
-MSGPACK_API_VERSION_NAMESPACE(MSGPACK_DEFAULT_API_NS) {
-  namespace adaptor {
-
-  template <class Rep, class Period>
-  struct pack<std::chrono::duration<Rep, Period>> {
-    template <class Stream>
-    packer<Stream>& operator()(packer<Stream>& out,
-                               const std::chrono::duration<Rep, Period>& value) const {
-      return out.pack_int64(value.count());
-    }
-  };
-
-  template <class Rep, class Period>
-  struct convert<std::chrono::duration<Rep, Period>> {
-    const msgpack::object& operator()(const msgpack::object& from,
-                                      std::chrono::duration<Rep, Period>& value) const {
-      value = std::chrono::duration<Rep, Period>(from.as<int64_t>());
-      return from;
-    }
-  };
-
-  }  // namespace adaptor
-}
-}  // namespace msgpack
-
 namespace bulrushway::msgpack_fields {
 
 /// Parses bytes. No array or string may claim more elements than there are bytes, so that a few
@@ -48,21 +28,99 @@
                          msgpack::unpack_limit(most, most, most, most, most, kDeepest));
 }
 
-/// Packs the fields of a value as one array.
-template <class Packer, class Tuple>
-void Pack(Packer& packer, const Tuple& fields) {
-  packer.pack_array(std::tuple_size_v<Tuple>);
-  std::apply([&packer](const auto&... field) { (packer.pack(field), ...); }, fields);
+template <class Value>
+concept has_fields = requires(Value& value) {
+  Fields(value, value);
+};
+
+template <class>
+struct is_duration : std::false_type {};
+template <class Rep, class Period>
+struct is_duration<std::chrono::duration<Rep, Period>> : std::true_type {};
+
+template <class Packer, class Element>
+void Write(Packer& packer, const std::vector<Element>& values);
+template <class Packer, class Element>
+void Write(Packer& packer, const std::optional<Element>& value);
+
+/// Writes a value: a struct as the array of its fields, an enumerator and a duration as an integer.
+template <class Packer, class Value>
+void Write(Packer& packer, const Value& value) {
+  if constexpr (has_fields<const Value>) {
+    const auto fields = Fields(value, value);
+    packer.pack_array(std::tuple_size_v<decltype(fields)>);
+    std::apply([&packer](const auto&... field) { (Write(packer, field), ...); }, fields);
+  } else if constexpr (std::is_enum_v<Value>) {
+    packer.pack(static_cast<uint32_t>(value));
+  } else if constexpr (is_duration<Value>::value) {
+    packer.pack_int64(value.count());
+  } else {
+    packer.pack(value);
+  }
+}
+
+template <class Packer, class Element>
+void Write(Packer& packer, const std::vector<Element>& values) {
+  packer.pack_array(static_cast<uint32_t>(values.size()));
+  for (const Element& value : values) Write(packer, value);
+}
+
+/// An optional value is an array of none or one.
+template <class Packer, class Element>
+void Write(Packer& packer, const std::optional<Element>& value) {
+  packer.pack_array(value ? 1 : 0);
+  if (value) Write(packer, *value);
+}
+
+template <class Element>
+void Read(const msgpack::object& from, std::vector<Element>& values);
+template <class Element>
+void Read(const msgpack::object& from, std::optional<Element>& value);
+
+/// Reads what Write wrote. Throws msgpack::type_error when it is anything else.
+template <class Value>
+void Read(const msgpack::object& from, Value& value) {
+  if constexpr (has_fields<Value>) {
+    auto fields = Fields(value, value);
+    constexpr size_t kCount = std::tuple_size_v<decltype(fields)>;
+    if (from.type != msgpack::type::ARRAY) throw msgpack::type_error();
+    if (from.via.array.size != kCount) throw msgpack::type_error();
+    const msgpack::object* element = from.via.array.ptr;
+    std::apply([&element](auto&... field) { (Read(*element++, field), ...); }, fields);
+  } else if constexpr (std::is_enum_v<Value>) {
+    const auto code = from.as<uint32_t>();
+    if (code > static_cast<uint32_t>(HighestOf(Value{}))) throw msgpack::type_error();
+    value = static_cast<Value>(code);
+  } else if constexpr (is_duration<Value>::value) {
+    value = Value(from.as<int64_t>());
+  } else {
+    from.convert(value);
+  }
 }
 
-/// Reads the fields of a value from an array of exactly as many elements. Throws
-/// msgpack::type_error, which the codec turns into an error.
-template <class Tuple>
-void Unpack(const msgpack::object& from, Tuple fields) {
+template <class Element>
+void Read(const msgpack::object& from, std::vector<Element>& values) {
   if (from.type != msgpack::type::ARRAY) throw msgpack::type_error();
-  if (from.via.array.size != std::tuple_size_v<Tuple>) throw msgpack::type_error();
-  const msgpack::object* element = from.via.array.ptr;
-  std::apply([&element](auto&... field) { ((element++)->convert(field), ...); }, fields);
+  values.resize(from.via.array.size);
+  for (size_t i = 0; i < values.size(); ++i) Read(from.via.array.ptr[i], values[i]);
+}
+
+template <class Element>
+void Read(const msgpack::object& from, std::optional<Element>& value) {
+  std::vector<Element> values;
+  Read(from, values);
+  if (values.size() > 1) throw msgpack::type_error();
+  value.reset();
+  if (!values.empty()) value = std::move(values.front());
+}
+
+/// The bytes of a value.
+template <class Value>
+std::string WriteAll(const Value& value) {
+  msgpack::sbuffer buffer;
+  msgpack::packer packer(buffer);
+  Write(packer, value);
+  return {buffer.data(), buffer.size()};
 }
 
 }  // namespace bulrushway::msgpack_fields
--- a/src/peer_codec.cpp
+++ b/src/peer_codec.cpp
@@ -5,78 +5,53 @@
 #include "msgpack_fields.h"
 
 namespace bulrushway {
-namespace {
 
-auto Fields(auto& m, const hello_message&) { return std::tie(m.node, m.data_centre, m.region); }
+static auto Fields(auto& m, const hello_message&) {
+  return std::tie(m.node, m.data_centre, m.region);
+}
 
-auto Fields(auto& m, const forward_request&) {
+static auto Fields(auto& m, const forward_request&) {
   return std::tie(m.id, m.request_id, m.service, m.tenant, m.key, m.idempotency_key, m.idempotent,
                   m.caller_attempt, m.first_sent, m.slice, m.time_left, m.configuration_version,
                   m.repeat, m.request.method, m.request.target, m.request.headers, m.request.body);
 }
 
-auto Fields(auto& m, const cancel_request&) { return std::tie(m.id); }
-
-auto Fields(auto& m, const control_message&) { return std::tie(m.bytes); }
+static auto Fields(auto& m, const forward_answer&) {
+  return std::tie(m.id, m.request_id, m.reason, m.state, m.retry_after, m.owner_hint,
+                  m.answer.status, m.answer.headers, m.answer.body);
+}
 
-auto Fields(auto& m, const document_request&) { return std::tie(m.hash); }
+static auto Fields(auto& m, const cancel_request&) { return std::tie(m.id); }
 
-auto Fields(auto& m, const document_answer&) { return std::tie(m.hash, m.found, m.bytes); }
+static auto Fields(auto& m, const control_message&) { return std::tie(m.bytes); }
 
-auto Fields(auto& m, const freshness_request&) { return std::tie(m.sequence); }
+static auto Fields(auto& m, const document_request&) { return std::tie(m.hash); }
 
-auto Fields(auto& m, const freshness_answer&) { return std::tie(m.sequence, m.version, m.age); }
+static auto Fields(auto& m, const document_answer&) { return std::tie(m.hash, m.found, m.bytes); }
 
-// The answer's enumerators pass through plain integers.
-struct answer_codes {
-  uint32_t reason = 0;
-  uint32_t state = 0;
-};
+static auto Fields(auto& m, const freshness_request&) { return std::tie(m.sequence); }
 
-auto AnswerFields(auto& m, auto& codes) {
-  return std::tie(m.id, m.request_id, codes.reason, codes.state, m.retry_after, m.owner_hint,
-                  m.answer.status, m.answer.headers, m.answer.body);
+static auto Fields(auto& m, const freshness_answer&) {
+  return std::tie(m.sequence, m.version, m.age);
 }
 
-template <class Packer, class Message>
-void PackMessage(Packer& packer, const Message& message) {
-  msgpack_fields::Pack(packer, Fields(message, message));
+static constexpr auto HighestOf(refusal_reason) {
+  return static_cast<refusal_reason>(static_cast<int>(refusal_reason::kCount) - 1);
 }
 
-template <class Packer>
-void PackMessage(Packer& packer, const forward_answer& message) {
-  const answer_codes codes{static_cast<uint32_t>(message.reason),
-                           static_cast<uint32_t>(message.state)};
-  msgpack_fields::Pack(packer, AnswerFields(message, codes));
-}
-
-template <class Message>
-Message UnpackMessage(const msgpack::object& from) {
-  Message message;
-  msgpack_fields::Unpack(from, Fields(message, message));
-  return message;
-}
+static constexpr auto HighestOf(run_state) { return run_state::kUnknown; }
 
-template <>
-forward_answer UnpackMessage<forward_answer>(const msgpack::object& from) {
-  forward_answer message;
-  answer_codes codes;
-  msgpack_fields::Unpack(from, AnswerFields(message, codes));
-  if (codes.reason >= static_cast<uint32_t>(refusal_reason::kCount)) throw msgpack::type_error();
-  if (codes.state > static_cast<uint32_t>(run_state::kUnknown)) throw msgpack::type_error();
-  message.reason = static_cast<refusal_reason>(codes.reason);
-  message.state = static_cast<run_state>(codes.state);
-  return message;
-}
+namespace {
 
 template <size_t Index = 0>
-peer_message UnpackAny(uint32_t type, const msgpack::object& from) {
+peer_message ReadAny(uint32_t type, const msgpack::object& from) {
   if constexpr (Index == std::variant_size_v<peer_message>) {
     throw msgpack::type_error();
   } else {
-    using message = std::variant_alternative_t<Index, peer_message>;
-    if (type == Index) return UnpackMessage<message>(from);
-    return UnpackAny<Index + 1>(type, from);
+    if (type != Index) return ReadAny<Index + 1>(type, from);
+    std::variant_alternative_t<Index, peer_message> message;
+    msgpack_fields::Read(from, message);
+    return message;
   }
 }
 
@@ -89,7 +64,7 @@
   packer.pack_array(3);
   packer.pack(kPeerProtocolVersion);
   packer.pack(static_cast<uint32_t>(message.index()));
-  std::visit([&packer](const auto& m) { PackMessage(packer, m); }, message);
+  std::visit([&packer](const auto& m) { msgpack_fields::Write(packer, m); }, message);
   std::string frame(buffer.data(), buffer.size());
   const size_t length = frame.size() - kFrameHeaderSize;
   for (size_t i = 0; i < kFrameHeaderSize; ++i) {
@@ -128,7 +103,7 @@
     if (type >= std::variant_size_v<peer_message>) {
       return fail("The frame has the unknown message type " + std::to_string(type) + ".");
     }
-    return UnpackAny(type, frame.via.array.ptr[2]);
+    return ReadAny(type, frame.via.array.ptr[2]);
   } catch (const std::exception& broken) {
     return fail(std::string("The frame of ") + std::to_string(body.size()) +
                 " bytes is not a whole message: " + broken.what() + ".");
--- a/test/support/test_fleet.cpp
+++ b/test/support/test_fleet.cpp
@@ -78,7 +78,7 @@
 test_fleet::~test_fleet() = default;
 
 void test_fleet::StartNode(const node_plan& plan) {
-  node& started = nodes_[plan.name];
+  node_state& started = nodes_[plan.name];
   started.plan = plan;
   started.http = FreeAddress();
   started.peer = FreeAddress();
@@ -100,7 +100,7 @@
 }
 
 void test_fleet::RestartDaemon(const std::string& name) {
-  node& restarted = nodes_.at(name);
+  node_state& restarted = nodes_.at(name);
   RestartTarget(name);
   restarted.daemon = std::make_unique<child_process>(
       Program("bulrushd"),
@@ -109,7 +109,7 @@
 }
 
 void test_fleet::RestartTarget(const std::string& name) {
-  node& restarted = nodes_.at(name);
+  node_state& restarted = nodes_.at(name);
   if (restarted.target != nullptr && restarted.target->Running()) return;
   restarted.target = std::make_unique<child_process>(
       Program("standin_target"),
--- a/test/support/test_fleet.h
+++ b/test/support/test_fleet.h
@@ -86,7 +86,7 @@
   std::vector<std::string> Nodes() const;
 
  private:
-  struct node {
+  struct node_state {
     node_plan plan;
     socket_address http;
     socket_address peer;
@@ -101,7 +101,7 @@
   http_client client_;
   socket_address platform_address_;
   std::unique_ptr<child_process> platform_;
-  std::map<std::string, node> nodes_;
+  std::map<std::string, node_state> nodes_;
 };
 
 /// A loopback address whose port is free for TCP and UDP.
