--- /dev/null
+++ b/fuzz/ini_fuzz.cpp
@@ -0,0 +1,82 @@
+// Feeds arbitrary text to the readers of settings, inventory, rules and heads, and to the edits of
+// rules.
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "configuration_diff.h"
+#include "configuration_head.h"
+#include "configuration_parser.h"
+#include "daemon_settings.h"
+#include "rules_edit.h"
+
+namespace {
+
+using bulrushway::configuration_texts;
+using bulrushway::ParseConfiguration;
+
+constexpr std::chrono::sys_seconds kNow{std::chrono::seconds(1'800'000'000)};
+constexpr std::string_view kInventory =
+    "[region lima]\ndata_centres = lima-a, lima-b\n[service s]\nkind = keyed\n"
+    "[upstream u]\nservice = s\ndata_centre = lima-a\n";
+
+// Each error of the readers is a user error with a place.
+template <class Checked>
+void RequireUserErrors(const Checked& outcome) {
+  if (outcome) return;
+  if (outcome.error().empty()) __builtin_trap();
+  for (const bulrushway::error& one : outcome.error()) {
+    if (one.kind != bulrushway::error_kind::kUser || one.peer.empty()) __builtin_trap();
+  }
+}
+
+void ReadAsInventory(const std::string& text) {
+  configuration_texts texts;
+  texts.inventory = text;
+  const auto outcome = ParseConfiguration(texts, kNow);
+  RequireUserErrors(outcome);
+  if (outcome && !bulrushway::Diff(outcome->value, outcome->value).empty()) __builtin_trap();
+}
+
+// Rules that are valid stay valid when a data centre goes out and back.
+void ReadAndEditAsRules(const std::string& text) {
+  configuration_texts texts;
+  texts.inventory = kInventory;
+  texts.rules = text;
+  const auto outcome = ParseConfiguration(texts, kNow);
+  RequireUserErrors(outcome);
+  if (!outcome || outcome->value.rules.IsOut("lima-b")) return;
+  const auto out = bulrushway::TakeDataCentreOut(text, "lima-b");
+  if (!out) __builtin_trap();
+  texts.rules = *out;
+  const auto after = ParseConfiguration(texts, kNow);
+  if (!after || !after->value.rules.IsOut("lima-b")) __builtin_trap();
+  texts.rules = bulrushway::BringDataCentreBack(*out, "lima-b").value_or("[");
+  const auto back = ParseConfiguration(texts, kNow);
+  if (!back || !bulrushway::Diff(back->value, outcome->value).empty()) __builtin_trap();
+  const auto stopped = bulrushway::AddPlannedStop(text, "u", kNow, std::nullopt);
+  if (!stopped) __builtin_trap();
+  texts.rules = *stopped;
+  const auto drained = ParseConfiguration(texts, kNow);
+  if (!drained || !bulrushway::StopInForce(drained->value.rules, "u", kNow)) __builtin_trap();
+}
+
+void ReadAsHead(const std::string& text) {
+  const auto head = bulrushway::DecodeHead(text, "fuzzer");
+  if (!head || head->format > bulrushway::kHeadFormat) return;
+  const auto again = bulrushway::DecodeHead(bulrushway::Encode(*head), "fuzzer");
+  if (!again || *again != *head) __builtin_trap();
+  (void)bulrushway::Describe(*head);
+}
+
+}  // namespace
+
+extern "C" int LLVMFuzzerTestOneInput(const uint8_t* data, size_t size) {
+  const std::string text(reinterpret_cast<const char*>(data), size);
+  RequireUserErrors(bulrushway::ParseDaemonSettings("node.ini", text));
+  ReadAsInventory(text);
+  ReadAndEditAsRules(text);
+  ReadAsHead(text);
+  return 0;
+}
