--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -36,12 +36,14 @@
   }
 }
 
-entry_settings MakeEntrySettings(const daemon_settings& settings) {
+entry_settings MakeEntrySettings(const daemon_settings& settings, any_picker picker, bool hedge) {
   entry_settings made;
   made.node = settings.node.name;
   made.place = {settings.node.region, settings.node.data_centre};
   made.deadlines = {settings.limits.default_deadline, settings.limits.max_deadline};
   made.max_body = settings.limits.max_body;
+  made.picker = picker;
+  made.hedge = hedge;
   return made;
 }
 
@@ -55,7 +57,7 @@
 
 }  // namespace
 
-daemon::daemon(daemon_settings settings, uint64_t seed)
+daemon::daemon(daemon_settings settings, any_picker picker, bool hedge, uint64_t seed)
     : settings_(std::move(settings)),
       log_(settings_.node.name, settings_.log.file.value_or(""), ToEventLevel(settings_.log.level)),
       platform_client_(loop_, kPlatformConnections),
@@ -70,10 +72,10 @@
                  {settings_.node.name, settings_.node.data_centre, settings_.node.region}),
       membership_(loop_, log_, metrics_, table_, forwarder_, MakeAnnouncement(), settings_.seeds,
                   seed),
-      configuration_(loop_, log_, table_, membership_, rules_, seed),
+      configuration_(loop_, log_, table_, forwarder_, transport_, membership_, rules_, seed),
       gate_(loop_, metrics_, MakeGateSettings(settings_), MakeGatePorts()),
-      entry_(loop_, metrics_, MakeEntrySettings(settings_), MakeEntryPorts(), membership_.Known(),
-             forwarder_, gate_, seed),
+      entry_(loop_, metrics_, MakeEntrySettings(settings_, picker, hedge), MakeEntryPorts(),
+             membership_.Known(), forwarder_, gate_, seed),
       http_(loop_, {settings_.limits.max_body},
             [this](std::shared_ptr<http_exchange> exchange) { OnExchange(std::move(exchange)); }),
       tick_(loop_, [this](instant now) { Tick(now); }) {
@@ -171,6 +173,7 @@
   ports.quarantined = [this](instant, uint64_t fingerprint) {
     log_.Write(event_id::kRequestQuarantined, {{"fingerprint", std::to_string(fingerprint)}});
   };
+  ports.suspects_changed = [this](instant now) { PublishSuspects(now); };
   return ports;
 }
 
@@ -205,14 +208,38 @@
     for (const slice_number slice : slices) gate_.LoseSlice(slice);
   };
   ports.in_flight = [this](slice_number slice) { return gate_.InFlight(slice); };
-  ports.item = [this](instant now, const gossip_item& item) { configuration_.OnItem(now, item); };
+  ports.item = [this](instant now, const gossip_item& item) { OnItem(now, item); };
   return ports;
 }
 
-std::optional<gate_refusal> daemon::CheckRules(instant, const forward_request& request) const {
+void daemon::PublishSuspects(instant now) {
+  const auto version =
+      std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch());
+  for (const poison_entry& entry : gate_.poison().Export(settings_.node.region, now)) {
+    // Gossip reaches all regions, so what is bound to some of them stays at this process.
+    if (!entry.home_regions.empty()) continue;
+    membership_.Publish(now, {static_cast<uint8_t>(gossip_kind::kQuarantine),
+                              settings_.node.name + "/" + std::to_string(entry.fingerprint),
+                              static_cast<uint64_t>(version.count()), Encode(entry)});
+  }
+}
+
+void daemon::OnItem(instant now, const gossip_item& item) {
+  if (item.kind != static_cast<uint8_t>(gossip_kind::kQuarantine)) {
+    return configuration_.OnItem(now, item);
+  }
+  const auto entry = DecodePoison(item.payload);
+  if (!entry) return log_.Write(event_id::kBadDatagram, entry.error());
+  gate_.poison().Merge(*entry, now);
+}
+
+std::optional<gate_refusal> daemon::CheckRules(instant now, const forward_request& request) const {
   if (!rules_.Configured()) {
     return gate_refusal{refusal_reason::kNoConfiguration, kRetryLater, {}};
   }
+  if (configuration_.TooStale(now)) {
+    return gate_refusal{refusal_reason::kStaleRules, kRetryLater, {}};
+  }
   if (request.service != settings_.node.service) {
     return gate_refusal{refusal_reason::kUnknownService, {}, {}};
   }
@@ -265,7 +292,9 @@
     incoming_.erase(found);
     gate_.Cancel(now, ticket);
   } else if (const auto* control = std::get_if<control_message>(&message)) {
-    membership_.OnControl(now, control->bytes, std::to_string(from));
+    membership_.OnControl(now, control->bytes, transport_.PeerAddress(from));
+  } else {
+    configuration_.OnMessage(now, from, message);
   }
 }
 
--- a/standins/common/load_plan.h
+++ b/standins/common/load_plan.h
@@ -13,7 +13,7 @@
 
 #include "error.h"
 
-namespace bulrushway {
+namespace bulrushway::standin {
 
 /// One service's part in the load.
 struct load_service {
@@ -33,6 +33,8 @@
   /// Requests a second, with exponential intervals.
   double rate = 100;
   std::chrono::milliseconds duration{10000};
+  /// Deadline of each request, from the planned send time.
+  std::chrono::milliseconds deadline{1000};
   uint64_t keys = 100;
   /// Exponent of the Zipf distribution of keys; 0 for a uniform one.
   double zipf = 0;
@@ -86,6 +88,6 @@
   std::vector<planned_request> repeats_;
 };
 
-}  // namespace bulrushway
+}  // namespace bulrushway::standin
 
 #endif  // BULRUSHWAY_LOAD_PLAN_H
--- a/standins/common/target_reports.cpp
+++ b/standins/common/target_reports.cpp
@@ -4,7 +4,7 @@
 
 #include "target_server.h"
 
-namespace bulrushway {
+namespace bulrushway::standin {
 namespace {
 
 using json = nlohmann::json;
@@ -102,6 +102,7 @@
               {"boot_id", settings_.boot_id},
               {"executions", executions_.Total()},
               {"double", executions_.Doubles()},
+              {"arrivals", counters_.arrivals},
               {"done", counters_.done},
               {"cancelled", counters_.cancelled},
               {"shed", counters_.shed},
@@ -123,4 +124,4 @@
   std::erase_if(unanswered_, [](const exchange& caller) { return caller->Finished(); });
 }
 
-}  // namespace bulrushway
+}  // namespace bulrushway::standin
--- a/standins/common/target_server.cpp
+++ b/standins/common/target_server.cpp
@@ -5,7 +5,7 @@
 
 #include "answer_text.h"
 
-namespace bulrushway {
+namespace bulrushway::standin {
 namespace {
 
 constexpr http_limits kLimits{4 << 20, 16 << 10, std::chrono::seconds{60}};
@@ -44,6 +44,7 @@
   const instant now = boot_clock::now();
   const std::string path = PathOf(caller->request().target);
   if (path.starts_with("/-/")) return HandleControl(caller, path, now);
+  ++counters_.arrivals;
   const socket_address peer = caller->Peer();
   seen_.insert(peer);
   if (silent_.contains(peer)) {
@@ -124,7 +125,9 @@
   const auto plain = times_.Draw(running_, now);
   const auto time =
       std::chrono::duration_cast<std::chrono::nanoseconds>(plain * SlowdownNow(faults_, now));
-  delayed_.At(now + time, [this, work](instant later) { Finish(work, later); });
+  // The work stops at the deadline, since nobody waits for it any more.
+  const instant end = std::min(now + time, request.deadline.value_or(instant::max()));
+  delayed_.At(end, [this, work](instant later) { Finish(work, later); });
 }
 
 void target_server::Finish(const job_pointer& work, instant now) {
@@ -189,4 +192,4 @@
   return answer;
 }
 
-}  // namespace bulrushway
+}  // namespace bulrushway::standin
--- a/standins/common/target_server.h
+++ b/standins/common/target_server.h
@@ -19,7 +19,7 @@
 #include "target_faults.h"
 #include "target_request.h"
 
-namespace bulrushway {
+namespace bulrushway::standin {
 
 /// Settings of a target's stand-in.
 struct target_settings {
@@ -57,6 +57,7 @@
     uint64_t waiting = 0;
   };
   struct counters {
+    uint64_t arrivals = 0;
     uint64_t done = 0;
     uint64_t cancelled = 0;
     uint64_t shed = 0;
@@ -108,6 +109,6 @@
   std::unique_ptr<http_server> server_;
 };
 
-}  // namespace bulrushway
+}  // namespace bulrushway::standin
 
 #endif  // BULRUSHWAY_TARGET_SERVER_H
--- a/standins/load.cpp
+++ b/standins/load.cpp
@@ -29,16 +29,17 @@
 DEFINE_uint64(seed, 1, "seed of the plan");
 DEFINE_string(json, "", "file for the report as JSON; - prints it in place of the table");
 
+namespace bulrushway::standin {
 namespace {
 
-bulrushway::load_settings PlanSettings() {
-  using namespace bulrushway;
+load_settings PlanSettings() {
   load_settings settings;
   auto services = ParseLoadServices(FLAGS_services);
   if (!services) Exit(services.error());
   settings.services = std::move(*services);
   settings.rate = FLAGS_rate;
   settings.duration = std::chrono::milliseconds{static_cast<int64_t>(FLAGS_duration_s * 1000)};
+  settings.deadline = std::chrono::milliseconds{FLAGS_deadline_ms};
   settings.keys = FLAGS_keys;
   settings.zipf = FLAGS_zipf;
   settings.tenants = FLAGS_tenants;
@@ -50,16 +51,12 @@
   return settings;
 }
 
-}  // namespace
-
-int main(int argc, char** argv) {
-  using namespace bulrushway;
+int Run(int argc, char** argv) {
   gflags::SetUsageMessage("open loop of requests, checked against their answers");
   gflags::ParseCommandLineFlags(&argc, &argv, true);
   load_client_settings settings;
   settings.entries = AddressesOrExit(FLAGS_entries);
   settings.targets = AddressesOrExit(FLAGS_targets);
-  settings.deadline = std::chrono::milliseconds{FLAGS_deadline_ms};
   settings.window = std::chrono::milliseconds{FLAGS_window_ms};
   settings.connections = FLAGS_connections;
   settings.body_bytes = FLAGS_body_bytes;
@@ -75,3 +72,8 @@
   std::fputs(ReportAsTable(client.Report(), client.SenderFigures()).c_str(), stdout);
   return 0;
 }
+
+}  // namespace
+}  // namespace bulrushway::standin
+
+int main(int argc, char** argv) { return bulrushway::standin::Run(argc, argv); }
