--- a/programs/bulrushctl.cpp
+++ b/programs/bulrushctl.cpp
@@ -12,6 +12,8 @@
 DEFINE_bool(json, false, "print JSON");
 DEFINE_string(author, "", "who makes the change; the user's name when empty");
 DEFINE_string(note, "", "why, for the history");
+DEFINE_string(inventory, "", "inventory file, in place of DIR/inventory.ini");
+DEFINE_string(rules, "", "rules file, in place of DIR/rules.ini");
 DEFINE_string(base, "", "the version that the files were edited at");
 DEFINE_string(tenant, "", "tenant of the key, for owner");
 DEFINE_string(from, "", "begin of a stop, UTC, such as '2027-03-14 06:30'; now when empty");
@@ -73,6 +75,8 @@
   options.json = FLAGS_json;
   options.author = Author();
   options.note = FLAGS_note;
+  options.inventory_file = FLAGS_inventory;
+  options.rules_file = FLAGS_rules;
   options.base = FLAGS_base;
   options.tenant = FLAGS_tenant;
   options.from = FLAGS_from;
--- a/src/ctl_commit.cpp
+++ b/src/ctl_commit.cpp
@@ -160,13 +160,36 @@
   }
 }
 
+namespace {
+
+// The version that the edit was made from; it is not the newest if somebody was faster.
+result<stored_configuration> ReadBase(ctl_session& session, const stored_configuration& current,
+                                      uint64_t base_version) {
+  if (base_version == current.at.version()) return current;
+  if (base_version == 0) return stored_configuration{};
+  return session.ReadVersion(base_version);
+}
+
+// Shows in detail what the newest version has that the operator's base had not.
+void ShowMeanwhile(ctl_session& session, const configuration& base) {
+  const auto newest = session.ReadCurrent();
+  if (!newest) return;
+  const auto value = ParseStored(*newest);
+  if (!value || session.options().json) return;
+  session.Print("Changed meanwhile:\n" + ToText(Diff(base, value->value)));
+}
+
+}  // namespace
+
 ctl_exit CommitEdit(ctl_session& session, const stored_configuration& current,
                     const ctl_edit& edit) {
   const auto after = ParseConfiguration(edit.texts, UtcNow());
   if (!after) return ReportErrors(session, after.error());
   ReportWarnings(session, after->warnings);
+  const auto base = ReadBase(session, current, edit.base_version);
+  if (!base) return ReportFailure(session, base.error());
   // A stored version that this program cannot read is no reason to refuse its successor.
-  const configuration before = ParseStored(current).value_or(checked_configuration{}).value;
+  const configuration before = ParseStored(*base).value_or(checked_configuration{}).value;
   const std::vector<error> impossible =
       CheckChange(before, after->value, edit.texts.inventory_file);
   if (!impossible.empty()) return ReportErrors(session, impossible);
@@ -182,6 +205,7 @@
     }
   }
   PrintOutcome(session, outcome, diff, after->warnings, reached);
+  if (outcome.state == apply_state::kConflict) ShowMeanwhile(session, before);
   return ExitOf(outcome, reached);
 }
 
--- a/src/ctl_configuration.cpp
+++ b/src/ctl_configuration.cpp
@@ -24,18 +24,41 @@
   return (std::filesystem::path(folder) / file).string();
 }
 
-checked<configuration_texts> ReadTexts(const std::string& folder) {
+// The folder of the command line; empty when files are named by flags.
+std::string FolderOf(const ctl_arguments& arguments) {
+  return arguments.empty() ? std::string() : arguments.front();
+}
+
+// Reads one document: from the file that a flag names, else from the folder, else the stored one.
+std::string ReadDocument(const std::string& named, const std::string& folder, std::string_view file,
+                         const std::string& stored, std::string& place,
+                         std::vector<error>& errors) {
+  if (named.empty() && folder.empty()) {
+    place = "stored " + std::string(file);
+    return stored;
+  }
+  place = named.empty() ? PathIn(folder, file) : named;
+  const result<std::string> text = ReadTextFile(place);
+  if (text) return *text;
+  errors.push_back(text.error());
+  return {};
+}
+
+checked<configuration_texts> ReadTexts(const ctl_session& session, const ctl_arguments& arguments,
+                                       const stored_configuration& stored) {
+  const ctl_options& options = session.options();
+  const std::string folder = FolderOf(arguments);
   configuration_texts texts;
-  texts.inventory_file = PathIn(folder, kInventoryFile);
-  texts.rules_file = PathIn(folder, kRulesFile);
-  const result<std::string> inventory = ReadTextFile(texts.inventory_file);
-  const result<std::string> rules = ReadTextFile(texts.rules_file);
   std::vector<error> errors;
-  if (!inventory) errors.push_back(inventory.error());
-  if (!rules) errors.push_back(rules.error());
+  if (folder.empty() && options.inventory_file.empty() && options.rules_file.empty()) {
+    errors.push_back({error_kind::kUser, "read files", "",
+                      "Name a folder, or files with --inventory FILE and --rules FILE."});
+  }
+  texts.inventory = ReadDocument(options.inventory_file, folder, kInventoryFile, stored.inventory,
+                                 texts.inventory_file, errors);
+  texts.rules =
+      ReadDocument(options.rules_file, folder, kRulesFile, stored.rules, texts.rules_file, errors);
   if (!errors.empty()) return tl::unexpected<std::vector<error>>(std::move(errors));
-  texts.inventory = *inventory;
-  texts.rules = *rules;
   return texts;
 }
 
@@ -54,10 +77,12 @@
   return Failure(error_kind::kUser, "read version", "", "The version " + version.error());
 }
 
-// The version that the files in `folder` were edited at.
+// The version that the files were edited at. Files outside a folder are edits of the newest
+// version.
 result<uint64_t> BaseOf(const ctl_options& options, const std::string& folder,
                         const stored_configuration& current) {
   if (!options.base.empty()) return ParseVersion(options.base);
+  if (folder.empty()) return current.at.version();
   const std::string path = PathIn(folder, kVersionFile);
   if (const result<std::string> text = ReadTextFile(path)) {
     return ParseVersion(text->substr(0, text->find('\n')));
@@ -93,7 +118,7 @@
 }  // namespace
 
 ctl_exit CtlCheck(ctl_session& session, const ctl_arguments& arguments) {
-  const auto texts = ReadTexts(arguments[0]);
+  const auto texts = ReadTexts(session, arguments, {});
   if (!texts) return ReportErrors(session, texts.error());
   const auto outcome = ParseConfiguration(*texts, UtcNow());
   if (!outcome) return ReportErrors(session, outcome.error());
@@ -145,27 +170,25 @@
     if (!after) return ReportFailure(session, after.error());
     return ShowDiff(session, ParseStored(*before), ParseStored(*after));
   }
-  const auto texts = ReadTexts(arguments[0]);
-  if (!texts) return ReportErrors(session, texts.error());
   const auto current = session.ReadCurrent();
   if (!current) return ReportFailure(session, current.error());
+  const auto texts = ReadTexts(session, arguments, *current);
+  if (!texts) return ReportErrors(session, texts.error());
   return ShowDiff(session, ParseStored(*current), ParseConfiguration(*texts, UtcNow()));
 }
 
 ctl_exit CtlApply(ctl_session& session, const ctl_arguments& arguments) {
-  const std::string& folder = arguments[0];
-  const auto texts = ReadTexts(folder);
-  if (!texts) return ReportErrors(session, texts.error());
-  const auto valid = ParseConfiguration(*texts, UtcNow());
-  if (!valid) return ReportErrors(session, valid.error());
+  const std::string folder = FolderOf(arguments);
   const auto current = session.ReadCurrent();
   if (!current) return ReportFailure(session, current.error());
+  const auto texts = ReadTexts(session, arguments, *current);
+  if (!texts) return ReportErrors(session, texts.error());
   const result<uint64_t> base = BaseOf(session.options(), folder, *current);
   if (!base) return ReportFailure(session, base.error());
   const ctl_exit outcome = CommitEdit(session, *current, {*texts, *base, ""});
   const std::string path = PathIn(folder, kVersionFile);
   // Files that were exported stay in step, so that the next edit begins at this version.
-  if (outcome == ctl_exit::kOk && std::filesystem::exists(path)) {
+  if (outcome == ctl_exit::kOk && !folder.empty() && std::filesystem::exists(path)) {
     const result<void> written = WriteTextFile(path, std::to_string(*base + 1) + "\n");
     if (!written) session.PrintError(ToString(written.error()));
   }
--- a/src/ctl_session.h
+++ b/src/ctl_session.h
@@ -43,6 +43,9 @@
   std::string author;
   /// Why, for the history.
   std::string note;
+  /// Files for apply, diff and check instead of a folder's; empty: the stored document.
+  std::string inventory_file;
+  std::string rules_file;
   /// Version that the files were edited at; empty: as written by export.
   std::string base;
   /// Tenant of the key asked for.
--- a/src/ctl_verbs.cpp
+++ b/src/ctl_verbs.cpp
@@ -22,13 +22,13 @@
 };
 
 constexpr std::array<verb, 16> kVerbs = {{
-    {"check", "DIR", 1, 1, need::kNothing, CtlCheck,
+    {"check", "[DIR]", 0, 1, need::kNothing, CtlCheck,
      "check DIR/inventory.ini and DIR/rules.ini; all errors and warnings"},
     {"export", "DIR [VERSION]", 1, 2, need::kPlatform, CtlExport,
      "write a version's files into DIR, to be edited"},
-    {"diff", "DIR | VERSION VERSION", 1, 2, need::kPlatform, CtlDiff,
+    {"diff", "[DIR] | VERSION VERSION", 0, 2, need::kPlatform, CtlDiff,
      "what applying DIR would change, or what two versions differ in"},
-    {"apply", "DIR", 1, 1, need::kPlatform, CtlApply,
+    {"apply", "[DIR]", 0, 1, need::kPlatform, CtlApply,
      "check DIR, show the difference, and put it in force as a new version"},
     {"rollback", "VERSION", 1, 1, need::kPlatform, CtlRollback,
      "put an earlier version in force again, as a new version"},
@@ -98,6 +98,9 @@
       "them\n"
       "  --json                         print JSON\n"
       "  --author NAME, --note TEXT     who and why, for the history\n"
+      "  --inventory FILE, --rules FILE  files to check, diff or apply in place of DIR's; one that "
+      "is\n"
+      "                                 left out is taken from the newest version\n"
       "  --base VERSION                 the version that the files of DIR were edited at\n"
       "  --from TIME, --until TIME      UTC, such as '2027-03-14 06:30'\n"
       "  --wait '5 s'                   after a change, wait until each node has it in force\n"
