--- a/src/custody.cpp
+++ b/src/custody.cpp
@@ -46,7 +46,8 @@
 }
 
 std::optional<custodian> HolderOf(const slice_layout& layout, const term_outcomes& outcomes,
-                                  const term_record& record, slice_number slice) {
+                                  const term_record& record, slice_number slice,
+                                  const passed_members& passed) {
   const std::optional<uint64_t> listed = EpochOf(record, slice);
   if (!listed) return std::nullopt;
   uint64_t epoch = *listed;
@@ -56,7 +57,8 @@
       member = {next->id, next->region, next->witnesses};
       if (later && *later >= epoch) return custodian{member, *later, true};
     }
-    if (!outcomes.Gone(member.term)) return custodian{member, epoch, false};
+    const bool over = outcomes.Gone(member.term) || passed.contains({member.term, slice});
+    if (!over) return custodian{member, epoch, false};
     ++epoch;
   }
   return std::nullopt;
--- a/src/custody.h
+++ b/src/custody.h
@@ -51,9 +51,13 @@
   bool recorded_elsewhere = false;
 };
 
-/// The holder of the slice, or none when every member of the chain is gone.
+/// Members that were passed over for single slices of a record, see inheritance::PassOver.
+using passed_members = std::set<std::pair<term_id, slice_number>>;
+
+/// The holder of the slice, or none when every member of the chain is gone or passed over.
 std::optional<custodian> HolderOf(const slice_layout& layout, const term_outcomes& outcomes,
-                                  const term_record& record, slice_number slice);
+                                  const term_record& record, slice_number slice,
+                                  const passed_members& passed = {});
 
 }  // namespace bulrushway
 
--- a/src/inheritance.cpp
+++ b/src/inheritance.cpp
@@ -100,7 +100,7 @@
                                std::vector<slice_epoch>& taken, outbox& out) {
   known.orphans.clear();
   for (const slice_epoch& listed : known.record.slices) {
-    const std::optional<custodian> found = HolderOf(layout_, outcomes, known.record, listed.slice);
+    const std::optional<custodian> found = HolderOf(layout_, outcomes, known.record, listed.slice, known.passed);
     if (!found) {
       known.orphans.push_back(listed.slice);
     } else if (found->recorded_elsewhere) {
@@ -149,7 +149,7 @@
     if (!known.active && known.record.predecessor != 0) continue;
     const bool all = std::all_of(
         known.record.slices.begin(), known.record.slices.end(), [&](const slice_epoch& listed) {
-          const auto found = HolderOf(layout_, outcomes, known.record, listed.slice);
+          const auto found = HolderOf(layout_, outcomes, known.record, listed.slice, known.passed);
           if (!found) return false;
           if (found->recorded_elsewhere) return true;
           return Mine(own, found->holder) && recorded({listed.slice, found->epoch});
@@ -181,6 +181,23 @@
                      [&](slice_number slice) { return SliceAllowed(layout_, slice, region); });
 }
 
+void inheritance::PassOver(const term_id& ended, const std::vector<term_record>& rows) {
+  std::set<term_id> present;
+  for (const term_record& row : rows) present.insert(row.id);
+  std::erase_if(entries_, [&](const auto& item) { return !present.contains(item.first); });
+  for (auto& [term, known] : entries_) {
+    for (const slice_epoch& listed : known.record.slices) {
+      // A receiver records the very epoch that the giver listed, an heir a later one.
+      const bool given = GiftOf(known.record, listed.slice) != nullptr;
+      const uint64_t taken_epoch = given ? listed.epoch : listed.epoch + 1;
+      const bool taken = std::any_of(rows.begin(), rows.end(), [&](const term_record& row) {
+        return row.id != term && EpochOf(row, listed.slice).value_or(0) >= taken_epoch;
+      });
+      if (!taken) known.passed.insert({ended, listed.slice});
+    }
+  }
+}
+
 void inheritance::Refresh(const term_record& record) {
   const auto found = entries_.find(record.id);
   if (found == entries_.end()) return;
--- a/src/ownership_core_terms.cpp
+++ b/src/ownership_core_terms.cpp
@@ -206,7 +206,8 @@
 bool ownership_core::PlacementIsStale() const {
   const term_record& active = *tenure_.Active();
   if (ChooseWitnesses(settings_, members_, active.witnesses) != active.witnesses) return true;
-  return ChooseHeirs(settings_, members_, active.heirs) != active.heirs;
+  const std::vector<heir> chosen = ChooseHeirs(settings_, members_, active.heirs);
+  return !SameProcesses(chosen, active.heirs, members_);
 }
 
 term_record ownership_core::ComposeTerm(uint64_t number) const {
@@ -221,6 +222,7 @@
   record.predecessor = active.id.number;
   record.predecessor_witnesses = active.witnesses;
   record.first_number = first_number_;
+  record.ended_number = startup_.EndedNumber();
   handover_.Compose(held_, record);
   return record;
 }
--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -126,16 +126,26 @@
     if (!TakeFirst(candidates, chosen, [](const member*) { return true; })) break;
   }
   std::vector<heir> heirs;
-  for (const member* other : chosen) {
-    const auto same = std::find_if(current.begin(), current.end(), [&](const heir& entry) {
-      return entry.term.node == other->node && entry.term.number >= other->first_number;
-    });
-    heirs.push_back(same != current.end() ? *same : AsHeir(*other));
-  }
+  for (const member* other : chosen) heirs.push_back(AsHeir(*other));
   std::sort(heirs.begin(), heirs.end());
   return heirs;
 }
 
+bool SameProcesses(const std::vector<heir>& chosen, const std::vector<heir>& current,
+                   const std::vector<member>& members) {
+  if (chosen.size() != current.size()) return false;
+  return std::all_of(chosen.begin(), chosen.end(), [&](const heir& entry) {
+    const auto listed = std::find_if(current.begin(), current.end(), [&](const heir& other) {
+      return other.term.node == entry.term.node;
+    });
+    const auto node = std::find_if(members.begin(), members.end(), [&](const member& other) {
+      return other.node == entry.term.node;
+    });
+    if (listed == current.end() || node == members.end()) return false;
+    return listed->term.number >= node->first_number;
+  });
+}
+
 double FairShare(const slice_layout& layout, const std::vector<member>& members,
                  const member& node) {
   if (!MayOwn(node, node.service)) return 0;
--- a/src/placement.h
+++ b/src/placement.h
@@ -24,8 +24,8 @@
                                        const std::vector<member>& members,
                                        const std::vector<node_name>& current);
 
-/// Heirs: at least two in the own region, none in the own rack if possible. Heirs of `current` that
-/// are still members with the same process are kept.
+/// Heirs: at least two in the own region, none in the own rack if possible. Nodes of `current` that
+/// are still members are kept, with their latest terms.
 std::vector<heir> ChooseHeirs(const ownership_settings& self, const std::vector<member>& members,
                               const std::vector<heir>& current);
 
@@ -51,6 +51,10 @@
                                         const std::vector<member>& members, const node_name& giver,
                                         const std::vector<slice_number>& slices);
 
+/// Whether the two lists name the same processes, whatever their terms.
+bool SameProcesses(const std::vector<heir>& chosen, const std::vector<heir>& current,
+                   const std::vector<member>& members);
+
 /// The member as an heir or receiver.
 heir AsHeir(const member& node);
 
--- a/src/recovery.cpp
+++ b/src/recovery.cpp
@@ -13,7 +13,11 @@
 constexpr std::chrono::milliseconds kForwardInterval{1000};
 /// Work without an answer from the table is given up after this long.
 constexpr std::chrono::milliseconds kWorkTimeout{3000};
+/// The pause doubles after so many attempts, up to a limit.
+constexpr uint32_t kTriesPerDoubling = 4;
+constexpr uint32_t kMaxDoublings = 6;
 constexpr size_t kMaxProofs = 256;
+const char kAllTerms[] = "term/";
 constexpr size_t kMaxRemembered = 4096;
 
 std::string TermPrefix(const node_name& node) { return "term/" + node + "/"; }
@@ -57,10 +61,17 @@
 }
 
 bool recovery::Due(instant now, const term_id& term, std::chrono::milliseconds interval) {
-  const auto last = last_done_.find(term);
-  if (last != last_done_.end() && now - last->second < interval) return false;
-  if (last_done_.size() > kMaxRemembered) last_done_.clear();
-  last_done_[term] = now;
+  if (attempts_.size() > kMaxRemembered) attempts_.clear();
+  const auto known = attempts_.find(term);
+  if (known == attempts_.end()) {
+    attempts_[term] = {now, 0};
+    return true;
+  }
+  attempt& last = known->second;
+  if (now - last.at < interval * (1U << std::min(last.count / kTriesPerDoubling, kMaxDoublings))) {
+    return false;
+  }
+  last = {now, last.count + 1};
   return true;
 }
 
@@ -119,7 +130,7 @@
                       outbox& out) {
   if (!work_ || !work_->operation.empty()) return;
   const bool node_read = work_->wanted_proof && prefix == NodeKey(work_->node);
-  const bool term_read = prefix == TermPrefix(work_->node);
+  const bool term_read = prefix == (work_->ended ? kAllTerms : TermPrefix(work_->node));
   if (!node_read && !term_read) return;
   if (!rows) {
     work_.reset();
@@ -127,7 +138,9 @@
   }
   if (node_read) work_->node_rows = *rows;
   if (term_read) work_->term_rows = *rows;
-  if (work_->adopted && work_->term_rows) {
+  if (work_->ended) {
+    FinishScan(records, out);
+  } else if (work_->adopted && work_->term_rows) {
     Adopt(now, self, records, out);
   } else if (work_->node_rows && work_->term_rows) {
     FinishProof(now, outcomes, rounds, out);
@@ -150,10 +163,30 @@
     outcomes.NoteSuperseded(term, record);
     return;
   }
-  if (!NoSuccessor(*terms, term.number, node->latest_number)) return;
+  const bool ended = std::any_of(terms->begin(), terms->end(), [&](const term_record& record) {
+    return record.first_number > term.number && record.ended_number >= term.number;
+  });
+  if (!NoSuccessor(*terms, term.number, node->latest_number)) {
+    if (ended) Scan(now, term, out);
+    return;
+  }
   rounds.Ask(now, term, done.wanted_proof->witnesses, true, done.read_sent, out);
 }
 
+void recovery::Scan(instant now, const term_id& ended, outbox& out) {
+  work started;
+  started.ended = ended;
+  started.read_sent = now;
+  work_ = std::move(started);
+  out.Add(read_prefix_action{kAllTerms});
+}
+
+void recovery::FinishScan(inheritance& records, outbox& out) {
+  const work done = *std::exchange(work_, std::nullopt);
+  const auto terms = DecodeAll(*done.term_rows, out);
+  if (terms) records.PassOver(*done.ended, *terms);
+}
+
 void recovery::Adopt(instant now, const heir& self, inheritance& records, outbox& out) {
   (void)now;
   const term_id term = *work_->adopted;
--- a/src/recovery.h
+++ b/src/recovery.h
@@ -41,10 +41,12 @@
     term_id term;
     std::vector<node_name> witnesses;
   };
-  /// The piece of work in hand: a proof, or the adoption of a record.
+  /// The piece of work in hand: a proof, the adoption of a record, or a read of all terms to pass over
+  /// a process that ended.
   struct work {
     std::optional<proof> wanted_proof;
     std::optional<term_id> adopted;
+    std::optional<term_id> ended;
     node_name node;
     instant read_sent;
     std::optional<std::vector<table_row>> node_rows;
@@ -58,6 +60,8 @@
   void Forward(instant now, const term_record& record, const std::vector<member>& members,
                const inheritance& records, std::mt19937_64& random, outbox& out);
   void FinishProof(instant now, term_outcomes& outcomes, attestor& rounds, outbox& out);
+  void Scan(instant now, const term_id& ended, outbox& out);
+  void FinishScan(inheritance& records, outbox& out);
   void Adopt(instant now, const heir& self, inheritance& records, outbox& out);
 
   ownership_settings settings_;
@@ -65,7 +69,11 @@
   uint64_t operations_ = 0;
   std::deque<proof> proofs_;
   std::optional<work> work_;
-  std::map<term_id, instant> last_done_;
+  struct attempt {
+    instant at;
+    uint32_t count = 0;
+  };
+  std::map<term_id, attempt> attempts_;
 };
 
 }  // namespace bulrushway
--- a/src/startup.cpp
+++ b/src/startup.cpp
@@ -21,6 +21,7 @@
 void startup::Begin(instant now, term_store& store, outbox& out) {
   step_ = step::kNodeRow;
   previous_.reset();
+  ended_number_ = 0;
   undecided_ = 0;
   alive_logged_ = false;
   store.Cancel();
@@ -50,24 +51,38 @@
   if (step_ == step::kNodeRow && store.state() == term_store_state::kRead) {
     const auto& row = store.view().row;
     latest_number_ = row ? row->latest_number : 0;
+    active_number_ = row ? row->active_number : 0;
     previous_address_ = row ? row->address : "";
     Enter(now, row && latest_number_ > 0 ? step::kPreviousRow : step::kGenesis, out);
     return;
   }
   if (step_ == step::kPreviousEnd) {
-    const bool ended = outcomes.Gone(previous_->id) || outcomes.Next(previous_->id) != nullptr;
-    if (ended || undecided_ >= kUndecidedRounds) {
-      Enter(now, step::kGenesis, out);
-    } else if (now - last_asked_ >= kAskInterval) {
-      last_asked_ = now;
-      rounds.Ask(now, previous_->id, previous_->witnesses, false, now, out);
-    }
+    AskForEnd(now, outcomes, rounds, out);
     return;
   }
   const bool reading = step_ == step::kPreviousRow || step_ == step::kGenesis;
   if (reading && now - *read_at_ >= kReadInterval) Read(now, out);
 }
 
+void startup::AskForEnd(instant now, const term_outcomes& outcomes, attestor& rounds,
+                        outbox& out) {
+  // A latest term that is gone proves the end of its process only if it was in force: otherwise the
+  // process may have gone on under the term before.
+  const term_id before{settings_.node, previous_->predecessor};
+  const bool gone = outcomes.Gone(previous_->id);
+  const bool in_force = before.number == 0 || active_number_ >= latest_number_;
+  const bool proven = gone && (in_force || outcomes.Gone(before) || outcomes.Next(before));
+  if (proven || outcomes.Next(previous_->id) != nullptr || undecided_ >= kUndecidedRounds) {
+    const bool all = previous_->first_number == 1 || previous_->ended_number > 0;
+    ended_number_ = proven && all ? latest_number_ : 0;
+    Enter(now, step::kGenesis, out);
+  } else if (now - last_asked_ >= kAskInterval) {
+    last_asked_ = now;
+    rounds.Ask(now, previous_->id, previous_->witnesses, false, now, out);
+    if (!in_force) rounds.Ask(now, before, previous_->predecessor_witnesses, false, now, out);
+  }
+}
+
 void startup::OnRows(instant now, const std::string& prefix,
                      const result<std::vector<table_row>>& rows, outbox& out) {
   if (!rows || prefix.empty() || prefix != Prefix()) return;
--- a/src/startup.h
+++ b/src/startup.h
@@ -32,6 +32,8 @@
   bool Ready() const { return step_ == step::kReady; }
   /// Number of the first term. Valid when ready.
   uint64_t FirstNumber() const { return latest_number_ + 1; }
+  /// Up to this term all earlier processes were proven ended, or 0. Valid when ready.
+  uint64_t EndedNumber() const { return ended_number_; }
   /// The latest term of an earlier process, if its row is still there. Valid when ready.
   const std::optional<term_record>& Previous() const { return previous_; }
   /// Partitions that this node may hold and that nobody ever owned. Valid when ready.
@@ -45,11 +47,14 @@
   void OnPreviousRow(instant now, const std::vector<table_row>& rows, outbox& out);
   void OnGenesis(instant now, const std::vector<table_row>& rows, outbox& out);
   std::string Prefix() const;
+  void AskForEnd(instant now, const term_outcomes& outcomes, attestor& rounds, outbox& out);
   void LogAlive(instant now, outbox& out);
 
   ownership_settings settings_;
   step step_ = step::kNodeRow;
   uint64_t latest_number_ = 0;
+  uint64_t active_number_ = 0;
+  uint64_t ended_number_ = 0;
   std::string previous_address_;
   std::optional<term_record> previous_;
   uint32_t undecided_ = 0;
--- a/src/term_codec.cpp
+++ b/src/term_codec.cpp
@@ -47,7 +47,8 @@
           {"late_heirs", late_heirs},
           {"predecessor", record.predecessor},
           {"predecessor_witnesses", record.predecessor_witnesses},
-          {"first_number", record.first_number}};
+          {"first_number", record.first_number},
+          {"ended_number", record.ended_number}};
 }
 
 term_record FromJson(const json& value) {
@@ -72,6 +73,7 @@
   value.at("predecessor").get_to(record.predecessor);
   value.at("predecessor_witnesses").get_to(record.predecessor_witnesses);
   value.at("first_number").get_to(record.first_number);
+  value.at("ended_number").get_to(record.ended_number);
   return record;
 }
 
