--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -132,8 +132,10 @@
   settings.data_centre = self_.data_centre;
   settings.rack = self_.rack;
   settings.layout = layout;
+  // The processes of a lookup service hold terms and leases, so that their loss is noticed, but there
+  // is nothing for them to own.
+  if (!owns_keys) settings.layout.slices_per_partition = 0;
   settings.weight = self_.weight;
-  (void)owns_keys;
   core_ = std::make_unique<ownership_core>(settings, seed_);
   core_->SetInFlightQuery(ports_.in_flight);
   core_->Start(now);
--- a/test/support/test_fleet.cpp
+++ b/test/support/test_fleet.cpp
@@ -155,6 +155,15 @@
   return answer;
 }
 
+void test_fleet::CallWhile(const socket_address& to, const http_request& request,
+                           milliseconds delay, const std::function<void()>& action,
+                           http_answer& answer) {
+  constexpr milliseconds kTimeout{6000};
+  timer after(loop_, [&action](instant) { action(); });
+  after.Once(delay);
+  answer = Call(to, request, kTimeout);
+}
+
 http_answer test_fleet::Post(const std::string& name, const std::string& service,
                              const std::string& key, const header_list& headers,
                              const std::string& body) {
--- a/test/support/test_fleet.h
+++ b/test/support/test_fleet.h
@@ -57,6 +57,10 @@
   /// One request to a process; status 0 when it has no answer.
   http_answer Call(const socket_address& to, const http_request& request,
                    std::chrono::milliseconds timeout = std::chrono::milliseconds{3000});
+  /// The same with a timeout of six seconds; `action` runs once after `delay` while it waits.
+  void CallWhile(const socket_address& to, const http_request& request,
+                 std::chrono::milliseconds delay, const std::function<void()>& action,
+                 http_answer& answer);
   /// A keyed request that must not run twice, sent to a node.
   http_answer Post(const std::string& node, const std::string& service, const std::string& key,
                    const header_list& headers = {}, const std::string& body = "x");
