--- a/src/configuration_store.h
+++ b/src/configuration_store.h
@@ -172,7 +172,10 @@
   void StoreDocument(const run_pointer& run, const std::string& bytes, std::function<void()> next) {
     objects_.Put(DocumentName(HashDocument(bytes)), bytes,
                  [this, run, bytes, next](const result<void>& stored) {
-                   if (stored) return next();
+                   if (stored) {
+                     run->failures = 0;
+                     return next();
+                   }
                    Again(run, stored.error(), apply_state::kNotApplied,
                          [this, run, bytes, next] { StoreDocument(run, bytes, next); });
                  });
--- a/src/ctl_commit.cpp
+++ b/src/ctl_commit.cpp
@@ -170,6 +170,20 @@
   return session.ReadVersion(base_version);
 }
 
+bool IsInForce(const stored_configuration& current, const ctl_edit& edit) {
+  return current.at.head && edit.base_version == current.at.version() &&
+         edit.texts.inventory == current.inventory && edit.texts.rules == current.rules;
+}
+
+void PrintUnchanged(const ctl_session& session, uint64_t version) {
+  const std::string message =
+      "Version " + std::to_string(version) + " has this content already; nothing was changed.";
+  session.Print(
+      session.options().json
+          ? json{{"state", "unchanged"}, {"version", version}, {"message", message}}.dump(2)
+          : message);
+}
+
 // Shows in detail what the newest version has that the operator's base had not.
 void ShowMeanwhile(ctl_session& session, const configuration& base) {
   const auto newest = session.ReadCurrent();
@@ -181,18 +195,22 @@
 
 }  // namespace
 
-ctl_exit CommitEdit(ctl_session& session, const stored_configuration& current,
-                    const ctl_edit& edit) {
+ctl_commit CommitEdit(ctl_session& session, const stored_configuration& current,
+                      const ctl_edit& edit) {
+  if (IsInForce(current, edit)) {
+    PrintUnchanged(session, current.at.version());
+    return {ctl_exit::kOk, current.at.version()};
+  }
   const auto after = ParseConfiguration(edit.texts, UtcNow());
-  if (!after) return ReportErrors(session, after.error());
+  if (!after) return {ReportErrors(session, after.error()), {}};
   ReportWarnings(session, after->warnings);
   const auto base = ReadBase(session, current, edit.base_version);
-  if (!base) return ReportFailure(session, base.error());
+  if (!base) return {ReportFailure(session, base.error()), {}};
   // A stored version that this program cannot read is no reason to refuse its successor.
   const configuration before = ParseStored(*base).value_or(checked_configuration{}).value;
   const std::vector<error> impossible =
       CheckChange(before, after->value, edit.texts.inventory_file);
-  if (!impossible.empty()) return ReportErrors(session, impossible);
+  if (!impossible.empty()) return {ReportErrors(session, impossible), {}};
   const configuration_diff diff = Diff(before, after->value);
   if (!session.options().json) session.Print(ToText(diff));
   const apply_outcome outcome = session.Apply(MakeChange(session, edit));
@@ -206,7 +224,9 @@
   }
   PrintOutcome(session, outcome, diff, after->warnings, reached);
   if (outcome.state == apply_state::kConflict) ShowMeanwhile(session, before);
-  return ExitOf(outcome, reached);
+  ctl_commit done{ExitOf(outcome, reached), {}};
+  if (outcome.state == apply_state::kAccepted) done.version = outcome.head.version;
+  return done;
 }
 
 }  // namespace bulrushway
--- a/src/ctl_commit.h
+++ b/src/ctl_commit.h
@@ -4,6 +4,9 @@
 // The one path on which every verb commits: check whole, show warnings and difference, commit, tell
 // the nodes, and wait for them if asked.
 
+#include <chrono>
+#include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -20,10 +23,17 @@
   std::string default_note;
 };
 
+/// What became of an edit.
+struct ctl_commit {
+  ctl_exit exit = ctl_exit::kOk;
+  /// The version that holds the edit; absent when it is not in force.
+  std::optional<uint64_t> version;
+};
+
 /// Commits the edit against `current`, which is the newest version that was read. Prints
 /// everything.
-ctl_exit CommitEdit(ctl_session& session, const stored_configuration& current,
-                    const ctl_edit& edit);
+ctl_commit CommitEdit(ctl_session& session, const stored_configuration& current,
+                      const ctl_edit& edit);
 
 /// Reads a stored version as a configuration; empty when there is none yet.
 checked<checked_configuration> ParseStored(const stored_configuration& stored);
--- a/src/ctl_configuration.cpp
+++ b/src/ctl_configuration.cpp
@@ -185,14 +185,14 @@
   if (!texts) return ReportErrors(session, texts.error());
   const result<uint64_t> base = BaseOf(session.options(), folder, *current);
   if (!base) return ReportFailure(session, base.error());
-  const ctl_exit outcome = CommitEdit(session, *current, {*texts, *base, ""});
+  const ctl_commit outcome = CommitEdit(session, *current, {*texts, *base, ""});
   const std::string path = PathIn(folder, kVersionFile);
   // Files that were exported stay in step, so that the next edit begins at this version.
-  if (outcome == ctl_exit::kOk && !folder.empty() && std::filesystem::exists(path)) {
-    const result<void> written = WriteTextFile(path, std::to_string(*base + 1) + "\n");
+  if (outcome.version && !folder.empty() && std::filesystem::exists(path)) {
+    const result<void> written = WriteTextFile(path, std::to_string(*outcome.version) + "\n");
     if (!written) session.PrintError(ToString(written.error()));
   }
-  return outcome;
+  return outcome.exit;
 }
 
 ctl_exit CtlRollback(ctl_session& session, const ctl_arguments& arguments) {
@@ -204,7 +204,8 @@
   return CommitEdit(session, *current,
                     {{name + " inventory", earlier->inventory, name + " rules", earlier->rules},
                      current->at.version(),
-                     "rollback to " + name});
+                     "rollback to " + name})
+      .exit;
 }
 
 ctl_exit CtlHistory(ctl_session& session, const ctl_arguments&) {
--- a/src/ctl_rules.cpp
+++ b/src/ctl_rules.cpp
@@ -25,9 +25,9 @@
     }
     const result<std::string> rules = edit(current->rules);
     if (!rules) return ReportFailure(session, rules.error());
-    outcome = CommitEdit(
-        session, *current,
-        {{"inventory", current->inventory, "rules", *rules}, current->at.version(), note});
+    const ctl_edit changed{
+        {"inventory", current->inventory, "rules", *rules}, current->at.version(), note};
+    outcome = CommitEdit(session, *current, changed).exit;
   }
   return outcome;
 }
