--- a/src/term.h
+++ b/src/term.h
@@ -57,11 +57,16 @@
   std::vector<node_name> witnesses;
   std::vector<heir> heirs;
   std::vector<slice_gift> gifts;
+  /// Added in the table, one at a time, after every other member of a chain was gone.
+  std::vector<heir> late_heirs;
   /// The term that this one replaces, or 0 for the first term of a process.
   uint64_t predecessor = 0;
   std::vector<node_name> predecessor_witnesses;
   /// Number of the first term of the same process.
   uint64_t first_number = 0;
+  /// All processes of the node up to this term were proven ended before the present one began; 0 when
+  /// that is not known.
+  uint64_t ended_number = 0;
   auto operator<=>(const term_record&) const = default;
 };
 
