--- a/src/ctl_commit.cpp
+++ b/src/ctl_commit.cpp
@@ -5,6 +5,7 @@
 
 #include "configuration_check.h"
 #include "configuration_diff.h"
+#include "ctl_json.h"
 #include "ctl_survey.h"
 
 namespace bulrushway {
@@ -106,7 +107,7 @@
     value["in_force_after_ms"] = reached.time.count();
     value["lagging"] = reached.lagging;
   }
-  session.Print(value.dump(2, ' ', false, json::error_handler_t::replace));
+  session.Print(Dump(value));
 }
 
 ctl_exit ExitOf(const apply_outcome& outcome, const spread& reached) {
@@ -142,8 +143,7 @@
     for (const error& one : errors) {
       list.push_back({{"step", one.step}, {"place", one.peer}, {"message", one.message}});
     }
-    session.Print(json{{"state", "invalid"}, {"errors", list}}.dump(
-        2, ' ', false, json::error_handler_t::replace));
+    session.Print(Dump({{"state", "invalid"}, {"errors", list}}));
   }
   return ctl_exit::kUser;
 }
--- a/src/ctl_configuration.cpp
+++ b/src/ctl_configuration.cpp
@@ -5,6 +5,7 @@
 
 #include "configuration_diff.h"
 #include "ctl_commit.h"
+#include "ctl_json.h"
 #include "ctl_verbs.h"
 #include "quantity.h"
 
@@ -135,7 +136,7 @@
   for (const auto& one : outcome->warnings) {
     warnings.push_back({{"place", one.place}, {"message", one.message}});
   }
-  session.Print(json{{"state", "valid"}, {"warnings", warnings}}.dump(2));
+  session.Print(Dump({{"state", "valid"}, {"warnings", warnings}}));
   return ctl_exit::kOk;
 }
 
@@ -215,7 +216,7 @@
   const auto heads = session.ReadHistory(current->at.version(), limit);
   if (!heads) return ReportFailure(session, heads.error());
   if (session.options().json) {
-    session.Print(ToJson(*heads).dump(2));
+    session.Print(Dump(ToJson(*heads)));
     return ctl_exit::kOk;
   }
   if (heads->empty()) session.Print("There is no version yet.");
--- a/src/ctl_fleet.cpp
+++ b/src/ctl_fleet.cpp
@@ -8,6 +8,7 @@
 #include <map>
 #include <nlohmann/json.hpp>
 
+#include "ctl_json.h"
 #include "ctl_survey.h"
 #include "ctl_verbs.h"
 
@@ -16,10 +17,6 @@
 
 using json = nlohmann::json;
 
-std::string Dump(const json& value) {
-  return value.dump(2, ' ', false, json::error_handler_t::replace);
-}
-
 std::string Encoded(const std::string& text) {
   char* encoded = evhttp_uriencode(text.c_str(), static_cast<ev_ssize_t>(text.size()), 0);
   std::string copy = encoded;
@@ -105,8 +102,8 @@
 }
 
 std::string EventLine(const json& event) {
-  std::string line = event.value("node", "") + " " + event.value("time", "") + " " +
-                     std::to_string(event.value("number", 0)) + " " + event.value("name", "");
+  std::string line = TextOf(event, "node") + " " + TextOf(event, "time") + " " +
+                     std::to_string(NumberOf(event, "number")) + " " + TextOf(event, "name");
   if (!event.contains("fields") || !event["fields"].is_object()) return line;
   for (const auto& [key, value] : event["fields"].items()) {
     line += " " + key + "=" + (value.is_string() ? value.get<std::string>() : value.dump());
@@ -212,7 +209,7 @@
                                       }
                                     });
   std::stable_sort(events.begin(), events.end(), [](const json& left, const json& right) {
-    return left.value("time", "") < right.value("time", "");
+    return TextOf(left, "time") < TextOf(right, "time");
   });
   if (session.options().json) session.Print(Dump(events));
   if (session.options().json) return outcome;
--- /dev/null
+++ b/src/ctl_json.cpp
@@ -0,0 +1,28 @@
+#include "ctl_json.h"
+
+#include <nlohmann/json.hpp>
+
+namespace bulrushway {
+
+std::string TextOf(const nlohmann::json& value, const char* key) {
+  if (!value.is_object() || !value.contains(key) || !value[key].is_string()) return {};
+  return value[key].get<std::string>();
+}
+
+int64_t NumberOf(const nlohmann::json& value, const char* key) {
+  if (!value.is_object() || !value.contains(key) || !value[key].is_number_integer()) return 0;
+  return value[key].get<int64_t>();
+}
+
+nlohmann::json ListOf(const nlohmann::json& value, const char* key) {
+  if (!value.is_object() || !value.contains(key) || !value[key].is_array()) {
+    return nlohmann::json::array();
+  }
+  return value[key];
+}
+
+std::string Dump(const nlohmann::json& value) {
+  return value.dump(2, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+}  // namespace bulrushway
--- a/src/ctl_survey.cpp
+++ b/src/ctl_survey.cpp
@@ -5,6 +5,8 @@
 #include <nlohmann/json.hpp>
 #include <set>
 
+#include "ctl_json.h"
+
 namespace bulrushway {
 namespace {
 
@@ -13,24 +15,15 @@
 // Nodes know each other, so that one round beyond the named ones usually finds all.
 constexpr int kMostRounds = 4;
 
-std::string TextOf(const json& value, const char* key) {
-  return value.contains(key) && value[key].is_string() ? value[key].get<std::string>() : "";
-}
-
-template <class Number>
-Number NumberOf(const json& value, const char* key) {
-  return value.contains(key) && value[key].is_number_integer() ? value[key].get<Number>() : 0;
-}
-
 void ReadStatus(const json& value, node_status& status) {
   status.node = TextOf(value, "node");
   status.service = TextOf(value, "service");
   status.data_centre = TextOf(value, "data_centre");
   status.state = TextOf(value, "state");
-  status.term = NumberOf<uint64_t>(value, "term");
-  status.lease_ms = NumberOf<int64_t>(value, "lease_ms");
-  status.slices = NumberOf<uint64_t>(value, "slices");
-  status.config_version = NumberOf<uint64_t>(value, "config_version");
+  status.term = static_cast<uint64_t>(NumberOf(value, "term"));
+  status.lease_ms = NumberOf(value, "lease_ms");
+  status.slices = static_cast<uint64_t>(NumberOf(value, "slices"));
+  status.config_version = static_cast<uint64_t>(NumberOf(value, "config_version"));
 }
 
 class survey {
@@ -65,12 +58,11 @@
     }
     status.reachable = true;
     ReadStatus(value, status);
-    if (value.contains("members") && value["members"].is_array()) TakeMembers(value["members"]);
+    TakeMembers(ListOf(value, "members"));
   }
 
   void TakeMembers(const json& members) {
     for (const json& member : members) {
-      if (!member.is_object()) continue;
       const auto address = ParseSocketAddress(TextOf(member, "http"));
       if (!address || found_.contains(*address)) continue;
       node_status& status = found_[*address];
