--- a/src/configuration_follower.cpp
+++ b/src/configuration_follower.cpp
@@ -22,6 +22,13 @@
   return milliseconds(static_cast<int64_t>(static_cast<double>(interval.count()) * factor));
 }
 
+bool Knows(const known_members& members, const std::string& node) {
+  const auto lists = [&](const std::vector<std::string>& names) {
+    return std::find(names.begin(), names.end(), node) != names.end();
+  };
+  return lists(members.near) || lists(members.far);
+}
+
 std::string SourceName(const std::string& peer) {
   return peer.empty() ? "the platform" : "peer '" + peer + "'";
 }
@@ -126,6 +133,10 @@
 
 std::string configuration_follower::WhyNone() const {
   if (in_force_) return {};
+  if (candidate_ && MissingDocument().empty()) {
+    return "Version " + std::to_string(candidate_->head.version) +
+           " of the configuration has come and is about to be put in force.";
+  }
   if (candidate_) {
     return "Version " + std::to_string(candidate_->head.version) +
            " of the configuration is known, but its document '" + MissingDocument() +
@@ -256,18 +267,21 @@
 
 std::string configuration_follower::ChooseSource(instant now, const known_members& members) {
   const bool from_platform = candidate_->told_by.empty();
-  if (candidate_->fetches == 0) return candidate_->told_by;
+  if (candidate_->fetches == 0 && (from_platform || Knows(members, candidate_->told_by))) {
+    return candidate_->told_by;
+  }
   const bool platform_allowed = from_platform || now - candidate_->since >= kPeerFetchTime;
-  if (platform_allowed && candidate_->fetches % 2 == 0) return {};
+  if (platform_allowed && candidate_->fetches % 2 == 0 && candidate_->fetches > 0) return {};
   return ChoosePeer(now, members);
 }
 
 // Any peer may have the document: those that do double with each round of asking.
 std::string configuration_follower::ChoosePeer(instant now, const known_members& members) {
-  const bool late = now - candidate_->since >= kPeerFetchTime;
-  const bool far = members.near.empty() || (late && random_() % kFarPeerOneIn == 0);
-  std::vector<std::string> peers = far && !members.far.empty() ? members.far : members.near;
+  std::vector<std::string> peers = members.near;
   std::erase(peers, node_);
+  const bool late = now - candidate_->since >= kPeerFetchTime;
+  const bool far = peers.empty() || (late && random_() % kFarPeerOneIn == 0);
+  if (far && !members.far.empty()) peers = members.far;
   if (peers.empty()) return {};
   std::uniform_int_distribution<size_t> choice(0, peers.size() - 1);
   return peers[choice(random_)];
