--- a/model/ownership.pml
+++ b/model/ownership.pml
@@ -8,7 +8,7 @@
  * Time is counted in ticks of half a lease. A message that stays in its slot is late; one that is
  * overwritten or never taken is lost; one may be taken and stay (duplicate). A paused process takes no
  * step while the clock goes on. Faults are bounded by the budgets below. After the faults have stopped
- * all messages arrive and the slice must be served within RECOVERY ticks.
+ * all new messages arrive and the slice must be served within RECOVERY ticks.
  *
  * Flags: -DHEIRS H1 is lost or changes its own term, -DSUCCESSOR term 2 exists, -DMOVE term 2 gives the slice to M, -DRESTARTS=n restarts of
  * witnesses, -DRECOVER checks service after the faults, -DMUTANT_x breaks one rule.
@@ -23,8 +23,8 @@
 #define LAPSE 2
 #define QUIET 2
 #define ROUND 2
-#define RECOVERY 8
-#define ALL(i) i : 0 .. 2
+#define RECOVERY 4
+#define ALL(each) each : 0 .. 2
 
 mtype = { none, renewal, ack };
 mtype = { up, lapsed, gone, asking, superseded };
@@ -325,6 +325,14 @@
 
 #define FAULTS (!faults_stopped)
 
+/* What is in flight is lost with the last fault. */
+inline stop_faults() {
+  faults_stopped = true;
+  for (ALL(v)) { slot[v] = none; slot_lease[v] = 0; slot_incarnation[v] = 0; counted[v] = false }
+  round_left = 0;
+  fresh_open = false
+}
+
 active proctype system() {
   byte w, v;
   do
@@ -401,7 +409,7 @@
   /* Time passes: between any two steps as long as there are faults, else when nothing is left to do. */
   :: d_step { FAULTS -> tick(); check() }
 #ifdef RECOVER
-  :: d_step { FAULTS -> faults_stopped = true; check() }
+  :: d_step { FAULTS -> stop_faults(); check() }
   :: atomic { timeout && faults_stopped && recovery < RECOVERY -> d_step { tick(); recovery++; check() } }
   :: atomic { timeout && recovery == RECOVERY -> assert(HOLDERS == 1); break }
 #endif
