Hand the memory of requests that must not run twice to the next owner

Cause: after a change of owner a repeat whose caller says nothing of its attempt was presumed new and ran again. Change: such requests are new only when the memory reaches back over the window; in a planned move the new owner asks the last one for its memory and until then refuses what may be a repeat as not run; the first owner ever vouches for everything. Conclusion: at most once holds across moves; after a loss, callers need a first-sent stamp.

--- a/src/announcement.h
+++ b/src/announcement.h
@@ -46,6 +46,8 @@
   std::vector<std::string> witnesses;
   /// Slices held.
   uint32_t slices = 0;
+  /// Slices held of each partition.
+  std::vector<uint32_t> partition_slices;
   /// Version of the configuration in force.
   uint64_t configuration_version = 0;
   /// The target answers.
--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -16,6 +16,8 @@
 constexpr std::chrono::seconds kLongestStop{30};
 // Callers and peers get this long to notice that the process is leaving.
 constexpr milliseconds kFarewell{700};
+// Epoch of a slice that nobody owned before.
+constexpr uint64_t kFirstEpoch = 1;
 // Connections to the platform.
 constexpr size_t kPlatformConnections = 4;
 constexpr milliseconds kRetrySoon{50};
@@ -195,8 +197,8 @@
 
 membership_ports daemon::MakeMembershipPorts() {
   membership_ports ports;
-  ports.gained = [this](instant, const std::vector<slice_epoch>& slices) {
-    for (const slice_epoch& gained : slices) gate_.GainSlice(gained.slice);
+  ports.gained = [this](instant now, const std::vector<slice_epoch>& slices) {
+    OnGained(now, slices);
   };
   ports.lost = [this](instant now, const std::vector<slice_number>& slices, bool lapsed) {
     if (lapsed) {
@@ -205,13 +207,49 @@
         log_.Write(event_id::kInFlightCut, {{"total", std::to_string(cut)}});
       }
     }
-    for (const slice_number slice : slices) gate_.LoseSlice(slice);
+    for (const slice_number slice : slices) gate_.LoseSlice(now, slice);
   };
   ports.in_flight = [this](slice_number slice) { return gate_.InFlight(slice); };
   ports.item = [this](instant now, const gossip_item& item) { OnItem(now, item); };
   return ports;
 }
 
+void daemon::OnGained(instant now, const std::vector<slice_epoch>& slices) {
+  const directory& known = membership_.Known();
+  std::map<std::string, memory_request> asked;
+  for (const slice_epoch& gained : slices) {
+    const std::string last = known.LastOwnerOf(settings_.node.service, gained.slice);
+    if (gained.epoch <= kFirstEpoch) {
+      gate_.GainFirst(gained.slice);
+    } else if (last.empty() || last == settings_.node.name || !known.Alive(last)) {
+      gate_.GainSlice(gained.slice);
+    } else {
+      gate_.AwaitMemory(now, gained.slice);
+      asked[last].slices.push_back(gained.slice);
+    }
+  }
+  for (const auto& [node, request] : asked) {
+    forwarder_.SendMessage(now, known.Find(node)->peer, request);
+  }
+}
+
+void daemon::OnMemoryRequest(connection_id from, const memory_request& request) {
+  for (const uint32_t slice : request.slices) {
+    auto memory = gate_.RetiredMemory(slice);
+    memory_answer answer{slice, memory.has_value(), {}};
+    if (memory) answer.memory = std::move(*memory);
+    transport_.Send(from, std::move(answer));
+  }
+}
+
+void daemon::OnMemoryAnswer(instant now, const memory_answer& answer) {
+  if (answer.known) {
+    gate_.ImportMemory(now, answer.slice, answer.memory);
+  } else {
+    gate_.GiveUpMemory(answer.slice);
+  }
+}
+
 void daemon::PublishSuspects(instant now) {
   const auto version =
       std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch());
@@ -293,6 +331,10 @@
     gate_.Cancel(now, ticket);
   } else if (const auto* control = std::get_if<control_message>(&message)) {
     membership_.OnControl(now, control->bytes, transport_.PeerAddress(from));
+  } else if (const auto* wanted = std::get_if<memory_request>(&message)) {
+    OnMemoryRequest(from, *wanted);
+  } else if (const auto* memory = std::get_if<memory_answer>(&message)) {
+    OnMemoryAnswer(now, *memory);
   } else {
     configuration_.OnMessage(now, from, message);
   }
--- a/src/daemon.h
+++ b/src/daemon.h
@@ -69,6 +69,9 @@
   void OnForwarded(instant now, connection_id from, forward_request request);
   void PublishSuspects(instant now);
   void OnItem(instant now, const gossip_item& item);
+  void OnGained(instant now, const std::vector<slice_epoch>& slices);
+  void OnMemoryRequest(connection_id from, const memory_request& request);
+  void OnMemoryAnswer(instant now, const memory_answer& answer);
   void Tick(instant now);
   void OnRules(instant now);
   void CheckStopped(instant now);
--- a/src/directory.cpp
+++ b/src/directory.cpp
@@ -74,6 +74,12 @@
   return Current(known) ? known.node : std::string{};
 }
 
+std::string directory::LastOwnerOf(const std::string& service, uint32_t slice) const {
+  const auto owners = owners_.find(service);
+  if (owners == owners_.end() || owners->second.size() <= slice) return {};
+  return owners->second[slice].node;
+}
+
 size_t directory::OwnedSlices(const std::string& service) const {
   const auto owners = owners_.find(service);
   if (owners == owners_.end()) return 0;
--- a/src/directory.h
+++ b/src/directory.h
@@ -37,6 +37,8 @@
 
   /// The live node with the highest epoch for the slice; empty when none is known.
   std::string OwnerOf(const std::string& service, uint32_t slice) const;
+  /// The node that was last heard to own the slice, alive or not; empty when none is known.
+  std::string LastOwnerOf(const std::string& service, uint32_t slice) const;
   /// Slices of the service with a live owner.
   size_t OwnedSlices(const std::string& service) const;
   /// Grows with each change; caches built from the directory compare it.
--- a/src/gate.cpp
+++ b/src/gate.cpp
@@ -11,6 +11,10 @@
 
 constexpr std::chrono::milliseconds kShortestRun{2};
 constexpr std::chrono::milliseconds kRetrySoon{50};
+// How long the next owner may ask for what was remembered of a slice.
+constexpr std::chrono::seconds kRetiredMemory{30};
+// How long a new owner waits for the last owner's memory before it does without.
+constexpr std::chrono::milliseconds kMemoryPatience{500};
 // Crashes reported within this time of each other are one crash: each open connection reports it.
 constexpr std::chrono::milliseconds kSameCrash{200};
 
@@ -337,7 +341,10 @@
   PopQueue(now);
 }
 
-void gate::Tick(instant now) { PopQueue(now); }
+void gate::Tick(instant now) {
+  PopQueue(now);
+  ExpireMemories(now);
+}
 
 void gate::OnLapse(instant) {
   std::vector<std::shared_ptr<job>> cut;
@@ -358,9 +365,46 @@
   }
 }
 
-void gate::LoseSlice(uint32_t slice) { memory_.LoseSlice(slice); }
+void gate::LoseSlice(instant now, uint32_t slice) {
+  awaiting_memory_.erase(slice);
+  slice_memory_export memory = memory_.ExportSlice(slice, now);
+  retired_[slice] = retired_memory{now + kRetiredMemory, std::move(memory)};
+  memory_.LoseSlice(slice);
+}
+
+void gate::GainFirst(uint32_t slice) { memory_.GainFirst(slice); }
+
+void gate::GainSlice(uint32_t slice) {
+  awaiting_memory_.erase(slice);
+  memory_.GainSlice(slice, WallNow());
+}
+
+void gate::AwaitMemory(instant now, uint32_t slice) {
+  awaiting_memory_[slice] = now + kMemoryPatience;
+}
+
+void gate::ImportMemory(instant now, uint32_t slice, const slice_memory_export& memory) {
+  if (awaiting_memory_.erase(slice) > 0) memory_.ImportSlice(slice, memory, now);
+}
+
+void gate::GiveUpMemory(uint32_t slice) {
+  if (awaiting_memory_.contains(slice)) GainSlice(slice);
+}
+
+std::optional<slice_memory_export> gate::RetiredMemory(uint32_t slice) const {
+  const auto found = retired_.find(slice);
+  if (found == retired_.end()) return std::nullopt;
+  return found->second.memory;
+}
 
-void gate::GainSlice(uint32_t slice) { memory_.GainSlice(slice, WallNow()); }
+void gate::ExpireMemories(instant now) {
+  std::erase_if(retired_, [now](const auto& entry) { return entry.second.until <= now; });
+  std::vector<uint32_t> given_up;
+  for (const auto& [slice, until] : awaiting_memory_) {
+    if (until <= now) given_up.push_back(slice);
+  }
+  for (const uint32_t slice : given_up) GainSlice(slice);
+}
 
 size_t gate::InFlight(uint32_t slice) const {
   const auto found = per_slice_.find(slice);
--- a/src/gate.h
+++ b/src/gate.h
@@ -91,10 +91,22 @@
   void Tick(instant now);
   /// The lease lapsed: cuts what is in flight and refuses what waits.
   void OnLapse(instant now);
-  /// The node no longer owns the slice.
-  void LoseSlice(uint32_t slice);
-  /// The node owns the slice from now on.
+  /// The node no longer owns the slice. What is remembered of it is kept for a while, for the next
+  /// owner to ask for.
+  void LoseSlice(instant now, uint32_t slice);
+  /// The node owns the slice from now on, and nobody did before.
+  void GainFirst(uint32_t slice);
+  /// The node owns the slice from now on; what the last owner remembered is lost.
   void GainSlice(uint32_t slice);
+  /// The node owns the slice, and the last owner has been asked for what it remembers. Until it
+  /// comes, requests that may be repeats are refused as not run.
+  void AwaitMemory(instant now, uint32_t slice);
+  /// The last owner's memory of the slice.
+  void ImportMemory(instant now, uint32_t slice, const slice_memory_export& memory);
+  /// The last owner remembers nothing of a slice that is waited for.
+  void GiveUpMemory(uint32_t slice);
+  /// What is remembered of a slice that was lost not long ago.
+  std::optional<slice_memory_export> RetiredMemory(uint32_t slice) const;
   /// Requests at the target, or waiting, for a slice.
   size_t InFlight(uint32_t slice) const;
   /// Requests at the target.
@@ -113,6 +125,7 @@
   struct target_answer;
 
   std::optional<gate_refusal> Check(instant now, job& subject);
+  void ExpireMemories(instant now);
   bool Remembered(instant now, const std::shared_ptr<job>& subject);
   void Admit(instant now, const std::shared_ptr<job>& subject);
   void HandOver(instant now, const std::shared_ptr<job>& subject);
@@ -141,6 +154,12 @@
   std::map<ticket, std::shared_ptr<job>> jobs_;
   std::map<ticket, std::shared_ptr<job>> running_;
   std::map<uint32_t, size_t> per_slice_;
+  std::map<uint32_t, instant> awaiting_memory_;
+  struct retired_memory {
+    instant until;
+    slice_memory_export memory;
+  };
+  std::map<uint32_t, retired_memory> retired_;
   uint64_t crash_seed_;
   uint64_t crashes_ = 0;
   instant last_crash_;
--- a/src/idempotency_memory.cpp
+++ b/src/idempotency_memory.cpp
@@ -34,6 +34,11 @@
   slices_[slice].watermark = wall_now + settings_.clock_error;
 }
 
+void idempotency_memory::GainFirst(uint32_t slice) {
+  LoseSlice(slice);
+  slices_[slice].watermark = wall_time{};
+}
+
 void idempotency_memory::ImportSlice(uint32_t slice, const slice_memory_export& memory,
                                      instant now) {
   LoseSlice(slice);
@@ -72,10 +77,11 @@
 }
 
 bool idempotency_memory::VouchesForNew(const identified_request& request,
-                                       const slice_memory& memory) const {
+                                       const slice_memory& memory, wall_time wall_now) const {
   if (request.attempt == caller_attempt::kFirst) return true;
   if (request.first_sent) return *request.first_sent > memory.watermark;
-  return request.attempt == caller_attempt::kUnsaid;
+  if (request.attempt == caller_attempt::kRepeat) return false;
+  return memory.watermark + settings_.window <= wall_now;
 }
 
 repeat_decision idempotency_memory::Begin(const identified_request& request, instant now,
@@ -97,7 +103,7 @@
   if (request.first_sent && *request.first_sent > wall_now + settings_.clock_error) {
     return {repeat_verdict::kBadStamp, nullptr};
   }
-  if (!VouchesForNew(request, memory)) return {repeat_verdict::kForgotten, nullptr};
+  if (!VouchesForNew(request, memory, wall_now)) return {repeat_verdict::kForgotten, nullptr};
   if (size_ >= settings_.most_requests) return {repeat_verdict::kFull, nullptr};
   entry added;
   added.fingerprint = request.fingerprint;
--- a/src/idempotency_memory.h
+++ b/src/idempotency_memory.h
@@ -124,6 +124,9 @@
   /// another owner before are not vouched for.
   void GainSlice(uint32_t slice, wall_time wall_now);
 
+  /// Starts to remember a slice that nobody owned before: nothing of it can have run.
+  void GainFirst(uint32_t slice);
+
   /// Starts to remember a slice with the memory of its last owner.
   void ImportSlice(uint32_t slice, const slice_memory_export& memory, instant now);
 
@@ -133,7 +136,9 @@
   /// Forgets a slice that is no longer owned.
   void LoseSlice(uint32_t slice);
 
-  /// Decides what to do with a request. A slice that was not gained counts as gained now.
+  /// Decides what to do with a request. A slice that was not gained counts as gained now. A request
+  /// of which the caller says neither when it was first sent nor which attempt it is, is new only
+  /// when the memory reaches back over the whole window.
   repeat_decision Begin(const identified_request& request, instant now, wall_time wall_now);
 
   /// The request ran and this is its answer.
@@ -173,7 +178,8 @@
   };
 
   entry* Find(uint32_t slice, const request_identity& identity);
-  bool VouchesForNew(const identified_request& request, const slice_memory& memory) const;
+  bool VouchesForNew(const identified_request& request, const slice_memory& memory,
+                     wall_time wall_now) const;
   void Insert(uint32_t slice, slice_memory& memory, const request_identity& identity, entry added);
   void Expire(instant now);
   void DropOldAnswers();
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -132,10 +132,11 @@
   settings.data_centre = self_.data_centre;
   settings.rack = self_.rack;
   settings.layout = layout;
-  // The processes of a lookup service hold terms and leases, so that their loss is noticed, but there
-  // is nothing for them to own.
+  // The processes of a lookup service hold terms and leases, so that their loss is noticed, but
+  // there is nothing for them to own.
   if (!owns_keys) settings.layout.slices_per_partition = 0;
   settings.weight = self_.weight;
+  layout_ = settings.layout;
   core_ = std::make_unique<ownership_core>(settings, seed_);
   core_->SetInFlightQuery(ports_.in_flight);
   core_->Start(now);
@@ -380,7 +381,11 @@
 
 void membership::Perform(instant now, const publish_claim_action& action) {
   claimed_.clear();
-  for (const slice_epoch& held : action.slices) claimed_.emplace_back(held.slice, held.epoch);
+  self_.partition_slices.assign(PartitionCount(layout_), 0);
+  for (const slice_epoch& held : action.slices) {
+    claimed_.emplace_back(held.slice, held.epoch);
+    ++self_.partition_slices[PartitionOf(layout_, held.slice)];
+  }
   self_.term = action.term.number;
   self_.first_term = action.first_number;
   self_.witnesses = action.witnesses;
--- a/src/membership.h
+++ b/src/membership.h
@@ -114,6 +114,7 @@
   std::vector<socket_address> seeds_;
   uint64_t seed_;
   std::unique_ptr<ownership_core> core_;
+  slice_layout layout_;
   membership_ports ports_;
   std::vector<std::pair<uint32_t, uint64_t>> claimed_;
   size_t claim_parts_ = 0;
--- a/src/msgpack_fields.h
+++ b/src/msgpack_fields.h
@@ -38,6 +38,11 @@
 template <class Rep, class Period>
 struct is_duration<std::chrono::duration<Rep, Period>> : std::true_type {};
 
+template <class>
+struct is_time_point : std::false_type {};
+template <class Clock, class Duration>
+struct is_time_point<std::chrono::time_point<Clock, Duration>> : std::true_type {};
+
 template <class Packer, class Element>
 void Write(Packer& packer, const std::vector<Element>& values);
 template <class Packer, class Element>
@@ -54,6 +59,8 @@
     packer.pack(static_cast<uint32_t>(value));
   } else if constexpr (is_duration<Value>::value) {
     packer.pack_int64(value.count());
+  } else if constexpr (is_time_point<Value>::value) {
+    Write(packer, value.time_since_epoch());
   } else {
     packer.pack(value);
   }
@@ -93,6 +100,10 @@
     value = static_cast<Value>(code);
   } else if constexpr (is_duration<Value>::value) {
     value = Value(from.as<int64_t>());
+  } else if constexpr (is_time_point<Value>::value) {
+    typename Value::duration since_epoch;
+    Read(from, since_epoch);
+    value = Value(since_epoch);
   } else {
     from.convert(value);
   }
--- a/src/peer_codec.cpp
+++ b/src/peer_codec.cpp
@@ -35,6 +35,22 @@
   return std::tie(m.sequence, m.version, m.age);
 }
 
+static auto Fields(auto& i, const request_identity&) { return std::tie(i.high, i.low); }
+
+static auto Fields(auto& r, const remembered_request&) {
+  return std::tie(r.identity, r.fingerprint, r.state, r.age, r.first_sent, r.answer);
+}
+
+static auto Fields(auto& m, const slice_memory_export&) {
+  return std::tie(m.watermark, m.requests);
+}
+
+static auto Fields(auto& m, const memory_request&) { return std::tie(m.slices); }
+
+static auto Fields(auto& m, const memory_answer&) { return std::tie(m.slice, m.known, m.memory); }
+
+static constexpr auto HighestOf(remembered_state) { return remembered_state::kUnknown; }
+
 static constexpr auto HighestOf(refusal_reason) {
   return static_cast<refusal_reason>(static_cast<int>(refusal_reason::kCount) - 1);
 }
--- a/src/peer_messages.h
+++ b/src/peer_messages.h
@@ -8,8 +8,10 @@
 #include <cstdint>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include "http_message.h"
+#include "idempotency_memory.h"
 #include "refusal.h"
 
 namespace bulrushway {
@@ -95,10 +97,23 @@
   std::chrono::milliseconds age{0};
 };
 
+/// The new owner of slices asks the last one what it remembers of requests that must not run twice.
+struct memory_request {
+  std::vector<uint32_t> slices;
+};
+
+/// What the last owner remembers of one slice; `known` is false when it remembers nothing.
+struct memory_answer {
+  uint32_t slice = 0;
+  bool known = false;
+  slice_memory_export memory;
+};
+
 /// Any message between processes. The order is part of the protocol: append only.
 using peer_message =
     std::variant<hello_message, forward_request, forward_answer, cancel_request, control_message,
-                 document_request, document_answer, freshness_request, freshness_answer>;
+                 document_request, document_answer, freshness_request, freshness_answer,
+                 memory_request, memory_answer>;
 
 }  // namespace bulrushway
 
