Measure against the daemon

Cause: the scenarios met the real daemon and the operators' command for the first time. Change: verbs of bulrushctl, readiness by the spread of slices, warm-up before a scenario, few keys in the keyed loads so that gaps show, one deployment for all scenarios of the quick form.

--- a/tools/lib/failure_runs.py
+++ b/tools/lib/failure_runs.py
@@ -4,11 +4,13 @@
 import threading
 import time
 
-from fleet import boot_milliseconds, call
+from processes import boot_milliseconds, call
 from reports import check_table, not_whole, reasons_table, span_quantiles, timeline
 from tables import Section, Table
 
-KEYS = 120
+# Few keys, so that each is asked for often enough to see when it has no service.
+KEYS = 60
+MIXED_KEYS = 24
 
 
 def keyed_flags(fleet, rate, duration_s, **more):
@@ -20,8 +22,8 @@
 def mixed_flags(fleet, rate, duration_s, **more):
     services = (f"{fleet.deployment.lookup_service()}:lookup:0.7,"
                 f"{fleet.deployment.keyed_service()}:keyed:0.3")
-    flags = {"services": services, "rate": rate, "duration_s": duration_s, "keys": KEYS,
-             "window_ms": 500, "seed": 22, "repeat_share": 0.2}
+    flags = {"services": services, "rate": rate, "duration_s": duration_s,
+             "keys": MIXED_KEYS, "window_ms": 500, "seed": 22, "repeat_share": 0.2}
     return {**flags, **more}
 
 
@@ -67,7 +69,7 @@
 
 def data_centre(fleet, quick):
     """A data centre is taken out and brought back under load."""
-    out_s, back_s, end_s = (2, 4, 6) if quick else (5, 12, 20)
+    out_s, back_s, end_s = (1.5, 3, 5) if quick else (5, 12, 20)
     place = fleet.deployment.upstreams[0].data_centre
     nodes = [node for node in fleet.nodes.values() if node.upstream.data_centre == place]
     entries = [node.http for node in fleet.nodes.values() if node not in nodes]
@@ -75,12 +77,12 @@
     begin = boot_milliseconds()
     load = fleet.start_load("data-centre", mixed_flags(fleet, 400, end_s), entries)
     sleep_until(begin, out_s)
-    fleet.apply_out(place)
+    fleet.take_out(place)
     applied_ms = boot_milliseconds()
     watch = ExecutionWatch(nodes)
     sleep_until(begin, back_s)
     last_work_ms = watch.stop()
-    fleet.apply_out()
+    fleet.bring_back(place)
     back_ms = boot_milliseconds()
     report = fleet.finish_load(load)
     start_ms = report["started_ms"]
@@ -110,23 +112,24 @@
 
 def owner_lost(fleet, quick):
     """An owner's machine is lost; then one is paused and comes back."""
-    fault_s, end_s = (1.5, 5) if quick else (3, 10)
+    fault_s, end_s = (1, 4) if quick else (3, 10)
     victims = fleet.deployment.of_kind("keyed")
     runs = []
     plots = []
-    for name, title in (("owner-killed", "owner killed"), ("owner-paused", "owner paused for 3 s")):
+    faults = [("owner-killed", "owner killed"), ("owner-paused", "owner paused for 3 s")]
+    for seed, (name, title) in enumerate(faults[:1] if quick else faults, 23):
         fleet.reset_targets()
         victim = fleet.nodes[victims[1 if name == "owner-killed" else 2].name]
         entries = [node.http for node in fleet.live() if node is not victim]
         begin = boot_milliseconds()
-        load = fleet.start_load(name, keyed_flags(fleet, 600, end_s), entries)
+        load = fleet.start_load(name, keyed_flags(fleet, 600, end_s, seed=seed), entries)
         sleep_until(begin, fault_s)
         fault_ms = boot_milliseconds()
         if name == "owner-killed":
             fleet.kill_instance(victim.name)
         else:
             victim.daemon.freeze()
-            time.sleep(3 if not quick else 1.5)
+            time.sleep(3)
             victim.daemon.resume()
         report = fleet.finish_load(load)
         runs.append((title, report))
@@ -135,7 +138,8 @@
         if name == "owner-killed":
             fleet.start_target(victim.name, *fleet.target_flags)
             fleet.start_daemon(victim.name)
-        fleet.wait_ready()
+        if not quick:
+            fleet.wait_ready()
     intro = (
         f"Keyed load of 600/s over {KEYS} keys for {end_s} s, half of it writes, over the "
         "processes of the other machines. The time without service of a key is the longest wait "
@@ -148,7 +152,7 @@
 
 def store_outage(fleet, quick):
     """The store refuses connections; an owner is lost meanwhile."""
-    out_s, kill_s, back_s, end_s = (1, 2.5, 5, 7) if quick else (3, 8, 14, 18)
+    out_s, kill_s, back_s, end_s = (0.5, 1.5, 3.5, 5) if quick else (3, 8, 14, 18)
     victim = fleet.nodes[fleet.deployment.of_kind("keyed")[3].name]
     entries = [node.http for node in fleet.live() if node is not victim]
     fleet.reset_targets()
--- a/tools/lib/fleet.py
+++ b/tools/lib/fleet.py
@@ -1,136 +1,22 @@
 """Starts a deployment of the examples as plain processes on loopback and drives it.
 
-Every process is a child of the caller and is ended by its process id. Logs, settings and reports go
-to the output folder of the run.
+Logs, settings and reports go to the output folder of the run.
 """
 
 import configparser
 import json
-import os
 import shlex
-import signal
 import subprocess
 import time
-import urllib.error
 import urllib.parse
-import urllib.request
 from dataclasses import dataclass, field
 from pathlib import Path
 
-ROOT = Path(__file__).resolve().parents[2]
-POLL_INTERVAL_S = 0.05
-HTTP_TIMEOUT_S = 3.0
-STOP_LIMIT_S = 15.0
-SLICES = 1024
-
-
-class FleetError(Exception):
-    """A process or an answer is not as the run needs it."""
-
-
-def boot_milliseconds():
-    """The present time on the clock that the processes use."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME) * 1000
-
-
-def call(address, path, method="GET", body=None, timeout=HTTP_TIMEOUT_S):
-    """Sends one request and returns (status, body); status 0 when there is no answer."""
-    data = body.encode() if isinstance(body, str) else body
-    request = urllib.request.Request(f"http://{address}{path}", data=data, method=method)
-    try:
-        with urllib.request.urlopen(request, timeout=timeout) as answer:
-            return answer.status, answer.read().decode()
-    except urllib.error.HTTPError as refusal:
-        return refusal.code, refusal.read().decode()
-    except (OSError, TimeoutError):
-        return 0, ""
-
-
-def call_json(address, path, method="GET", value=None):
-    """The JSON of an answer with status 200, or None."""
-    body = None if value is None else json.dumps(value)
-    status, text = call(address, path, method, body)
-    if status != 200:
-        return None
-    try:
-        return json.loads(text)
-    except ValueError:
-        return None
-
-
-def wait_until(condition, limit_s, what):
-    """Polls until the condition holds and returns the seconds that it took."""
-    begin = time.monotonic()
-    while not condition():
-        if time.monotonic() - begin > limit_s:
-            raise FleetError(f"{what}: not within {limit_s} s")
-        time.sleep(POLL_INTERVAL_S)
-    return time.monotonic() - begin
-
+from processes import FleetError, Process, call, call_json, wait_until
 
-class Process:
-    """One child process with its log file."""
-
-    def __init__(self, command, log):
-        self.command = [str(part) for part in command]
-        self.log = log
-        self.child = None
-
-    def start(self):
-        with open(self.log, "ab") as log:
-            self.child = subprocess.Popen(
-                self.command, stdin=subprocess.DEVNULL, stdout=log, stderr=log
-            )
-
-    @property
-    def pid(self):
-        return self.child.pid
-
-    def running(self):
-        return self.child is not None and self.child.poll() is None
-
-    def signal(self, number):
-        if self.running():
-            os.kill(self.pid, number)
-
-    def freeze(self):
-        self.signal(signal.SIGSTOP)
-
-    def resume(self):
-        self.signal(signal.SIGCONT)
-
-    def kill(self):
-        self.signal(signal.SIGKILL)
-        if self.child is not None:
-            self.child.wait()
-
-    def stop(self):
-        """Ends the process as planned and returns the seconds that it took."""
-        begin = time.monotonic()
-        self.signal(signal.SIGCONT)
-        self.signal(signal.SIGTERM)
-        try:
-            self.child.wait(STOP_LIMIT_S)
-        except subprocess.TimeoutExpired:
-            self.kill()
-        return time.monotonic() - begin
-
-    def cpu_seconds(self):
-        """Processor time used so far; 0 when the process has ended."""
-        try:
-            text = Path(f"/proc/{self.pid}/stat").read_text()
-        except OSError:
-            return 0.0
-        fields = text.rsplit(")", 1)[1].split()
-        return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
-
-    def resident_megabytes(self):
-        """Memory in use; 0 when the process has ended."""
-        try:
-            pages = int(Path(f"/proc/{self.pid}/statm").read_text().split()[1])
-        except OSError:
-            return 0.0
-        return pages * os.sysconf("SC_PAGE_SIZE") / 1e6
+ROOT = Path(__file__).resolve().parents[2]
+# A spread of keys that stays the same for so long is taken for final.
+SETTLED_S = 1.5
 
 
 @dataclass
@@ -301,7 +187,7 @@
         for name in self.nodes:
             self.start_daemon(name)
         wait_until(self.all_answer, 20, "the processes answer")
-        self.apply(self.deployment.folder / "inventory.ini", self.deployment.folder / "rules.ini")
+        self.apply(self.deployment.folder)
         return self.wait_ready(limit_s)
 
     def stop(self):
@@ -327,22 +213,48 @@
     def all_answer(self):
         return all(node.status() is not None for node in self.live())
 
-    def ready(self):
+    def spread(self):
+        """Slices of each keyed process once everything is known to all; None before."""
         live = self.live()
         keyed = self.deployment.keyed_service()
+        slices = {}
+        owned = set()
         for node in live:
             status = node.status()
             if status is None or status.get("config_version", 0) == 0:
-                return False
-            alive = [member for member in status["members"] if member.get("alive")]
-            if len({member["node"] for member in alive} | {node.name}) < len(live):
-                return False
-            if node.upstream.service == keyed and status["owned_slices_of_service"] < SLICES:
-                return False
-        return True
+                return None
+            alive = {member["node"] for member in status["members"] if member.get("alive")}
+            if len(alive | {node.name}) < len(live):
+                return None
+            if node.upstream.service != keyed:
+                continue
+            owned.add(status["owned_slices_of_service"])
+            slices[node.name] = status["slices"]
+        whole = owned == {sum(slices.values())} and min(slices.values()) > 0
+        return slices if whole else None
 
     def wait_ready(self, limit_s=60):
-        return wait_until(self.ready, limit_s, "every process is ready and every key owned")
+        """Waits until every key has an owner and no key has moved for a while."""
+        last = None
+        since = time.monotonic()
+
+        def settled():
+            nonlocal last, since
+            now = self.spread()
+            if now is None or now != last:
+                last = now
+                since = time.monotonic()
+            return now is not None and time.monotonic() - since > SETTLED_S
+
+        return wait_until(settled, limit_s, "every process is ready and every key owned")
+
+    def warm_up(self, seconds):
+        """Sends both services some load, so that the targets are not taken for fresh any more."""
+        services = [f"{name}:{kind}:0.5" for name, kind in self.deployment.services.items()]
+        flags = {"services": ",".join(services), "rate": 900, "duration_s": seconds, "seed": 7,
+                 "write_share": 0}
+        self.run_load("warm-up", flags)
+        self.reset_targets()
 
     # Operators.
 
@@ -364,19 +276,14 @@
             raise FleetError(f"{shown}: exit code {done.returncode}\n{output}")
         return done.returncode, output
 
-    def apply(self, inventory, rules):
-        self.ctl("apply", f"--inventory={inventory}", f"--rules={rules}", "--author=measure")
+    def apply(self, folder):
+        self.ctl("apply", folder, "--author=measure")
 
-    def apply_out(self, *data_centres):
-        """Takes data centres out by editing the rules; none brings all back."""
-        text = (self.deployment.folder / "rules.ini").read_text()
-        lines = [
-            f"out = {', '.join(data_centres)}" if line.startswith("out =") else line
-            for line in text.splitlines()
-        ]
-        rules = self.out / "rules.ini"
-        rules.write_text("\n".join(lines) + "\n")
-        self.apply(self.deployment.folder / "inventory.ini", rules)
+    def take_out(self, data_centre):
+        self.ctl("out", data_centre, "--author=measure")
+
+    def bring_back(self, data_centre):
+        self.ctl("back", data_centre, "--author=measure")
 
     def owner_of(self, key):
         service = self.deployment.keyed_service()
--- a/tools/lib/load_runs.py
+++ b/tools/lib/load_runs.py
@@ -4,11 +4,12 @@
 import time
 
 from failure_runs import mixed_flags, sleep_until
-from fleet import boot_milliseconds, call
+from processes import boot_milliseconds, call
 from reports import check_table, goodput, not_whole, reasons_table, timeline
 from tables import Section, Table
 
 BASE_SERVICE_MS = 20
+TARGET_FLAGS = [f"--service_ms={BASE_SERVICE_MS}", "--shape=lognormal"]
 OVERLOAD_SLOWDOWN = 5
 SLOTS = 12
 
@@ -53,7 +54,7 @@
 
 def overload(fleet, quick):
     """Twice and five times what the targets bear."""
-    length = 2.5 if quick else 5
+    length = 2 if quick else 5
     names = [fleet.deployment.lookup_service(), fleet.deployment.keyed_service()]
     kinds = ["lookup"] if quick else ["lookup", "keyed"]
     table = Table(
@@ -69,10 +70,13 @@
         upstreams = len(fleet.deployment.of_kind(kind))
         capacity = upstreams * SLOTS * 1000 / (BASE_SERVICE_MS * OVERLOAD_SLOWDOWN)
         full = None
-        for factor in (0.9, 2, 5):
+        flags = {"services": f"{service}:{kind}:1", "rate": capacity * 0.9, "duration_s": length,
+                 "keys": 2000, "deadline_ms": 1000}
+        # The caps on concurrency rise with the demand; this load is not counted.
+        fleet.run_load(f"overload-{kind}-rise", {**flags, "seed": 30})
+        for factor in (0.9, 5) if quick else (0.9, 2, 5):
             fleet.reset_targets()
-            flags = {"services": f"{service}:{kind}:1", "rate": capacity * factor,
-                     "duration_s": length, "keys": 2000, "seed": 31, "deadline_ms": 1000}
+            flags = {**flags, "rate": capacity * factor, "seed": 31 + len(runs)}
             report = fleet.run_load(f"overload-{kind}-{factor}", flags)
             full = full or goodput(report)
             label = f"{kind}, {factor}x capacity"
@@ -92,7 +96,7 @@
 
 def all_failing(fleet, quick):
     """All targets of the lookup service refuse everything."""
-    length = 2 if quick else 5
+    length = 1.5 if quick else 5
     nodes = [fleet.nodes[up.name] for up in fleet.deployment.of_kind("lookup")]
     table = Table("amplification", ["fault", "requests", "attempts at targets",
                                     "attempts per request", "not whole"])
@@ -112,7 +116,7 @@
         attempts = sum(arrivals(node) for node in nodes)
         table.add(name, report["sent"], attempts, attempts / report["sent"], not_whole(report))
         runs.append((name, report))
-        time.sleep(2)
+        time.sleep(1 if quick else 2)
     intro = (
         f"Lookups at 500/s for {length} s while every target refuses each request as not run, and "
         "while every target is frozen (deadline 500 ms). Attempts are counted by the targets."
@@ -126,7 +130,7 @@
 
 def cold_start(fleet, quick):
     """Two targets are restarted cold under load; a third turns cold without a new boot id."""
-    end_s = 6 if quick else 15
+    end_s = 5 if quick else 15
     cold_flags = ["--cold_requests=300", "--cold_factor=4", "--cold_bearable=3"]
     names = [up.name for up in fleet.deployment.of_kind("lookup")]
     fleet.reset_targets()
--- a/tools/lib/straggler_runs.py
+++ b/tools/lib/straggler_runs.py
@@ -4,7 +4,7 @@
 import subprocess
 import time
 
-from fleet import FleetError, Process, call
+from processes import FleetError, Process, call
 from tables import Plot, Section, Series, Table
 
 SERVICE_FLAGS = ["--service_ms=20", "--shape=lognormal"]
@@ -134,7 +134,7 @@
 
 
 def measure(fleet, quick):
-    duration_s = 2.0 if quick else 6.0
+    duration_s = 1.5 if quick else 6.0
     chosen = selected_policies(3 if quick else len(POLICIES))
     sets = [PolicyTargets(fleet, i, policy, hedge) for i, (_, policy, hedge) in enumerate(chosen)]
     try:
