Tests reach the platform's control address; load says which attempt a write is

Cause: with the platform's port closed the test could not open it again; unmarked writes are refused for the window after a loss. Change: control address, attempt header.

--- a/standins/common/load_client.cpp
+++ b/standins/common/load_client.cpp
@@ -137,6 +137,8 @@
   if (service.keyed) request.headers.emplace_back("X-Bulrush-Key", KeyName(planned));
   if (!planned.idempotency_key.empty()) {
     request.headers.emplace_back("Idempotency-Key", planned.idempotency_key);
+    request.headers.emplace_back("X-Bulrush-Attempt",
+                                 planned.repeat_of.empty() ? "first" : "repeat");
   }
   if (!planned.idempotent) request.body.assign(settings_.body_bytes, 'b');
   return request;
--- a/test/support/test_fleet.cpp
+++ b/test/support/test_fleet.cpp
@@ -61,13 +61,15 @@
 test_fleet::test_fleet(const std::string& name)
     : folder_(std::string(BULRUSHWAY_PROGRAMS) + "/fleets/" + name),
       client_(loop_, 8),
-      platform_address_(FreeAddress()) {
+      platform_address_(FreeAddress()),
+      platform_control_(FreeAddress()) {
   std::signal(SIGPIPE, SIG_IGN);
   std::filesystem::remove_all(folder_);
   std::filesystem::create_directories(folder_);
   platform_ = std::make_unique<child_process>(
       Program("standin_platform"),
-      std::vector<std::string>{"--listen=" + ToString(platform_address_)},
+      std::vector<std::string>{"--listen=" + ToString(platform_address_),
+                               "--control=" + ToString(platform_control_)},
       folder_ + "/platform.log");
   const bool up = Until([this] {
     return Call(platform_address_, {"GET", "/table/rows?prefix=x", {}, {}}).status == 200;
@@ -186,7 +188,7 @@
 }
 
 void test_fleet::PlatformFaults(const std::string& faults) {
-  Call(platform_address_, {"POST", "/faults", {}, faults});
+  Call(platform_control_, {"POST", "/faults", {}, faults});
 }
 
 void test_fleet::TargetFaults(const std::string& name, const std::string& faults) {
--- a/test/support/test_fleet.h
+++ b/test/support/test_fleet.h
@@ -104,6 +104,7 @@
   event_loop loop_;
   http_client client_;
   socket_address platform_address_;
+  socket_address platform_control_;
   std::unique_ptr<child_process> platform_;
   std::map<std::string, node_state> nodes_;
 };
