--- a/src/ownership_core_terms.cpp
+++ b/src/ownership_core_terms.cpp
@@ -23,7 +23,7 @@
 constexpr int64_t kRequestJitterMs = 1000;
 /// A leaving node waits this long for a receiver of slices that nobody else may hold.
 constexpr std::chrono::milliseconds kStopPatience{5000};
-/// Pause between two notes in the node's row, and before the note of a new term.
+/// Pause between two notes in the node's row.
 constexpr std::chrono::milliseconds kNoteInterval{1000};
 /// Rows deleted in one transaction at most.
 constexpr size_t kDeleteBatch = 32;
@@ -60,7 +60,7 @@
   if (phase_ != ownership_phase::kServing) return;
   AdvanceChange(now);
   AskForSlices(now);
-  const heir self = AsHeir(SelfMember());
+  const heir self = settings_.owner_capable ? AsHeir(SelfMember()) : heir{};
   recovery_.Tick(now, self, members_, inheritance_, random_, out_);
 }
 
@@ -74,6 +74,7 @@
   std::vector<table_condition> conditions;
   std::vector<table_write> writes;
   for (const uint32_t partition : startup_.UnclaimedPartitions()) {
+    if (!settings_.owner_capable) break;
     const std::string key = GenesisKey(settings_.service, partition);
     conditions.push_back({key, 0});
     writes.push_back({key, ToString(record.id)});
@@ -94,7 +95,7 @@
            ToString(record.id) + " with " + std::to_string(record.slices.size()) + " slices");
   claim_changed_ = true;
   next_change_at_ = now + kPauseAfterChange;
-  next_note_at_ = now + kNoteInterval;
+  next_note_at_ = now;
   change_wanted_since_.reset();
   if (!activated.replaced) {
     phase_ = ownership_phase::kServing;
@@ -228,7 +229,8 @@
 }
 
 void ownership_core::AskForSlices(instant now) {
-  if (leaving_ || tenure_.Changing() || now < next_request_at_) return;
+  if (leaving_ || !settings_.owner_capable) return;
+  if (tenure_.Changing() || now < next_request_at_) return;
   const auto jitter = static_cast<int64_t>(random_() % kRequestJitterMs);
   next_request_at_ = now + kRequestInterval + std::chrono::milliseconds(jitter);
   std::vector<member> all = members_;
@@ -344,6 +346,7 @@
   self.rack = settings_.rack;
   self.slice_count = static_cast<uint32_t>(held_.size());
   self.weight = settings_.weight;
+  self.owner_capable = settings_.owner_capable;
   self.leaving = leaving_;
   return self;
 }
--- a/src/ownership_types.h
+++ b/src/ownership_types.h
@@ -51,6 +51,8 @@
   std::string rack;
   slice_layout layout;
   uint32_t weight = 1;
+  /// May hold slices. A process beside a target without keys has terms and is a witness only.
+  bool owner_capable = true;
   uint32_t heir_count = 4;
   protocol_rules rules;
 };
--- a/src/startup.cpp
+++ b/src/startup.cpp
@@ -123,7 +123,7 @@
 }
 
 void startup::OnAttested(instant now, const attest_result& found, outbox& out) {
-  if (step_ != step::kPreviousEnd || found.term != previous_->id) return;
+  if (step_ != step::kPreviousEnd || found.term.node != settings_.node) return;
   if (found.verdict == attest_verdict::kAlive) {
     undecided_ = 0;
     if (now - previous_since_ >= kDuplicatePatience) LogAlive(now, out);
