--- a/src/ownership_core.cpp
+++ b/src/ownership_core.cpp
@@ -58,6 +58,7 @@
   held_.clear();
   gained_.clear();
   handover_.Clear();
+  if (tenure_.Lapsed()) DeclareEnd(now);
   tenure_ = tenure(settings_.rules);
   writing_.reset();
   store_.Cancel();
@@ -70,6 +71,22 @@
   restart_at_ = now + std::chrono::milliseconds(pause);
 }
 
+void ownership_core::DeclareEnd(instant now) {
+  // The holder itself knows best that its term ended: nobody has to wait for the witnesses.
+  for (const term_record& record : tenure_.EndedForCertain()) {
+    outcomes_.NoteGone(record.id);
+    witness_->OnOutcome(record.id, term_outcome::kGone);
+    out_.Add(publish_fact_action{record.id});
+    const bool active = tenure_.Active() != nullptr && tenure_.Active()->id == record.id;
+    const lapse_notice notice{record, active};
+    inheritance_.OnLapse(now, settings_.node, notice);
+    for (const heir& entry : record.heirs) {
+      out_.Send(entry.term.node, notice);
+      out_.Send(entry.term.node, outcome_notice{record.id, term_outcome::kGone, {}});
+    }
+  }
+}
+
 void ownership_core::Restart(instant now) {
   phase_ = ownership_phase::kStarting;
   startup_.Begin(now, store_, out_);
--- a/src/ownership_core.h
+++ b/src/ownership_core.h
@@ -82,6 +82,7 @@
   void Enter(instant now);
   void Restart(instant now);
   void Leave(instant now, const std::string& detail);
+  void DeclareEnd(instant now);
   void Settle(instant now);
   void DeliverLocal(instant now);
   void Dispatch(instant now, const node_name& from, const ownership_message& message);
--- a/src/ownership_core_terms.cpp
+++ b/src/ownership_core_terms.cpp
@@ -85,7 +85,7 @@
   }
   writing_ = record;
   phase_ = ownership_phase::kWriting;
-  store_.Commit(now, record, {first_number_, 0, settings_.address}, std::move(conditions),
+  store_.Commit(now, record, {first_number_, startup_.NotedNumber(), settings_.address}, std::move(conditions),
                 std::move(writes), out_);
 }
 
--- a/src/recovery.cpp
+++ b/src/recovery.cpp
@@ -36,6 +36,22 @@
   return records;
 }
 
+/// Whether the rows show that the term was in force: it is the one that its node noted, or the
+/// predecessor of one that was in force.
+bool InForce(const std::vector<term_record>& records, uint64_t number, uint64_t noted) {
+  while (number < noted) {
+    const auto later = std::find_if(
+        records.begin(), records.end(),
+        [&](const term_record& record) { return record.predecessor == number; });
+    const auto rivals = std::count_if(
+        records.begin(), records.end(),
+        [&](const term_record& record) { return record.predecessor == number; });
+    if (rivals != 1) return false;
+    number = later->id.number;
+  }
+  return number == noted;
+}
+
 /// Whether the rows show that no term has `number` as its predecessor: every later number is
 /// present without naming it, or belongs to a later process.
 bool NoSuccessor(const std::vector<term_record>& records, uint64_t number, uint64_t latest) {
@@ -159,7 +175,7 @@
   if (!node || !terms) return;
   for (const term_record& record : *terms) {
     if (record.predecessor != term.number) continue;
-    if (record.id.number > node->active_number) continue;
+    if (!InForce(*terms, record.id.number, node->active_number)) continue;
     outcomes.NoteSuperseded(term, record);
     return;
   }
--- a/src/startup.h
+++ b/src/startup.h
@@ -32,6 +32,8 @@
   bool Ready() const { return step_ == step::kReady; }
   /// Number of the first term. Valid when ready.
   uint64_t FirstNumber() const { return latest_number_ + 1; }
+  /// The term that an earlier process noted as in force. Valid when ready.
+  uint64_t NotedNumber() const { return active_number_; }
   /// Up to this term all earlier processes were proven ended, or 0. Valid when ready.
   uint64_t EndedNumber() const { return ended_number_; }
   /// The latest term of an earlier process, if its row is still there. Valid when ready.
--- a/src/tenure.cpp
+++ b/src/tenure.cpp
@@ -72,6 +72,14 @@
   return std::min(active_->Expiry(), next_->Expiry());
 }
 
+std::vector<term_record> tenure::EndedForCertain() const {
+  std::vector<term_record> ended;
+  if (superseding_) return ended;
+  if (active_) ended.push_back(active_->record());
+  if (next_) ended.push_back(next_->record());
+  return ended;
+}
+
 std::optional<tenure::activation> tenure::TakeActivation() {
   return std::exchange(activated_, std::nullopt);
 }
