--- a/src/ownership_core.cpp
+++ b/src/ownership_core.cpp
@@ -64,6 +64,7 @@
   store_.Cancel();
   noting_.reset();
   deleting_count_ = 0;
+  if (first_number_ != 0) startup_.SetOwnEnded(first_number_);
   first_number_ = 0;
   claim_changed_ = true;
   phase_ = ownership_phase::kIdle;
@@ -73,7 +74,10 @@
 
 void ownership_core::DeclareEnd(instant now) {
   // The holder itself knows best that its term ended: nobody has to wait for the witnesses.
-  for (const term_record& record : tenure_.EndedForCertain()) {
+  const std::vector<term_record> ended = tenure_.EndedForCertain();
+  const bool active_ended = !ended.empty() && tenure_.Active() != nullptr;
+  ended_active_number_ = active_ended ? tenure_.Active()->id.number : 0;
+  for (const term_record& record : ended) {
     outcomes_.NoteGone(record.id);
     witness_->OnOutcome(record.id, term_outcome::kGone);
     out_.Add(publish_fact_action{record.id});
--- a/src/ownership_core.h
+++ b/src/ownership_core.h
@@ -134,6 +134,8 @@
   bool members_known_ = false;
   uint64_t first_number_ = 0;
   uint64_t latest_number_ = 0;
+  /// The active term of this process's earlier tenure if it certainly had no successor in force.
+  uint64_t ended_active_number_ = 0;
   std::optional<term_record> writing_;
   std::map<slice_number, uint64_t> held_;
   /// The highest epoch of each slice that this process ever knew as its own or gave.
--- a/src/ownership_core_terms.cpp
+++ b/src/ownership_core_terms.cpp
@@ -69,6 +69,8 @@
   // An earlier process of this node may have left slices whose heirs are all gone.
   if (const auto& previous = startup_.Previous()) {
     inheritance_.OnLapse(now, settings_.node, {*previous, false});
+    const bool is_void = previous->predecessor != 0 && previous->predecessor == ended_active_number_;
+    if (is_void) unneeded_rows_.push_back(previous->id);
   }
   term_record record = ComposeTerm(first_number_);
   std::vector<table_condition> conditions;
--- a/src/startup.cpp
+++ b/src/startup.cpp
@@ -71,7 +71,8 @@
   const term_id before{settings_.node, previous_->predecessor};
   const bool gone = outcomes.Gone(previous_->id);
   const bool in_force = before.number == 0 || active_number_ >= latest_number_;
-  const bool proven = gone && (in_force || outcomes.Gone(before) || outcomes.Next(before));
+  const bool own = own_first_ != 0 && previous_->first_number == own_first_;
+  const bool proven = own || (gone && (in_force || outcomes.Gone(before) || outcomes.Next(before)));
   if (proven || outcomes.Next(previous_->id) != nullptr || undecided_ >= kUndecidedRounds) {
     const bool all = previous_->first_number == 1 || previous_->ended_number > 0;
     ended_number_ = proven && all ? latest_number_ : 0;
--- a/src/startup.h
+++ b/src/startup.h
@@ -22,6 +22,8 @@
   explicit startup(ownership_settings settings) : settings_(std::move(settings)) {}
 
   void Begin(instant now, term_store& store, outbox& out);
+  /// Terms of this very process with this first number have ended: no proof is needed for them.
+  void SetOwnEnded(uint64_t first_number) { own_first_ = first_number; }
   void Tick(instant now, term_store& store, const term_outcomes& outcomes, attestor& rounds,
             outbox& out);
   void OnRows(instant now, const std::string& prefix, const result<std::vector<table_row>>& rows,
@@ -57,6 +59,7 @@
   uint64_t latest_number_ = 0;
   uint64_t active_number_ = 0;
   uint64_t ended_number_ = 0;
+  uint64_t own_first_ = 0;
   std::string previous_address_;
   std::optional<term_record> previous_;
   uint32_t undecided_ = 0;
