--- a/src/ctl_configuration.cpp
+++ b/src/ctl_configuration.cpp
@@ -5,6 +5,7 @@
 
 #include "configuration_diff.h"
 #include "ctl_commit.h"
+#include "ctl_json.h"
 #include "ctl_verbs.h"
 #include "quantity.h"
 
@@ -135,7 +136,7 @@
   for (const auto& one : outcome->warnings) {
     warnings.push_back({{"place", one.place}, {"message", one.message}});
   }
-  session.Print(json{{"state", "valid"}, {"warnings", warnings}}.dump(2));
+  session.Print(Dump({{"state", "valid"}, {"warnings", warnings}}));
   return ctl_exit::kOk;
 }
 
@@ -185,14 +186,14 @@
   if (!texts) return ReportErrors(session, texts.error());
   const result<uint64_t> base = BaseOf(session.options(), folder, *current);
   if (!base) return ReportFailure(session, base.error());
-  const ctl_exit outcome = CommitEdit(session, *current, {*texts, *base, ""});
+  const ctl_commit outcome = CommitEdit(session, *current, {*texts, *base, ""});
   const std::string path = PathIn(folder, kVersionFile);
   // Files that were exported stay in step, so that the next edit begins at this version.
-  if (outcome == ctl_exit::kOk && !folder.empty() && std::filesystem::exists(path)) {
-    const result<void> written = WriteTextFile(path, std::to_string(*base + 1) + "\n");
+  if (outcome.version && !folder.empty() && std::filesystem::exists(path)) {
+    const result<void> written = WriteTextFile(path, std::to_string(*outcome.version) + "\n");
     if (!written) session.PrintError(ToString(written.error()));
   }
-  return outcome;
+  return outcome.exit;
 }
 
 ctl_exit CtlRollback(ctl_session& session, const ctl_arguments& arguments) {
@@ -204,7 +205,8 @@
   return CommitEdit(session, *current,
                     {{name + " inventory", earlier->inventory, name + " rules", earlier->rules},
                      current->at.version(),
-                     "rollback to " + name});
+                     "rollback to " + name})
+      .exit;
 }
 
 ctl_exit CtlHistory(ctl_session& session, const ctl_arguments&) {
@@ -214,7 +216,7 @@
   const auto heads = session.ReadHistory(current->at.version(), limit);
   if (!heads) return ReportFailure(session, heads.error());
   if (session.options().json) {
-    session.Print(ToJson(*heads).dump(2));
+    session.Print(Dump(ToJson(*heads)));
     return ctl_exit::kOk;
   }
   if (heads->empty()) session.Print("There is no version yet.");
