Balance slices for each partition

Cause: with real processes a region's only rich node kept its partition, since shares were counted over all partitions. Change: shares, requests and gifts are per partition; the control codec carries the changed fields. Conclusion: member.partition_slices must be filled from the claims by the caller.

--- a/src/control_codec.cpp
+++ b/src/control_codec.cpp
@@ -16,7 +16,7 @@
 static auto Fields(auto& m, const slice_gift&) { return std::tie(m.slice, m.receiver); }
 static auto Fields(auto& m, const term_record&) {
   return std::tie(m.id, m.service, m.region, m.slices, m.witnesses, m.heirs, m.gifts, m.predecessor,
-                  m.predecessor_witnesses, m.first_number);
+                  m.predecessor_witnesses, m.first_number, m.late_heirs, m.ended_number);
 }
 static auto Fields(auto& m, const renew_request&) {
   return std::tie(m.term, m.sequence, m.witness_process, m.active, m.record);
@@ -46,7 +46,7 @@
 static auto Fields(auto& m, const lapse_answer&) { return std::tie(m.term); }
 static auto Fields(auto& m, const release_notice&) { return std::tie(m.record, m.released); }
 static auto Fields(auto& m, const taken_notice&) { return std::tie(m.giver, m.slices); }
-static auto Fields(auto& m, const slices_request&) { return std::tie(m.receiver, m.count); }
+static auto Fields(auto& m, const slices_request&) { return std::tie(m.receiver, m.partition_counts); }
 
 // Highest enumerator of each enumeration that travels.
 static constexpr auto HighestOf(term_outcome) { return term_outcome::kSuperseded; }
--- a/src/ownership_core.h
+++ b/src/ownership_core.h
@@ -89,6 +89,7 @@
   void OnAttested(instant now, const attest_result& found);
   void TellOutcome(const attest_result& found);
   void OnSlicesRequest(const slices_request& request);
+  void PlanGifts(uint32_t partition, uint32_t keep, uint32_t count, const heir& receiver);
   void OnReleaseNotice(instant now, const node_name& from, const release_notice& notice);
   void AnswerTaken(const node_name& from, const release_notice& notice);
 
--- a/src/ownership_core_terms.cpp
+++ b/src/ownership_core_terms.cpp
@@ -239,7 +239,7 @@
   const member self = SelfMember();
   all.push_back(self);
   for (const donor_share& share : ChooseDonors(settings_.layout, all, self)) {
-    out_.Send(share.donor, slices_request{AsHeir(self), share.count});
+    out_.Send(share.donor, slices_request{AsHeir(self), share.partition_counts});
   }
 }
 
@@ -248,20 +248,27 @@
   std::vector<member> all = members_;
   const member self = SelfMember();
   all.push_back(self);
-  const double share = FairShare(settings_.layout, all, self);
-  const double keep = std::ceil(share) + static_cast<double>(handover_.PlannedCount());
-  double surplus = std::floor(static_cast<double>(held_.size()) - keep);
-  surplus = std::min(surplus, static_cast<double>(request.count));
-  auto next = held_.begin();
-  std::advance(next, static_cast<std::ptrdiff_t>(random_() % held_.size()));
-  for (size_t tried = 0; tried < held_.size() && surplus >= 1; ++tried) {
-    if (next == held_.end()) next = held_.begin();
-    const slice_number slice = next->first;
-    ++next;
-    if (handover_.IsPlanned(slice)) continue;
-    if (!SliceAllowed(settings_.layout, slice, request.receiver.region)) continue;
-    handover_.Plan({slice, request.receiver});
-    surplus -= 1;
+  const uint32_t partitions = PartitionCount(settings_.layout);
+  for (uint32_t partition = 0; partition < partitions; ++partition) {
+    if (partition >= request.partition_counts.size()) return;
+    if (!PartitionAllowed(settings_.layout, partition, request.receiver.region)) continue;
+    const double share = FairShare(settings_.layout, all, self, partition);
+    const auto keep = static_cast<uint32_t>(std::ceil(share));
+    PlanGifts(partition, keep, request.partition_counts[partition], request.receiver);
+  }
+}
+
+void ownership_core::PlanGifts(uint32_t partition, uint32_t keep, uint32_t count,
+                               const heir& receiver) {
+  std::vector<slice_number> free;
+  for (const auto& [slice, epoch] : held_) {
+    if (PartitionOf(settings_.layout, slice) != partition) continue;
+    if (!handover_.IsPlanned(slice)) free.push_back(slice);
+  }
+  std::shuffle(free.begin(), free.end(), random_);
+  for (size_t i = 0; i < count && free.size() > keep; ++i) {
+    handover_.Plan({free.back(), receiver});
+    free.pop_back();
   }
 }
 
@@ -347,6 +354,10 @@
   self.data_centre = settings_.data_centre;
   self.rack = settings_.rack;
   self.slice_count = static_cast<uint32_t>(held_.size());
+  self.partition_slices.resize(PartitionCount(settings_.layout));
+  for (const auto& [slice, epoch] : held_) {
+    ++self.partition_slices[PartitionOf(settings_.layout, slice)];
+  }
   self.weight = settings_.weight;
   self.owner_capable = settings_.owner_capable;
   self.leaving = leaving_;
--- a/src/ownership_messages.h
+++ b/src/ownership_messages.h
@@ -136,7 +136,8 @@
 /// A node with less than its share asks for slices.
 struct slices_request {
   heir receiver;
-  uint32_t count = 0;
+  /// How many of each partition.
+  std::vector<uint32_t> partition_counts;
 };
 
 using ownership_message =
--- a/src/ownership_types.h
+++ b/src/ownership_types.h
@@ -69,7 +69,10 @@
   std::string region;
   std::string data_centre;
   std::string rack;
+  /// Held slices, all partitions together.
   uint32_t slice_count = 0;
+  /// Held slices of each partition.
+  std::vector<uint32_t> partition_slices;
   uint32_t weight = 1;
   bool leaving = false;
   /// May hold slices: false for processes that are witnesses only.
--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cmath>
 #include <map>
+#include <optional>
 
 namespace bulrushway {
 namespace {
@@ -78,6 +79,28 @@
 
 double Tolerance(double share) { return std::max(1.0, share * kShareTolerance); }
 
+struct surplus {
+  node_name node;
+  double amount = 0;
+};
+
+/// Members with more than their share of the partition, the largest surplus first.
+std::vector<surplus> SurplusOf(const slice_layout& layout, const std::vector<member>& members,
+                               const member& self, uint32_t partition) {
+  std::vector<surplus> rich;
+  for (const member& other : members) {
+    if (other.node == self.node || other.service != self.service) continue;
+    const double amount =
+        SlicesIn(other, partition) - FairShare(layout, members, other, partition);
+    if (amount >= 1) rich.push_back({other.node, amount});
+  }
+  std::sort(rich.begin(), rich.end(), [&](const surplus& a, const surplus& b) {
+    if (a.amount != b.amount) return a.amount > b.amount;
+    return Rank(self.node, a.node) < Rank(self.node, b.node);
+  });
+  return rich;
+}
+
 }  // namespace
 
 heir AsHeir(const member& node) { return {node.term, node.region, node.witnesses}; }
@@ -147,73 +170,68 @@
 }
 
 double FairShare(const slice_layout& layout, const std::vector<member>& members,
-                 const member& node) {
+                 const member& node, uint32_t partition) {
   if (!MayOwn(node, node.service)) return 0;
-  double share = 0;
-  for (uint32_t partition = 0; partition < PartitionCount(layout); ++partition) {
-    if (!PartitionAllowed(layout, partition, node.region)) continue;
-    const double total = TotalWeight(layout, members, node.service, partition);
-    if (total > 0) share += layout.slices_per_partition * node.weight / total;
-  }
-  return share;
+  if (!PartitionAllowed(layout, partition, node.region)) return 0;
+  const double total = TotalWeight(layout, members, node.service, partition);
+  return total > 0 ? layout.slices_per_partition * node.weight / total : 0;
+}
+
+uint32_t SlicesIn(const member& node, uint32_t partition) {
+  return partition < node.partition_slices.size() ? node.partition_slices[partition] : 0;
 }
 
 std::vector<donor_share> ChooseDonors(const slice_layout& layout,
                                       const std::vector<member>& members, const member& self) {
-  const double share = FairShare(layout, members, self);
-  double wanted = std::floor(share - self.slice_count);
-  std::vector<donor_share> donors;
-  if (wanted < Tolerance(share)) return donors;
-  struct surplus {
-    node_name node;
-    double amount = 0;
-  };
-  std::vector<surplus> rich;
-  for (const member& other : members) {
-    if (other.node == self.node || other.service != self.service) continue;
-    const double amount = other.slice_count - FairShare(layout, members, other);
-    if (amount >= 1) rich.push_back({other.node, amount});
-  }
-  std::sort(rich.begin(), rich.end(), [&](const surplus& a, const surplus& b) {
-    if (a.amount != b.amount) return a.amount > b.amount;
-    return Rank(self.node, a.node) < Rank(self.node, b.node);
-  });
-  for (const surplus& donor : rich) {
-    const double part = std::floor(std::min(wanted, donor.amount));
-    if (part < 1) break;
-    donors.push_back({donor.node, static_cast<uint32_t>(part)});
-    wanted -= part;
+  std::map<node_name, donor_share> donors;
+  for (uint32_t partition = 0; partition < PartitionCount(layout); ++partition) {
+    const double share = FairShare(layout, members, self, partition);
+    double wanted = std::round(share - SlicesIn(self, partition));
+    if (wanted < Tolerance(share)) continue;
+    for (const surplus& rich : SurplusOf(layout, members, self, partition)) {
+      const double part = std::floor(std::min(wanted, rich.amount));
+      if (part < 1) break;
+      donor_share& donor = donors[rich.node];
+      donor.donor = rich.node;
+      donor.partition_counts.resize(PartitionCount(layout));
+      donor.partition_counts[partition] = static_cast<uint32_t>(part);
+      wanted -= part;
+    }
   }
-  return donors;
+  std::vector<donor_share> chosen;
+  for (auto& [node, donor] : donors) chosen.push_back(std::move(donor));
+  return chosen;
 }
 
 std::vector<slice_gift> ChooseReceivers(const slice_layout& layout,
                                         const std::vector<member>& members, const node_name& giver,
                                         const std::vector<slice_number>& slices) {
-  struct room {
-    const member* node;
-    double free;
-  };
-  std::vector<room> rooms;
   const auto giving = std::find_if(members.begin(), members.end(),
                                    [&](const member& node) { return node.node == giver; });
   if (giving == members.end()) return {};
   std::vector<member> staying = members;
-  std::erase_if(staying, [&](const member& node) { return node.node == giver; });
-  for (const member& node : staying) {
-    if (!MayOwn(node, giving->service) || node.term.number == 0) continue;
-    rooms.push_back({&node, FairShare(layout, staying, node) - node.slice_count});
-  }
+  std::erase_if(staying, [&](const member& node) {
+    return node.node == giver || node.term.number == 0 || !MayOwn(node, giving->service);
+  });
+  // Free share of each receiver, worked out once for each partition.
+  std::map<uint32_t, std::vector<double>> free_shares;
   std::vector<slice_gift> gifts;
   for (const slice_number slice : slices) {
-    room* best = nullptr;
-    for (room& candidate : rooms) {
-      if (!SliceAllowed(layout, slice, candidate.node->region)) continue;
-      if (best == nullptr || candidate.free > best->free) best = &candidate;
+    const uint32_t partition = PartitionOf(layout, slice);
+    std::vector<double>& free = free_shares[partition];
+    if (free.empty()) {
+      for (const member& node : staying) {
+        free.push_back(FairShare(layout, staying, node, partition) - SlicesIn(node, partition));
+      }
+    }
+    std::optional<size_t> best;
+    for (size_t i = 0; i < staying.size(); ++i) {
+      if (!PartitionAllowed(layout, partition, staying[i].region)) continue;
+      if (!best || free[i] > free[*best]) best = i;
     }
-    if (best == nullptr) continue;
-    best->free -= 1;
-    gifts.push_back({slice, AsHeir(*best->node)});
+    if (!best) continue;
+    free[*best] -= 1;
+    gifts.push_back({slice, AsHeir(staying[*best])});
   }
   return gifts;
 }
--- a/src/placement.h
+++ b/src/placement.h
@@ -29,19 +29,22 @@
 std::vector<heir> ChooseHeirs(const ownership_settings& self, const std::vector<member>& members,
                               const std::vector<heir>& current);
 
-/// The number of slices that the node should hold, by weight, among the members that may hold them.
-/// `members` has the node itself.
+/// The number of slices of the partition that the node should hold, by weight, among the members that
+/// may hold them. `members` has the node itself.
 double FairShare(const slice_layout& layout, const std::vector<member>& members,
-                 const member& node);
+                 const member& node, uint32_t partition);
 
-/// How many slices one donor is asked for.
+/// How many slices of the partition the node holds.
+uint32_t SlicesIn(const member& node, uint32_t partition);
+
+/// How many slices of each partition one donor is asked for.
 struct donor_share {
   node_name donor;
-  uint32_t count = 0;
+  std::vector<uint32_t> partition_counts;
 };
 
-/// The donors that a node with fewer slices than its share asks, those with the largest surplus
-/// first, so that as few slices as possible move. `members` has the node itself.
+/// The donors that a node with fewer slices than its share of a partition asks, those with the
+/// largest surplus first, so that as few slices as possible move. `members` has the node itself.
 std::vector<donor_share> ChooseDonors(const slice_layout& layout,
                                       const std::vector<member>& members, const member& self);
 
--- a/src/slice.cpp
+++ b/src/slice.cpp
@@ -26,7 +26,7 @@
 }
 
 uint32_t PartitionOf(const slice_layout& layout, slice_number slice) {
-  return slice / layout.slices_per_partition;
+  return layout.slices_per_partition == 0 ? 0 : slice / layout.slices_per_partition;
 }
 
 bool PartitionAllowed(const slice_layout& layout, uint32_t partition, std::string_view region) {
--- a/test/correctness/ownership_fleet.cpp
+++ b/test/correctness/ownership_fleet.cpp
@@ -358,7 +358,10 @@
     made.region = node.settings.region;
     made.data_centre = node.settings.data_centre;
     made.rack = node.settings.rack;
-    made.slice_count = static_cast<uint32_t>(node.claim.slices.size());
+    made.partition_slices.resize(3);
+    for (const slice_epoch& entry : node.claim.slices) {
+      ++made.partition_slices[entry.slice / kSlicesPerPartition];
+    }
     made.leaving = node.claim.leaving;
     return made;
   }
