--- a/src/ownership_core.cpp
+++ b/src/ownership_core.cpp
@@ -58,11 +58,13 @@
   held_.clear();
   gained_.clear();
   handover_.Clear();
+  if (tenure_.Lapsed()) DeclareEnd(now);
   tenure_ = tenure(settings_.rules);
   writing_.reset();
   store_.Cancel();
   noting_.reset();
   deleting_count_ = 0;
+  if (first_number_ != 0) startup_.SetOwnEnded(first_number_);
   first_number_ = 0;
   claim_changed_ = true;
   phase_ = ownership_phase::kIdle;
@@ -70,6 +72,25 @@
   restart_at_ = now + std::chrono::milliseconds(pause);
 }
 
+void ownership_core::DeclareEnd(instant now) {
+  // The holder itself knows best that its term ended: nobody has to wait for the witnesses.
+  const std::vector<term_record> ended = tenure_.EndedForCertain();
+  const bool active_ended = !ended.empty() && tenure_.Active() != nullptr;
+  ended_active_number_ = active_ended ? tenure_.Active()->id.number : 0;
+  for (const term_record& record : ended) {
+    outcomes_.NoteGone(record.id);
+    witness_->OnOutcome(record.id, term_outcome::kGone);
+    out_.Add(publish_fact_action{record.id});
+    const bool active = tenure_.Active() != nullptr && tenure_.Active()->id == record.id;
+    const lapse_notice notice{record, active};
+    inheritance_.OnLapse(now, settings_.node, notice);
+    for (const heir& entry : record.heirs) {
+      out_.Send(entry.term.node, notice);
+      out_.Send(entry.term.node, outcome_notice{record.id, term_outcome::kGone, {}});
+    }
+  }
+}
+
 void ownership_core::Restart(instant now) {
   phase_ = ownership_phase::kStarting;
   startup_.Begin(now, store_, out_);
--- a/src/ownership_core_terms.cpp
+++ b/src/ownership_core_terms.cpp
@@ -23,7 +23,7 @@
 constexpr int64_t kRequestJitterMs = 1000;
 /// A leaving node waits this long for a receiver of slices that nobody else may hold.
 constexpr std::chrono::milliseconds kStopPatience{5000};
-/// Pause between two notes in the node's row, and before the note of a new term.
+/// Pause between two notes in the node's row.
 constexpr std::chrono::milliseconds kNoteInterval{1000};
 /// Rows deleted in one transaction at most.
 constexpr size_t kDeleteBatch = 32;
@@ -60,7 +60,7 @@
   if (phase_ != ownership_phase::kServing) return;
   AdvanceChange(now);
   AskForSlices(now);
-  const heir self = AsHeir(SelfMember());
+  const heir self = settings_.owner_capable ? AsHeir(SelfMember()) : heir{};
   recovery_.Tick(now, self, members_, inheritance_, random_, out_);
 }
 
@@ -69,11 +69,14 @@
   // An earlier process of this node may have left slices whose heirs are all gone.
   if (const auto& previous = startup_.Previous()) {
     inheritance_.OnLapse(now, settings_.node, {*previous, false});
+    const bool is_void = previous->predecessor != 0 && previous->predecessor == ended_active_number_;
+    if (is_void) unneeded_rows_.push_back(previous->id);
   }
   term_record record = ComposeTerm(first_number_);
   std::vector<table_condition> conditions;
   std::vector<table_write> writes;
   for (const uint32_t partition : startup_.UnclaimedPartitions()) {
+    if (!settings_.owner_capable) break;
     const std::string key = GenesisKey(settings_.service, partition);
     conditions.push_back({key, 0});
     writes.push_back({key, ToString(record.id)});
@@ -84,7 +87,7 @@
   }
   writing_ = record;
   phase_ = ownership_phase::kWriting;
-  store_.Commit(now, record, {first_number_, 0, settings_.address}, std::move(conditions),
+  store_.Commit(now, record, {first_number_, startup_.NotedNumber(), settings_.address}, std::move(conditions),
                 std::move(writes), out_);
 }
 
@@ -94,7 +97,7 @@
            ToString(record.id) + " with " + std::to_string(record.slices.size()) + " slices");
   claim_changed_ = true;
   next_change_at_ = now + kPauseAfterChange;
-  next_note_at_ = now + kNoteInterval;
+  next_note_at_ = now;
   change_wanted_since_.reset();
   if (!activated.replaced) {
     phase_ = ownership_phase::kServing;
@@ -228,14 +231,15 @@
 }
 
 void ownership_core::AskForSlices(instant now) {
-  if (leaving_ || tenure_.Changing() || now < next_request_at_) return;
+  if (leaving_ || !settings_.owner_capable) return;
+  if (tenure_.Changing() || now < next_request_at_) return;
   const auto jitter = static_cast<int64_t>(random_() % kRequestJitterMs);
   next_request_at_ = now + kRequestInterval + std::chrono::milliseconds(jitter);
   std::vector<member> all = members_;
   const member self = SelfMember();
   all.push_back(self);
   for (const donor_share& share : ChooseDonors(settings_.layout, all, self)) {
-    out_.Send(share.donor, slices_request{AsHeir(self), share.count});
+    out_.Send(share.donor, slices_request{AsHeir(self), share.partition_counts});
   }
 }
 
@@ -244,20 +248,27 @@
   std::vector<member> all = members_;
   const member self = SelfMember();
   all.push_back(self);
-  const double share = FairShare(settings_.layout, all, self);
-  const double keep = std::ceil(share) + static_cast<double>(handover_.PlannedCount());
-  double surplus = std::floor(static_cast<double>(held_.size()) - keep);
-  surplus = std::min(surplus, static_cast<double>(request.count));
-  auto next = held_.begin();
-  std::advance(next, static_cast<std::ptrdiff_t>(random_() % held_.size()));
-  for (size_t tried = 0; tried < held_.size() && surplus >= 1; ++tried) {
-    if (next == held_.end()) next = held_.begin();
-    const slice_number slice = next->first;
-    ++next;
-    if (handover_.IsPlanned(slice)) continue;
-    if (!SliceAllowed(settings_.layout, slice, request.receiver.region)) continue;
-    handover_.Plan({slice, request.receiver});
-    surplus -= 1;
+  const uint32_t partitions = PartitionCount(settings_.layout);
+  for (uint32_t partition = 0; partition < partitions; ++partition) {
+    if (partition >= request.partition_counts.size()) return;
+    if (!PartitionAllowed(settings_.layout, partition, request.receiver.region)) continue;
+    const double share = FairShare(settings_.layout, all, self, partition);
+    const auto keep = static_cast<uint32_t>(std::ceil(share));
+    PlanGifts(partition, keep, request.partition_counts[partition], request.receiver);
+  }
+}
+
+void ownership_core::PlanGifts(uint32_t partition, uint32_t keep, uint32_t count,
+                               const heir& receiver) {
+  std::vector<slice_number> free;
+  for (const auto& [slice, epoch] : held_) {
+    if (PartitionOf(settings_.layout, slice) != partition) continue;
+    if (!handover_.IsPlanned(slice)) free.push_back(slice);
+  }
+  std::shuffle(free.begin(), free.end(), random_);
+  for (size_t i = 0; i < count && free.size() > keep; ++i) {
+    handover_.Plan({free.back(), receiver});
+    free.pop_back();
   }
 }
 
@@ -343,7 +354,12 @@
   self.data_centre = settings_.data_centre;
   self.rack = settings_.rack;
   self.slice_count = static_cast<uint32_t>(held_.size());
+  self.partition_slices.resize(PartitionCount(settings_.layout));
+  for (const auto& [slice, epoch] : held_) {
+    ++self.partition_slices[PartitionOf(settings_.layout, slice)];
+  }
   self.weight = settings_.weight;
+  self.owner_capable = settings_.owner_capable;
   self.leaving = leaving_;
   return self;
 }
--- a/src/ownership_types.h
+++ b/src/ownership_types.h
@@ -51,6 +51,8 @@
   std::string rack;
   slice_layout layout;
   uint32_t weight = 1;
+  /// May hold slices. A process beside a target without keys has terms and is a witness only.
+  bool owner_capable = true;
   uint32_t heir_count = 4;
   protocol_rules rules;
 };
@@ -67,7 +69,10 @@
   std::string region;
   std::string data_centre;
   std::string rack;
+  /// Held slices, all partitions together.
   uint32_t slice_count = 0;
+  /// Held slices of each partition.
+  std::vector<uint32_t> partition_slices;
   uint32_t weight = 1;
   bool leaving = false;
   /// May hold slices: false for processes that are witnesses only.
