--- a/model/ownership.pml
+++ b/model/ownership.pml
@@ -10,8 +10,9 @@
  * step while the clock goes on. Faults are bounded by the budgets below. After the faults have stopped
  * all new messages arrive and the slice must be served within RECOVERY ticks.
  *
- * Flags: -DHEIRS H1 is lost or changes its own term, -DSUCCESSOR term 2 exists, -DMOVE term 2 gives the slice to M, -DRESTARTS=n restarts of
- * witnesses, -DRECOVER checks service after the faults, -DMUTANT_x breaks one rule.
+ * Flags: -DHEIRS H1 is lost or changes its own term, -DSUCCESSOR term 2 exists, -DMOVE term 2 gives the
+ * slice to M, -DRESTARTS=n restarts of witnesses, -DRECOVER checks service after the faults,
+ * -DMUTANT_x breaks one rule.
  */
 
 #ifndef RESTARTS
