Write the steps of a witness once in the model

Cause: the same options stood three times. Change: macros; a question that a witness would refuse is no step.

--- a/model/ownership.pml
+++ b/model/ownership.pml
@@ -289,15 +289,15 @@
 #endif
 }
 
-inline take_question(w) {
-  if
 #ifdef MUTANT_promise_after_restart
-  :: !attested[w] -> promised[w] = true; promise_sent[w] = true
+#define IS_ASKED(w) question[w]
 #else
-  :: known[w] == incarnation[w] && !attested[w] -> promised[w] = true; promise_sent[w] = true
+#define IS_ASKED(w) (question[w] && known[w] == incarnation[w])
 #endif
-  :: else
-  fi
+
+inline take_question(w) {
+  promised[w] = true;
+  promise_sent[w] = true
 }
 
 #ifdef MUTANT_one_promise
@@ -339,29 +339,29 @@
   fresh_closed = false
 }
 
+/* Steps of a witness and of N with it. After the faults one renewal is sent in each tick. */
+#define WITNESS_STEPS(w) \
+  :: d_step { N_RENEWS && slot[w] != ack && (FAULTS || granted[w] < LEASE) && \
+              slot_lease[w] < LEASE -> send_renewal(w); check() } \
+  :: d_step { slot[w] == renewal -> take_renewal(w, false); check() } \
+  :: d_step { slot[w] == renewal && FAULTS && ADDRESSED(w, slot_incarnation[w]) -> \
+              take_renewal(w, true); check() } \
+  :: d_step { slot[w] == ack -> take_ack(w); check() } \
+  :: d_step { round_left > 0 && !counted[w] && CALLS_LAPSED(w) -> take_attestation(w); check() }
+
+#define TAKE_QUESTION(w) \
+  :: d_step { IS_ASKED(w) && !promised[w] && !attested[w] -> take_question(w); check() }
+
 active proctype system() {
   byte w, v;
   do
-  /* Steps of each witness and of N with it. After the faults a renewal is sent once per tick. */
-  :: d_step { N_RENEWS && slot[0] != ack && (FAULTS || granted[0] < LEASE) && slot_lease[0] < LEASE -> send_renewal(0); check() }
-  :: d_step { N_RENEWS && slot[1] != ack && (FAULTS || granted[1] < LEASE) && slot_lease[1] < LEASE -> send_renewal(1); check() }
-  :: d_step { N_RENEWS && slot[2] != ack && (FAULTS || granted[2] < LEASE) && slot_lease[2] < LEASE -> send_renewal(2); check() }
-  :: d_step { slot[0] == renewal -> take_renewal(0, false); check() }
-  :: d_step { slot[1] == renewal -> take_renewal(1, false); check() }
-  :: d_step { slot[2] == renewal -> take_renewal(2, false); check() }
-  :: d_step { slot[0] == renewal && FAULTS && ADDRESSED(0, slot_incarnation[0]) -> take_renewal(0, true); check() }
-  :: d_step { slot[1] == renewal && FAULTS && ADDRESSED(1, slot_incarnation[1]) -> take_renewal(1, true); check() }
-  :: d_step { slot[2] == renewal && FAULTS && ADDRESSED(2, slot_incarnation[2]) -> take_renewal(2, true); check() }
-  :: d_step { slot[0] == ack -> take_ack(0); check() }
-  :: d_step { slot[1] == ack -> take_ack(1); check() }
-  :: d_step { slot[2] == ack -> take_ack(2); check() }
+  WITNESS_STEPS(0)
+  WITNESS_STEPS(1)
+  WITNESS_STEPS(2)
 
   /* Attestation. */
   :: d_step { !gone1 && round_left == 0 && (FAULTS || !N_RENEWS) -> round_left = ROUND; fresh_open = false; fresh_closed = false; check() }
   :: d_step { round_left > 0 && !fresh_open && RECORD_OPEN && restarts > 0 -> fresh_open = true; check() }
-  :: d_step { round_left > 0 && !counted[0] && CALLS_LAPSED(0) -> take_attestation(0); check() }
-  :: d_step { round_left > 0 && !counted[1] && CALLS_LAPSED(1) -> take_attestation(1); check() }
-  :: d_step { round_left > 0 && !counted[2] && CALLS_LAPSED(2) -> take_attestation(2); check() }
 
   /* Faults. Witnesses are alike, so only the first ones restart. */
   :: d_step { FAULTS && restarts < RESTARTS -> restart(0); check() }
@@ -386,9 +386,9 @@
 #ifdef SUCCESSOR
   :: d_step { FAULTS && phase == 0 && LEASE1 -> phase = 1; check() }
   :: d_step { FAULTS && phase == 1 && term2 == none && LEASE1 && COUNT(acked) >= 2 -> ask_to_supersede(); check() }
-  :: d_step { question[0] && !promised[0] -> take_question(0); if :: faults_stopped -> question[0] = false :: else fi; check() }
-  :: d_step { question[1] && !promised[1] -> take_question(1); if :: faults_stopped -> question[1] = false :: else fi; check() }
-  :: d_step { question[2] && !promised[2] -> take_question(2); if :: faults_stopped -> question[2] = false :: else fi; check() }
+  TAKE_QUESTION(0)
+  TAKE_QUESTION(1)
+  TAKE_QUESTION(2)
   :: d_step { MAY_ACTIVATE && COUNT(promise_sent) >= PROMISES_NEEDED -> phase = 3; check() }
   :: d_step { FAULTS && term2 == up -> term2 = lapsed; check() }
   :: d_step { n_lapsed && phase == 2 && term2 == up -> term2 = lapsed; check() }
