--- a/test/support/recorded_load.h
+++ b/test/support/recorded_load.h
@@ -182,7 +182,7 @@
     std::vector<target_load> loads;
     std::vector<target_view> views;
     hedge_policy hedges;
-    retry_budget extra_attempts;
+    retry_budget extra_attempts = retry_budget::ForExtraAttempts();
     std::mt19937_64 rng;
   };
 
@@ -196,13 +196,12 @@
   }
 
   void AddEntry(size_t number, const Picker& picker) {
-    entry added{picker,
-                std::vector<size_t>(shape_.targets),
-                std::vector<target_load>(shape_.targets),
-                std::vector<target_view>(shape_.targets),
-                hedge_policy(),
-                retry_budget::ForExtraAttempts(),
-                std::mt19937_64(shape_.seed + number)};
+    entry added;
+    added.picker = picker;
+    added.targets.resize(shape_.targets);
+    added.loads.resize(shape_.targets);
+    added.views.resize(shape_.targets);
+    added.rng.seed(shape_.seed + number);
     std::iota(added.targets.begin(), added.targets.end(), size_t{0});
     std::stable_partition(added.targets.begin(), added.targets.end(),
                           [&](size_t target) { return Near(number, target); });
