Keep the memory of a slice that is gained again, and the cap when a hurried caller's time runs out

Cause: reading the wired gate: gaining a slice wiped what was remembered of it, also of a request still running, whose repeat would then have run twice; and each time-out halved the cap, so that callers with short deadlines could close a healthy target. No load was measured.

--- a/src/concurrency_cap.cpp
+++ b/src/concurrency_cap.cpp
@@ -102,6 +102,11 @@
 
 void concurrency_cap::OnFailure(instant now) { Halve(now); }
 
+void concurrency_cap::OnTimeout(nanoseconds waited, instant now) {
+  const bool usual = reference_.count() > 0 && Ratio(waited, reference_) <= kFallFactor;
+  if (!usual) Halve(now);
+}
+
 void concurrency_cap::OnConnectionLost(instant now) { StartCold(now); }
 
 void concurrency_cap::OnBootId(std::string_view boot_id, instant now) {
--- a/src/concurrency_cap.h
+++ b/src/concurrency_cap.h
@@ -43,9 +43,13 @@
   /// The target refused work because it has too much of it.
   void OnShed(instant now);
 
-  /// The target failed or did not answer in time.
+  /// The target failed.
   void OnFailure(instant now);
 
+  /// The target had not answered when the time of a request ran out. That says something about the
+  /// target only if it had much longer than usual: callers in a hurry must not close the cap.
+  void OnTimeout(std::chrono::nanoseconds waited, instant now);
+
   /// The target closed or refused its connections: it may have been restarted.
   void OnConnectionLost(instant now);
 
--- a/src/idempotency_memory.cpp
+++ b/src/idempotency_memory.cpp
@@ -30,8 +30,8 @@
 }
 
 void idempotency_memory::GainSlice(uint32_t slice, wall_time wall_now) {
-  LoseSlice(slice);
-  slices_[slice].watermark = wall_now + settings_.clock_error;
+  wall_time& watermark = slices_[slice].watermark;
+  watermark = std::max(watermark, wall_now + settings_.clock_error);
 }
 
 void idempotency_memory::ImportSlice(uint32_t slice, const slice_memory_export& memory,
--- a/src/idempotency_memory.h
+++ b/src/idempotency_memory.h
@@ -121,7 +121,8 @@
   explicit idempotency_memory(idempotency_settings settings) : settings_(settings) {}
 
   /// Starts to remember a slice that came without its memory. Repeats that may have been sent to
-  /// another owner before are not vouched for.
+  /// another owner before are not vouched for. What is remembered already stays, so that a slice
+  /// that is gained again without having been lost forgets nothing.
   void GainSlice(uint32_t slice, wall_time wall_now);
 
   /// Starts to remember a slice with the memory of its last owner.
--- a/test/correctness/concurrency_cap_test.cpp
+++ b/test/correctness/concurrency_cap_test.cpp
@@ -104,6 +104,13 @@
   BOOST_TEST(cap.limit() == 6U);
 }
 
+BOOST_FIXTURE_TEST_CASE(a_caller_in_a_hurry_does_not_lower_the_cap, warm_target) {
+  cap.OnTimeout(kAnswerTime / 2, now);
+  BOOST_TEST(cap.limit() == 12U);
+  cap.OnTimeout(20 * kAnswerTime, now);
+  BOOST_TEST(cap.limit() == 6U);
+}
+
 BOOST_FIXTURE_TEST_CASE(a_slow_first_answer_after_a_pause_is_a_cold_start, warm_target) {
   cap.OnAnswer(kAnswerTime, 1, now + std::chrono::seconds(5));
   BOOST_TEST(cap.limit() == 12U);
--- a/test/correctness/idempotency_memory_test.cpp
+++ b/test/correctness/idempotency_memory_test.cpp
@@ -154,6 +154,15 @@
   BOOST_TEST((Begin("j", caller_attempt::kFirst) == repeat_verdict::kNew));
 }
 
+BOOST_AUTO_TEST_CASE(a_slice_gained_again_forgets_nothing) {
+  Begin("running");
+  Begin("done");
+  Answer("done", "paid");
+  memory.GainSlice(kSlice, kWallStart);
+  BOOST_TEST((Begin("running") == repeat_verdict::kJoin));
+  BOOST_TEST((Begin("done") == repeat_verdict::kAnswered));
+}
+
 BOOST_AUTO_TEST_CASE(a_planned_move_carries_the_memory_along) {
   Begin("done");
   Answer("done", "paid");
