Tell time-outs from failures at the gate, and let joined repeats keep a withdrawn request

Cause: a caller that leaves while its request waits in the queue took the repeats with it that had joined. Change: such a request stays queued; time-outs reach the cap with how long the target had.

--- a/src/gate.cpp
+++ b/src/gate.cpp
@@ -268,7 +268,7 @@
   if (!running_.contains(subject->id)) return;
   if (failure.timed_out) {
     running_.erase(subject->id);
-    cap_.OnFailure(now);
+    cap_.OnTimeout(now - subject->handed_over, now);
     const bool lapsed = subject->keyed && ports_.lease_expiry() <= now;
     Refuse(subject, lapsed ? refusal_reason::kLeaseLapsed : refusal_reason::kDeadlinePassed,
            run_state::kUnknown);
@@ -325,6 +325,8 @@
   const auto subject = found->second;
   subject->done = nullptr;
   if (subject->queued) {
+    // Repeats that joined still wait for its answer.
+    if (!subject->joined.empty()) return;
     queue_.Cancel(id);
     Refuse(subject, refusal_reason::kCancelled, run_state::kNotRun);
     return;
