Blame a target only for refusals that say something about it

Cause: a quarantined request or a tenant over its share raised the error share of whichever target refused it. Change: BlamesTarget tells the two kinds apart; the entry books the others as withdrawn.

--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -279,7 +279,8 @@
   const bool answered = answer.reason == refusal_reason::kNone;
   service_state& state = StateOf(subject->request.service);
   if (!subject->facts->keyed) {
-    request_end end = answered ? request_end::kAnswered : request_end::kFailed;
+    request_end end = BlamesTarget(answer.reason) ? request_end::kFailed : request_end::kCancelled;
+    if (answered) end = request_end::kAnswered;
     if (answer.reason == refusal_reason::kDeadlinePassed) end = request_end::kTimedOut;
     state.targets.Finish(now, ended.node, ended.ticket, end);
     state.targets.MarkCold(ended.node, answer.reason == refusal_reason::kColdStart);
--- a/src/retry_rules.cpp
+++ b/src/retry_rules.cpp
@@ -108,6 +108,19 @@
 
 }  // namespace
 
+bool BlamesTarget(refusal_reason reason) {
+  switch (reason) {
+    case refusal_reason::kTenantShare:
+    case refusal_reason::kDeadlineTooShort:
+      return false;
+    case refusal_reason::kDeadlinePassed:
+    case refusal_reason::kInternal:
+      return true;
+    default:
+      return ObstacleOf(reason) == obstacle::kTarget || ObstacleOf(reason) == obstacle::kRoute;
+  }
+}
+
 nanoseconds RetryAfterHint(refusal_reason reason) {
   switch (ObstacleOf(reason)) {
     case obstacle::kRoute:
--- a/src/retry_rules.h
+++ b/src/retry_rules.h
@@ -61,6 +61,10 @@
 retry_decision DecideRetry(const failed_attempt& failure, const retry_context& context,
                            retry_budget& budget, instant now, std::mt19937_64& rng);
 
+/// Whether a refusal says something about the target, so that the next requests avoid it, and not
+/// only about the request or its tenant.
+bool BlamesTarget(refusal_reason reason);
+
 /// Hint for the caller of a request that is refused with this reason. Zero: do not come back.
 std::chrono::nanoseconds RetryAfterHint(refusal_reason reason);
 
--- a/test/error/retry_rules_test.cpp
+++ b/test/error/retry_rules_test.cpp
@@ -82,6 +82,17 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_CASE(a_refusal_for_the_request_itself_does_not_blame_the_target) {
+  for (const auto reason : {refusal_reason::kQuarantined, refusal_reason::kTenantShare,
+                            refusal_reason::kBadRequest, refusal_reason::kDeadlineTooShort}) {
+    BOOST_TEST(!BlamesTarget(reason));
+  }
+  for (const auto reason : {refusal_reason::kTargetShed, refusal_reason::kColdStart,
+                            refusal_reason::kTargetCrashed, refusal_reason::kDeadlinePassed}) {
+    BOOST_TEST(BlamesTarget(reason));
+  }
+}
+
 BOOST_AUTO_TEST_SUITE(waiting_for_an_owner)
 
 BOOST_AUTO_TEST_CASE(a_new_owner_is_asked_at_once_and_then_with_growing_pauses) {
