--- a/test/correctness/idempotency_memory_test.cpp
+++ b/test/correctness/idempotency_memory_test.cpp
@@ -167,6 +167,15 @@
   BOOST_TEST((Begin(Request("j", caller_attempt::kRepeat, kWallStart)) == repeat_verdict::kNew));
 }
 
+BOOST_AUTO_TEST_CASE(a_slice_gained_again_forgets_nothing) {
+  Begin("running");
+  Begin("done");
+  Answer("done", "paid");
+  memory.GainSlice(kSlice, kWallStart);
+  BOOST_TEST((Begin("running") == repeat_verdict::kJoin));
+  BOOST_TEST((Begin("done") == repeat_verdict::kAnswered));
+}
+
 BOOST_AUTO_TEST_CASE(a_planned_move_carries_the_memory_along) {
   Begin("done");
   Answer("done", "paid");
