Drain slices while a data centre is out or the target is down

Cause: the demo showed keys of a data centre taken out refused for as long as it was out (4.3 s without service of a key), and a node whose target had died kept its keys. Change: the core drains without stopping, the gate serves what it is still giving away for 3 s, a probe notices a dead target.

--- a/src/announcement.h
+++ b/src/announcement.h
@@ -50,6 +50,8 @@
   std::vector<uint32_t> partition_slices;
   /// Version of the configuration in force.
   uint64_t configuration_version = 0;
+  /// The service of the target divides its keys between owners.
+  bool owns_keys = false;
   /// The target answers.
   bool target_up = false;
   /// The node gets no new work: planned stop, or its data centre is out.
--- a/src/control_codec.cpp
+++ b/src/control_codec.cpp
@@ -46,7 +46,9 @@
 static auto Fields(auto& m, const lapse_answer&) { return std::tie(m.term); }
 static auto Fields(auto& m, const release_notice&) { return std::tie(m.record, m.released); }
 static auto Fields(auto& m, const taken_notice&) { return std::tie(m.giver, m.slices); }
-static auto Fields(auto& m, const slices_request&) { return std::tie(m.receiver, m.partition_counts); }
+static auto Fields(auto& m, const slices_request&) {
+  return std::tie(m.receiver, m.partition_counts);
+}
 
 // Highest enumerator of each enumeration that travels.
 static constexpr auto HighestOf(term_outcome) { return term_outcome::kSuperseded; }
--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -16,6 +16,13 @@
 constexpr std::chrono::seconds kLongestStop{30};
 // Callers and peers get this long to notice that the process is leaving.
 constexpr milliseconds kFarewell{700};
+// A data centre that was taken out serves the keys that it is giving away for at most this long.
+constexpr std::chrono::seconds kOutGrace{3};
+// The target is asked for a sign of life at this interval.
+constexpr milliseconds kProbeInterval{300};
+constexpr milliseconds kProbeTimeout{1000};
+// Refused connections in a row after which the target counts as down.
+constexpr int kProbesOfDown = 2;
 // Epoch of a slice that nobody owned before.
 constexpr uint64_t kFirstEpoch = 1;
 // Connections to the platform.
@@ -80,7 +87,8 @@
              membership_.Known(), forwarder_, gate_, seed),
       http_(loop_, {settings_.limits.max_body},
             [this](std::shared_ptr<http_exchange> exchange) { OnExchange(std::move(exchange)); }),
-      tick_(loop_, [this](instant now) { Tick(now); }) {
+      tick_(loop_, [this](instant now) { Tick(now); }),
+      probe_client_(loop_, 1) {
   membership_.SetPorts(MakeMembershipPorts());
   configuration_.OnAdopted([this](instant now) { OnRules(now); });
   kernel_.Add("peers", peers_);
@@ -167,11 +175,7 @@
   ports.home_regions = [this](const forward_request& request) {
     return rules_.HomeRegions(request);
   };
-  ports.target_state = [this](instant, bool up) {
-    target_up_ = up;
-    log_.Write(up ? event_id::kTargetUp : event_id::kTargetDown,
-               {{"target", ToString(settings_.target.address)}});
-  };
+  ports.target_state = [this](instant, bool up) { SetTargetUp(up); };
   ports.quarantined = [this](instant, uint64_t fingerprint) {
     log_.Write(event_id::kRequestQuarantined, {{"fingerprint", std::to_string(fingerprint)}});
   };
@@ -285,13 +289,13 @@
   if (!homes.empty() && std::ranges::find(homes, settings_.node.region) == homes.end()) {
     return gate_refusal{refusal_reason::kHomeRegion, {}, {}};
   }
-  if (rules_.DataCentreOut(settings_.node.data_centre)) {
+  // A keyed process that leaves still serves the slices that it has not yet given away.
+  const service_facts* facts = rules_.FindService(request.service);
+  const bool keyed = facts != nullptr && facts->keyed;
+  if (data_centre_out_ && (!keyed || now - out_since_ > kOutGrace)) {
     return gate_refusal{refusal_reason::kDataCentreOut, kRetrySoon, {}};
   }
-  // A keyed process that stops still serves the slices that it has not yet given away.
   const bool leaving = stopping_ || rules_.PlannedStop(settings_.node.name, WallNow());
-  const service_facts* facts = rules_.FindService(request.service);
-  const bool keyed = facts != nullptr && facts->keyed;
   if (leaving && !keyed) return gate_refusal{refusal_reason::kStopping, kRetrySoon, {}};
   return std::nullopt;
 }
@@ -378,7 +382,32 @@
   for (const gate::ticket ticket : orphans) gate_.Cancel(now, ticket);
 }
 
+void daemon::ProbeTarget(instant now) {
+  if (probing_ || now < next_probe_) return;
+  next_probe_ = now + kProbeInterval;
+  probing_ = true;
+  probe_client_.Send(settings_.target.address, {"GET", "/-/health", {}, {}}, kProbeTimeout,
+                     [this](const tl::expected<http_answer, http_failure>& outcome) {
+                       probing_ = false;
+                       // Any answer will do: what the target says of its own health may lag or
+                       // mislead. A slow answer says nothing either way.
+                       if (outcome) {
+                         failed_probes_ = 0;
+                         return SetTargetUp(true);
+                       }
+                       if (outcome.error().may_have_run) return;
+                       if (++failed_probes_ >= kProbesOfDown) SetTargetUp(false);
+                     });
+}
+
+void daemon::SetTargetUp(bool up) {
+  if (up == std::exchange(target_up_, up)) return;
+  log_.Write(up ? event_id::kTargetUp : event_id::kTargetDown,
+             {{"target", ToString(settings_.target.address)}});
+}
+
 void daemon::Tick(instant now) {
+  ProbeTarget(now);
   gate_.Tick(now);
   if (now >= next_forwarder_tick_) {
     next_forwarder_tick_ = now + kForwarderInterval;
@@ -400,6 +429,7 @@
   membership_.BeginOwnership(now, facts->layout, facts->keyed);
   const bool out = rules_.DataCentreOut(settings_.node.data_centre);
   if (out == std::exchange(data_centre_out_, out)) return;
+  out_since_ = now;
   log_.Write(out ? event_id::kDataCentreOut : event_id::kDataCentreBack,
              {{"data_centre", settings_.node.data_centre}});
 }
--- a/src/daemon.h
+++ b/src/daemon.h
@@ -72,6 +72,8 @@
   void OnGained(instant now, const std::vector<slice_epoch>& slices);
   void OnMemoryRequest(connection_id from, const memory_request& request);
   void OnMemoryAnswer(instant now, const memory_answer& answer);
+  void ProbeTarget(instant now);
+  void SetTargetUp(bool up);
   void Tick(instant now);
   void OnRules(instant now);
   void CheckStopped(instant now);
@@ -108,9 +110,14 @@
   std::map<connection_id, std::string> hellos_;
   std::set<std::string> dropped_;
   bool faults_allowed_ = false;
+  http_client probe_client_;
+  bool probing_ = false;
+  int failed_probes_ = 0;
+  instant next_probe_;
   bool target_up_ = true;
   bool stopping_ = false;
   bool data_centre_out_ = false;
+  instant out_since_;
   instant next_forwarder_tick_;
   instant stop_deadline_;
   instant drained_since_;
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -74,6 +74,8 @@
   converted.data_centre = known.data_centre;
   converted.rack = known.rack;
   converted.slice_count = known.slices;
+  converted.partition_slices = known.partition_slices;
+  converted.owner_capable = known.owns_keys;
   converted.weight = known.weight;
   converted.leaving = known.leaving;
   return converted;
@@ -132,10 +134,11 @@
   settings.data_centre = self_.data_centre;
   settings.rack = self_.rack;
   settings.layout = layout;
+  settings.weight = self_.weight;
   // The processes of a lookup service hold terms and leases, so that their loss is noticed, but
   // there is nothing for them to own.
-  if (!owns_keys) settings.layout.slices_per_partition = 0;
-  settings.weight = self_.weight;
+  settings.owner_capable = owns_keys;
+  self_.owns_keys = owns_keys;
   layout_ = settings.layout;
   core_ = std::make_unique<ownership_core>(settings, seed_);
   core_->SetInFlightQuery(ports_.in_flight);
@@ -167,6 +170,10 @@
   // every process announce itself anew, this would cost each node more than its whole control
   // budget.
   self_.configuration_version = configuration_version;
+  if (core_) {
+    core_->SetDrain(now, leaving || !target_up);
+    RunActions(now);
+  }
   const auto state = [](const announcement& a) {
     return std::tuple(a.target_up, a.leaving, a.slots);
   };
@@ -264,7 +271,7 @@
     case gossip_kind::kAnnouncement: {
       const auto heard = DecodeAnnouncement(item.payload);
       if (!heard) return log_.Write(event_id::kBadDatagram, heard.error());
-      return OnAnnouncement(now, *heard, item.version);
+      return OnAnnouncement(*heard, item.version);
     }
     case gossip_kind::kClaim: {
       const auto heard = DecodeClaim(item.payload);
@@ -294,7 +301,7 @@
   }
 }
 
-void membership::OnAnnouncement(instant now, const announcement& heard, uint64_t version) {
+void membership::OnAnnouncement(const announcement& heard, uint64_t version) {
   if (heard.node == self_.node) {
     last_version_ = std::max(last_version_, version);
     announce_ = true;
@@ -311,7 +318,6 @@
     log_.Write(event_id::kAddressChanged, {{"node", heard.node}, {"peer", ToString(heard.peer)}});
   }
   directory_.OnAnnouncement(heard);
-  (void)now;
 }
 
 void membership::SendTo(const std::string& node, const control_envelope& envelope) {
--- a/src/membership.h
+++ b/src/membership.h
@@ -61,7 +61,8 @@
   void OnControl(instant now, const std::string& bytes, const std::string& peer);
   /// Publishes an item of another module to all processes.
   void Publish(instant now, gossip_item item);
-  /// What this process says about itself.
+  /// What this process says about itself. While it is leaving, or its target is down, it gives its
+  /// slices away.
   void SetState(instant now, bool target_up, bool leaving, uint64_t configuration_version,
                 uint32_t slots);
   /// Gives all slices away; Stopped() tells when that is done.
@@ -83,7 +84,7 @@
   void Tick(instant now);
   void Receive(instant now, const control_envelope& envelope, const socket_address* from);
   void OnItem(instant now, const gossip_item& item);
-  void OnAnnouncement(instant now, const announcement& heard, uint64_t version);
+  void OnAnnouncement(const announcement& heard, uint64_t version);
   void SendTo(const std::string& node, const control_envelope& envelope);
   void SendBytes(const socket_address& address, const std::string& bytes);
   void Announce(instant now);
--- a/src/ownership_core.cpp
+++ b/src/ownership_core.cpp
@@ -262,15 +262,23 @@
   Settle(now);
 }
 
-void ownership_core::BeginStop(instant now) {
-  if (!witness_ || leaving_) return;
+void ownership_core::SetDrain(instant now, bool drain) {
+  if (!witness_ || stopping_ || leaving_ == drain) return;
   Enter(now);
-  leaving_ = true;
+  leaving_ = drain;
   leaving_since_ = now;
   claim_changed_ = true;
   Settle(now);
 }
 
+void ownership_core::BeginStop(instant now) {
+  if (!witness_ || stopping_) return;
+  SetDrain(now, true);
+  stopping_ = true;
+  leaving_since_ = now;
+  Settle(now);
+}
+
 std::optional<uint64_t> ownership_core::Serves(instant now, slice_number slice) const {
   if (phase_ != ownership_phase::kServing || now < last_now_) return std::nullopt;
   if (!tenure_.Serving(now)) return std::nullopt;
--- a/src/ownership_core.h
+++ b/src/ownership_core.h
@@ -64,6 +64,8 @@
   void OnMembers(instant now, std::vector<member> members);
   /// Gossip says that the term is gone.
   void OnFact(instant now, const term_id& gone);
+  /// Gives everything away and takes nothing while `drain` holds; term and lease stay.
+  void SetDrain(instant now, bool drain);
   /// Planned stop: gives everything away; the status is kStopped when done.
   void BeginStop(instant now);
   /// Sets the query for the requests of a slice in flight. Without it none are.
@@ -103,7 +105,8 @@
   bool ChangeIsWanted(instant now);
   bool PlacementIsStale() const;
   void AskForSlices(instant now);
-  void PlanStop(instant now);
+  void GiveAway(instant now);
+  void FinishStop(instant now);
   void PublishClaim();
   bool NoteIsWanted(instant now) const;
   void WriteNote(instant now);
@@ -144,7 +147,9 @@
   std::vector<term_id> unneeded_rows_;
   std::vector<slice_epoch> gained_;
   bool claim_changed_ = false;
+  /// Gives its slices away: it drains or stops.
   bool leaving_ = false;
+  bool stopping_ = false;
   bool stop_stuck_logged_ = false;
   instant started_;
   instant last_now_;
--- a/src/ownership_core_terms.cpp
+++ b/src/ownership_core_terms.cpp
@@ -56,7 +56,8 @@
     case ownership_phase::kServing:
       break;
   }
-  if (leaving_) PlanStop(now);
+  if (leaving_) GiveAway(now);
+  if (stopping_) FinishStop(now);
   if (phase_ != ownership_phase::kServing) return;
   AdvanceChange(now);
   AskForSlices(now);
@@ -69,7 +70,8 @@
   // An earlier process of this node may have left slices whose heirs are all gone.
   if (const auto& previous = startup_.Previous()) {
     inheritance_.OnLapse(now, settings_.node, {*previous, false});
-    const bool is_void = previous->predecessor != 0 && previous->predecessor == ended_active_number_;
+    const bool is_void =
+        previous->predecessor != 0 && previous->predecessor == ended_active_number_;
     if (is_void) unneeded_rows_.push_back(previous->id);
   }
   term_record record = ComposeTerm(first_number_);
@@ -87,8 +89,8 @@
   }
   writing_ = record;
   phase_ = ownership_phase::kWriting;
-  store_.Commit(now, record, {first_number_, startup_.NotedNumber(), settings_.address}, std::move(conditions),
-                std::move(writes), out_);
+  store_.Commit(now, record, {first_number_, startup_.NotedNumber(), settings_.address},
+                std::move(conditions), std::move(writes), out_);
 }
 
 void ownership_core::OnActivation(instant now, const tenure::activation& activated) {
@@ -272,19 +274,21 @@
   }
 }
 
-void ownership_core::PlanStop(instant now) {
-  const bool moving = handover_.HasPlans() || handover_.OutgoingCount() > 0 || tenure_.Changing();
-  if (!held_.empty() && !handover_.HasPlans()) {
-    std::vector<member> all = members_;
-    all.push_back(SelfMember());
-    std::vector<slice_number> slices;
-    for (const auto& [slice, epoch] : held_) slices.push_back(slice);
-    for (const slice_gift& gift : ChooseReceivers(settings_.layout, all, settings_.node, slices)) {
-      handover_.Plan(gift);
-      leaving_since_ = now;
-    }
+void ownership_core::GiveAway(instant now) {
+  if (held_.empty() || handover_.HasPlans()) return;
+  std::vector<member> all = members_;
+  all.push_back(SelfMember());
+  std::vector<slice_number> slices;
+  for (const auto& [slice, epoch] : held_) slices.push_back(slice);
+  for (const slice_gift& gift : ChooseReceivers(settings_.layout, all, settings_.node, slices)) {
+    handover_.Plan(gift);
+    leaving_since_ = now;
   }
-  if (moving || handover_.HasPlans()) return;
+}
+
+void ownership_core::FinishStop(instant now) {
+  const bool moving = handover_.HasPlans() || handover_.OutgoingCount() > 0 || tenure_.Changing();
+  if (moving) return;
   if (!held_.empty() && now - leaving_since_ < kStopPatience) return;
   out_.Log(ownership_event::kStopped,
            held_.empty() ? "all slices were handed over"
