Never believe a target to be faster than its distance permits

Cause: what is known of an idle target fades, so remote targets looked fast after a few seconds and were tried. Change: the assumed latency, 1, 3 or 40 ms by locality, is also the least that is believed. Conclusion: kept for services with few requests, where the tries are a larger share; that was not measured.

--- a/src/target_picker.cpp
+++ b/src/target_picker.cpp
@@ -10,8 +10,11 @@
 
 using std::chrono::duration;
 
-// Latency assumed for a target that has not answered yet.
-constexpr std::chrono::milliseconds kAssumedLatency{1};
+// Latency assumed for a target that has not answered yet, by locality, and the least that is
+// believed of one that has been idle: no remote target is tried for a change while the near ones
+// answer.
+constexpr std::array<std::chrono::milliseconds, 3> kAssumedLatency = {
+    std::chrono::milliseconds(1), std::chrono::milliseconds(3), std::chrono::milliseconds(40)};
 // What was seen of an idle target loses half its weight in this time, so that it is tried again.
 constexpr std::chrono::milliseconds kEvidenceHalfLife{1000};
 // How much a target that always fails is worse than one that never does.
@@ -157,7 +160,8 @@
 
 double scored_picker::Score(const target_view& target, size_t processes, instant now) {
   const double fresh = EvidenceWeight(now - target.last_finished);
-  const double assumed = static_cast<double>(std::chrono::nanoseconds(kAssumedLatency).count());
+  const std::chrono::nanoseconds least = kAssumedLatency.at(static_cast<size_t>(target.locality));
+  const auto assumed = static_cast<double>(least.count());
   double latency = std::max(assumed, static_cast<double>(target.latency.count()) * fresh);
   if (target.oldest_start) {
     latency = std::max(latency, static_cast<double>((now - *target.oldest_start).count()));
--- a/test/correctness/target_picker_test.cpp
+++ b/test/correctness/target_picker_test.cpp
@@ -96,6 +96,16 @@
   BOOST_TEST(scored_picker::Score(slow, 9, later) < scored_picker::Score(usual, 9, later));
 }
 
+BOOST_AUTO_TEST_CASE(does_not_try_a_remote_target_for_a_change) {
+  std::vector<target_view> views = Views(2);
+  views[0].latency = milliseconds(6);
+  views[0].last_finished = kStart;
+  views[1].locality = target_locality::kRemote;
+  scored_picker picker;
+  std::mt19937_64 rng(1);
+  BOOST_TEST(picker.Pick(kStart, views, rng).value() == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(leaves_the_region_only_when_it_is_clearly_better) {
   std::vector<target_view> views = Views(4);
   for (target_view& view : views) view.last_finished = kStart;
