Let keyed requests wait as long as a lost owner takes to be replaced

Cause: eight attempts ended about a second after the first, six in the entry after a quarter of one, while an owner is replaced within two; every request for its keys in between was refused. Change: twelve attempts, and the entry's limit counts for lookups only. The deadline still ends the wait.

--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -8,7 +8,8 @@
 
 using std::chrono::milliseconds;
 
-// Attempts of one request at most, the first and hedges included.
+// Attempts of a lookup request at most, the first and hedges included. Attempts of a keyed request
+// are limited by the retry rules.
 constexpr uint32_t kMostAttempts = 6;
 
 milliseconds Millis(std::chrono::nanoseconds time) { return std::chrono::ceil<milliseconds>(time); }
@@ -315,7 +316,8 @@
   context.deadline = subject->deadline;
   const retry_decision decision = DecideRetry(failure, context, extra_attempts_, now, rng_);
   if (decision.budget_exhausted) ++metrics_.Counter("bulrush_retries_denied_total");
-  if (decision.action == retry_action::kGiveUp || subject->attempts >= kMostAttempts) {
+  const bool enough = !subject->facts->keyed && subject->attempts >= kMostAttempts;
+  if (decision.action == retry_action::kGiveUp || enough) {
     const auto hint = std::max(decision.retry_after, RetryAfterHint(reason));
     Refuse(now, subject, reason, whole, Millis(hint));
     return;
--- a/src/retry_rules.cpp
+++ b/src/retry_rules.cpp
@@ -12,8 +12,9 @@
 constexpr uint32_t kMostTargetAttempts = 3;
 // A request that was there when a target crashed may be the cause: it gets one more chance only.
 constexpr uint32_t kMostAttemptsAfterCrash = 2;
-// Attempts that wait for a new owner; none of them has reached a target.
-constexpr uint32_t kMostRouteAttempts = 8;
+// Attempts that wait for a new owner; none of them has reached a target. With the backoff they last
+// longer than a lost owner takes to be replaced, so that mostly the deadline ends them.
+constexpr uint32_t kMostRouteAttempts = 12;
 
 constexpr milliseconds kFirstTargetBackoff{5};
 constexpr milliseconds kLongestTargetBackoff{250};
--- a/test/error/retry_rules_test.cpp
+++ b/test/error/retry_rules_test.cpp
@@ -107,6 +107,25 @@
   BOOST_TEST((third.delay <= milliseconds(40)));
 }
 
+BOOST_AUTO_TEST_CASE(waiting_outlasts_the_loss_of_an_owner_but_not_the_deadline) {
+  retry_context context = kOnce;
+  context.sole_owner = true;
+  context.deadline = kStart + std::chrono::seconds(60);
+  std::chrono::nanoseconds waited{0};
+  for (;;) {
+    const auto decision = Decide(refusal_reason::kNoOwner, run_state::kNotRun, context);
+    if (decision.action == retry_action::kGiveUp) break;
+    waited += decision.delay;
+    ++context.attempts;
+  }
+  BOOST_TEST((waited >= std::chrono::seconds(2)));
+  BOOST_TEST((waited <= std::chrono::seconds(5)));
+  context.attempts = 5;
+  context.deadline = kStart + milliseconds(70);
+  BOOST_TEST((Decide(refusal_reason::kNoOwner, run_state::kNotRun, context).action ==
+              retry_action::kGiveUp));
+}
+
 BOOST_AUTO_TEST_CASE(the_budget_of_the_targets_is_not_spent_on_requests_that_reached_none) {
   while (budget.Take()) {
   }
