--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -132,10 +132,11 @@
   settings.data_centre = self_.data_centre;
   settings.rack = self_.rack;
   settings.layout = layout;
-  // The processes of a lookup service hold terms and leases, so that their loss is noticed, but there
-  // is nothing for them to own.
+  // The processes of a lookup service hold terms and leases, so that their loss is noticed, but
+  // there is nothing for them to own.
   if (!owns_keys) settings.layout.slices_per_partition = 0;
   settings.weight = self_.weight;
+  layout_ = settings.layout;
   core_ = std::make_unique<ownership_core>(settings, seed_);
   core_->SetInFlightQuery(ports_.in_flight);
   core_->Start(now);
@@ -162,12 +163,16 @@
 
 void membership::SetState(instant now, bool target_up, bool leaving, uint64_t configuration_version,
                           uint32_t slots) {
+  // The version goes out with the next announcement only: if each change of configuration made
+  // every process announce itself anew, this would cost each node more than its whole control
+  // budget.
+  self_.configuration_version = configuration_version;
   const auto state = [](const announcement& a) {
-    return std::tuple(a.target_up, a.leaving, a.configuration_version, a.slots);
+    return std::tuple(a.target_up, a.leaving, a.slots);
   };
-  const auto wanted = std::tuple(target_up, leaving, configuration_version, slots);
+  const auto wanted = std::tuple(target_up, leaving, slots);
   if (state(self_) == wanted) return;
-  std::tie(self_.target_up, self_.leaving, self_.configuration_version, self_.slots) = wanted;
+  std::tie(self_.target_up, self_.leaving, self_.slots) = wanted;
   Announce(now);
 }
 
@@ -380,7 +385,11 @@
 
 void membership::Perform(instant now, const publish_claim_action& action) {
   claimed_.clear();
-  for (const slice_epoch& held : action.slices) claimed_.emplace_back(held.slice, held.epoch);
+  self_.partition_slices.assign(PartitionCount(layout_), 0);
+  for (const slice_epoch& held : action.slices) {
+    claimed_.emplace_back(held.slice, held.epoch);
+    ++self_.partition_slices[PartitionOf(layout_, held.slice)];
+  }
   self_.term = action.term.number;
   self_.first_term = action.first_number;
   self_.witnesses = action.witnesses;
--- a/src/ownership_core.h
+++ b/src/ownership_core.h
@@ -82,12 +82,14 @@
   void Enter(instant now);
   void Restart(instant now);
   void Leave(instant now, const std::string& detail);
+  void DeclareEnd(instant now);
   void Settle(instant now);
   void DeliverLocal(instant now);
   void Dispatch(instant now, const node_name& from, const ownership_message& message);
   void OnAttested(instant now, const attest_result& found);
   void TellOutcome(const attest_result& found);
   void OnSlicesRequest(const slices_request& request);
+  void PlanGifts(uint32_t partition, uint32_t keep, uint32_t count, const heir& receiver);
   void OnReleaseNotice(instant now, const node_name& from, const release_notice& notice);
   void AnswerTaken(const node_name& from, const release_notice& notice);
 
@@ -133,6 +135,8 @@
   bool members_known_ = false;
   uint64_t first_number_ = 0;
   uint64_t latest_number_ = 0;
+  /// The active term of this process's earlier tenure if it certainly had no successor in force.
+  uint64_t ended_active_number_ = 0;
   std::optional<term_record> writing_;
   std::map<slice_number, uint64_t> held_;
   /// The highest epoch of each slice that this process ever knew as its own or gave.
--- a/src/startup.cpp
+++ b/src/startup.cpp
@@ -64,14 +64,14 @@
   if (reading && now - *read_at_ >= kReadInterval) Read(now, out);
 }
 
-void startup::AskForEnd(instant now, const term_outcomes& outcomes, attestor& rounds,
-                        outbox& out) {
+void startup::AskForEnd(instant now, const term_outcomes& outcomes, attestor& rounds, outbox& out) {
   // A latest term that is gone proves the end of its process only if it was in force: otherwise the
   // process may have gone on under the term before.
   const term_id before{settings_.node, previous_->predecessor};
   const bool gone = outcomes.Gone(previous_->id);
   const bool in_force = before.number == 0 || active_number_ >= latest_number_;
-  const bool proven = gone && (in_force || outcomes.Gone(before) || outcomes.Next(before));
+  const bool own = own_first_ != 0 && previous_->first_number == own_first_;
+  const bool proven = own || (gone && (in_force || outcomes.Gone(before) || outcomes.Next(before)));
   if (proven || outcomes.Next(previous_->id) != nullptr || undecided_ >= kUndecidedRounds) {
     const bool all = previous_->first_number == 1 || previous_->ended_number > 0;
     ended_number_ = proven && all ? latest_number_ : 0;
@@ -123,7 +123,7 @@
 }
 
 void startup::OnAttested(instant now, const attest_result& found, outbox& out) {
-  if (step_ != step::kPreviousEnd || found.term != previous_->id) return;
+  if (step_ != step::kPreviousEnd || found.term.node != settings_.node) return;
   if (found.verdict == attest_verdict::kAlive) {
     undecided_ = 0;
     if (now - previous_since_ >= kDuplicatePatience) LogAlive(now, out);
--- a/tools/lib/load_runs.py
+++ b/tools/lib/load_runs.py
@@ -4,12 +4,13 @@
 import time
 
 from failure_runs import mixed_flags, sleep_until
-from fleet import boot_milliseconds, call
+from processes import boot_milliseconds, call
 from reports import check_table, goodput, not_whole, reasons_table, timeline
 from tables import Section, Table
 
 BASE_SERVICE_MS = 20
-OVERLOAD_SLOWDOWN = 5
+TARGET_FLAGS = [f"--service_ms={BASE_SERVICE_MS}", "--shape=lognormal"]
+OVERLOAD_SERVICE_MS = 100
 SLOTS = 12
 
 
@@ -24,7 +25,7 @@
     stats = fleet.platform_stats()
     fleet.reset_targets()
     before = fleet.daemon_cpu_seconds()
-    report = fleet.run_load("steady", mixed_flags(fleet, 500, length))
+    report = fleet.run_load("steady", mixed_flags(fleet, 500, length, seed=20))
     after = fleet.daemon_cpu_seconds()
     used = sum(after[name] - before[name] for name in before)
     cost = Table("cost of a process", ["figure", "mean", "largest"])
@@ -53,7 +54,7 @@
 
 def overload(fleet, quick):
     """Twice and five times what the targets bear."""
-    length = 2.5 if quick else 5
+    length = 2 if quick else 5
     names = [fleet.deployment.lookup_service(), fleet.deployment.keyed_service()]
     kinds = ["lookup"] if quick else ["lookup", "keyed"]
     table = Table(
@@ -62,17 +63,19 @@
          "not whole"],
     )
     runs = []
-    for node in fleet.nodes.values():
-        node.target_faults(slowdown=OVERLOAD_SLOWDOWN)
+    fleet.restart_targets(f"--service_ms={OVERLOAD_SERVICE_MS}", "--shape=lognormal")
     for kind in kinds:
         service = names[0 if kind == "lookup" else 1]
         upstreams = len(fleet.deployment.of_kind(kind))
-        capacity = upstreams * SLOTS * 1000 / (BASE_SERVICE_MS * OVERLOAD_SLOWDOWN)
+        capacity = upstreams * SLOTS * 1000 / OVERLOAD_SERVICE_MS
         full = None
-        for factor in (0.9, 2, 5):
+        flags = {"services": f"{service}:{kind}:1", "rate": capacity * 0.9, "duration_s": length,
+                 "keys": 2000, "deadline_ms": 1000}
+        # The caps on concurrency rise with the demand; this load is not counted.
+        fleet.run_load(f"overload-{kind}-rise", {**flags, "seed": 30})
+        for factor in (0.9, 5) if quick else (0.9, 2, 5):
             fleet.reset_targets()
-            flags = {"services": f"{service}:{kind}:1", "rate": capacity * factor,
-                     "duration_s": length, "keys": 2000, "seed": 31, "deadline_ms": 1000}
+            flags = {**flags, "rate": capacity * factor, "seed": 31 + len(runs)}
             report = fleet.run_load(f"overload-{kind}-{factor}", flags)
             full = full or goodput(report)
             label = f"{kind}, {factor}x capacity"
@@ -80,10 +83,10 @@
             table.add(label, capacity * factor, goodput(report), 100 * goodput(report) / full,
                       found["p99_ms"], not_whole(report))
             runs.append((label, report))
-    for node in fleet.nodes.values():
-        node.target_faults(slowdown=1)
+    fleet.restart_targets(*TARGET_FLAGS)
+    fleet.warm_up(length)
     intro = (
-        f"Targets of {SLOTS} slots and {BASE_SERVICE_MS * OVERLOAD_SLOWDOWN} ms mean service time, "
+        f"Targets of {SLOTS} slots and {OVERLOAD_SERVICE_MS} ms mean service time, "
         f"deadline 1000 ms, {length} s a step. Full load is the goodput at 0.9 of the capacity."
     )
     return Section("overload", "Overload", intro,
@@ -92,7 +95,7 @@
 
 def all_failing(fleet, quick):
     """All targets of the lookup service refuse everything."""
-    length = 2 if quick else 5
+    length = 1.5 if quick else 5
     nodes = [fleet.nodes[up.name] for up in fleet.deployment.of_kind("lookup")]
     table = Table("amplification", ["fault", "requests", "attempts at targets",
                                     "attempts per request", "not whole"])
@@ -112,7 +115,7 @@
         attempts = sum(arrivals(node) for node in nodes)
         table.add(name, report["sent"], attempts, attempts / report["sent"], not_whole(report))
         runs.append((name, report))
-        time.sleep(2)
+        time.sleep(1 if quick else 2)
     intro = (
         f"Lookups at 500/s for {length} s while every target refuses each request as not run, and "
         "while every target is frozen (deadline 500 ms). Attempts are counted by the targets."
@@ -126,7 +129,7 @@
 
 def cold_start(fleet, quick):
     """Two targets are restarted cold under load; a third turns cold without a new boot id."""
-    end_s = 6 if quick else 15
+    end_s = 5 if quick else 15
     cold_flags = ["--cold_requests=300", "--cold_factor=4", "--cold_bearable=3"]
     names = [up.name for up in fleet.deployment.of_kind("lookup")]
     fleet.reset_targets()
