--- a/src/announcement.cpp
+++ b/src/announcement.cpp
@@ -9,8 +9,8 @@
 static auto Fields(auto& a, const announcement&) {
   return std::tie(a.node, a.process, a.service, a.region, a.data_centre, a.rack, a.peer.ip,
                   a.peer.port, a.http.ip, a.http.port, a.weight, a.slots, a.term, a.first_term,
-                  a.witnesses, a.slices, a.partition_slices, a.configuration_version, a.target_up,
-                  a.leaving);
+                  a.witnesses, a.slices, a.partition_slices, a.configuration_version, a.owns_keys,
+                  a.target_up, a.leaving);
 }
 
 static auto Fields(auto& r, const slice_run&) { return std::tie(r.first, r.count, r.epoch); }
--- a/src/announcement.h
+++ b/src/announcement.h
@@ -56,6 +56,8 @@
   bool target_up = false;
   /// The node gets no new work: planned stop, or its data centre is out.
   bool leaving = false;
+
+  bool operator==(const announcement&) const = default;
 };
 
 /// Slices of a service at most; a claim beyond is damaged.
--- a/test/correctness/peer_codec_test.cpp
+++ b/test/correctness/peer_codec_test.cpp
@@ -76,6 +76,15 @@
   BOOST_TEST((std::get<lapse_notice>(std::get<ownership_message>(read->body)).record == record));
 }
 
+BOOST_AUTO_TEST_CASE(an_announcement_keeps_every_field) {
+  announcement sent{"lima1-a",        1,  "s",  "lima", "lima-a", "r1",  {"127.0.0.1", 2},
+                    {"127.0.0.1", 3}, 4,  5,    6,      7,        {"w"}, 8,
+                    {9, 10},          11, true, true,   true};
+  const auto heard = DecodeAnnouncement(Encode(sent));
+  BOOST_REQUIRE(heard.has_value());
+  BOOST_TEST((*heard == sent));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(that_is_not_whole)
