--- a/test/correctness/ownership_fleet.cpp
+++ b/test/correctness/ownership_fleet.cpp
@@ -217,7 +217,7 @@
     if (Chance(loss)) return;
     const int copies = Chance(trouble_ ? 0.05 : 0.0) ? 2 : 1;
     for (int i = 0; i < copies; ++i) {
-      const bool late = trouble_ && Chance(0.02);
+      const bool late = trouble_ && Chance(options_.late);
       const milliseconds due = now_ + milliseconds(late ? Pick(200, 3000) : Pick(1, 30));
       messages_.push_back({due, from, to, message});
     }
--- a/test/correctness/ownership_fleet.h
+++ b/test/correctness/ownership_fleet.h
@@ -18,6 +18,8 @@
   protocol_rules rules{};
   /// Clocks differ by up to this share of their pace.
   double drift = 0.04;
+  /// Share of messages that arrive late, by up to 3 s.
+  double late = 0.02;
   /// Whether the run also checks that every slice is served in the end.
   bool check_progress = true;
   /// Planned stops and slow requests take part.
