--- a/src/inheritance.cpp
+++ b/src/inheritance.cpp
@@ -100,7 +100,8 @@
                                std::vector<slice_epoch>& taken, outbox& out) {
   known.orphans.clear();
   for (const slice_epoch& listed : known.record.slices) {
-    const std::optional<custodian> found = HolderOf(layout_, outcomes, known.record, listed.slice, known.passed);
+    const std::optional<custodian> found =
+        HolderOf(layout_, outcomes, known.record, listed.slice, known.passed);
     if (!found) {
       known.orphans.push_back(listed.slice);
     } else if (found->recorded_elsewhere) {
--- a/src/inheritance.h
+++ b/src/inheritance.h
@@ -47,9 +47,9 @@
   std::vector<term_record> Orphans() const;
   /// Whether the record has such slices that a node of the region may hold.
   bool HasOrphanFor(const term_id& term, const std::string& region) const;
-  /// The process of `ended` is over, and `rows` are all term records of the table, read after its end.
-  /// A slice that no row lists with a later epoch was not taken by it in a way that lasts, so it is
-  /// passed over for this slice. Records that the table does not have any more are dropped.
+  /// The process of `ended` is over, and `rows` are all term records of the table, read after its
+  /// end. A slice that no row lists with a later epoch was not taken by it in a way that lasts, so
+  /// it is passed over for this slice. Records that the table does not have any more are dropped.
   void PassOver(const term_id& ended, const std::vector<term_record>& rows);
   /// The table's copy of a record, which may have more late heirs.
   void Refresh(const term_record& record);
--- a/src/ownership_core_terms.cpp
+++ b/src/ownership_core_terms.cpp
@@ -69,7 +69,8 @@
   // An earlier process of this node may have left slices whose heirs are all gone.
   if (const auto& previous = startup_.Previous()) {
     inheritance_.OnLapse(now, settings_.node, {*previous, false});
-    const bool is_void = previous->predecessor != 0 && previous->predecessor == ended_active_number_;
+    const bool is_void =
+        previous->predecessor != 0 && previous->predecessor == ended_active_number_;
     if (is_void) unneeded_rows_.push_back(previous->id);
   }
   term_record record = ComposeTerm(first_number_);
@@ -87,8 +88,8 @@
   }
   writing_ = record;
   phase_ = ownership_phase::kWriting;
-  store_.Commit(now, record, {first_number_, startup_.NotedNumber(), settings_.address}, std::move(conditions),
-                std::move(writes), out_);
+  store_.Commit(now, record, {first_number_, startup_.NotedNumber(), settings_.address},
+                std::move(conditions), std::move(writes), out_);
 }
 
 void ownership_core::OnActivation(instant now, const tenure::activation& activated) {
--- a/src/ownership_types.h
+++ b/src/ownership_types.h
@@ -37,6 +37,8 @@
   bool receiver_waits_for_release = true;
   /// A witness refuses messages meant for an earlier process of its node.
   bool witness_checks_process = true;
+  /// A witness that promised to accept a term's end renews it no more.
+  bool promise_closes_term = true;
   /// A node serves under a new term only after its previous one was superseded.
   bool activation_waits_for_supersede = true;
 };
--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -90,8 +90,7 @@
   std::vector<surplus> rich;
   for (const member& other : members) {
     if (other.node == self.node || other.service != self.service) continue;
-    const double amount =
-        SlicesIn(other, partition) - FairShare(layout, members, other, partition);
+    const double amount = SlicesIn(other, partition) - FairShare(layout, members, other, partition);
     if (amount >= 1) rich.push_back({other.node, amount});
   }
   std::sort(rich.begin(), rich.end(), [&](const surplus& a, const surplus& b) {
@@ -169,8 +168,8 @@
   });
 }
 
-double FairShare(const slice_layout& layout, const std::vector<member>& members,
-                 const member& node, uint32_t partition) {
+double FairShare(const slice_layout& layout, const std::vector<member>& members, const member& node,
+                 uint32_t partition) {
   if (!MayOwn(node, node.service)) return 0;
   if (!PartitionAllowed(layout, partition, node.region)) return 0;
   const double total = TotalWeight(layout, members, node.service, partition);
--- a/src/placement.h
+++ b/src/placement.h
@@ -29,10 +29,10 @@
 std::vector<heir> ChooseHeirs(const ownership_settings& self, const std::vector<member>& members,
                               const std::vector<heir>& current);
 
-/// The number of slices of the partition that the node should hold, by weight, among the members that
-/// may hold them. `members` has the node itself.
-double FairShare(const slice_layout& layout, const std::vector<member>& members,
-                 const member& node, uint32_t partition);
+/// The number of slices of the partition that the node should hold, by weight, among the members
+/// that may hold them. `members` has the node itself.
+double FairShare(const slice_layout& layout, const std::vector<member>& members, const member& node,
+                 uint32_t partition);
 
 /// How many slices of the partition the node holds.
 uint32_t SlicesIn(const member& node, uint32_t partition);
--- a/src/recovery.cpp
+++ b/src/recovery.cpp
@@ -40,12 +40,12 @@
 /// predecessor of one that was in force.
 bool InForce(const std::vector<term_record>& records, uint64_t number, uint64_t noted) {
   while (number < noted) {
-    const auto later = std::find_if(
-        records.begin(), records.end(),
-        [&](const term_record& record) { return record.predecessor == number; });
-    const auto rivals = std::count_if(
-        records.begin(), records.end(),
-        [&](const term_record& record) { return record.predecessor == number; });
+    const auto later = std::find_if(records.begin(), records.end(), [&](const term_record& record) {
+      return record.predecessor == number;
+    });
+    const auto rivals =
+        std::count_if(records.begin(), records.end(),
+                      [&](const term_record& record) { return record.predecessor == number; });
     if (rivals != 1) return false;
     number = later->id.number;
   }
--- a/src/recovery.h
+++ b/src/recovery.h
@@ -41,8 +41,8 @@
     term_id term;
     std::vector<node_name> witnesses;
   };
-  /// The piece of work in hand: a proof, the adoption of a record, or a read of all terms to pass over
-  /// a process that ended.
+  /// The piece of work in hand: a proof, the adoption of a record, or a read of all terms to pass
+  /// over a process that ended.
   struct work {
     std::optional<proof> wanted_proof;
     std::optional<term_id> adopted;
--- a/src/startup.cpp
+++ b/src/startup.cpp
@@ -64,8 +64,7 @@
   if (reading && now - *read_at_ >= kReadInterval) Read(now, out);
 }
 
-void startup::AskForEnd(instant now, const term_outcomes& outcomes, attestor& rounds,
-                        outbox& out) {
+void startup::AskForEnd(instant now, const term_outcomes& outcomes, attestor& rounds, outbox& out) {
   // A latest term that is gone proves the end of its process only if it was in force: otherwise the
   // process may have gone on under the term before.
   const term_id before{settings_.node, previous_->predecessor};
--- a/src/tenure.h
+++ b/src/tenure.h
@@ -47,8 +47,8 @@
     std::optional<term_record> replaced;
   };
   std::optional<activation> TakeActivation();
-  /// The terms of this tenure that can never be called superseded: after a lapse the active term and
-  /// its successor, provided that no supersede request was sent.
+  /// The terms of this tenure that can never be called superseded: after a lapse the active term
+  /// and its successor, provided that no supersede request was sent.
   std::vector<term_record> EndedForCertain() const;
   /// A witness of the active term will not renew it any more.
   bool LostWitness() const { return active_ && active_->ClosedWitnesses() > 0; }
--- a/src/term.h
+++ b/src/term.h
@@ -64,8 +64,8 @@
   std::vector<node_name> predecessor_witnesses;
   /// Number of the first term of the same process.
   uint64_t first_number = 0;
-  /// All processes of the node up to this term were proven ended before the present one began; 0 when
-  /// that is not known.
+  /// All processes of the node up to this term were proven ended before the present one began; 0
+  /// when that is not known.
   uint64_t ended_number = 0;
   auto operator<=>(const term_record&) const = default;
 };
--- a/src/witness.cpp
+++ b/src/witness.cpp
@@ -68,7 +68,8 @@
   if (known == nullptr) known = FindOrAdd(request.term);
   if (known == nullptr) return std::nullopt;
   if (known->record.empty()) known->record = request.record;
-  if (known->promised > 0 || known->accepted != term_outcome::kNone) {
+  const bool closed = known->promised > 0 || known->accepted != term_outcome::kNone;
+  if (closed && rules_.promise_closes_term) {
     answer.status = renew_status::kClosed;
     return answer;
   }
--- a/test/correctness/placement_test.cpp
+++ b/test/correctness/placement_test.cpp
@@ -36,9 +36,9 @@
 }
 
 std::vector<member> Fleet() {
-  return {Node("same_rack", "lima", "l1", "a"),  Node("other_rack", "lima", "l1", "b"),
-          Node("sister_1", "lima", "l2", "a"),   Node("sister_2", "lima", "l2", "b"),
-          Node("far_1", "cusco", "c1", "a"),     Node("far_2", "cusco", "c2", "a")};
+  return {Node("same_rack", "lima", "l1", "a"), Node("other_rack", "lima", "l1", "b"),
+          Node("sister_1", "lima", "l2", "a"),  Node("sister_2", "lima", "l2", "b"),
+          Node("far_1", "cusco", "c1", "a"),    Node("far_2", "cusco", "c2", "a")};
 }
 
 bool Has(const std::vector<node_name>& names, const node_name& name) {
