Break the owner that has the keys of the load

Cause: in the full run the killed owner held none of the keys asked for, so that the figures of the owner killed (no gap) and of the data centre show nothing. Change: the scenarios choose the node that owns most of the keys and say how many; added requests are counted by arrivals, since a frozen target executes nothing.

--- a/tools/lib/failure_runs.py
+++ b/tools/lib/failure_runs.py
@@ -70,14 +70,15 @@
 def data_centre(fleet, quick):
     """A data centre is taken out and brought back under load."""
     out_s, back_s, end_s = (1.5, 3, 5) if quick else (5, 12, 20)
-    place = fleet.deployment.upstreams[0].data_centre
+    owner, owned = fleet.main_owner(MIXED_KEYS)
+    place = owner.upstream.data_centre
     nodes = [node for node in fleet.nodes.values() if node.upstream.data_centre == place]
     entries = [node.http for node in fleet.nodes.values() if node not in nodes]
     fleet.reset_targets()
     begin = boot_milliseconds()
     load = fleet.start_load("data-centre", mixed_flags(fleet, 400, end_s), entries)
-    sleep_until(begin, out_s)
     watch = ExecutionWatch(nodes)
+    sleep_until(begin, out_s)
     asked_ms = boot_milliseconds()
     fleet.take_out(place)
     applied_ms = boot_milliseconds()
@@ -98,11 +99,11 @@
     stopped = Table("end of new work in the data centre",
                     ["until", "ms after the operator's command began"])
     stopped.add("the command returned", applied_ms - asked_ms)
-    stopped.add("the last execution began there", max(0.0, last_work_ms - asked_ms))
+    stopped.add("the last execution began there", last_work_ms - asked_ms)
     runs = [("data centre out and back", report)]
     intro = (
         f"Mixed load of 400/s (70 per cent lookups) for {end_s} s over the processes outside "
-        f"{place}. The data centre is taken out after {out_s} s by an edit of the rules and "
+        f"{place}, whose keyed process owns {owned} of the {MIXED_KEYS} keys. The data centre is taken out after {out_s} s by an edit of the rules and "
         f"brought back after {back_s} s. Quantiles of a span are medians over windows of 500 ms."
     )
     plot_marks = [(round((applied_ms - start_ms) / 1000, 2), "out"),
@@ -115,13 +116,14 @@
 def owner_lost(fleet, quick):
     """An owner's machine is lost; then one is paused and comes back."""
     fault_s, end_s = (1, 4) if quick else (3, 10)
-    victims = fleet.deployment.of_kind("keyed")
     runs = []
+    owned_keys = []
     plots = []
     faults = [("owner-killed", "owner killed"), ("owner-paused", "owner paused for 3 s")]
     for seed, (name, title) in enumerate(faults[:1] if quick else faults, 23):
         fleet.reset_targets()
-        victim = fleet.nodes[victims[1 if name == "owner-killed" else 2].name]
+        victim, owned = fleet.main_owner(KEYS)
+        owned_keys.append(f"{owned} ({title})")
         entries = [node.http for node in fleet.live() if node is not victim]
         begin = boot_milliseconds()
         load = fleet.start_load(name, keyed_flags(fleet, 600, end_s, seed=seed), entries)
@@ -144,7 +146,8 @@
             fleet.wait_ready()
     intro = (
         f"Keyed load of 600/s over {KEYS} keys for {end_s} s, half of it writes, over the "
-        "processes of the other machines. The time without service of a key is the longest wait "
+        f"processes of the other machines. The lost owner has {', '.join(owned_keys)} of the keys. "
+        "The time without service of a key is the longest wait "
         "from a planned request to the first whole answer to that or a later request. The targets "
         "of a killed machine cannot be read, so that writes found nowhere may have run there."
     )
@@ -155,7 +158,7 @@
 def store_outage(fleet, quick):
     """The store refuses connections; an owner is lost meanwhile."""
     out_s, kill_s, back_s, end_s = (0.5, 1.5, 3.5, 5) if quick else (3, 8, 14, 18)
-    victim = fleet.nodes[fleet.deployment.of_kind("keyed")[3].name]
+    victim, owned = fleet.main_owner(KEYS)
     entries = [node.http for node in fleet.live() if node is not victim]
     fleet.reset_targets()
     begin = boot_milliseconds()
@@ -183,7 +186,8 @@
         spans.add(name, p50, p99, counts["whole"], counts["refused"], counts["lost"])
     intro = (
         f"Keyed load of 600/s over {KEYS} keys for {end_s} s. The store refuses connections from "
-        f"{out_s} s to {back_s} s, and an owner's machine is killed at {kill_s} s."
+        f"{out_s} s to {back_s} s, and the machine of the owner of {owned} of the keys is killed at "
+        f"{kill_s} s."
     )
     marks = [(out_s, "store out"), (kill_s, "owner killed"), (back_s, "store back")]
     return Section("store-outage", "The store is out while an owner is lost", intro,
--- a/tools/lib/fleet.py
+++ b/tools/lib/fleet.py
@@ -309,6 +309,18 @@
                 return answer["owner"]
         return None
 
+    def main_owner(self, keys):
+        """The node that owns most of the keys that a load asks for, and how many these are."""
+        counts = {}
+        for number in range(keys):
+            owner = self.owner_of(f"key{number}")
+            counts[owner] = counts.get(owner, 0) + 1
+        counts.pop(None, None)
+        if not counts:
+            raise FleetError("no key of the load has an owner")
+        name = max(counts, key=counts.get)
+        return self.nodes[name], counts[name]
+
     # Faults.
 
     def platform_faults(self, **faults):
--- a/tools/lib/straggler_runs.py
+++ b/tools/lib/straggler_runs.py
@@ -97,13 +97,13 @@
     for phase, length in (("settle", 1.0), ("measure", duration_s)):
         flags = {"services": f"{fleet.deployment.lookup_service()}:lookup:1", "rate": RATE,
                  "duration_s": length, "deadline_ms": DEADLINE_MS, "seed": seed}
-        before = executions(own)
+        before = arrivals(own)
         product = fleet.start_load(f"stragglers-{phase}", flags)
         loads = [each.start_load(length, seed) for each in sets]
         texts = [load.communicate(timeout=60)[0] for load in loads]
         reports = {"bulrushd": fleet.finish_load(product)}
         reports["bulrushd"]["extra"] = (
-            (executions(own) - before) / reports["bulrushd"]["sent"] - 1
+            (arrivals(own) - before) / reports["bulrushd"]["sent"] - 1
         )
         for (policy_name, _, _), text in zip(selected_policies(len(sets)), texts):
             report = json.loads(text)
@@ -114,10 +114,10 @@
     return reports
 
 
-def executions(addresses):
+def arrivals(addresses):
     total = 0
     for address in addresses:
-        total += json.loads(call(address, "/-/executions")[1])["executions"]
+        total += json.loads(call(address, "/-/executions")[1])["arrivals"]
     return total
 
 
