Push the head of the configuration before all else

Change: one kind of gossip item may be urgent: it is pushed first, and may overdraw the allowance by a quarter of the burst, which is saved afterwards. The head of the configuration is that kind.

--- a/src/gossip.cpp
+++ b/src/gossip.cpp
@@ -9,6 +9,9 @@
 
 namespace {
 
+// How far urgent items may overdraw the allowance for pushes, as a share of the burst.
+constexpr double kUrgentDebt = -0.25;
+
 /// IP and UDP headers of a datagram.
 constexpr size_t kHeaderBytes = 28;
 /// Fixed fields of an encoded message, the root hash included.
@@ -193,8 +196,8 @@
   refilled_ = std::max(now, refilled_.value_or(now));
 }
 
-bool gossip::allowance::Spend(size_t wanted) {
-  if (bytes < static_cast<double>(wanted)) {
+bool gossip::allowance::Spend(size_t wanted, double floor) {
+  if (bytes - static_cast<double>(wanted) < floor) {
     return false;
   }
   bytes -= static_cast<double>(wanted);
@@ -214,26 +217,30 @@
   std::vector<std::string> chosen;
   std::sample(peers.begin(), peers.end(), std::back_inserter(chosen), settings_.fan_out, random_);
   for (const std::string& peer : chosen) {
-    if (!PushTo(peer, out)) {
-      break;
-    }
+    PushTo(peer, out);
   }
   const uint32_t limit = std::bit_width(peers.size()) + settings_.extra_pushes;
   std::erase_if(recent_, [limit](const recent_item& entry) { return entry.pushes >= limit; });
 }
 
-/// Sends all recent items to a peer, the least pushed first, until the allowance ends.
-bool gossip::PushTo(const std::string& peer, std::vector<outgoing_gossip>& out) {
-  const auto less = [](const recent_item& a, const recent_item& b) { return a.pushes < b.pushes; };
+bool gossip::IsUrgent(const recent_item& entry) const {
+  return settings_.urgent_kind != 0 && entry.item->kind == settings_.urgent_kind;
+}
+
+/// Sends all recent items to a peer until the allowance ends: urgent ones first, then the least
+/// pushed.
+void gossip::PushTo(const std::string& peer, std::vector<outgoing_gossip>& out) {
+  const auto less = [this](const recent_item& a, const recent_item& b) {
+    return std::pair(!IsUrgent(a), a.pushes) < std::pair(!IsUrgent(b), b.pushes);
+  };
   std::stable_sort(recent_.begin(), recent_.end(), less);
   size_t used = settings_.message_bytes;
   for (recent_item& entry : recent_) {
     const size_t size = EncodedSize(*entry.item);
     const bool is_full = used + size > settings_.message_bytes;
     const size_t added = is_full ? size + kMessageBytes + kHeaderBytes : size;
-    if (!push_allowance_.Spend(added)) {
-      return false;
-    }
+    const double floor = IsUrgent(entry) ? settings_.burst_bytes * kUrgentDebt : 0.0;
+    if (!push_allowance_.Spend(added, floor)) return;
     if (is_full) {
       out.push_back({peer, {}});
       used = kMessageBytes;
@@ -242,7 +249,6 @@
     out.back().message.items.push_back(*entry.item);
     ++entry.pushes;
   }
-  return true;
 }
 
 void gossip::Compare(instant now, std::span<const std::string> peers,
--- a/src/gossip.h
+++ b/src/gossip.h
@@ -66,6 +66,9 @@
   uint32_t message_bytes = 1200;
   /// Peers that get the recent items at each tick.
   uint32_t fan_out = 3;
+  /// Items of this kind are pushed before all others, also when nothing may be sent for the moment;
+  /// what they cost beyond is saved later. 0: no kind.
+  uint8_t urgent_kind = 0;
   /// Pushes of an item by each process beyond log2 of the number of peers.
   uint32_t extra_pushes = 2;
   /// Time between two comparisons with a random peer.
@@ -118,7 +121,8 @@
   /// Bytes that may still be sent. Pushes and comparisons have one each: neither starves the other.
   struct allowance {
     double bytes = 0;
-    bool Spend(size_t wanted);
+    /// Takes the bytes if that leaves at least `floor`.
+    bool Spend(size_t wanted, double floor = 0);
   };
   struct bucket {
     uint64_t hash = 0;
@@ -130,7 +134,8 @@
   void Refill(instant now);
   size_t SentBytes(size_t encoded_bytes) const;
   void PushRecent(std::span<const std::string> peers, std::vector<outgoing_gossip>& out);
-  bool PushTo(const std::string& peer, std::vector<outgoing_gossip>& out);
+  bool IsUrgent(const recent_item& entry) const;
+  void PushTo(const std::string& peer, std::vector<outgoing_gossip>& out);
   void Compare(instant now, std::span<const std::string> peers, std::vector<outgoing_gossip>& out);
   void ReplyToRoot(const gossip_message& message, gossip_message& reply) const;
   void ReplyToBuckets(const gossip_message& message, gossip_message& reply);
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -7,6 +7,14 @@
 namespace bulrushway {
 namespace {
 
+// The head of the configuration waits for nothing: a change is in force everywhere within seconds
+// also while many processes announce themselves.
+gossip_settings GossipSettings() {
+  gossip_settings settings;
+  settings.urgent_kind = static_cast<uint8_t>(gossip_kind::kConfigurationHead);
+  return settings;
+}
+
 constexpr std::chrono::milliseconds kTickInterval{25};
 constexpr std::chrono::milliseconds kGossipInterval{100};
 constexpr std::chrono::seconds kSearchInterval{2};
@@ -98,7 +106,7 @@
                    Receive(boot_clock::now(), *envelope, &from);
                  }),
       tick_(loop, [this](instant now) { Tick(now); }),
-      gossip_(gossip_settings{}, seed),
+      gossip_(GossipSettings(), seed),
       self_(std::move(self)),
       seeds_(std::move(seeds)),
       seed_(seed) {
--- a/test/correctness/gossip_test.cpp
+++ b/test/correctness/gossip_test.cpp
@@ -253,6 +253,35 @@
   BOOST_TEST(bytes > settings.burst_bytes / 2);
 }
 
+BOOST_AUTO_TEST_CASE(an_urgent_item_goes_out_at_once_in_a_flood_and_is_saved_for_later) {
+  constexpr uint8_t kUrgent = 4;
+  gossip_settings settings;
+  settings.urgent_kind = kUrgent;
+  gossip member(settings, 3);
+  const std::vector<std::string> peers{"a", "b", "c", "d", "e"};
+  instant now{std::chrono::hours(1)};
+  uint64_t bytes = 0;
+  constexpr uint64_t kSeconds = 60;
+  for (uint64_t i = 0; i < kSeconds * 10; ++i) {
+    now += kRound;
+    for (int j = 0; j < 20; ++j) {
+      member.Publish(now, Item(kGone, "node-" + std::to_string(j), i + 1));
+    }
+    const bool urgent = i % 100 == 99;
+    if (urgent) member.Publish(now, Item(kUrgent, "head", i + 1));
+    size_t receivers = 0;
+    for (const outgoing_gossip& sent : member.Tick(now, peers)) {
+      bytes += EncodedSize(sent.message);
+      for (const gossip_item& item : sent.message.items) {
+        receivers += item.kind == kUrgent && item.version == i + 1 ? 1 : 0;
+      }
+    }
+    if (urgent) BOOST_TEST(receivers == settings.fan_out);
+  }
+  const uint64_t debt = settings.burst_bytes / 4;
+  BOOST_TEST(bytes <= settings.burst_bytes + debt + kSeconds * settings.bytes_per_second);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE_END()
