--- a/src/configuration_parser.cpp
+++ b/src/configuration_parser.cpp
@@ -64,7 +64,7 @@
 
 // Reads the name after a section's prefix; a wrong one is reported and read as empty.
 std::string NameAfter(std::string_view prefix, const ini_section& section, section_reader& reader) {
-  parsed<std::string> name = ParseName(std::string_view(section.name).substr(prefix.size()));
+  parsed<std::string> name = ParseName(section.name.substr(prefix.size()));
   if (name) return *std::move(name);
   reader.Report("", "the name after '" + std::string(prefix) + "': " + name.error());
   return {};
--- a/src/configuration_store.h
+++ b/src/configuration_store.h
@@ -72,13 +72,13 @@
   }
 
   /// Commits a change. The outcome says truthfully whether the change is in force.
-  void Apply(const configuration_change& change, apply_callback done) {
+  void Apply(const configuration_change& change, const apply_callback& done) {
     if (std::string fault = FaultOf(change); !fault.empty()) {
       return done({apply_state::kNotApplied, {}, {}, std::move(fault)});
     }
     auto run = std::make_shared<apply_run>();
     run->change = change;
-    run->done = std::move(done);
+    run->done = done;
     ReadBase(run);
   }
 
