--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -196,6 +196,9 @@
   ports.may_use = [this](instant, const announcement& to) { return rules_.MayUse(to, WallNow()); };
   ports.configuration_version = [this] { return rules_.Version(); };
   ports.stopping = [this] { return stopping_; };
+  ports.learn_owner = [this](const std::string& service, uint32_t slice, const std::string& node) {
+    membership_.LearnOwner(service, slice, node);
+  };
   return ports;
 }
 
@@ -302,8 +305,7 @@
 
 gate_refusal daemon::NotServed(instant now, uint32_t slice) const {
   gate_refusal refusal{refusal_reason::kNotOwner, kRetrySoon, {}};
-  refusal.owner_hint = membership_.Known().OwnerOf(settings_.node.service, slice);
-  if (refusal.owner_hint == settings_.node.name) refusal.owner_hint.clear();
+  refusal.owner_hint = membership_.OwnerHint(slice);
   if (membership_.Self().term != 0 && membership_.LeaseExpiry() <= now) {
     refusal.reason = refusal_reason::kLeaseLapsed;
   } else if (refusal.owner_hint.empty()) {
--- a/src/directory.cpp
+++ b/src/directory.cpp
@@ -3,6 +3,12 @@
 #include <algorithm>
 
 namespace bulrushway {
+namespace {
+
+// Marks an owner that was hinted and not claimed.
+constexpr uint32_t kHintedPart = ~uint32_t{0};
+
+}  // namespace
 
 void directory::OnAnnouncement(const announcement& heard) {
   ++revision_;
@@ -25,6 +31,17 @@
   known = heard;
 }
 
+void directory::OnHint(const std::string& service, uint32_t slice, const std::string& node) {
+  const announcement* member = Find(node);
+  auto& owners = owners_[service];
+  if (member == nullptr || slice >= kMostSlices) return;
+  if (owners.size() <= slice) owners.resize(slice + 1);
+  // The epoch stays, so that the claim of the true owner replaces the hint.
+  owners[slice].node = node;
+  owners[slice].part = kHintedPart;
+  owners[slice].first_term = member->first_term;
+}
+
 void directory::OnGone(const std::string& node, uint64_t term) {
   uint64_t& highest = gone_[node];
   if (term <= highest) return;
--- a/src/directory.h
+++ b/src/directory.h
@@ -21,6 +21,8 @@
   void OnAnnouncement(const announcement& heard);
   /// Takes a claim, which replaces the earlier one of the same node and part.
   void OnClaim(const ownership_claim& heard);
+  /// A gate that does not own a slice says who does. Believed until a claim for the slice comes.
+  void OnHint(const std::string& service, uint32_t slice, const std::string& node);
   /// The term is gone: a member that announced it is not alive until it announces a later one.
   void OnGone(const std::string& node, uint64_t term);
 
--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -292,6 +292,9 @@
     }
   }
   if (subject->done) return;
+  if (!answer.owner_hint.empty()) {
+    ports_.learn_owner(subject->request.service, subject->request.slice, answer.owner_hint);
+  }
   if (!answered) {
     OnRefused(now, subject, answer.reason, answer.state, answer.retry_after);
     return;
--- a/src/entry.h
+++ b/src/entry.h
@@ -50,6 +50,9 @@
   std::function<bool(instant, const announcement&)> may_use;
   /// Version of the configuration in force.
   std::function<uint64_t()> configuration_version;
+  /// A gate says which node owns a slice.
+  std::function<void(const std::string& service, uint32_t slice, const std::string& node)>
+      learn_owner;
   /// The process begins no new requests: it is stopping.
   std::function<bool()> stopping;
 };
--- a/src/handover.cpp
+++ b/src/handover.cpp
@@ -11,6 +11,11 @@
 
 }  // namespace
 
+const heir* handover::ReceiverOf(slice_number slice) const {
+  const auto found = outgoing_.find(slice);
+  return found == outgoing_.end() ? nullptr : &found->second.receiver;
+}
+
 void handover::Clear() {
   planned_.clear();
   outgoing_.clear();
--- a/src/handover.h
+++ b/src/handover.h
@@ -28,6 +28,8 @@
   bool IsPlanned(slice_number slice) const { return planned_.contains(slice); }
   size_t PlannedCount() const { return planned_.size(); }
   size_t OutgoingCount() const { return outgoing_.size(); }
+  /// Who gets a slice that is on its way out; null when it is not.
+  const heir* ReceiverOf(slice_number slice) const;
   void Clear();
 
   /// Lists held and outgoing slices, and the gifts, in a term that is being composed.
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -210,6 +210,17 @@
 
 instant membership::LeaseExpiry() const { return core_ ? core_->LeaseExpiry() : instant{}; }
 
+std::string membership::OwnerHint(uint32_t slice) const {
+  std::string receiver = core_ ? core_->ReceiverOf(slice) : "";
+  if (!receiver.empty()) return receiver;
+  std::string owner = directory_.OwnerOf(self_.service, slice);
+  return owner == self_.node ? std::string{} : owner;
+}
+
+void membership::LearnOwner(const std::string& service, uint32_t slice, const std::string& node) {
+  directory_.OnHint(service, slice, node);
+}
+
 std::optional<ownership_status> membership::OwnershipStatus() const {
   if (!core_) return std::nullopt;
   return core_->Status();
--- a/src/membership.h
+++ b/src/membership.h
@@ -73,6 +73,10 @@
   std::optional<uint64_t> Serves(instant now, uint32_t slice) const;
   /// When the lease of this node ends.
   instant LeaseExpiry() const;
+  /// The node that owns the slice as far as this one knows, preferring what it gives away itself.
+  std::string OwnerHint(uint32_t slice) const;
+  /// Learns from a peer's refusal who owns a slice.
+  void LearnOwner(const std::string& service, uint32_t slice, const std::string& node);
   const directory& Known() const { return directory_; }
   const gossip& Items() const { return gossip_; }
   const announcement& Self() const { return self_; }
--- a/src/ownership_core.cpp
+++ b/src/ownership_core.cpp
@@ -287,6 +287,11 @@
   return found->second;
 }
 
+node_name ownership_core::ReceiverOf(slice_number slice) const {
+  const heir* receiver = handover_.ReceiverOf(slice);
+  return receiver == nullptr ? node_name{} : receiver->term.node;
+}
+
 ownership_status ownership_core::Status() const {
   ownership_status status;
   status.phase = phase_;
--- a/src/ownership_core.h
+++ b/src/ownership_core.h
@@ -78,6 +78,8 @@
   std::optional<uint64_t> Serves(instant now, slice_number slice) const;
   /// When the lease ends; requests handed on carry an earlier deadline.
   instant LeaseExpiry() const { return tenure_.Expiry(); }
+  /// The node to which this one is giving the slice; empty when it is not.
+  node_name ReceiverOf(slice_number slice) const;
   ownership_status Status() const;
 
  private:
--- a/test/correctness/directory_test.cpp
+++ b/test/correctness/directory_test.cpp
@@ -71,6 +71,15 @@
   BOOST_TEST(known.OwnedSlices("druck") == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(may_be_hinted_until_it_claims) {
+  known.OnHint("druck", 3, "b");
+  BOOST_TEST(known.OwnerOf("druck", 3) == "b");
+  known.OnHint("druck", 3, "nobody");
+  BOOST_TEST(known.OwnerOf("druck", 3) == "b");
+  known.OnClaim({"a", "druck", 1, 1, {{3, 1, 12}}});
+  BOOST_TEST(known.OwnerOf("druck", 3) == "a");
+}
+
 BOOST_AUTO_TEST_CASE(is_not_lost_when_slices_shift_between_the_parts_of_a_claim) {
   std::vector<std::pair<uint32_t, uint64_t>> slices;
   for (uint32_t slice = 0; slice < 400; ++slice) slices.emplace_back(slice, 20 + slice % 2);
