--- a/src/inheritance.cpp
+++ b/src/inheritance.cpp
@@ -132,6 +132,18 @@
   return taken;
 }
 
+bool inheritance::AllRecorded(const own_terms& own, const entry& known,
+                              const term_outcomes& outcomes,
+                              const std::function<bool(const slice_epoch&)>& recorded) const {
+  const auto& slices = known.record.slices;
+  return std::all_of(slices.begin(), slices.end(), [&](const slice_epoch& listed) {
+    const auto found = HolderOf(layout_, outcomes, known.record, listed.slice, known.passed);
+    if (!found) return false;
+    if (found->recorded_elsewhere) return true;
+    return Mine(own, found->holder) && recorded({listed.slice, found->epoch});
+  });
+}
+
 std::vector<term_id> inheritance::Settle(const own_terms& own, const term_outcomes& outcomes,
                                          const std::function<bool(const slice_epoch&)>& recorded) {
   std::vector<term_id> unneeded;
@@ -148,14 +160,7 @@
     }
     if (!outcomes.Gone(term)) continue;
     if (!known.active && known.record.predecessor != 0) continue;
-    const bool all = std::all_of(
-        known.record.slices.begin(), known.record.slices.end(), [&](const slice_epoch& listed) {
-          const auto found = HolderOf(layout_, outcomes, known.record, listed.slice, known.passed);
-          if (!found) return false;
-          if (found->recorded_elsewhere) return true;
-          return Mine(own, found->holder) && recorded({listed.slice, found->epoch});
-        });
-    if (!all) continue;
+    if (!AllRecorded(own, known, outcomes, recorded)) continue;
     settled.push_back(term);
     unneeded.push_back(term);
   }
@@ -186,13 +191,14 @@
   std::set<term_id> present;
   for (const term_record& row : rows) present.insert(row.id);
   std::erase_if(entries_, [&](const auto& item) { return !present.contains(item.first); });
-  for (auto& [term, known] : entries_) {
+  for (auto& item : entries_) {
+    entry& known = item.second;
     for (const slice_epoch& listed : known.record.slices) {
       // A receiver records the very epoch that the giver listed, an heir a later one.
       const bool given = GiftOf(known.record, listed.slice) != nullptr;
       const uint64_t taken_epoch = given ? listed.epoch : listed.epoch + 1;
       const bool taken = std::any_of(rows.begin(), rows.end(), [&](const term_record& row) {
-        return row.id != term && EpochOf(row, listed.slice).value_or(0) >= taken_epoch;
+        return row.id != known.record.id && EpochOf(row, listed.slice).value_or(0) >= taken_epoch;
       });
       if (!taken) known.passed.insert({ended, listed.slice});
     }
--- a/src/inheritance.h
+++ b/src/inheritance.h
@@ -71,6 +71,8 @@
 
   bool ProvenActive(instant now, entry& known, const term_outcomes& outcomes, attestor& rounds,
                     outbox& out);
+  bool AllRecorded(const own_terms& own, const entry& known, const term_outcomes& outcomes,
+                   const std::function<bool(const slice_epoch&)>& recorded) const;
   bool Mine(const own_terms& own, const heir& holder) const;
   void EvaluateReleased(const own_terms& own, const entry& known,
                         std::vector<slice_epoch>& taken) const;
--- a/src/ownership_core_terms.cpp
+++ b/src/ownership_core_terms.cpp
@@ -215,8 +215,8 @@
 }
 
 term_record ownership_core::ComposeTerm(uint64_t number) const {
-  static const term_record kNone;
-  const term_record& active = tenure_.Active() != nullptr ? *tenure_.Active() : kNone;
+  const term_record none;
+  const term_record& active = tenure_.Active() != nullptr ? *tenure_.Active() : none;
   term_record record;
   record.id = {settings_.node, number};
   record.service = settings_.service;
--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -122,6 +122,7 @@
     if (!TakeFirst(candidates, chosen, [](const member*) { return true; })) break;
   }
   std::vector<node_name> names;
+  names.reserve(chosen.size() + 1);
   for (const member* other : chosen) names.push_back(other->node);
   if (names.empty() || names.size() == 2) names.push_back(self.node);
   std::sort(names.begin(), names.end());
@@ -131,6 +132,7 @@
 std::vector<heir> ChooseHeirs(const ownership_settings& self, const std::vector<member>& members,
                               const std::vector<heir>& current) {
   std::vector<node_name> kept;
+  kept.reserve(current.size());
   for (const heir& entry : current) kept.push_back(entry.term.node);
   std::vector<const member*> candidates = Candidates(self, members, kept);
   std::erase_if(candidates, [&](const member* other) {
@@ -148,6 +150,7 @@
     if (!TakeFirst(candidates, chosen, [](const member*) { return true; })) break;
   }
   std::vector<heir> heirs;
+  heirs.reserve(chosen.size());
   for (const member* other : chosen) heirs.push_back(AsHeir(*other));
   std::sort(heirs.begin(), heirs.end());
   return heirs;
@@ -198,6 +201,7 @@
     }
   }
   std::vector<donor_share> chosen;
+  chosen.reserve(donors.size());
   for (auto& [node, donor] : donors) chosen.push_back(std::move(donor));
   return chosen;
 }
--- a/src/term.h
+++ b/src/term.h
@@ -4,11 +4,11 @@
 // A term is one immutable record of what a node owns and who follows it. Every change of a node's
 // slices, witnesses or heirs is a new term, so that a record never has two meanings.
 
-#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace bulrushway {
@@ -22,14 +22,20 @@
 struct term_id {
   node_name node;
   uint64_t number = 0;
-  auto operator<=>(const term_id&) const = default;
+  bool operator==(const term_id&) const = default;
+  bool operator<(const term_id& other) const {
+    return std::tie(node, number) < std::tie(other.node, other.number);
+  }
 };
 
 /// A slice and the epoch under which the first member of its chain holds it.
 struct slice_epoch {
   slice_number slice = 0;
   uint64_t epoch = 0;
-  auto operator<=>(const slice_epoch&) const = default;
+  bool operator==(const slice_epoch&) const = default;
+  bool operator<(const slice_epoch& other) const {
+    return std::tie(slice, epoch) < std::tie(other.slice, other.epoch);
+  }
 };
 
 /// Another node's term that may take over slices, with what is needed to prove it gone.
@@ -37,14 +43,15 @@
   term_id term;
   std::string region;
   std::vector<node_name> witnesses;
-  auto operator<=>(const heir&) const = default;
+  bool operator==(const heir&) const = default;
+  bool operator<(const heir& other) const { return term < other.term; }
 };
 
 /// A slice handed to a receiver, which holds it as soon as the giver released it.
 struct slice_gift {
   slice_number slice = 0;
   heir receiver;
-  auto operator<=>(const slice_gift&) const = default;
+  bool operator==(const slice_gift&) const = default;
 };
 
 /// What the table keeps for one term.
@@ -67,7 +74,7 @@
   /// All processes of the node up to this term were proven ended before the present one began; 0
   /// when that is not known.
   uint64_t ended_number = 0;
-  auto operator<=>(const term_record&) const = default;
+  bool operator==(const term_record&) const = default;
 };
 
 /// The epoch that the record lists for the slice, or none.
