--- a/tools/lib/failure_runs.py
+++ b/tools/lib/failure_runs.py
@@ -142,7 +142,7 @@
         if name == "owner-killed":
             fleet.start_target(victim.name, *fleet.target_flags)
             fleet.start_daemon(victim.name)
-        if not quick:
+        if name == "owner-killed" and not quick:
             fleet.wait_ready()
     intro = (
         f"Keyed load of 600/s over {KEYS} keys for {end_s} s, half of it writes, over the "
