--- a/tools/lib/failure_runs.py
+++ b/tools/lib/failure_runs.py
@@ -171,9 +171,10 @@
     sleep_until(begin, back_s)
     fleet.platform_faults(outage="none")
     report = fleet.finish_load(load)
-    fleet.start_target(victim.name, *fleet.target_flags)
-    fleet.start_daemon(victim.name)
-    fleet.wait_ready()
+    if quick:  # The same deployment serves the next scenario.
+        fleet.start_target(victim.name, *fleet.target_flags)
+        fleet.start_daemon(victim.name)
+        fleet.wait_ready()
     runs = [("store outage, owner killed within it", report)]
     start_ms = report["started_ms"]
     spans = Table("service by span", ["span", "p50 ms", "p99 ms", "whole", "refused", "lost"])
