--- a/programs/bulrushd.cpp
+++ b/programs/bulrushd.cpp
@@ -4,8 +4,7 @@
 #include <cstdio>
 #include <random>
 
-#include "daemon.h"
-#include "daemon_settings.h"
+#include "bulrushway.h"
 
 DEFINE_string(settings, "", "the settings file of this process (INI); see docs/SETTINGS.md");
 DEFINE_bool(allow_faults, false, "let POST /-/faults make this process drop traffic; for tests");
--- a/src/configuration_service.cpp
+++ b/src/configuration_service.cpp
@@ -67,12 +67,8 @@
 }
 
 void configuration_service::Tick(instant now) {
-  for (const announcement* member : members_.Known().Live()) {
-    if (member->configuration_version > follower_.Version()) {
-      follower_.OnVersionSeen(now, member->configuration_version);
-    }
-  }
-  Run(now, follower_.Tick(now, Members()));
+  RefreshMembers(now);
+  Run(now, follower_.Tick(now, known_));
   if (now >= next_freshness_) AskFreshness(now);
   const bool missing = !rules_.Configured() && now - started_ > kMissingAfter;
   if (missing && !std::exchange(missing_told_, true)) {
@@ -84,25 +80,27 @@
   next_freshness_ = now + kFreshnessInterval;
   const auto age = follower_.Staleness(now);
   if (age && *age < kFreshnessInterval) return;
-  known_members known = Members();
-  auto& near = known.near.empty() ? known.far : known.near;
-  std::erase(near, members_.Self().node);
+  const auto& near = known_.near.size() > 1 ? known_.near : known_.far;
   if (near.empty()) return;
   const uint64_t sequence = ++freshness_sequence_;
   const announcement* peer = members_.Known().Find(near[sequence % near.size()]);
+  if (peer == nullptr || peer->node == members_.Self().node) return;
   if (freshness_asked_.size() >= kMostFreshnessAsked) freshness_asked_.clear();
   freshness_asked_[sequence] = now;
   peers_.SendMessage(now, peer->peer, freshness_request{sequence});
 }
 
-known_members configuration_service::Members() const {
-  known_members known;
-  const announcement& self = members_.Self();
-  for (const announcement* member : members_.Known().Live()) {
-    auto& list = member->data_centre == self.data_centre ? known.near : known.far;
+void configuration_service::RefreshMembers(instant now) {
+  const directory& directory = members_.Known();
+  if (seen_revision_ == directory.Revision()) return;
+  seen_revision_ = directory.Revision();
+  known_ = {};
+  const std::string& here = members_.Self().data_centre;
+  for (const announcement* member : directory.Live()) {
+    auto& list = member->data_centre == here ? known_.near : known_.far;
     list.push_back(member->node);
+    follower_.OnVersionSeen(now, member->configuration_version);
   }
-  return known;
 }
 
 void configuration_service::Run(instant now, const follower_actions& actions) {
@@ -149,9 +147,10 @@
 }
 
 void configuration_service::Perform(instant, const report_event& action) {
-  const bool refused = action.event == follower_event::kRefused;
-  log_.Write(refused ? event_id::kConfigurationRefused : event_id::kConfigurationStale,
-             {{"message", action.message}});
+  event_id id = event_id::kConfigurationRefused;
+  if (action.event == follower_event::kStale) id = event_id::kConfigurationStale;
+  if (action.event == follower_event::kFreshAgain) id = event_id::kConfigurationFresh;
+  log_.Write(id, {{"message", action.message}});
 }
 
 }  // namespace bulrushway
--- a/src/configuration_service.h
+++ b/src/configuration_service.h
@@ -49,7 +49,7 @@
  private:
   void Tick(instant now);
   void AskFreshness(instant now);
-  known_members Members() const;
+  void RefreshMembers(instant now);
   void Run(instant now, const follower_actions& actions);
   void Perform(instant now, const poll_head& action);
   void Perform(instant now, const fetch_document& action);
@@ -69,6 +69,8 @@
   std::map<uint64_t, instant> freshness_asked_;
   uint64_t freshness_sequence_ = 0;
   instant next_freshness_;
+  known_members known_;
+  uint64_t seen_revision_ = 0;
   bool missing_told_ = false;
   instant started_;
 };
--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -10,7 +10,7 @@
 
 using std::chrono::milliseconds;
 
-constexpr milliseconds kTickInterval{5};
+constexpr milliseconds kTickInterval{10};
 constexpr milliseconds kForwarderInterval{50};
 // A planned stop that has not given everything away by then ends all the same.
 constexpr std::chrono::seconds kLongestStop{30};
@@ -51,6 +51,7 @@
   made.place = {settings.node.region, settings.node.data_centre};
   made.deadlines = {settings.limits.default_deadline, settings.limits.max_deadline};
   made.max_body = settings.limits.max_body;
+  made.max_requests = settings.limits.caller_requests;
   made.picker = picker;
   made.hedge = hedge;
   return made;
@@ -61,6 +62,7 @@
   made.target = settings.target.address;
   made.slots = settings.target.slots.value_or(made.slots);
   made.connections = settings.target.connections.value_or(made.connections);
+  made.longest_wait = settings.limits.queue_wait;
   return made;
 }
 
@@ -424,10 +426,15 @@
   if (stopping_) CheckStopped(now);
 }
 
+uint32_t daemon::Slots() const {
+  if (settings_.target.slots) return *settings_.target.slots;
+  return rules_.Capacity(settings_.node.name, settings_.node.service).first;
+}
+
 void daemon::OnRules(instant now) {
   const service_facts* facts = rules_.FindService(settings_.node.service);
   if (facts == nullptr) return;
-  gate_.SetSlots(rules_.Capacity(settings_.node.name, settings_.node.service).first);
+  gate_.SetSlots(Slots());
   membership_.BeginOwnership(now, facts->layout, facts->keyed);
   const bool out = rules_.DataCentreOut(settings_.node.data_centre);
   if (out == std::exchange(data_centre_out_, out)) return;
--- a/src/daemon.h
+++ b/src/daemon.h
@@ -72,6 +72,7 @@
   void OnGained(instant now, const std::vector<slice_epoch>& slices);
   void OnMemoryRequest(connection_id from, const memory_request& request);
   void OnMemoryAnswer(instant now, const memory_answer& answer);
+  uint32_t Slots() const;
   void ProbeTarget(instant now);
   void SetTargetUp(bool up);
   void Tick(instant now);
--- a/src/daemon_settings.cpp
+++ b/src/daemon_settings.cpp
@@ -15,7 +15,7 @@
 constexpr uint64_t kMaxWeight = 1000;
 constexpr uint64_t kMaxSlots = 10'000;
 constexpr uint64_t kMaxConnections = 100'000;
-constexpr uint64_t kMaxQueue = 100'000;
+constexpr uint64_t kMaxRequests = 1'000'000;
 constexpr uint64_t kLargestBody = 64ULL * 1024 * 1024;
 constexpr milliseconds kLongestDeadline{600'000};
 constexpr std::array<std::string_view, 4> kLevelNames = {"debug", "info", "warning", "error"};
@@ -136,10 +136,8 @@
     reader.Accept("max_body", limits.max_body, ParseBodySize);
     reader.Accept("default_deadline", limits.default_deadline, ParseDeadline);
     reader.Accept("max_deadline", limits.max_deadline, ParseDeadline);
-    reader.Accept("queue_length", limits.queue_length, CountBetween(0, kMaxQueue));
     reader.Accept("queue_wait", limits.queue_wait, ParseDeadline);
-    reader.Accept("caller_connections", limits.caller_connections,
-                  CountBetween(1, kMaxConnections));
+    reader.Accept("caller_requests", limits.caller_requests, CountBetween(1, kMaxRequests));
     if (limits.default_deadline > limits.max_deadline) {
       reader.Report("default_deadline", "'" + std::to_string(limits.default_deadline.count()) +
                                             " ms' is longer than max_deadline; write at most '" +
--- a/src/daemon_settings.h
+++ b/src/daemon_settings.h
@@ -59,12 +59,10 @@
   std::chrono::milliseconds default_deadline{2000};
   /// Longest deadline that a request may name.
   std::chrono::milliseconds max_deadline{30000};
-  /// Requests that wait for a slot of the target.
-  uint32_t queue_length = 64;
   /// Longest time that a request waits for a slot.
   std::chrono::milliseconds queue_wait{100};
-  /// Connections of callers open at a time.
-  uint32_t caller_connections = 4096;
+  /// Requests of callers under way at a time.
+  uint32_t caller_requests = 20000;
 };
 
 /// [log]: where numbered events go.
--- a/src/event_catalogue.cpp
+++ b/src/event_catalogue.cpp
@@ -30,6 +30,8 @@
      "The platform's table does not answer. Serving goes on; joins, moves and edits wait."},
     {event_id::kPlatformAnswersAgain, kInfo, "platform-answers-again",
      "The platform's table answers after an outage."},
+    {event_id::kConfigurationFresh, kInfo, "configuration-fresh",
+     "The version in force is confirmed as the latest again."},
     {event_id::kTermActive, kInfo, "term-active", "This node serves under a new term."},
     {event_id::kLeaseLapsed, kError, "lease-lapsed",
      "This node could not renew its lease in time. It has stopped serving and joins anew."},
--- a/src/event_catalogue.h
+++ b/src/event_catalogue.h
@@ -26,6 +26,7 @@
   kConfigurationMissing = 204,
   kPlatformUnreachable = 205,
   kPlatformAnswersAgain = 206,
+  kConfigurationFresh = 207,
 
   kTermActive = 301,
   kLeaseLapsed = 302,
--- a/src/gate.cpp
+++ b/src/gate.cpp
@@ -63,11 +63,11 @@
       settings_(settings),
       ports_(std::move(ports)),
       client_(loop, settings.connections),
-      queue_(queue_settings{}),
+      queue_(queue_settings{settings.longest_wait}),
       cap_(concurrency_settings{settings.slots}),
       memory_(idempotency_settings{}),
       poison_(poison_settings{}),
-      crash_seed_(std::random_device{}()) {}
+      crash_seed_(uint64_t{std::random_device{}()} << 32) {}
 
 gate::~gate() = default;
 
--- a/src/gate.h
+++ b/src/gate.h
@@ -62,6 +62,8 @@
   uint32_t slots = 12;
   uint32_t connections = 130;
   size_t max_answer = 16 << 20;
+  /// Longest time that a request waits for the target.
+  std::chrono::milliseconds longest_wait{100};
 };
 
 /// Counts of what the gate did.
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -252,17 +252,22 @@
   if (now >= next_search_) FindPeers(now);
   if (now < next_gossip_) return;
   next_gossip_ = now + kGossipInterval;
-  std::vector<std::string> peers;
-  for (const announcement* known : directory_.Live()) {
-    if (known->node != self_.node) peers.push_back(known->node);
+  RefreshGossipPeers();
+  for (const outgoing_gossip& out : gossip_.Tick(now, gossip_peers_)) {
+    SendTo(out.peer, {self_.node, directory_.Find(out.peer) ? out.peer : "", out.message});
   }
-  if (peers.empty()) {
-    for (const socket_address& seed : seeds_) {
-      if (seed != self_.peer) peers.push_back(ToString(seed));
-    }
+}
+
+void membership::RefreshGossipPeers() {
+  if (gossip_revision_ == directory_.Revision() && !gossip_peers_.empty()) return;
+  gossip_revision_ = directory_.Revision();
+  gossip_peers_.clear();
+  for (const announcement* known : directory_.Live()) {
+    if (known->node != self_.node) gossip_peers_.push_back(known->node);
   }
-  for (const outgoing_gossip& out : gossip_.Tick(now, peers)) {
-    SendTo(out.peer, {self_.node, directory_.Find(out.peer) ? out.peer : "", out.message});
+  if (!gossip_peers_.empty()) return;
+  for (const socket_address& seed : seeds_) {
+    if (seed != self_.peer) gossip_peers_.push_back(ToString(seed));
   }
 }
 
--- a/src/membership.h
+++ b/src/membership.h
@@ -104,6 +104,7 @@
   void Perform(instant now, const slices_lost_action& action);
   void Perform(instant now, const event_action& action);
   void FindPeers(instant now);
+  void RefreshGossipPeers();
   uint64_t NextVersion(uint64_t floor);
 
   event_loop& loop_;
@@ -126,6 +127,8 @@
   std::vector<ownership_claim> published_claims_;
   uint64_t last_version_ = 0;
   uint64_t members_revision_ = 0;
+  uint64_t gossip_revision_ = 0;
+  std::vector<std::string> gossip_peers_;
   instant next_gossip_;
   instant next_search_;
   instant last_tick_;
--- a/src/ownership_types.h
+++ b/src/ownership_types.h
@@ -21,7 +21,7 @@
 /// Times and quorums of the protocol. The defaults are safe; the tests break them one at a time to
 /// show that a broken rule is noticed.
 struct protocol_rules {
-  std::chrono::milliseconds renewal_interval{300};
+  std::chrono::milliseconds renewal_interval{450};
   std::chrono::milliseconds lease_time{1000};
   /// By how much a witness waits longer than the holder, against clocks of different pace.
   std::chrono::milliseconds drift_margin{100};
--- a/src/retry_budget.h
+++ b/src/retry_budget.h
@@ -17,7 +17,7 @@
   retry_budget(double share, double burst) : share_(share), burst_(burst), tokens_(burst) {}
 
   /// The budget for all extra attempts of a process. Its share stays below the permitted 10% so
-  /// that with the saved burst the amplification is under 1.1 from 500 requests on.
+  /// that with the saved burst the amplification is under 1.1 from 100 requests on.
   static retry_budget ForExtraAttempts() { return {kExtraAttemptShare, kExtraAttemptBurst}; }
 
   /// Notes one request of a caller.
@@ -34,8 +34,8 @@
   }
 
  private:
-  static constexpr double kExtraAttemptShare = 0.08;
-  static constexpr double kExtraAttemptBurst = 10;
+  static constexpr double kExtraAttemptShare = 0.06;
+  static constexpr double kExtraAttemptBurst = 4;
 
   double share_;
   double burst_;
