A single timeout does not halve the cap of a target

Cause: at 0.9 of its capacity the keyed service answered 300/s of 720/s: requests end at the lease's end at the latest, so the tail of slow requests timed out about once a second, and each halved the cap. Change: three timeouts without an answer between lower it. The assertion that one timeout halves is replaced by one that two never do and three always do.

--- a/src/concurrency_cap.cpp
+++ b/src/concurrency_cap.cpp
@@ -22,6 +22,8 @@
 // Warming takes time and not only answers, so the cap of a cold target rises no faster than this.
 constexpr milliseconds kRaiseCold{200};
 constexpr milliseconds kRaiseAboveCeiling{1000};
+// Timeouts without an answer between them that lower the cap.
+constexpr uint32_t kTimeoutsOfTrouble = 3;
 // Further bad signs within this time stem from the same cause.
 constexpr milliseconds kFallOnce{20};
 
@@ -41,6 +43,7 @@
   if (raised_ == instant{}) raised_ = now;
   if (LooksColdAfterIdle(latency, now)) StartCold(now);
   last_answer_ = now;
+  timeouts_in_row_ = 0;
   round_sum_ += latency;
   ++round_answers_;
   round_used_limit_ = round_used_limit_ || in_flight >= limit_;
@@ -104,7 +107,8 @@
 
 void concurrency_cap::OnTimeout(nanoseconds waited, instant now) {
   const bool usual = reference_.count() > 0 && Ratio(waited, reference_) <= kFallFactor;
-  if (!usual) Halve(now);
+  if (usual || ++timeouts_in_row_ < kTimeoutsOfTrouble) return;
+  Halve(now);
 }
 
 void concurrency_cap::OnConnectionLost(instant now) { StartCold(now); }
--- a/src/concurrency_cap.h
+++ b/src/concurrency_cap.h
@@ -46,8 +46,8 @@
   /// The target failed.
   void OnFailure(instant now);
 
-  /// The target had not answered when the time of a request ran out. That says something about the
-  /// target only if it had much longer than usual: callers in a hurry must not close the cap.
+  /// No answer came in the time that the request had. Several in a row lower the cap; a single one
+  /// may be a request that takes long by itself, and a short wait says nothing of the target.
   void OnTimeout(std::chrono::nanoseconds waited, instant now);
 
   /// The target closed or refused its connections: it may have been restarted.
@@ -77,6 +77,7 @@
   std::chrono::nanoseconds round_sum_{0};
   uint32_t round_answers_ = 0;
   bool round_used_limit_ = false;
+  uint32_t timeouts_in_row_ = 0;
   std::string boot_id_;
 };
 
--- a/test/correctness/concurrency_cap_test.cpp
+++ b/test/correctness/concurrency_cap_test.cpp
@@ -107,6 +107,17 @@
 BOOST_FIXTURE_TEST_CASE(a_caller_in_a_hurry_does_not_lower_the_cap, warm_target) {
   cap.OnTimeout(kAnswerTime / 2, now);
   BOOST_TEST(cap.limit() == 12U);
+}
+
+BOOST_FIXTURE_TEST_CASE(timeouts_in_a_row_lower_the_cap_and_single_ones_do_not, warm_target) {
+  for (int i = 0; i < 10; ++i) {
+    cap.OnTimeout(20 * kAnswerTime, now);
+    cap.OnTimeout(20 * kAnswerTime, now);
+    BOOST_TEST(cap.limit() == 12U);
+    cap.OnAnswer(kAnswerTime, 1, now);
+  }
+  cap.OnTimeout(20 * kAnswerTime, now);
+  cap.OnTimeout(20 * kAnswerTime, now);
   cap.OnTimeout(20 * kAnswerTime, now);
   BOOST_TEST(cap.limit() == 6U);
 }
