Link the static Boost.Test library

Cause: the header-only variant took 100 s and more to compile under the sanitizers, as the last file of the build. Change: the static library. Measured: the test programs link and run.

--- a/test/support/main.cpp
+++ b/test/support/main.cpp
@@ -1,3 +1,3 @@
 // Entry point shared by the test programs.
 #define BOOST_TEST_MODULE bulrushway
-#include <boost/test/included/unit_test.hpp>
+#include <boost/test/unit_test.hpp>
