--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -230,8 +230,8 @@
     subject->tried.push_back(to.node);
   }
   subject->open.push_back(sent);
-  const auto answered = [this, subject, number](forward_answer answer) {
-    OnAnswer(boot_clock::now(), subject, number, std::move(answer));
+  const auto answered = [this, subject, number](const forward_answer& answer) {
+    OnAnswer(boot_clock::now(), subject, number, answer);
   };
   if (!sent.local) {
     links_.Count(settings_.place.region, to.region, copy.request.body.size());
@@ -273,7 +273,7 @@
 }
 
 void entry::OnAnswer(instant now, const std::shared_ptr<flight>& subject, uint64_t number,
-                     forward_answer answer) {
+                     const forward_answer& answer) {
   attempt& ended = subject->open[number];
   if (!ended.open) return;
   ended.open = false;
--- a/src/entry.h
+++ b/src/entry.h
@@ -110,7 +110,7 @@
   void ArmHedge(instant now, const std::shared_ptr<flight>& subject);
   void OnHedgeTime(instant now, const std::shared_ptr<flight>& subject);
   void OnAnswer(instant now, const std::shared_ptr<flight>& subject, uint64_t attempt_number,
-                forward_answer answer);
+                const forward_answer& answer);
   void OnRefused(instant now, const std::shared_ptr<flight>& subject, refusal_reason reason,
                  run_state state, std::chrono::milliseconds retry_after);
   void CancelAttempts(instant now, flight& subject);
--- a/src/gate.cpp
+++ b/src/gate.cpp
@@ -57,7 +57,7 @@
   std::vector<std::shared_ptr<job>> joined;
 };
 
-gate::gate(event_loop& loop, metrics& counters, gate_settings settings, gate_ports ports)
+gate::gate(event_loop& loop, metrics& counters, const gate_settings& settings, gate_ports ports)
     : loop_(loop),
       metrics_(counters),
       settings_(settings),
--- a/src/gate.h
+++ b/src/gate.h
@@ -81,7 +81,7 @@
   using reply = std::function<void(forward_answer)>;
   using ticket = uint64_t;
 
-  gate(event_loop& loop, metrics& counters, gate_settings settings, gate_ports ports);
+  gate(event_loop& loop, metrics& counters, const gate_settings& settings, gate_ports ports);
   ~gate();
 
   /// Takes a request; `done` is called once, possibly at once.
--- a/src/kernel.cpp
+++ b/src/kernel.cpp
@@ -11,7 +11,7 @@
       return Failure(error_kind::kInternal, "start service", next.name,
                      "Two services are registered as \"" + next.name + "\".");
     }
-    const auto started = next.start(now);
+    auto started = next.start(now);
     if (started) continue;
     Stop(now);
     return started;
--- a/src/kernel.h
+++ b/src/kernel.h
@@ -29,7 +29,7 @@
   /// name is an internal error reported by Start().
   template <kernel_service Service>
   void Add(std::string name, Service& service) {
-    entries_.push_back(entry{std::move(name), std::type_index(typeid(Service)), &service,
+    entries_.push_back(entry{std::move(name), std::type_index{typeid(Service)}, &service,
                              [&service](instant now) { return service.Start(now); },
                              [&service](instant now) { service.Stop(now); }});
   }
@@ -37,7 +37,7 @@
   /// The service of this name and type; nullptr when there is none.
   template <class Service>
   Service* Find(const std::string& name) const {
-    return static_cast<Service*>(FindRaw(name, std::type_index(typeid(Service))));
+    return static_cast<Service*>(FindRaw(name, std::type_index{typeid(Service)}));
   }
 
   /// Starts all services in the order of registration; stops those already started if one fails.
--- a/src/peer_transport.cpp
+++ b/src/peer_transport.cpp
@@ -154,7 +154,7 @@
   }
 }
 
-void peer_transport::Fail(connection_id id, error reason) {
+void peer_transport::Fail(connection_id id, const error& reason) {
   const auto found = connections_.find(id);
   if (found == connections_.end()) return;
   const bool stood = found->second->established;
--- a/src/peer_transport.h
+++ b/src/peer_transport.h
@@ -61,7 +61,7 @@
 
   connection_id Adopt(bufferevent* raw, const std::string& peer, bool established);
   void Read(connection& link);
-  void Fail(connection_id id, error reason);
+  void Fail(connection_id id, const error& reason);
 
   event_loop& loop_;
   peer_events events_;
