--- a/src/gate.cpp
+++ b/src/gate.cpp
@@ -4,17 +4,13 @@
 #include <random>
 #include <utility>
 
-#include "peer_codec.h"
+#include "gate_job.h"
 
 namespace bulrushway {
 namespace {
 
 constexpr std::chrono::milliseconds kShortestRun{2};
 constexpr std::chrono::milliseconds kRetrySoon{50};
-// How long the next owner may ask for what was remembered of a slice.
-constexpr std::chrono::seconds kRetiredMemory{30};
-// How long a new owner waits for the last owner's memory before it does without.
-constexpr std::chrono::milliseconds kMemoryPatience{500};
 // Crashes reported within this time of each other are one crash: each open connection reports it.
 constexpr std::chrono::milliseconds kSameCrash{200};
 
@@ -22,41 +18,8 @@
   return std::chrono::ceil<std::chrono::milliseconds>(time);
 }
 
-wall_time WallNow() { return std::chrono::system_clock::now(); }
-
-std::string Remember(const http_answer& answer) {
-  forward_answer kept;
-  kept.answer = answer;
-  return EncodeFrame(kept).substr(kFrameHeaderSize);
-}
-
-http_answer Recall(const std::string& bytes) {
-  auto message = DecodeFrame(bytes, "own memory");
-  return std::get<forward_answer>(*message).answer;
-}
-
 }  // namespace
 
-// A request from its arrival to its answer. Repeats under the same idempotency key that arrive
-// meanwhile wait in `joined`.
-struct gate::job {
-  ticket id = 0;
-  forward_request request;
-  reply done;
-  instant arrived;
-  instant deadline;
-  instant handed_over;
-  uint64_t epoch = 0;
-  bool keyed = false;
-  bool queued = false;
-  bool identified = false;
-  bool abandoned = false;
-  request_identity identity;
-  request_fingerprint fingerprint = 0;
-  http_client::request_id http = 0;
-  std::vector<std::shared_ptr<job>> joined;
-};
-
 gate::gate(event_loop& loop, metrics& counters, const gate_settings& settings, gate_ports ports)
     : loop_(loop),
       metrics_(counters),
@@ -106,55 +69,6 @@
   return std::nullopt;
 }
 
-bool gate::Remembered(instant now, const std::shared_ptr<job>& subject) {
-  const forward_request& request = subject->request;
-  if (!subject->keyed || request.idempotent || request.idempotency_key.empty()) return false;
-  subject->identity =
-      MakeRequestIdentity(request.service, request.tenant, request.key, request.idempotency_key);
-  identified_request asked{subject->identity,
-                           request.slice,
-                           subject->fingerprint,
-                           static_cast<caller_attempt>(request.caller_attempt),
-                           {}};
-  if (request.first_sent.count() > 0) asked.first_sent = wall_time(request.first_sent);
-  const repeat_decision decision = memory_.Begin(asked, now, WallNow());
-  switch (decision.verdict) {
-    case repeat_verdict::kNew:
-      subject->identified = true;
-      return false;
-    case repeat_verdict::kJoin:
-      for (const auto& [id, other] : jobs_) {
-        if (!other->identified || !(other->identity == subject->identity)) continue;
-        other->joined.push_back(subject);
-        return true;
-      }
-      Refuse(subject, refusal_reason::kDuplicateRunning, run_state::kUnknown, kRetrySoon);
-      return true;
-    case repeat_verdict::kAnswered: {
-      ++counts_.answered_from_memory;
-      forward_answer answer;
-      answer.answer = Recall(*decision.answer);
-      answer.answer.headers.emplace_back("X-Bulrush-Repeated", "1");
-      Finish(subject, answer);
-      return true;
-    }
-    case repeat_verdict::kOutcomeUnknown:
-      Refuse(subject, refusal_reason::kAnswerLost, run_state::kUnknown);
-      return true;
-    case repeat_verdict::kForgotten:
-      Refuse(subject, refusal_reason::kOutcomeForgotten, run_state::kUnknown);
-      return true;
-    case repeat_verdict::kMismatch:
-    case repeat_verdict::kBadStamp:
-      Refuse(subject, refusal_reason::kBadRequest, run_state::kNotRun);
-      return true;
-    case repeat_verdict::kFull:
-      Refuse(subject, refusal_reason::kQueueFull, run_state::kNotRun, kRetrySoon);
-      return true;
-  }
-  return false;
-}
-
 void gate::Admit(instant now, const std::shared_ptr<job>& subject) {
   if (queue_.size() == 0 && cap_.Admits(static_cast<uint32_t>(running_.size()))) {
     HandOver(now, subject);
@@ -260,7 +174,7 @@
   poison_.OnAnswered(subject->fingerprint, now);
   ++counts_.answered;
   if (subject->identified) {
-    memory_.Answered(subject->request.slice, subject->identity, Remember(answer));
+    memory_.Answered(subject->request.slice, subject->identity, RememberedForm(answer));
   }
   forward_answer whole;
   whole.answer = std::move(answer);
@@ -367,47 +281,6 @@
   }
 }
 
-void gate::LoseSlice(instant now, uint32_t slice) {
-  awaiting_memory_.erase(slice);
-  slice_memory_export memory = memory_.ExportSlice(slice, now);
-  retired_[slice] = retired_memory{now + kRetiredMemory, std::move(memory)};
-  memory_.LoseSlice(slice);
-}
-
-void gate::GainFirst(uint32_t slice) { memory_.GainFirst(slice); }
-
-void gate::GainSlice(uint32_t slice) {
-  awaiting_memory_.erase(slice);
-  memory_.GainSlice(slice, WallNow());
-}
-
-void gate::AwaitMemory(instant now, uint32_t slice) {
-  awaiting_memory_[slice] = now + kMemoryPatience;
-}
-
-void gate::ImportMemory(instant now, uint32_t slice, const slice_memory_export& memory) {
-  if (awaiting_memory_.erase(slice) > 0) memory_.ImportSlice(slice, memory, now);
-}
-
-void gate::GiveUpMemory(uint32_t slice) {
-  if (awaiting_memory_.contains(slice)) GainSlice(slice);
-}
-
-std::optional<slice_memory_export> gate::RetiredMemory(uint32_t slice) const {
-  const auto found = retired_.find(slice);
-  if (found == retired_.end()) return std::nullopt;
-  return found->second.memory;
-}
-
-void gate::ExpireMemories(instant now) {
-  std::erase_if(retired_, [now](const auto& entry) { return entry.second.until <= now; });
-  std::vector<uint32_t> given_up;
-  for (const auto& [slice, until] : awaiting_memory_) {
-    if (until <= now) given_up.push_back(slice);
-  }
-  for (const uint32_t slice : given_up) GainSlice(slice);
-}
-
 size_t gate::InFlight(uint32_t slice) const {
   const auto found = per_slice_.find(slice);
   return found == per_slice_.end() ? 0 : found->second;
--- /dev/null
+++ b/src/gate_job.h
@@ -0,0 +1,39 @@
+#ifndef BULRUSHWAY_GATE_JOB_H
+#define BULRUSHWAY_GATE_JOB_H
+
+// Internal to the gate: one request on its way through it.
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "gate.h"
+
+namespace bulrushway {
+
+// A request from its arrival to its answer. Repeats under the same idempotency key that arrive
+// meanwhile wait in `joined`.
+struct gate::job {
+  ticket id = 0;
+  forward_request request;
+  reply done;
+  instant arrived;
+  instant deadline;
+  instant handed_over;
+  uint64_t epoch = 0;
+  bool keyed = false;
+  bool queued = false;
+  bool identified = false;
+  bool abandoned = false;
+  request_identity identity;
+  request_fingerprint fingerprint = 0;
+  http_client::request_id http = 0;
+  std::vector<std::shared_ptr<job>> joined;
+};
+
+/// An answer as the memory of requests that must not run twice keeps it.
+std::string RememberedForm(const http_answer& answer);
+
+}  // namespace bulrushway
+
+#endif  // BULRUSHWAY_GATE_JOB_H
