Drop two members without a use and the second copy of a clock reading

Cause: the read-through found loop_ in gate and membership stored and never read, and WallNow twice in the daemon's files. Change: removed; one static function of the daemon. Behaviour as before.

--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -30,10 +30,6 @@
 constexpr milliseconds kRetrySoon{50};
 constexpr milliseconds kRetryLater{500};
 
-std::chrono::sys_seconds WallNow() {
-  return std::chrono::floor<std::chrono::seconds>(std::chrono::system_clock::now());
-}
-
 event_level ToEventLevel(log_level level) {
   switch (level) {
     case log_level::kWarning:
@@ -101,6 +97,10 @@
 
 daemon::~daemon() = default;
 
+std::chrono::sys_seconds daemon::WallNow() {
+  return std::chrono::floor<std::chrono::seconds>(std::chrono::system_clock::now());
+}
+
 result<void> daemon::callers_service::Start(instant) {
   return owner->http_.Listen(owner->settings_.listen.http);
 }
--- a/src/daemon.h
+++ b/src/daemon.h
@@ -59,6 +59,7 @@
  private:
   struct incoming_request;
 
+  static std::chrono::sys_seconds WallNow();
   gate_ports MakeGatePorts();
   entry_ports MakeEntryPorts();
   membership_ports MakeMembershipPorts();
--- a/src/daemon_ports.cpp
+++ b/src/daemon_ports.cpp
@@ -5,14 +5,6 @@
 #include "daemon.h"
 
 namespace bulrushway {
-namespace {
-
-std::chrono::sys_seconds WallNow() {
-  return std::chrono::floor<std::chrono::seconds>(std::chrono::system_clock::now());
-}
-
-}  // namespace
-
 gate_ports daemon::MakeGatePorts() {
   gate_ports ports;
   ports.check_rules = [this](instant now, const forward_request& request) {
--- a/src/gate.cpp
+++ b/src/gate.cpp
@@ -21,8 +21,7 @@
 }  // namespace
 
 gate::gate(event_loop& loop, metrics& counters, const gate_settings& settings, gate_ports ports)
-    : loop_(loop),
-      metrics_(counters),
+    : metrics_(counters),
       settings_(settings),
       ports_(std::move(ports)),
       client_(loop, settings.connections),
--- a/src/gate.h
+++ b/src/gate.h
@@ -142,7 +142,6 @@
   void Forget(const std::shared_ptr<job>& subject);
   http_request TargetRequest(instant now, const job& subject) const;
 
-  event_loop& loop_;
   metrics& metrics_;
   gate_settings settings_;
   gate_ports ports_;
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -54,8 +54,7 @@
 membership::membership(event_loop& loop, event_log& log, metrics& counters,
                        http_table_service& table, forwarder& peers, announcement self,
                        std::vector<socket_address> seeds, uint64_t seed)
-    : loop_(loop),
-      log_(log),
+    : log_(log),
       metrics_(counters),
       table_(table),
       peers_(peers),
--- a/src/membership.h
+++ b/src/membership.h
@@ -109,7 +109,6 @@
   void RefreshGossipPeers();
   uint64_t NextVersion(uint64_t floor);
 
-  event_loop& loop_;
   event_log& log_;
   metrics& metrics_;
   http_table_service& table_;
