--- /dev/null
+++ b/src/decision_log.cpp
@@ -0,0 +1,95 @@
+#include "decision_log.h"
+
+#include <fcntl.h>
+#include <fmt/chrono.h>
+#include <fmt/format.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <chrono>
+#include <ctime>
+#include <iterator>
+
+namespace bulrushway {
+namespace {
+
+// Lines are written out this often, and the limits hold for one such interval.
+constexpr std::chrono::milliseconds kFlushInterval{250};
+// Lines in one interval: 400 a second cost well under a percent of a core.
+constexpr uint64_t kMostLines[2] = {60, 40};
+// What a reader that has stopped may leave behind; older lines are kept, new ones left out.
+constexpr size_t kLargestBuffer = 64 << 10;
+
+void AppendValue(std::string& line, const std::string& value) {
+  if (!value.empty() && value.find_first_of(" =\"\n\r\t") == std::string::npos) {
+    line += value;
+    return;
+  }
+  line += '"';
+  for (const char c : value) {
+    if (c == '"' || c == '\\') line += '\\';
+    line += (c == '\n' || c == '\r') ? ' ' : c;
+  }
+  line += '"';
+}
+
+}  // namespace
+
+decision_log::decision_log(event_loop& loop, std::string node, int descriptor)
+    : node_(std::move(node)),
+      descriptor_(descriptor),
+      flush_(loop, [this](instant now) { Roll(now); }) {
+  const int flags = fcntl(descriptor_, F_GETFL, 0);
+  if (flags >= 0) fcntl(descriptor_, F_SETFL, flags | O_NONBLOCK);
+  flush_.Every(kFlushInterval);
+}
+
+decision_log::~decision_log() { Flush(); }
+
+bool decision_log::Allow(log_weight weight) {
+  const auto index = static_cast<size_t>(weight);
+  if (lines_[index] >= kMostLines[index] || buffer_.size() > kLargestBuffer) {
+    ++left_out_;
+    return false;
+  }
+  ++lines_[index];
+  return true;
+}
+
+void decision_log::Write(std::string_view event, fields values, log_weight weight) {
+  if (!Allow(weight)) return;
+  timespec time{};
+  clock_gettime(CLOCK_REALTIME, &time);
+  constexpr long kNanosecondsPerMs = 1'000'000;
+  fmt::format_to(std::back_inserter(buffer_), "{}.{:03} node={} event={}", time.tv_sec,
+                 time.tv_nsec / kNanosecondsPerMs, node_, event);
+  for (const auto& [key, value] : values) {
+    buffer_ += ' ';
+    buffer_ += key;
+    buffer_ += '=';
+    AppendValue(buffer_, value);
+  }
+  buffer_ += '\n';
+}
+
+void decision_log::Flush() {
+  while (!buffer_.empty()) {
+    const ssize_t written = write(descriptor_, buffer_.data(), buffer_.size());
+    if (written < 0 && errno == EINTR) continue;
+    if (written <= 0) return;
+    buffer_.erase(0, static_cast<size_t>(written));
+  }
+}
+
+void decision_log::Roll(instant) {
+  lines_[0] = 0;
+  lines_[1] = 0;
+  if (left_out_ > reported_left_out_) {
+    const uint64_t fresh = left_out_ - reported_left_out_;
+    reported_left_out_ = left_out_;
+    Write("log_lines_left_out", {{"lines", std::to_string(fresh)}}, log_weight::kNotable);
+  }
+  Flush();
+}
+
+}  // namespace bulrushway
--- /dev/null
+++ b/src/fleet_view.cpp
@@ -0,0 +1,140 @@
+#include "fleet_view.h"
+
+#include <utility>
+
+#include "msgpack_fields.h"
+
+namespace bulrushway {
+
+static auto Fields(auto& m, const socket_address&) { return std::tie(m.ip, m.port); }
+static auto Fields(auto& m, const member_record&) {
+  return std::tie(m.node, m.address, m.data_centre, m.region, m.service, m.process);
+}
+
+namespace {
+
+// Weight of one outcome in the share of failures: the last twenty or so count.
+constexpr double kFailureWeight = 0.05;
+// Weight of one measurement in the average round trip.
+constexpr double kRoundTripWeight = 0.2;
+// A target that refused as full is left alone for this long, unless it said when to come back.
+constexpr std::chrono::milliseconds kAvoidFull{15};
+
+}  // namespace
+
+std::string EncodeMember(const member_record& member) { return msgpack_fields::WriteAll(member); }
+
+result<member_record> DecodeMember(const std::string& bytes) {
+  member_record member;
+  try {
+    const msgpack::object_handle handle = msgpack_fields::Parse(bytes);
+    msgpack_fields::Read(handle.get(), member);
+  } catch (const std::exception& broken) {
+    return Failure(error_kind::kPeer, "decode member", {},
+                   std::string("The row does not describe a process: ") + broken.what() + ".");
+  }
+  return member;
+}
+
+fleet_view::fleet_view(std::string self, std::string data_centre, std::string region)
+    : self_(std::move(self)), data_centre_(std::move(data_centre)), region_(std::move(region)) {}
+
+node_locality fleet_view::LocalityOf(const member_record& member) const {
+  if (member.node == self_) return node_locality::kSelf;
+  if (member.data_centre == data_centre_) return node_locality::kDataCentre;
+  return member.region == region_ ? node_locality::kRegion : node_locality::kRemote;
+}
+
+bool fleet_view::OnMember(const member_record& member) {
+  node_state& state = nodes_[member.node];
+  if (state.member == member) return false;
+  const bool moved = state.member.address != member.address;
+  if (moved || state.member.process != member.process) {
+    const bool self = member.node == self_;
+    state = node_state{};
+    state.reachable = self;
+  }
+  state.member = member;
+  state.locality = LocalityOf(member);
+  return true;
+}
+
+void fleet_view::OnMemberGone(const std::string& node) {
+  if (node != self_) nodes_.erase(node);
+}
+
+void fleet_view::OnReport(instant now, const node_report& report) {
+  const auto found = nodes_.find(report.node);
+  if (found == nodes_.end()) return;
+  node_state& state = found->second;
+  const bool same_process = state.report.process == report.process;
+  if (state.reported && same_process && report.sequence <= state.report.sequence) return;
+  if (state.report.target.life != report.target.life) {
+    state.failure_share = 0;
+    state.avoid_until = {};
+  }
+  state.report = report;
+  state.reported = true;
+  state.load_told = now;
+  state.sent_since = 0;
+}
+
+void fleet_view::OnReachable(const std::string& node, bool reachable) {
+  const auto found = nodes_.find(node);
+  if (found != nodes_.end()) found->second.reachable = reachable;
+}
+
+void fleet_view::OnRoundTrip(const std::string& node, std::chrono::nanoseconds round_trip) {
+  const auto found = nodes_.find(node);
+  if (found == nodes_.end()) return;
+  auto& average = found->second.round_trip;
+  if (average.count() == 0) {
+    average = round_trip;
+    return;
+  }
+  average += std::chrono::duration_cast<std::chrono::nanoseconds>(kRoundTripWeight *
+                                                                  (round_trip - average));
+}
+
+void fleet_view::OnSent(const std::string& node) {
+  const auto found = nodes_.find(node);
+  if (found == nodes_.end()) return;
+  ++found->second.sent_since;
+  ++found->second.in_flight;
+}
+
+void fleet_view::OnAnswer(instant now, const std::string& node, const dispatch_answer& answer) {
+  const auto found = nodes_.find(node);
+  if (found == nodes_.end()) return;
+  node_state& state = found->second;
+  if (state.in_flight > 0) --state.in_flight;
+  if (answer.offered) {
+    constexpr int kServerError = 500;
+    const bool failed =
+        answer.reason != refusal_reason::kNone || answer.answer.status >= kServerError;
+    state.failure_share += kFailureWeight * ((failed ? 1.0 : 0.0) - state.failure_share);
+  }
+  if (answer.reason == refusal_reason::kQueueFull || answer.reason == refusal_reason::kColdStart ||
+      answer.reason == refusal_reason::kTargetShed) {
+    state.avoid_until = now + kAvoidFull;
+  }
+  if (answer.target.service.empty()) return;
+  state.report.target = answer.target;
+  state.load_told = now;
+  state.sent_since = 0;
+}
+
+const node_state* fleet_view::Find(const std::string& node) const {
+  const auto found = nodes_.find(node);
+  return found == nodes_.end() ? nullptr : &found->second;
+}
+
+std::vector<const node_state*> fleet_view::OfService(const std::string& service) const {
+  std::vector<const node_state*> found;
+  for (const auto& [name, state] : nodes_) {
+    if (state.member.service == service) found.push_back(&state);
+  }
+  return found;
+}
+
+}  // namespace bulrushway
--- /dev/null
+++ b/src/http_client_connection.cpp
@@ -0,0 +1,221 @@
+#include "http_client_connection.h"
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <netinet/tcp.h>
+
+#include <cerrno>
+#include <charconv>
+#include <cstring>
+
+namespace bulrushway {
+namespace {
+
+// Answers are small or come from the same machine; more is left to the socket until it is parsed.
+constexpr size_t kReadAhead = 256 << 10;
+
+std::optional<std::chrono::milliseconds> ParseKeepAlive(std::string_view value) {
+  constexpr std::string_view kTimeout = "timeout=";
+  const size_t at = value.find(kTimeout);
+  if (at == std::string_view::npos) return std::nullopt;
+  const std::string_view digits = value.substr(at + kTimeout.size());
+  unsigned seconds = 0;
+  const auto [end, problem] =
+      std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+  if (problem != std::errc{}) return std::nullopt;
+  return std::chrono::seconds(seconds);
+}
+
+}  // namespace
+
+http_client_connection::http_client_connection(http_client& client, const socket_address& address,
+                                               instant now)
+    : client_(client), address_(address), opened_(now), idle_since_(now) {
+  raw_ = bufferevent_socket_new(client_.loop_.Base(), -1, BEV_OPT_CLOSE_ON_FREE);
+  bufferevent_setcb(raw_, &Readable, nullptr, &Changed, this);
+  bufferevent_setwatermark(raw_, EV_READ, 0, kReadAhead);
+  bufferevent_enable(raw_, EV_READ | EV_WRITE);
+}
+
+http_client_connection::~http_client_connection() { bufferevent_free(raw_); }
+
+void http_client_connection::Start(std::unique_ptr<http_client::pending> request, instant now) {
+  current_ = std::move(request);
+  skipped_answer_ = false;
+  written_ = false;
+  parser_ = std::make_unique<http_answer_parser>(
+      http_size_limits{.body_bytes = client_.settings_.max_answer});
+  if (established_) return Write();
+  if (bufferevent_getfd(raw_) >= 0) return;
+  opened_ = now;
+  sockaddr_in to{};
+  to.sin_family = AF_INET;
+  to.sin_port = htons(address_.port);
+  inet_pton(AF_INET, address_.ip.c_str(), &to.sin_addr);
+  // A connect that fails at once reports through the event callback, from the loop.
+  bufferevent_socket_connect(raw_, reinterpret_cast<sockaddr*>(&to), sizeof to);
+  if (const evutil_socket_t socket = bufferevent_getfd(raw_); socket >= 0) {
+    const int on = 1;
+    setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  }
+}
+
+bool http_client_connection::Usable(instant now) const {
+  if (closed_ || current_ || !established_) return false;
+  // Bytes that came while no request was under way belong to none.
+  if (evbuffer_get_length(bufferevent_get_input(raw_)) > 0) return false;
+  std::chrono::nanoseconds limit = client_.settings_.idle_limit;
+  if (announced_limit_) {
+    limit = std::min(limit, std::chrono::duration_cast<std::chrono::nanoseconds>(
+                                *announced_limit_ * client_.settings_.idle_share));
+  }
+  return now - idle_since_ < limit;
+}
+
+void http_client_connection::Write() {
+  written_ = true;
+  const std::string head = SerializeRequestHead(current_->request, {});
+  evbuffer* output = bufferevent_get_output(raw_);
+  evbuffer_add(output, head.data(), head.size());
+  evbuffer_add(output, current_->request.body.data(), current_->request.body.size());
+}
+
+void http_client_connection::Readable(bufferevent*, void* self) {
+  static_cast<http_client_connection*>(self)->Read();
+}
+
+void http_client_connection::Changed(bufferevent*, short what, void* self) {
+  auto* connection = static_cast<http_client_connection*>(self);
+  if (connection->closed_) return;
+  if ((what & BEV_EVENT_CONNECTED) != 0) {
+    connection->established_ = true;
+    if (connection->current_) connection->Write();
+    return;
+  }
+  connection->OnEnd((what & BEV_EVENT_EOF) != 0);
+}
+
+void http_client_connection::Read() {
+  if (closed_) return;
+  evbuffer* input = bufferevent_get_input(raw_);
+  if (!current_) {
+    // Nobody asked for these bytes.
+    closed_ = true;
+    client_.Closed(this);
+    return;
+  }
+  while (evbuffer_get_length(input) > 0) {
+    const size_t available = evbuffer_get_length(input);
+    const auto* bytes = reinterpret_cast<const char*>(evbuffer_pullup(input, -1));
+    const auto taken = parser_->Feed({bytes, available}, ToString(address_));
+    if (!taken) {
+      return Fail({.message = taken.error().message});
+    }
+    evbuffer_drain(input, *taken);
+    if (!parser_->Complete()) {
+      if (*taken == 0) return;
+      continue;
+    }
+    const bool keep_alive = parser_->KeepAlive();
+    http_answer answer = parser_->Take();
+    const std::string& echo = client_.settings_.echo_header;
+    const std::string answered = echo.empty() ? "" : FindHeader(answer.headers, echo);
+    if (!answered.empty() && answered != FindHeader(current_->request.headers, echo)) {
+      // A late second answer to an earlier request; this request's own answer follows.
+      ++client_.crossed_;
+      skipped_answer_ = true;
+      if (!keep_alive) return Fail({.message = "An answer to another request came last."});
+      parser_ = std::make_unique<http_answer_parser>(
+          http_size_limits{.body_bytes = client_.settings_.max_answer});
+      continue;
+    }
+    // An early answer, or bytes after the answer, leave the connection in a state in which the
+    // next answer could not be told apart.
+    const bool reusable = keep_alive && !skipped_answer_ && evbuffer_get_length(input) == 0 &&
+                          evbuffer_get_length(bufferevent_get_output(raw_)) == 0;
+    return Complete(std::move(answer), reusable);
+  }
+}
+
+void http_client_connection::OnEnd(bool in_order) {
+  if (!current_) {
+    closed_ = true;
+    client_.Closed(this);
+    return;
+  }
+  if (in_order && parser_->Started() && !client_.settings_.require_length) {
+    if (parser_->FeedEnd(ToString(address_))) return Complete(parser_->Take(), false);
+  }
+  http_failure failure;
+  failure.may_have_run = written_;
+  failure.refused = !established_ && errno == ECONNREFUSED;
+  failure.broken_off = !parser_->Started();
+  failure.message = established_ ? "The connection ended before the answer was complete."
+                                 : std::string("The connection cannot be opened: ") +
+                                       std::strerror(errno) + ".";
+  Fail(std::move(failure));
+}
+
+void http_client_connection::NoteKeepAlive(const http_answer& answer) {
+  const std::string announced = FindHeader(answer.headers, "Keep-Alive");
+  if (!announced.empty()) announced_limit_ = ParseKeepAlive(announced);
+}
+
+void http_client_connection::Complete(http_answer answer, bool reusable) {
+  const auto request = std::move(current_);
+  parser_.reset();
+  NoteKeepAlive(answer);
+  const instant now = boot_clock::now();
+  idle_since_ = now;
+  if (!reusable) {
+    closed_ = true;
+    client_.Closed(this);
+  }
+  http_client& client = client_;
+  const socket_address address = address_;
+  if (request->done) request->done(std::move(answer));
+  client.Dispatch(address);
+}
+
+void http_client_connection::Fail(http_failure failure) {
+  const auto request = std::move(current_);
+  parser_.reset();
+  closed_ = true;
+  client_.Closed(this);
+  http_client& client = client_;
+  const socket_address address = address_;
+  if (request->done) request->done(tl::unexpected<http_failure>(std::move(failure)));
+  client.Dispatch(address);
+}
+
+void http_client_connection::Abandon() {
+  current_.reset();
+  parser_.reset();
+  closed_ = true;
+  client_.Closed(this);
+}
+
+void http_client_connection::CheckTimeouts(instant now) {
+  if (closed_) return;
+  if (!current_) {
+    if (!established_ || !Usable(now)) {
+      closed_ = true;
+      client_.Closed(this);
+    }
+    return;
+  }
+  if (!established_ && now - opened_ > client_.settings_.connect_timeout) {
+    return Fail({.may_have_run = false,
+                 .timed_out = true,
+                 .message = "The connection was not made before the time limit."});
+  }
+  if (now >= current_->deadline) {
+    Fail({.may_have_run = written_,
+          .timed_out = true,
+          .message = "No complete answer came before the time limit."});
+  }
+}
+
+}  // namespace bulrushway
--- /dev/null
+++ b/src/http_client_connection.h
@@ -0,0 +1,72 @@
+#ifndef BULRUSHWAY_HTTP_CLIENT_CONNECTION_H
+#define BULRUSHWAY_HTTP_CLIENT_CONNECTION_H
+
+// Internal to http_client: one connection, which carries one request at a time.
+
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "http_client.h"
+#include "http_parser.h"
+
+struct bufferevent;
+
+namespace bulrushway {
+
+// A request that waits for a connection or is under way.
+struct http_client::pending {
+  request_id id = 0;
+  http_request request;
+  callback done;
+  instant deadline;
+};
+
+class http_client_connection {
+ public:
+  http_client_connection(http_client& client, const socket_address& address, instant now);
+  ~http_client_connection();
+  http_client_connection(const http_client_connection&) = delete;
+  http_client_connection& operator=(const http_client_connection&) = delete;
+
+  /// Sends the request as soon as the connection stands.
+  void Start(std::unique_ptr<http_client::pending> request, instant now);
+  /// The request under way, or null.
+  const http_client::pending* current() const { return current_.get(); }
+  /// Can take a request: idle, whole and not too old.
+  bool Usable(instant now) const;
+  /// Ends the request under way without calling back, and closes the connection.
+  void Abandon();
+  /// Fails the request that is overdue; closes a connection that was idle for too long.
+  void CheckTimeouts(instant now);
+
+  const socket_address& address() const { return address_; }
+
+ private:
+  static void Readable(bufferevent*, void* self);
+  static void Changed(bufferevent*, short what, void* self);
+
+  void Write();
+  void Read();
+  void OnEnd(bool in_order);
+  void Complete(http_answer answer, bool reusable);
+  void Fail(http_failure failure);
+  void NoteKeepAlive(const http_answer& answer);
+
+  http_client& client_;
+  socket_address address_;
+  bufferevent* raw_ = nullptr;
+  std::unique_ptr<http_client::pending> current_;
+  std::unique_ptr<http_answer_parser> parser_;
+  bool established_ = false;
+  bool written_ = false;
+  bool skipped_answer_ = false;
+  bool closed_ = false;
+  instant opened_;
+  instant idle_since_;
+  std::optional<std::chrono::milliseconds> announced_limit_;
+};
+
+}  // namespace bulrushway
+
+#endif  // BULRUSHWAY_HTTP_CLIENT_CONNECTION_H
--- /dev/null
+++ b/src/http_parser.cpp
@@ -0,0 +1,235 @@
+#include "http_parser.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/status.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <cctype>
+#include <limits>
+
+namespace bulrushway {
+namespace {
+
+namespace beast_http = boost::beast::http;
+
+// Headers that concern one connection, apart from those that the Connection header names. The
+// length is written anew by the serializer.
+constexpr std::array<std::string_view, 9> kHopByHopHeaders = {
+    "Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
+    "TE",         "Trailer",    "Transfer-Encoding", "Upgrade"};
+
+std::string_view View(boost::beast::string_view text) { return {text.data(), text.size()}; }
+
+template <class Fields>
+header_list CopyFields(const Fields& fields) {
+  header_list copied;
+  for (const auto& field : fields) {
+    copied.emplace_back(std::string(View(field.name_string())), std::string(View(field.value())));
+  }
+  return copied;
+}
+
+// Feeds until the parser needs more bytes or has a complete message.
+template <class Parser>
+size_t FeedParser(Parser& parser, std::string_view bytes, boost::beast::error_code& failure) {
+  size_t taken = 0;
+  while (taken < bytes.size() && !parser.is_done()) {
+    failure = {};
+    taken += parser.put(boost::asio::const_buffer(bytes.data() + taken, bytes.size() - taken),
+                        failure);
+    if (failure) break;
+  }
+  if (failure == beast_http::error::need_more) failure = {};
+  return taken;
+}
+
+http_parse_problem ProblemOf(const boost::beast::error_code& failure) {
+  if (failure == beast_http::error::header_limit) return http_parse_problem::kHeaderTooLarge;
+  if (failure == beast_http::error::body_limit) return http_parse_problem::kBodyTooLarge;
+  return http_parse_problem::kMalformed;
+}
+
+uint32_t HeaderLimit(const http_size_limits& limits) {
+  return static_cast<uint32_t>(
+      std::min<size_t>(limits.header_bytes, std::numeric_limits<uint32_t>::max()));
+}
+
+bool ListContains(std::string_view list, std::string_view name) {
+  while (!list.empty()) {
+    const size_t comma = list.find(',');
+    std::string_view item = list.substr(0, comma);
+    while (!item.empty() && item.front() == ' ') item.remove_prefix(1);
+    while (!item.empty() && item.back() == ' ') item.remove_suffix(1);
+    if (EqualIgnoringCase(item, name)) return true;
+    if (comma == std::string_view::npos) break;
+    list.remove_prefix(comma + 1);
+  }
+  return false;
+}
+
+}  // namespace
+
+struct http_request_parser::state {
+  beast_http::request_parser<beast_http::string_body> parser;
+};
+
+http_request_parser::http_request_parser(const http_size_limits& limits)
+    : state_(std::make_unique<state>()) {
+  state_->parser.eager(true);
+  state_->parser.header_limit(HeaderLimit(limits));
+  state_->parser.body_limit(limits.body_bytes);
+}
+
+http_request_parser::~http_request_parser() = default;
+
+tl::expected<size_t, http_parse_problem> http_request_parser::Feed(std::string_view bytes) {
+  boost::beast::error_code failure;
+  const size_t taken = FeedParser(state_->parser, bytes, failure);
+  if (!bytes.empty()) started_ = true;
+  if (failure) return tl::unexpected<http_parse_problem>(ProblemOf(failure));
+  return taken;
+}
+
+bool http_request_parser::HeaderComplete() const { return state_->parser.is_header_done(); }
+
+bool http_request_parser::Complete() const { return state_->parser.is_done(); }
+
+bool http_request_parser::ExpectsContinue() const {
+  return HeaderComplete() &&
+         EqualIgnoringCase(View(state_->parser.get()[beast_http::field::expect]), "100-continue");
+}
+
+bool http_request_parser::KeepAlive() const { return state_->parser.get().keep_alive(); }
+
+http_request http_request_parser::Take() {
+  auto message = state_->parser.release();
+  http_request request;
+  request.method = std::string(View(message.method_string()));
+  request.target = std::string(View(message.target()));
+  request.headers = CopyFields(message.base());
+  request.body = std::move(message.body());
+  return request;
+}
+
+struct http_answer_parser::state {
+  beast_http::response_parser<beast_http::string_body> parser;
+};
+
+http_answer_parser::http_answer_parser(const http_size_limits& limits)
+    : limits_(limits), state_(std::make_unique<state>()) {
+  state_->parser.eager(true);
+  state_->parser.header_limit(HeaderLimit(limits));
+  state_->parser.body_limit(limits.body_bytes);
+}
+
+http_answer_parser::~http_answer_parser() = default;
+
+result<size_t> http_answer_parser::Feed(std::string_view bytes, const std::string& peer) {
+  if (!bytes.empty()) started_ = true;
+  size_t taken = 0;
+  while (true) {
+    boost::beast::error_code failure;
+    taken += FeedParser(state_->parser, bytes.substr(taken), failure);
+    if (failure) {
+      return Failure(error_kind::kPeer, "read answer", peer,
+                     "The answer is not valid HTTP: " + failure.message() + ".");
+    }
+    const bool interim =
+        state_->parser.is_done() &&
+        beast_http::to_status_class(state_->parser.get().result_int()) ==
+            beast_http::status_class::informational;
+    if (!interim) return taken;
+    state_ = std::make_unique<state>();
+    state_->parser.eager(true);
+    state_->parser.header_limit(HeaderLimit(limits_));
+    state_->parser.body_limit(limits_.body_bytes);
+  }
+}
+
+result<void> http_answer_parser::FeedEnd(const std::string& peer) {
+  if (Complete()) return {};
+  if (state_->parser.is_header_done() && state_->parser.need_eof()) {
+    boost::beast::error_code failure;
+    state_->parser.put_eof(failure);
+    if (!failure) return {};
+  }
+  return Failure(error_kind::kPeer, "read answer", peer,
+                 "The connection was closed before the answer was complete.");
+}
+
+bool http_answer_parser::Complete() const { return state_->parser.is_done(); }
+
+bool http_answer_parser::KeepAlive() const {
+  return !state_->parser.need_eof() && state_->parser.get().keep_alive();
+}
+
+http_answer http_answer_parser::Take() {
+  auto message = state_->parser.release();
+  http_answer answer;
+  answer.status = static_cast<int>(message.result_int());
+  answer.headers = CopyFields(message.base());
+  answer.body = std::move(message.body());
+  return answer;
+}
+
+bool EqualIgnoringCase(std::string_view left, std::string_view right) {
+  return left.size() == right.size() &&
+         std::equal(left.begin(), left.end(), right.begin(), [](unsigned char a, unsigned char b) {
+           return std::tolower(a) == std::tolower(b);
+         });
+}
+
+bool IsHopByHop(std::string_view name, std::string_view connection_options) {
+  const bool listed =
+      std::any_of(kHopByHopHeaders.begin(), kHopByHopHeaders.end(),
+                  [name](std::string_view known) { return EqualIgnoringCase(known, name); });
+  return listed || ListContains(connection_options, name);
+}
+
+namespace {
+
+void AppendHeaders(std::string& text, const header_list& headers) {
+  const std::string options = FindHeader(headers, "Connection");
+  for (const auto& [name, value] : headers) {
+    if (IsHopByHop(name, options) || EqualIgnoringCase(name, "Content-Length")) continue;
+    text.append(name).append(": ").append(value).append("\r\n");
+  }
+}
+
+}  // namespace
+
+std::string SerializeRequestHead(const http_request& request, const header_list& extra) {
+  std::string text;
+  constexpr size_t kUsualHead = 512;
+  text.reserve(kUsualHead);
+  text.append(request.method).append(" ").append(request.target).append(" HTTP/1.1\r\n");
+  AppendHeaders(text, request.headers);
+  for (const auto& [name, value] : extra) {
+    text.append(name).append(": ").append(value).append("\r\n");
+  }
+  const bool usually_without_body =
+      request.method == "GET" || request.method == "DELETE" || request.method == "HEAD";
+  if (!request.body.empty() || !usually_without_body) {
+    text.append("Content-Length: ").append(std::to_string(request.body.size())).append("\r\n");
+  }
+  return text.append("\r\n");
+}
+
+std::string SerializeAnswerHead(const http_answer& answer, bool keep_alive) {
+  std::string text = "HTTP/1.1 " + std::to_string(answer.status) + " ";
+  text.append(View(beast_http::obsolete_reason(beast_http::int_to_status(
+      static_cast<unsigned>(answer.status)))));
+  text.append("\r\n");
+  AppendHeaders(text, answer.headers);
+  constexpr int kNoContent = 204;
+  constexpr int kNotModified = 304;
+  if (answer.status != kNoContent && answer.status != kNotModified) {
+    text.append("Content-Length: ").append(std::to_string(answer.body.size())).append("\r\n");
+  }
+  if (!keep_alive) text.append("Connection: close\r\n");
+  return text.append("\r\n");
+}
+
+}  // namespace bulrushway
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -1,149 +1,130 @@
 #include "http_server.h"
 
+#include <arpa/inet.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
-#include <event2/event.h>
-#include <event2/http.h>
-#include <event2/keyvalq_struct.h>
-#include <sys/socket.h>
+#include <event2/listener.h>
+#include <netinet/tcp.h>
 
+#include <array>
 #include <cerrno>
 #include <cstring>
+#include <vector>
+
+#include "http_server_connection.h"
 
 namespace bulrushway {
 namespace {
 
-std::string MethodName(evhttp_cmd_type command) {
-  switch (command) {
-    case EVHTTP_REQ_POST:
-      return "POST";
-    case EVHTTP_REQ_PUT:
-      return "PUT";
-    case EVHTTP_REQ_DELETE:
-      return "DELETE";
-    case EVHTTP_REQ_HEAD:
-      return "HEAD";
-    default:
-      return "GET";
-  }
-}
-
-http_request ReadRequest(evhttp_request* raw) {
-  http_request request;
-  request.method = MethodName(evhttp_request_get_command(raw));
-  request.target = evhttp_request_get_uri(raw);
-  const evkeyvalq* headers = evhttp_request_get_input_headers(raw);
-  for (const evkeyval* pair = headers->tqh_first; pair != nullptr; pair = pair->next.tqe_next) {
-    request.headers.emplace_back(pair->key, pair->value);
-  }
-  evbuffer* body = evhttp_request_get_input_buffer(raw);
-  request.body.resize(evbuffer_get_length(body));
-  evbuffer_copyout(body, request.body.data(), request.body.size());
-  return request;
-}
+// Connections that wait to be accepted; a full queue delays a caller by seconds.
+constexpr int kBacklog = 1024;
+// How often timeouts of connections are checked: fine against the shortest of them, which is
+// about a second.
+constexpr std::chrono::milliseconds kSweepInterval{250};
 
 }  // namespace
 
-http_exchange::http_exchange(evhttp_request* raw, http_request request)
-    : raw_(raw), request_(std::move(request)) {
-  evhttp_connection_set_closecb(evhttp_request_get_connection(raw), &ConnectionClosed, this);
-}
+http_exchange::http_exchange(http_server_connection* connection, http_request request)
+    : connection_(connection), request_(std::move(request)) {}
 
 http_exchange::~http_exchange() {
-  StopWatching();
-  if (raw_ == nullptr) return;
-  Reply({500, {}, "The request was dropped without an answer.\n"});
+  if (connection_ != nullptr) connection_->Forget();
 }
 
 socket_address http_exchange::Peer() const {
-  if (raw_ == nullptr) return {};
-  char* ip = nullptr;
-  uint16_t port = 0;
-  evhttp_connection_get_peer(evhttp_request_get_connection(raw_), &ip, &port);
-  return {ip == nullptr ? "" : ip, port};
+  return connection_ == nullptr ? socket_address{} : connection_->peer();
 }
 
 void http_exchange::Reply(const http_answer& answer) {
-  if (raw_ == nullptr) return;
-  StopWatching();
-  evhttp_request* raw = raw_;
-  raw_ = nullptr;
+  if (connection_ == nullptr) return;
+  http_server_connection* connection = connection_;
+  connection_ = nullptr;
   closed_ = nullptr;
-  evhttp_connection_set_closecb(evhttp_request_get_connection(raw), nullptr, nullptr);
-  for (const auto& [key, value] : answer.headers) {
-    evhttp_add_header(evhttp_request_get_output_headers(raw), key.c_str(), value.c_str());
-  }
-  evbuffer* body = evbuffer_new();
-  evbuffer_add(body, answer.body.data(), answer.body.size());
-  evhttp_send_reply(raw, answer.status, nullptr, body);
-  evbuffer_free(body);
+  connection->Reply(answer);
 }
 
-void http_exchange::Drop() {
-  if (raw_ == nullptr) return;
-  StopWatching();
-  evhttp_connection* connection = evhttp_request_get_connection(raw_);
-  raw_ = nullptr;
+void http_exchange::ReplyTruncated(const http_answer& answer, size_t bytes) {
+  if (connection_ == nullptr) return;
+  http_server_connection* connection = connection_;
+  connection_ = nullptr;
   closed_ = nullptr;
-  evhttp_connection_set_closecb(connection, nullptr, nullptr);
-  evhttp_connection_free(connection);
+  connection->ReplyTruncated(answer, bytes);
 }
 
-// evhttp stops reading from a connection while its request is answered, so that it would notice
-// that the caller went away only when it writes the answer.
-void http_exchange::OnClosed(std::function<void()> closed) {
-  closed_ = std::move(closed);
-  if (raw_ == nullptr || watch_ != nullptr) return;
-  evhttp_connection* connection = evhttp_request_get_connection(raw_);
-  const int socket = bufferevent_getfd(evhttp_connection_get_bufferevent(connection));
-  watch_ = event_new(evhttp_connection_get_base(connection), socket, EV_READ, &Readable, this);
-  event_add(watch_, nullptr);
+void http_exchange::Drop() {
+  if (connection_ == nullptr) return;
+  http_server_connection* connection = connection_;
+  connection_ = nullptr;
+  closed_ = nullptr;
+  connection->Abort();
 }
 
-void http_exchange::Readable(int socket, short, void* self) {
-  char byte = 0;
-  const ssize_t read = recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  // A byte here is the caller's next request, which evhttp reads after this one is answered.
-  if (read > 0 || (read < 0 && (errno == EAGAIN || errno == EINTR))) return;
-  auto* exchange = static_cast<http_exchange*>(self);
-  // Calls ConnectionClosed.
-  evhttp_connection_free(evhttp_request_get_connection(exchange->raw_));
-}
+void http_exchange::OnClosed(std::function<void()> closed) { closed_ = std::move(closed); }
 
-void http_exchange::StopWatching() {
-  if (watch_ != nullptr) event_free(watch_);
-  watch_ = nullptr;
+void http_exchange::CallerLeft() {
+  connection_ = nullptr;
+  // The callback may be replaced or destroyed by what it calls.
+  const std::function<void()> closed = std::move(closed_);
+  closed_ = nullptr;
+  if (closed) closed();
 }
 
-void http_exchange::ConnectionClosed(evhttp_connection*, void* self) {
-  auto* exchange = static_cast<http_exchange*>(self);
-  exchange->StopWatching();
-  exchange->raw_ = nullptr;
-  if (auto closed = std::move(exchange->closed_)) closed();
+http_server::http_server(event_loop& loop, const http_limits& limits, handler handle)
+    : loop_(loop),
+      limits_(limits),
+      handle_(std::move(handle)),
+      sweep_(loop, [this](instant now) { Sweep(now); }) {
+  sweep_.Every(kSweepInterval);
 }
 
-http_server::http_server(event_loop& loop, http_limits limits, handler handle)
-    : http_(evhttp_new(loop.Base())), handle_(std::move(handle)) {
-  evhttp_set_max_body_size(http_, static_cast<ev_ssize_t>(limits.max_body));
-  evhttp_set_max_headers_size(http_, static_cast<ev_ssize_t>(limits.max_headers));
-  evhttp_set_timeout(http_, static_cast<int>(limits.idle_timeout.count()));
-  evhttp_set_allowed_methods(http_, EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT |
-                                        EVHTTP_REQ_DELETE | EVHTTP_REQ_HEAD);
-  evhttp_set_gencb(http_, &Received, this);
+http_server::~http_server() {
+  if (listener_ != nullptr) evconnlistener_free(listener_);
 }
 
-http_server::~http_server() { evhttp_free(http_); }
-
 result<void> http_server::Listen(const socket_address& address) {
-  if (evhttp_bind_socket(http_, address.ip.c_str(), address.port) == 0) return {};
+  sockaddr_in raw{};
+  raw.sin_family = AF_INET;
+  raw.sin_port = htons(address.port);
+  inet_pton(AF_INET, address.ip.c_str(), &raw.sin_addr);
+  const auto accepted = [](evconnlistener*, evutil_socket_t socket, sockaddr* from, int,
+                           void* self) {
+    const auto* peer = reinterpret_cast<const sockaddr_in*>(from);
+    std::array<char, INET_ADDRSTRLEN> text{};
+    inet_ntop(AF_INET, &peer->sin_addr, text.data(), text.size());
+    static_cast<http_server*>(self)->Adopt(socket, {text.data(), ntohs(peer->sin_port)});
+  };
+  listener_ =
+      evconnlistener_new_bind(loop_.Base(), accepted, this,
+                              LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC,
+                              kBacklog, reinterpret_cast<const sockaddr*>(&raw), sizeof raw);
+  if (listener_ != nullptr) return {};
   return Failure(
       error_kind::kUser, "listen for HTTP", ToString(address),
       "The address " + ToString(address) + " cannot be bound: " + std::strerror(errno) + ".");
 }
 
-void http_server::Received(evhttp_request* raw, void* self) {
-  auto* server = static_cast<http_server*>(self);
-  server->handle_(std::make_shared<http_exchange>(raw, ReadRequest(raw)));
+void http_server::Adopt(int socket, const socket_address& peer) {
+  const int on = 1;
+  setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  bufferevent* raw = bufferevent_socket_new(loop_.Base(), socket, BEV_OPT_CLOSE_ON_FREE);
+  auto connection = std::make_unique<http_server_connection>(*this, raw, peer);
+  http_server_connection* key = connection.get();
+  connections_.emplace(key, std::move(connection));
+}
+
+void http_server::Drain(instant now, std::chrono::milliseconds idle) {
+  draining_ = true;
+  limits_.idle_timeout = std::min(limits_.idle_timeout, idle);
+  Sweep(now);
+}
+
+void http_server::Sweep(instant now) {
+  std::vector<http_server_connection*> open;
+  open.reserve(connections_.size());
+  for (const auto& [key, connection] : connections_) open.push_back(key);
+  for (http_server_connection* connection : open) {
+    if (connections_.contains(connection)) connection->CheckTimeouts(now);
+  }
 }
 
 }  // namespace bulrushway
--- /dev/null
+++ b/src/http_server_connection.cpp
@@ -0,0 +1,174 @@
+#include "http_server_connection.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+
+#include <algorithm>
+
+namespace bulrushway {
+namespace {
+
+constexpr int kRequestTimeout = 408;
+constexpr int kBodyTooLarge = 413;
+constexpr int kBadRequest = 400;
+constexpr int kHeadersTooLarge = 431;
+// Bytes of the next requests that are read ahead while one is being answered.
+constexpr size_t kReadAhead = 64 << 10;
+
+}  // namespace
+
+http_server_connection::http_server_connection(http_server& server, bufferevent* raw,
+                                               const socket_address& peer)
+    : server_(server), raw_(raw), peer_(peer), last_activity_(boot_clock::now()) {
+  bufferevent_setcb(raw_, &Readable, &Written, &Changed, this);
+  bufferevent_setwatermark(raw_, EV_READ, 0, kReadAhead);
+  bufferevent_enable(raw_, EV_READ | EV_WRITE);
+}
+
+http_server_connection::~http_server_connection() {
+  if (const auto exchange = exchange_.lock()) {
+    if (exchange->connection_ == this) exchange->CallerLeft();
+  }
+  bufferevent_free(raw_);
+}
+
+void http_server_connection::Readable(bufferevent*, void* self) {
+  auto* connection = static_cast<http_server_connection*>(self);
+  if (connection->progress_ == progress::kReading) connection->Read(boot_clock::now());
+}
+
+void http_server_connection::Written(bufferevent*, void* self) {
+  auto* connection = static_cast<http_server_connection*>(self);
+  if (connection->progress_ == progress::kClosing) connection->Abort();
+}
+
+void http_server_connection::Changed(bufferevent*, short what, void* self) {
+  auto* connection = static_cast<http_server_connection*>(self);
+  if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) == 0) return;
+  // The answer of the last request may still be on its way to a caller that has closed its side.
+  const bool writing =
+      evbuffer_get_length(bufferevent_get_output(connection->raw_)) > 0 &&
+      (what & BEV_EVENT_ERROR) == 0 && connection->progress_ != progress::kHandling;
+  if (writing) {
+    connection->peer_closed_ = true;
+    connection->CloseAfterWriting();
+    return;
+  }
+  connection->Abort();
+}
+
+void http_server_connection::Abort() { server_.connections_.erase(this); }
+
+void http_server_connection::Read(instant now) {
+  evbuffer* input = bufferevent_get_input(raw_);
+  while (progress_ == progress::kReading && evbuffer_get_length(input) > 0) {
+    if (!parser_) {
+      parser_ = std::make_unique<http_request_parser>(
+          http_size_limits{server_.limits_.max_headers, server_.limits_.max_body});
+      request_started_ = now;
+      continue_sent_ = false;
+    }
+    last_activity_ = now;
+    const size_t available = evbuffer_get_length(input);
+    const auto* bytes = reinterpret_cast<const char*>(evbuffer_pullup(input, -1));
+    const auto taken = parser_->Feed({bytes, available});
+    if (!taken) {
+      switch (taken.error()) {
+        case http_parse_problem::kMalformed:
+          return Reject(kBadRequest);
+        case http_parse_problem::kHeaderTooLarge:
+          return Reject(kHeadersTooLarge);
+        case http_parse_problem::kBodyTooLarge:
+          return Reject(kBodyTooLarge);
+      }
+    }
+    evbuffer_drain(input, *taken);
+    if (parser_->Complete()) return Hand();
+    if (parser_->ExpectsContinue() && !continue_sent_) {
+      continue_sent_ = true;
+      constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+      bufferevent_write(raw_, kContinue.data(), kContinue.size());
+    }
+    if (*taken == 0) return;
+  }
+}
+
+void http_server_connection::Hand() {
+  progress_ = progress::kHandling;
+  keep_alive_ = parser_->KeepAlive();
+  auto exchange = std::make_shared<http_exchange>(this, parser_->Take());
+  parser_.reset();
+  exchange_ = exchange;
+  server_.handle_(std::move(exchange));
+}
+
+void http_server_connection::Reply(const http_answer& answer) {
+  const bool keep_alive = keep_alive_ && !server_.draining_;
+  exchange_.reset();
+  Send(answer, keep_alive);
+  if (!keep_alive) return CloseAfterWriting();
+  progress_ = progress::kReading;
+  last_activity_ = boot_clock::now();
+  // The next request may be here already. It is read from the loop, not from within the answer.
+  if (evbuffer_get_length(bufferevent_get_input(raw_)) > 0) {
+    bufferevent_trigger(raw_, EV_READ, BEV_TRIG_IGNORE_WATERMARKS | BEV_TRIG_DEFER_CALLBACKS);
+  }
+}
+
+void http_server_connection::ReplyTruncated(const http_answer& answer, size_t bytes) {
+  exchange_.reset();
+  const std::string head = SerializeAnswerHead(answer, true);
+  evbuffer* output = bufferevent_get_output(raw_);
+  evbuffer_add(output, head.data(), head.size());
+  evbuffer_add(output, answer.body.data(), std::min(bytes, answer.body.size()));
+  CloseAfterWriting();
+}
+
+void http_server_connection::Reject(int status) {
+  http_answer answer;
+  answer.status = status;
+  Send(answer, false);
+  CloseAfterWriting();
+}
+
+void http_server_connection::Send(const http_answer& answer, bool keep_alive) {
+  const std::string head = SerializeAnswerHead(answer, keep_alive);
+  evbuffer* output = bufferevent_get_output(raw_);
+  evbuffer_add(output, head.data(), head.size());
+  evbuffer_add(output, answer.body.data(), answer.body.size());
+}
+
+void http_server_connection::CloseAfterWriting() {
+  progress_ = progress::kClosing;
+  parser_.reset();
+  last_activity_ = boot_clock::now();
+  if (evbuffer_get_length(bufferevent_get_output(raw_)) == 0) {
+    bufferevent_trigger(raw_, EV_WRITE, BEV_TRIG_IGNORE_WATERMARKS | BEV_TRIG_DEFER_CALLBACKS);
+  }
+}
+
+void http_server_connection::CheckTimeouts(instant now) {
+  switch (progress_) {
+    case progress::kHandling:
+      return;
+    case progress::kClosing:
+      // The caller does not read its answer.
+      if (now - last_activity_ > server_.limits_.idle_timeout) Abort();
+      return;
+    case progress::kReading:
+      break;
+  }
+  if (parser_ && parser_->Started()) {
+    if (now - request_started_ > server_.limits_.request_timeout) Reject(kRequestTimeout);
+    return;
+  }
+  if (now - last_activity_ > server_.limits_.idle_timeout) Abort();
+}
+
+void http_server_connection::Forget() {
+  // Nobody will answer: the caller learns it from the closed connection.
+  if (progress_ == progress::kHandling) CloseAfterWriting();
+}
+
+}  // namespace bulrushway
--- /dev/null
+++ b/src/http_server_connection.h
@@ -0,0 +1,64 @@
+#ifndef BULRUSHWAY_HTTP_SERVER_CONNECTION_H
+#define BULRUSHWAY_HTTP_SERVER_CONNECTION_H
+
+// Internal to http_server: one connection of a caller. Requests are read one after the other; the
+// next is parsed only when the one before is answered.
+
+#include <memory>
+
+#include "http_parser.h"
+#include "http_server.h"
+
+struct bufferevent;
+
+namespace bulrushway {
+
+class http_server_connection {
+ public:
+  http_server_connection(http_server& server, bufferevent* raw, const socket_address& peer);
+  ~http_server_connection();
+  http_server_connection(const http_server_connection&) = delete;
+  http_server_connection& operator=(const http_server_connection&) = delete;
+
+  /// Sends the answer of the exchange under way and goes on with the next request.
+  void Reply(const http_answer& answer);
+  /// Sends the answer without the rest of its body, and closes the connection.
+  void ReplyTruncated(const http_answer& answer, size_t bytes);
+  /// Closes the connection at once.
+  void Abort();
+  /// Closes the connection if its request or its idle time is overdue.
+  void CheckTimeouts(instant now);
+  /// The exchange was destroyed without an answer.
+  void Forget();
+
+  const socket_address& peer() const { return peer_; }
+
+ private:
+  enum class progress { kReading, kHandling, kClosing };
+
+  static void Readable(bufferevent*, void* self);
+  static void Written(bufferevent*, void* self);
+  static void Changed(bufferevent*, short what, void* self);
+
+  void Read(instant now);
+  void Hand();
+  void Reject(int status);
+  void Send(const http_answer& answer, bool keep_alive);
+  void CloseAfterWriting();
+
+  http_server& server_;
+  bufferevent* raw_;
+  socket_address peer_;
+  std::unique_ptr<http_request_parser> parser_;
+  std::weak_ptr<http_exchange> exchange_;
+  progress progress_ = progress::kReading;
+  bool keep_alive_ = true;
+  bool continue_sent_ = false;
+  bool peer_closed_ = false;
+  instant last_activity_;
+  instant request_started_;
+};
+
+}  // namespace bulrushway
+
+#endif  // BULRUSHWAY_HTTP_SERVER_CONNECTION_H
--- /dev/null
+++ b/src/key_map.cpp
@@ -0,0 +1,102 @@
+#include "key_map.h"
+
+#include <algorithm>
+
+#include "msgpack_fields.h"
+
+namespace bulrushway {
+
+static auto Fields(auto& m, const key_range&) { return std::tie(m.first, m.last); }
+static auto Fields(auto& m, const target_life&) { return std::tie(m.id, m.started_ms); }
+static auto Fields(auto& m, const range_owner&) { return std::tie(m.node, m.target); }
+static auto Fields(auto& m, const owned_range&) {
+  return std::tie(m.keys, m.owner, m.fence, m.handover);
+}
+static auto Fields(auto& m, const key_map&) { return std::tie(m.ranges, m.next_fence); }
+
+namespace {
+
+bool IsWhole(const key_map& map) {
+  uint64_t next = 0;
+  for (const owned_range& range : map.ranges) {
+    if (range.keys.first != next || range.keys.last < range.keys.first) return false;
+    if (range.fence >= map.next_fence) return false;
+    next = uint64_t{range.keys.last} + 1;
+  }
+  return map.ranges.empty() || next == uint64_t{kLastKey} + 1;
+}
+
+}  // namespace
+
+const owned_range* key_map::Find(uint32_t key) const {
+  const auto after =
+      std::upper_bound(ranges.begin(), ranges.end(), key,
+                       [](uint32_t wanted, const owned_range& range) {
+                         return wanted < range.keys.first;
+                       });
+  if (after == ranges.begin()) return nullptr;
+  const owned_range& found = *std::prev(after);
+  return found.keys.Contains(key) ? &found : nullptr;
+}
+
+uint32_t key_map::WidthOf(const std::string& node) const {
+  uint32_t width = 0;
+  for (const owned_range& range : ranges) {
+    if (range.owner.node == node) width += range.keys.Width();
+  }
+  return width;
+}
+
+key_map DealEvenly(const std::vector<range_owner>& owners, uint64_t next_fence) {
+  key_map map;
+  map.next_fence = next_fence;
+  const uint64_t all = uint64_t{kLastKey} + 1;
+  for (size_t i = 0; i < owners.size(); ++i) {
+    const auto first = static_cast<uint32_t>(all * i / owners.size());
+    const auto last = static_cast<uint32_t>(all * (i + 1) / owners.size() - 1);
+    map.ranges.push_back({{first, last}, owners[i], map.next_fence++, {}});
+  }
+  return map;
+}
+
+void Reassign(key_map& map, const key_range& keys, const range_owner& owner,
+              const std::string& handover) {
+  std::vector<owned_range> changed;
+  for (const owned_range& range : map.ranges) {
+    if (!range.keys.Overlaps(keys)) {
+      changed.push_back(range);
+      continue;
+    }
+    if (range.keys.first < keys.first) {
+      changed.push_back(range);
+      changed.back().keys.last = keys.first - 1;
+    }
+    const key_range moved{std::max(range.keys.first, keys.first),
+                          std::min(range.keys.last, keys.last)};
+    changed.push_back({moved, owner, map.next_fence++, handover});
+    if (range.keys.last > keys.last) {
+      changed.push_back(range);
+      changed.back().keys.first = keys.last + 1;
+    }
+  }
+  map.ranges = std::move(changed);
+}
+
+std::string EncodeKeyMap(const key_map& map) { return msgpack_fields::WriteAll(map); }
+
+result<key_map> DecodeKeyMap(const std::string& bytes) {
+  key_map map;
+  try {
+    const msgpack::object_handle handle = msgpack_fields::Parse(bytes);
+    msgpack_fields::Read(handle.get(), map);
+  } catch (const std::exception& broken) {
+    return Failure(error_kind::kPeer, "decode key map", {},
+                   std::string("The row is not a key map: ") + broken.what() + ".");
+  }
+  if (IsWhole(map)) return map;
+  return Failure(error_kind::kPeer, "decode key map", {},
+                 "The ranges of the row overlap, leave keys out or have fences not below the "
+                 "next one.");
+}
+
+}  // namespace bulrushway
--- /dev/null
+++ b/src/node.cpp
@@ -0,0 +1,385 @@
+#include "node.h"
+
+#include <unistd.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace bulrushway {
+namespace {
+
+using std::chrono::milliseconds;
+
+// The processes' own table: one row for each, with its address.
+constexpr const char* kMemberTable = "members";
+// How often waiting requests and connections are looked at.
+constexpr milliseconds kTickInterval{25};
+// Wait before the announcement of this process is repeated.
+constexpr milliseconds kAnnounceRetry{500};
+// Share of the permitted extra arrivals that this process uses: processes see different shares of
+// the traffic at different moments.
+constexpr double kRetryShareUsed = 0.75;
+// Share of what a cold target bears beyond its rate that is used at once.
+constexpr double kColdBurstUsed = 0.6;
+// After a stop was asked for, new callers may still come until the platform has noticed.
+constexpr milliseconds kStopListening{2600};
+// Kept in hand between the end of a stop and the kill.
+constexpr milliseconds kStopReserve{400};
+// An idle connection of a caller is closed this long after a stop began.
+constexpr milliseconds kStopIdle{1500};
+// Longest answer body and request body that a process keeps in memory.
+constexpr size_t kMetricsHeaders = 8 << 10;
+
+http_limits CallerLimits(const caller_limits& limits) {
+  return {limits.body_bytes, limits.header_bytes, limits.idle_timeout, limits.request_timeout};
+}
+
+}  // namespace
+
+target_gate_ports node::GatePorts(node& self) {
+  return {[&self] { return self.OwnServiceKeyed(); },
+          [&self](instant now, uint32_t key) {
+            return self.ranges_ != nullptr && self.ranges_->Holds(now, key);
+          },
+          [&self](instant now, uint32_t key) { return self.WhyNotHeld(now, key); },
+          [&self](instant) { return self.DataCentreOut(); }, self.ports_.parse_load};
+}
+
+peer_mesh_events node::MeshEvents(node& self) {
+  return {[&self](instant now, connection_id from, dispatch_request request) {
+            self.OnPeerRequest(now, from, std::move(request));
+          },
+          [&self](instant now, connection_id from, uint64_t id) {
+            self.OnPeerCancelled(now, from, id);
+          },
+          [&self](instant now, connection_id from) { self.OnPeerGone(now, from); },
+          [&self](instant now, const node_report& report) { self.OnPeerReport(now, report); },
+          [&self](instant now) { return self.OwnReport(now); }};
+}
+
+request_router_ports node::RouterPorts(node& self) {
+  return {[&self] { return self.table_; },
+          [&self](const std::string& service, uint32_t key) { return self.OwnerOf(service, key); },
+          [&self](const std::string& data_centre) {
+            return self.evacuated_.contains(data_centre);
+          }};
+}
+
+node::node(event_loop& loop, const node_settings& settings, node_ports ports, uint64_t process)
+    : loop_(loop),
+      settings_(settings),
+      ports_(std::move(ports)),
+      process_(process),
+      log_(loop, settings_.name, STDOUT_FILENO),
+      fleet_(settings_.name, settings_.data_centre, settings_.region),
+      target_({settings_.service, settings_.target, settings_.heartbeat, settings_.drain_limit}),
+      gate_(loop, metrics_, log_, target_,
+            {settings_.target, settings_.service, settings_.region, settings_.headers},
+            GatePorts(*this)),
+      mesh_(loop, log_, fleet_, MeshEvents(*this)),
+      router_(log_, metrics_,
+              {settings_.name, settings_.ip, settings_.service, settings_.headers,
+               settings_.retry_share * kRetryShareUsed},
+              RouterPorts(*this), fleet_, mesh_, gate_, process),
+      callers_(loop, CallerLimits({}),
+               [this](std::shared_ptr<http_exchange> exchange) {
+                 router_.Handle(boot_clock::now(), std::move(exchange));
+               }),
+      metrics_server_(loop, {.max_headers = kMetricsHeaders},
+                      [this](const std::shared_ptr<http_exchange>& exchange) {
+                        exchange->Reply({200, {{"Content-Type", "text/plain"}}, metrics_.Expose()});
+                      }),
+      operator_rows_(loop, log_, ports_.store, ports_.operator_table,
+                     [this](instant, const std::vector<stored_row>& rows) {
+                       const instant now = boot_clock::now();
+                       for (const stored_row& row : rows) ports_.operator_row(now, row);
+                     }),
+      member_rows_(loop, log_, ports_.store, kMemberTable,
+                   [this](instant, const std::vector<stored_row>& rows) {
+                     OnMemberRows(boot_clock::now(), rows);
+                   }),
+      key_map_rows_(loop, log_, ports_.store, kKeyMapTable,
+                    [this](instant began, const std::vector<stored_row>& rows) {
+                      OnKeyMapRows(began, rows);
+                    }),
+      tick_(loop, [this](instant now) { Tick(now); }),
+      announce_retry_(loop, [this](instant now) { Announce(now); }) {}
+
+result<void> node::Start(instant now) {
+  if (auto listening = callers_.Listen(settings_.callers); !listening) return listening;
+  if (auto listening = mesh_.Listen(settings_.peers); !listening) return listening;
+  if (auto listening = metrics_server_.Listen(settings_.metrics); !listening) return listening;
+  log_.Write("started",
+             {{"service", settings_.service},
+              {"data_centre", settings_.data_centre},
+              {"region", settings_.region},
+              {"process", std::to_string(process_)}},
+             log_weight::kNotable);
+  Announce(now);
+  operator_rows_.Start(now);
+  member_rows_.Start(now);
+  key_map_rows_.Start(now);
+  tick_.Every(kTickInterval);
+  return {};
+}
+
+void node::Announce(instant now) {
+  if (announcing_ || announced_) return;
+  announcing_ = true;
+  const member_record self{settings_.name,   settings_.peers,   settings_.data_centre,
+                           settings_.region, settings_.service, process_};
+  fleet_.OnMember(self);
+  (void)now;
+  row_transaction announcement{{}, {{{kMemberTable, settings_.name}, EncodeMember(self)}}};
+  ports_.store.commit(std::move(announcement), [this](result<row_receipt> outcome) {
+    announcing_ = false;
+    announced_ = outcome.has_value();
+    if (announced_) return;
+    log_.Write("announcement_failed", {{"reason", outcome.error().message}}, log_weight::kNotable);
+    announce_retry_.Once(kAnnounceRetry);
+  });
+}
+
+bool node::OwnServiceKeyed() const {
+  if (!table_) return false;
+  const service_policy* policy = table_->FindService(settings_.service);
+  return policy != nullptr && policy->keyed;
+}
+
+std::string node::OwnerOf(const std::string& service, uint32_t key) const {
+  const auto found = key_maps_.find(service);
+  if (found == key_maps_.end()) return {};
+  const owned_range* range = found->second.Find(key);
+  return range == nullptr ? std::string{} : range->owner.node;
+}
+
+std::pair<refusal_reason, milliseconds> node::WhyNotHeld(instant now, uint32_t key) const {
+  if (!ranges_ || !ranges_->steward().Owns(key)) return {refusal_reason::kNotOwner, milliseconds{0}};
+  if (!ranges_->Leased(now)) return {refusal_reason::kLeaseLapsed, milliseconds{0}};
+  // The target learns of its keys with its next heartbeat.
+  const auto wait = std::chrono::duration_cast<milliseconds>(target_.NextHeartbeat() - now);
+  return {refusal_reason::kMoving, std::max(wait, milliseconds{10})};
+}
+
+void node::OnConfiguration(instant now, std::shared_ptr<const route_table> table) {
+  if (table_ && table->version() <= table_->version()) return;
+  log_.Write("configuration_adopted",
+             {{"version", std::to_string(table->version())},
+              {"before", table_ ? std::to_string(table_->version()) : "-"},
+              {"routes", std::to_string(table->routes().size())}},
+             log_weight::kNotable);
+  table_ = std::move(table);
+  callers_.SetLimits(CallerLimits(table_->limits()));
+  if (const service_policy* policy = table_->FindService(settings_.service)) {
+    gate_.SetPolicy(policy->connections, policy->cold_rate,
+                    std::max(1.0, settings_.cold_slack * kColdBurstUsed));
+  }
+  if (OwnServiceKeyed() && !ranges_) {
+    range_service_settings ranges{settings_.name, settings_.ip, settings_.service, process_, {}, {}};
+    ranges.steward.node = settings_.name;
+    ranges.steward.longest_hold = std::min(ranges.steward.longest_hold, settings_.longest_grant);
+    ranges_ = std::make_unique<range_service>(log_, metrics_, ports_.store, ranges, now);
+  }
+  mesh_.ReportNow(now);
+}
+
+void node::OnEvacuation(instant now, const std::string& data_centre, bool out) {
+  const bool changed = out ? evacuated_.insert(data_centre).second : evacuated_.erase(data_centre) > 0;
+  if (!changed) return;
+  log_.Write(out ? "data_centre_out" : "data_centre_back", {{"data_centre", data_centre}},
+             log_weight::kNotable);
+  if (data_centre == settings_.data_centre) mesh_.ReportNow(now);
+}
+
+node::heartbeat_answer node::OnHeartbeat(instant now, const target_heartbeat& heartbeat) {
+  heartbeat_answer answer;
+  const bool was_leaving = target_.Leaving();
+  const target_life before = target_.life();
+  answer.verdict = target_.OnHeartbeat(now, heartbeat);
+  if (answer.verdict != heartbeat_verdict::kAccepted) {
+    log_.Write("heartbeat_ignored",
+               {{"target", heartbeat.life.id},
+                {"sequence", std::to_string(heartbeat.sequence)},
+                {"reason", answer.verdict == heartbeat_verdict::kForeign ? "another service or address"
+                                                                         : "outdated"}});
+    return answer;
+  }
+  const bool changed = before != target_.life() || was_leaving != target_.Leaving();
+  if (changed) {
+    log_.Write("target_state",
+               {{"target", target_.life().id},
+                {"before", before.id},
+                {"leaving", target_.Leaving() ? "yes" : "no"},
+                {"cold", target_.Cold(now) ? "yes" : "no"},
+                {"slots", std::to_string(target_.slots())}},
+               log_weight::kNotable);
+  }
+  FollowTarget(now);
+  if (ranges_) answer.grant = ranges_->OnHeartbeat(now, heartbeat);
+  if (changed) mesh_.ReportNow(now);
+  return answer;
+}
+
+bool node::OnTargetLeft(instant now, const std::string& id) {
+  if (!target_.OnLeave(now, id)) return false;
+  log_.Write("target_left", {{"target", id}}, log_weight::kNotable);
+  FollowTarget(now);
+  mesh_.ReportNow(now);
+  return true;
+}
+
+void node::FollowTarget(instant now) {
+  if (ranges_) {
+    target_condition condition = target_.Condition(now);
+    const bool leaving = DataCentreOut() || stopping_since_.has_value();
+    if (condition == target_condition::kReady && leaving) condition = target_condition::kLeaving;
+    ranges_->SetTarget(now, condition, target_.life());
+  }
+  gate_.Tick(now);
+}
+
+node_report node::OwnReport(instant now) {
+  node_report report;
+  report.node = settings_.name;
+  report.data_centre = settings_.data_centre;
+  report.region = settings_.region;
+  report.process = process_;
+  report.stopping = stopping_since_.has_value();
+  report.leased = ranges_ != nullptr && ranges_->Leased(now);
+  report.configuration_version = table_ ? table_->version() : 0;
+  report.target = gate_.Report(now);
+  return report;
+}
+
+std::vector<range_candidate> node::Candidates(instant) const {
+  std::vector<range_candidate> candidates;
+  for (const node_state* each : fleet_.OfService(settings_.service)) {
+    range_candidate one;
+    one.node = each->member.node;
+    one.target = each->report.target.life;
+    one.alive = each->reachable && each->reported;
+    one.leased = each->report.leased;
+    one.accepting = each->Usable() && each->report.leased;
+    candidates.push_back(std::move(one));
+  }
+  return candidates;
+}
+
+void node::OnPeerRequest(instant now, connection_id from, dispatch_request request) {
+  const uint64_t id = request.id;
+  const auto key = std::make_pair(from, id);
+  const target_gate::ticket ticket =
+      gate_.Handle(now, std::move(request), [this, key](instant, dispatch_answer answer) {
+        peer_requests_.erase(key);
+        mesh_.Answer(key.first, answer);
+      });
+  if (gate_.Knows(ticket)) peer_requests_[key] = ticket;
+}
+
+void node::OnPeerCancelled(instant now, connection_id from, uint64_t id) {
+  const auto found = peer_requests_.find({from, id});
+  if (found == peer_requests_.end()) return;
+  const target_gate::ticket ticket = found->second;
+  peer_requests_.erase(found);
+  gate_.Cancel(now, ticket);
+}
+
+void node::OnPeerGone(instant now, connection_id from) {
+  std::vector<target_gate::ticket> tickets;
+  for (auto it = peer_requests_.lower_bound({from, 0});
+       it != peer_requests_.end() && it->first.first == from;) {
+    tickets.push_back(it->second);
+    it = peer_requests_.erase(it);
+  }
+  for (const target_gate::ticket ticket : tickets) gate_.Cancel(now, ticket);
+}
+
+void node::OnPeerReport(instant now, const node_report& report) {
+  fleet_.OnReport(now, report);
+  // A peer that knows a newer configuration has seen it in the store.
+  const uint64_t mine = table_ ? table_->version() : 0;
+  if (report.configuration_version > mine) operator_rows_.Refresh(now);
+  // A peer that is not in the table yet: its row is on the way, or the feed is behind.
+  if (fleet_.Find(report.node) == nullptr) member_rows_.Refresh(now);
+}
+
+void node::OnMemberRows(instant now, const std::vector<stored_row>& rows) {
+  for (const stored_row& row : rows) {
+    if (row.id.key == settings_.name) continue;
+    if (row.deleted) {
+      fleet_.OnMemberGone(row.id.key);
+      log_.Write("member_gone", {{"member", row.id.key}}, log_weight::kNotable);
+      continue;
+    }
+    const auto member = DecodeMember(row.value);
+    if (!member) {
+      log_.Write("member_unreadable", {{"row", row.id.key}, {"reason", member.error().message}},
+                 log_weight::kNotable);
+      continue;
+    }
+    if (!fleet_.OnMember(*member)) continue;
+    log_.Write("member_known",
+               {{"member", member->node},
+                {"address", ToString(member->address)},
+                {"service", member->service},
+                {"version", std::to_string(row.version)}},
+               log_weight::kNotable);
+  }
+  mesh_.FollowMembers(now);
+}
+
+void node::OnKeyMapRows(instant began, const std::vector<stored_row>& rows) {
+  for (const stored_row& row : rows) {
+    if (row.deleted) continue;
+    auto map = DecodeKeyMap(row.value);
+    if (!map) {
+      log_.Write("key_map_unreadable", {{"service", row.id.key}, {"reason", map.error().message}},
+                 log_weight::kNotable);
+      continue;
+    }
+    log_.Write("owners_known",
+               {{"service", row.id.key},
+                {"version", std::to_string(row.version)},
+                {"ranges", std::to_string(map->ranges.size())}},
+               log_weight::kNotable);
+    if (ranges_ && row.id.key == settings_.service) ranges_->OnMapRow(began, row);
+    key_maps_[row.id.key] = std::move(*map);
+  }
+  if (!rows.empty()) router_.OnOwnersChanged(boot_clock::now());
+}
+
+void node::Tick(instant now) {
+  FollowTarget(now);
+  if (ranges_) ranges_->Tick(now, Candidates(now));
+  node_report report = OwnReport(now);
+  report.sequence = ++own_reports_;
+  fleet_.OnReport(now, report);
+  mesh_.Tick(now);
+  router_.Tick(now);
+  if (stopping_since_) FinishStop(now);
+}
+
+bool node::Ready(instant) const { return table_ != nullptr && !stopping_since_; }
+
+void node::Stop(instant now) {
+  if (stopping_since_) return;
+  stopping_since_ = now;
+  log_.Write("stopping", {{"requests", std::to_string(router_.InFlight())}}, log_weight::kNotable);
+  callers_.Drain(now, kStopIdle);
+  FollowTarget(now);
+  mesh_.ReportNow(now);
+}
+
+void node::FinishStop(instant now) {
+  const auto since = now - *stopping_since_;
+  const bool idle = router_.InFlight() == 0 && gate_.Running() == 0 && gate_.Waiting() == 0;
+  const bool overdue = since > settings_.stop_limit - kStopReserve;
+  if (!overdue && (since < kStopListening || !idle)) return;
+  log_.Write("stopped",
+             {{"requests", std::to_string(router_.InFlight())}, {"idle", idle ? "yes" : "no"}},
+             log_weight::kNotable);
+  log_.Flush();
+  loop_.Stop();
+}
+
+}  // namespace bulrushway
--- a/src/peer_codec.cpp
+++ b/src/peer_codec.cpp
@@ -49,6 +49,31 @@
 
 static auto Fields(auto& m, const memory_answer&) { return std::tie(m.slice, m.known, m.memory); }
 
+static auto Fields(auto& m, const target_life&) { return std::tie(m.id, m.started_ms); }
+
+static auto Fields(auto& m, const target_report&) {
+  return std::tie(m.life, m.service, m.accepting, m.evacuated, m.cold, m.slots, m.running,
+                  m.waiting, m.usual_work, m.pace_percent, m.cold_rate);
+}
+
+static auto Fields(auto& m, const node_report&) {
+  return std::tie(m.node, m.data_centre, m.region, m.process, m.sequence, m.stopping, m.leased,
+                  m.configuration_version, m.target);
+}
+
+static auto Fields(auto& m, const node_report_receipt&) { return std::tie(m.sequence); }
+
+static auto Fields(auto& m, const dispatch_request&) {
+  return std::tie(m.id, m.request_id, m.caller, m.service, m.route, m.key, m.idempotent, m.nested,
+                  m.rank, m.home_regions, m.time_left, m.patience, m.expected_work,
+                  m.request.method, m.request.target, m.request.headers, m.request.body);
+}
+
+static auto Fields(auto& m, const dispatch_answer&) {
+  return std::tie(m.id, m.reason, m.state, m.offered, m.retry_after, m.work, m.target,
+                  m.answer.status, m.answer.headers, m.answer.body);
+}
+
 static constexpr auto HighestOf(remembered_state) { return remembered_state::kUnknown; }
 
 static constexpr auto HighestOf(refusal_reason) {
--- /dev/null
+++ b/src/peer_mesh.h
@@ -0,0 +1,104 @@
+#ifndef BULRUSHWAY_PEER_MESH_H
+#define BULRUSHWAY_PEER_MESH_H
+
+// The connections of this process to the others. Each peer gets two: one for reports and small
+// requests, one for requests with large answers, so that these do not hold up the others. Reports
+// are receipted, which shows whether a connection still works both ways; one that does not is
+// replaced.
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+
+#include "decision_log.h"
+#include "fleet_view.h"
+#include "peer_transport.h"
+
+namespace bulrushway {
+
+/// What the owner of the mesh wants to hear.
+struct peer_mesh_events {
+  /// A peer sent a request for the target beside this process. Answer through Answer().
+  std::function<void(instant, connection_id from, dispatch_request)> request;
+  /// The peer that sent the request does not want it any more.
+  std::function<void(instant, connection_id from, uint64_t id)> cancelled;
+  /// A connection that peers opened is gone, and with it all of their requests.
+  std::function<void(instant, connection_id from)> caller_gone;
+  std::function<void(instant, const node_report&)> report;
+  /// The report to send to peers now.
+  std::function<node_report(instant)> own_report;
+};
+
+/// Connections to all peers.
+class peer_mesh {
+ public:
+  using callback = std::function<void(instant, dispatch_answer)>;
+  /// Names a request that is under way at a peer; 0: none.
+  using ticket = uint64_t;
+
+  peer_mesh(event_loop& loop, decision_log& log, fleet_view& fleet, peer_mesh_events events);
+
+  result<void> Listen(const socket_address& address) { return transport_.Listen(address); }
+  /// Follows the members in the fleet view: connects to new ones, forgets those that are gone.
+  void FollowMembers(instant now);
+  /// Sends a request. `done` is called once, never before Send returns; 0 if there is no
+  /// connection, and `done` is not called.
+  ticket Send(const std::string& node, dispatch_request request, bool large_answer,
+              callback done);
+  /// The answer is not wanted any more.
+  void Cancel(ticket id);
+  /// Answers a request of a peer.
+  void Answer(connection_id to, const dispatch_answer& answer) { transport_.Send(to, answer); }
+  /// Sends reports, replaces connections that do not work.
+  void Tick(instant now);
+  /// Sends a report to everybody at once: something changed that peers should know now.
+  void ReportNow(instant now);
+
+ private:
+  struct link {
+    connection_id connection = 0;
+    bool established = false;
+    instant opened;
+    instant retry_at;
+  };
+  struct peer {
+    socket_address address;
+    node_locality locality = node_locality::kRemote;
+    // For small requests and reports, and for large answers.
+    link links[2];
+    instant next_report;
+    uint64_t reported = 0;
+    instant reported_at;
+    bool receipted = true;
+    instant last_receipt;
+  };
+  struct pending {
+    std::string node;
+    connection_id connection = 0;
+    callback done;
+  };
+
+  void Open(instant now, peer& to, link& which);
+  void SendReport(instant now, peer& to);
+  void OnMessage(instant now, connection_id from, peer_message message);
+  void OnClosed(instant now, connection_id from, bool stood, const error& reason);
+  void CloseLink(instant now, const std::string& node, link& which, const std::string& why);
+  void FailPending(instant now, connection_id connection, bool stood);
+  void OnReceipt(instant now, connection_id from, const node_report_receipt& receipt);
+
+  decision_log& log_;
+  fleet_view& fleet_;
+  peer_mesh_events events_;
+  peer_transport transport_;
+  std::map<std::string, peer> peers_;
+  std::map<connection_id, std::string> outgoing_;
+  std::map<ticket, pending> pending_;
+  ticket next_ticket_ = 1;
+  uint64_t report_sequence_ = 0;
+};
+
+}  // namespace bulrushway
+
+#endif  // BULRUSHWAY_PEER_MESH_H
--- a/src/peer_messages.h
+++ b/src/peer_messages.h
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -13,6 +14,7 @@
 #include "http_message.h"
 #include "idempotency_memory.h"
 #include "refusal.h"
+#include "target_heartbeat.h"
 
 namespace bulrushway {
 
@@ -109,11 +111,98 @@
   slice_memory_export memory;
 };
 
+/// State of the target beside a process, as its gate knows it.
+struct target_report {
+  target_life life;
+  std::string service;
+  /// Takes new requests.
+  bool accepting = false;
+  /// Its data centre is taken out of service by operators.
+  bool evacuated = false;
+  bool cold = false;
+  uint32_t slots = 0;
+  uint32_t running = 0;
+  uint32_t waiting = 0;
+  /// Usual time that a request holds a slot.
+  std::chrono::milliseconds usual_work{0};
+  /// How long work takes on the target's machine at this moment, in percent of the usual.
+  uint32_t pace_percent = 100;
+  /// Requests per second that the target may still be given, when cold.
+  uint32_t cold_rate = 0;
+};
+
+/// What a process tells its peers of itself at regular intervals. The receiver answers with a
+/// node_report_receipt, by which the sender knows that the connection works both ways.
+struct node_report {
+  std::string node;
+  std::string data_centre;
+  std::string region;
+  /// Life of the process.
+  uint64_t process = 0;
+  /// Grows with each report of a life.
+  uint64_t sequence = 0;
+  /// The process is stopping and takes no new requests.
+  bool stopping = false;
+  /// The process holds its lease.
+  bool leased = false;
+  uint64_t configuration_version = 0;
+  target_report target;
+};
+
+/// Receipt of a node_report.
+struct node_report_receipt {
+  uint64_t sequence = 0;
+};
+
+/// A caller's request on its way to the gate beside the chosen target.
+struct dispatch_request {
+  /// Unique on the connection; the answer carries it back.
+  uint64_t id = 0;
+  /// The caller's id of the request.
+  std::string request_id;
+  /// Service that runs beside the process where the request began.
+  std::string caller;
+  std::string service;
+  std::string route;
+  std::optional<uint32_t> key;
+  bool idempotent = false;
+  /// Made by a target while it runs another request.
+  bool nested = false;
+  uint32_t rank = 0;
+  /// Regions in which the request may be served; empty: all.
+  std::vector<std::string> home_regions;
+  /// Time until the caller gives up.
+  std::chrono::milliseconds time_left{0};
+  /// Longest wait for a slot after which the request is better refused.
+  std::chrono::milliseconds patience{0};
+  /// Usual time of the work; zero when unknown.
+  std::chrono::milliseconds expected_work{0};
+  http_request request;
+};
+
+/// The answer to a dispatch_request: the target's answer, or why there is none.
+struct dispatch_answer {
+  uint64_t id = 0;
+  /// kNone when the target answered.
+  refusal_reason reason = refusal_reason::kNone;
+  run_state state = run_state::kNotRun;
+  /// Bytes of the request were handed to the target.
+  bool offered = false;
+  /// When the target is likely to have room; zero when unknown.
+  std::chrono::milliseconds retry_after{0};
+  /// Time that the target took.
+  std::chrono::milliseconds work{0};
+  /// The target's state after this request.
+  target_report target;
+  http_answer answer;
+};
+
 /// Any message between processes. The order is part of the protocol: append only.
 using peer_message =
     std::variant<hello_message, forward_request, forward_answer, cancel_request, control_message,
                  document_request, document_answer, freshness_request, freshness_answer,
-                 memory_request, memory_answer>;
+                 memory_request, memory_answer, node_report, node_report_receipt,
+                 dispatch_request, dispatch_answer>;
 
 }  // namespace bulrushway
 
--- /dev/null
+++ b/src/process_lease.cpp
@@ -0,0 +1,95 @@
+#include "process_lease.h"
+
+#include <utility>
+
+#include "msgpack_fields.h"
+
+namespace bulrushway {
+
+static auto Fields(auto& m, const lease_record&) {
+  return std::tie(m.node, m.ip, m.process, m.until);
+}
+
+namespace {
+
+// A lease counts as ended only this long after its end: covers the rounding of the store's clock.
+constexpr store_time kEndMargin{50};
+
+}  // namespace
+
+process_lease::process_lease(std::string node, std::string ip, uint64_t process,
+                             const lease_settings& settings)
+    : node_(std::move(node)), ip_(std::move(ip)), process_(process), settings_(settings) {}
+
+void process_lease::OnRead(instant now, std::optional<lease_record> row, uint64_t version) {
+  reading_ = false;
+  known_ = true;
+  version_ = version;
+  // A write whose answer was lost may have taken effect after all.
+  if (row && row->process == process_) valid_until_ = std::max(valid_until_, row->until);
+  if (!row || row->process != process_) valid_until_ = store_time{0};
+  row_ = std::move(row);
+  next_attempt_ = std::min(next_attempt_, now);
+}
+
+std::optional<process_lease::write> process_lease::NextWrite(instant now,
+                                                             const store_clock& clock) {
+  if (!known_ || writing_ || reading_ || !clock.Known() || now < next_attempt_) return std::nullopt;
+  // Another machine under this node's name may still be at work until its lease ends. An earlier
+  // process of this machine is gone, and the target it served answers to this process now.
+  const bool foreign = row_ && row_->ip != ip_;
+  if (foreign && !HasEnded(*row_, clock.Earliest(now))) return std::nullopt;
+  writing_ = true;
+  written_until_ = clock.Earliest(now) + settings_.length;
+  return write{version_, {node_, ip_, process_, written_until_}};
+}
+
+void process_lease::OnWritten(instant now, uint64_t version) {
+  writing_ = false;
+  if (!row_ || row_->process != process_) ++acquisitions_;
+  row_ = lease_record{node_, ip_, process_, written_until_};
+  version_ = version;
+  valid_until_ = written_until_;
+  next_attempt_ = now + settings_.renewal;
+}
+
+void process_lease::OnWriteFailed(instant now, bool conflict) {
+  writing_ = false;
+  known_ = false;
+  next_attempt_ = conflict ? now : now + settings_.retry;
+}
+
+bool process_lease::WantsRead(instant now) const {
+  return !known_ && !reading_ && !writing_ && now >= next_attempt_;
+}
+
+void process_lease::OnReadFailed(instant now) {
+  reading_ = false;
+  next_attempt_ = now + settings_.retry;
+}
+
+std::chrono::milliseconds process_lease::Left(instant now, const store_clock& clock) const {
+  if (!clock.Known() || valid_until_.count() == 0) return std::chrono::milliseconds{0};
+  const store_time left = valid_until_ - clock.Latest(now);
+  return std::max(left, std::chrono::milliseconds{0});
+}
+
+bool HasEnded(const lease_record& record, store_time store_now) {
+  return store_now > record.until + kEndMargin;
+}
+
+std::string EncodeLease(const lease_record& record) { return msgpack_fields::WriteAll(record); }
+
+result<lease_record> DecodeLease(const std::string& bytes) {
+  lease_record record;
+  try {
+    const msgpack::object_handle handle = msgpack_fields::Parse(bytes);
+    msgpack_fields::Read(handle.get(), record);
+  } catch (const std::exception& broken) {
+    return Failure(error_kind::kPeer, "decode lease", {},
+                   std::string("The row is not a lease: ") + broken.what() + ".");
+  }
+  return record;
+}
+
+}  // namespace bulrushway
--- /dev/null
+++ b/src/range_service.cpp
@@ -0,0 +1,151 @@
+#include "range_service.h"
+
+#include <utility>
+
+namespace bulrushway {
+
+range_service::range_service(decision_log& log, metrics& counters, const row_store& store,
+                             const range_service_settings& settings, instant now)
+    : log_(log),
+      metrics_(counters),
+      store_(store),
+      settings_(settings),
+      lease_(settings_.node, settings_.ip, settings_.process, settings_.lease),
+      steward_(settings_.steward, now) {}
+
+void range_service::Tick(instant now, const std::vector<range_candidate>& candidates) {
+  KeepLease(now);
+  const bool leased = Leased(now);
+  if (leased != leased_) {
+    leased_ = leased;
+    log_.Write(leased ? "lease_acquired" : "lease_lapsed",
+               {{"service", settings_.service},
+                {"map_version", std::to_string(steward_.map_version())}},
+               log_weight::kNotable);
+  }
+  switch (steward_.Next(now, candidates, leased)) {
+    case steward_wish::kNothing:
+      return;
+    case steward_wish::kReadMap:
+      return ReadMap(now);
+    case steward_wish::kReadLeases:
+      return ReadLeases(now);
+    case steward_wish::kChange:
+      return CommitChange(now);
+  }
+}
+
+void range_service::KeepLease(instant now) {
+  if (lease_.WantsRead(now)) {
+    lease_.OnReadStarted();
+    store_.read(kLeaseTable, [this, now](result<row_snapshot> outcome) {
+      const instant answered = boot_clock::now();
+      if (!outcome) return lease_.OnReadFailed(answered);
+      clock_.Note(now, answered, outcome->now);
+      for (const observed_lease& lease : LeasesIn(*outcome)) {
+        if (lease.record.node != settings_.node) continue;
+        return lease_.OnRead(answered, lease.record, lease.version);
+      }
+      lease_.OnRead(answered, std::nullopt, 0);
+    });
+    return;
+  }
+  const auto write = lease_.NextWrite(now, clock_);
+  if (!write) return;
+  const row_key id = LeaseOf(settings_.node);
+  row_transaction renewal{{{id, write->version}}, {{id, EncodeLease(write->record)}}};
+  store_.commit(std::move(renewal), [this, now](result<row_receipt> outcome) {
+    const instant answered = boot_clock::now();
+    if (!outcome) {
+      metrics_.Counter("bulrushway_lease_renewals_failed")++;
+      return lease_.OnWriteFailed(answered, outcome.error().kind == error_kind::kConflict);
+    }
+    clock_.Note(now, answered, outcome->now);
+    const uint64_t before = lease_.Acquisitions();
+    lease_.OnWritten(answered, outcome->version);
+    if (lease_.Acquisitions() != before) steward_.OnLeaseAcquired(answered);
+  });
+}
+
+std::vector<observed_lease> range_service::LeasesIn(const row_snapshot& rows) const {
+  std::vector<observed_lease> leases;
+  for (const stored_row& row : rows.rows) {
+    if (!row.id.key.starts_with(settings_.service + "/")) continue;
+    auto record = DecodeLease(row.value);
+    if (record) {
+      leases.push_back({std::move(*record), row.version});
+      continue;
+    }
+    log_.Write("lease_unreadable", {{"row", row.id.key}, {"reason", record.error().message}},
+               log_weight::kNotable);
+  }
+  return leases;
+}
+
+void range_service::ReadMap(instant now) {
+  store_.read(kKeyMapTable, [this, now](result<row_snapshot> outcome) {
+    if (!outcome) return steward_.OnReadFailed();
+    clock_.Note(now, boot_clock::now(), outcome->now);
+    for (const stored_row& row : outcome->rows) {
+      if (row.id.key == settings_.service) return OnMapRow(now, row);
+    }
+    steward_.OnMap(now, std::nullopt, 0);
+  });
+}
+
+void range_service::OnMapRow(instant began, const stored_row& row) {
+  auto map = DecodeKeyMap(row.value);
+  if (map) return steward_.OnMap(began, std::move(*map), row.version);
+  log_.Write("key_map_unreadable",
+             {{"service", settings_.service}, {"reason", map.error().message}},
+             log_weight::kNotable);
+  steward_.OnReadFailed();
+}
+
+void range_service::ReadLeases(instant now) {
+  store_.read(kLeaseTable, [this, now](result<row_snapshot> outcome) {
+    if (!outcome) return steward_.OnReadFailed();
+    const instant answered = boot_clock::now();
+    clock_.Note(now, answered, outcome->now);
+    steward_.OnLeases(answered, LeasesIn(*outcome), outcome->now);
+  });
+}
+
+void range_service::CommitChange(instant now) {
+  const ownership_change& change = steward_.change();
+  const row_key map_row{kKeyMapTable, settings_.service};
+  row_transaction transaction;
+  transaction.conditions.push_back({map_row, change.map_version});
+  transaction.writes.push_back({map_row, EncodeKeyMap(change.map)});
+  for (const auto& [node, version] : change.ended_leases) {
+    transaction.conditions.push_back({LeaseOf(node), version});
+    transaction.writes.push_back({LeaseOf(node), std::nullopt});
+  }
+  for (const std::string& node : change.absent_leases) {
+    transaction.conditions.push_back({LeaseOf(node), 0});
+  }
+  const std::string reason = change.reason;
+  const uint64_t before = change.map_version;
+  store_.commit(std::move(transaction), [this, now, reason, before](result<row_receipt> outcome) {
+    const instant answered = boot_clock::now();
+    if (outcome) {
+      clock_.Note(now, answered, outcome->now);
+      metrics_.Counter("bulrushway_ownership_changes", {{"reason", reason}})++;
+    }
+    log_.Write("ownership_change",
+               {{"service", settings_.service},
+                {"reason", reason},
+                {"from_version", std::to_string(before)},
+                {"to_version", outcome ? std::to_string(outcome->version) : "-"},
+                {"outcome", outcome ? "committed" : outcome.error().message}},
+               log_weight::kNotable);
+    steward_.OnChanged(answered, outcome.map([](const row_receipt& r) { return r.version; }));
+  });
+}
+
+std::optional<target_grant> range_service::OnHeartbeat(instant now,
+                                                       const target_heartbeat& heartbeat) {
+  return steward_.OnHeartbeat(now, heartbeat, lease_.Left(now, clock_));
+}
+
+}  // namespace bulrushway
--- /dev/null
+++ b/src/range_service.h
@@ -0,0 +1,78 @@
+#ifndef BULRUSHWAY_RANGE_SERVICE_H
+#define BULRUSHWAY_RANGE_SERVICE_H
+
+// Carries out what the steward of a target's keys decides: holds the lease, reads and changes the
+// map of owners in the platform's store. Runs on each node beside a target of a divided service.
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "decision_log.h"
+#include "metrics.h"
+#include "process_lease.h"
+#include "range_steward.h"
+#include "row_store.h"
+
+namespace bulrushway {
+
+/// Table of the maps of owners, by service. Everybody follows it.
+inline constexpr const char* kKeyMapTable = "key-maps";
+/// Table of leases, by service and node. A table of its own, since its many renewals concern nobody.
+inline constexpr const char* kLeaseTable = "leases";
+
+/// Identity of the process.
+struct range_service_settings {
+  std::string node;
+  std::string ip;
+  std::string service;
+  uint64_t process = 0;
+  lease_settings lease;
+  steward_settings steward;
+};
+
+/// The steward of one target's keys with its store.
+class range_service {
+ public:
+  range_service(decision_log& log, metrics& counters, const row_store& store,
+                const range_service_settings& settings, instant now);
+
+  /// Renews the lease and carries out the next step of the steward.
+  void Tick(instant now, const std::vector<range_candidate>& candidates);
+  /// The feed brought the map.
+  void OnMapRow(instant began, const stored_row& row);
+  std::optional<target_grant> OnHeartbeat(instant now, const target_heartbeat& heartbeat);
+  void SetTarget(instant now, target_condition condition, const target_life& life) {
+    steward_.SetTarget(now, condition, life);
+  }
+  bool Leased(instant now) const { return lease_.Valid(now, clock_); }
+  bool Holds(instant now, uint32_t key) const {
+    return Leased(now) && steward_.Holds(now, key);
+  }
+  const range_steward& steward() const { return steward_; }
+
+ private:
+  row_key LeaseOf(const std::string& node) const {
+    return {kLeaseTable, settings_.service + "/" + node};
+  }
+  // The leases of this service among all rows of the table.
+  std::vector<observed_lease> LeasesIn(const row_snapshot& rows) const;
+  void KeepLease(instant now);
+  void ReadMap(instant now);
+  void ReadLeases(instant now);
+  void CommitChange(instant now);
+
+  decision_log& log_;
+  metrics& metrics_;
+  const row_store& store_;
+  range_service_settings settings_;
+  store_clock clock_;
+  process_lease lease_;
+  range_steward steward_;
+  bool leased_ = false;
+};
+
+}  // namespace bulrushway
+
+#endif  // BULRUSHWAY_RANGE_SERVICE_H
--- /dev/null
+++ b/src/range_spread.cpp
@@ -0,0 +1,64 @@
+#include "range_spread.h"
+
+#include <algorithm>
+
+namespace bulrushway {
+namespace {
+
+constexpr uint32_t kAllKeys = kLastKey + 1;
+// Keys are only moved to balance when an owner has this much more, and another this much less, than
+// its share: each move makes its keys unavailable for about a second.
+constexpr double kClearlyMore = 1.25;
+constexpr double kClearlyLess = 0.6;
+
+const range_owner& OwnerWithFewestKeys(const key_map& map, const std::vector<range_owner>& owners) {
+  return *std::min_element(owners.begin(), owners.end(),
+                           [&map](const range_owner& a, const range_owner& b) {
+                             return map.WidthOf(a.node) < map.WidthOf(b.node);
+                           });
+}
+
+}  // namespace
+
+void SpreadOver(key_map& map, const key_range& keys, const std::string& handover,
+                const std::vector<range_owner>& owners) {
+  if (owners.empty()) return;
+  const uint32_t share =
+      (kAllKeys + static_cast<uint32_t>(owners.size()) - 1) / static_cast<uint32_t>(owners.size());
+  uint32_t first = keys.first;
+  while (first <= keys.last) {
+    const range_owner& owner = OwnerWithFewestKeys(map, owners);
+    const uint32_t has = map.WidthOf(owner.node);
+    const uint32_t left = keys.last - first + 1;
+    // The last owner below its share takes the rest, so that no slivers arise.
+    const uint32_t room = has < share ? share - has : left;
+    const uint32_t width = std::min(left, std::max(room, kAllKeys / 64));
+    Reassign(map, {first, first + width - 1}, owner, handover);
+    first += width;
+  }
+}
+
+std::optional<balancing_move> ChooseBalancingMove(const key_map& map, const range_owner& self,
+                                                  const std::vector<range_owner>& owners) {
+  if (owners.size() < 2) return std::nullopt;
+  const double share = static_cast<double>(kAllKeys) / static_cast<double>(owners.size());
+  const uint32_t mine = map.WidthOf(self.node);
+  const range_owner& poorest = OwnerWithFewestKeys(map, owners);
+  const uint32_t theirs = map.WidthOf(poorest.node);
+  if (poorest.node == self.node || mine < share * kClearlyMore || theirs > share * kClearlyLess) {
+    return std::nullopt;
+  }
+  const auto surplus = static_cast<uint32_t>(mine - share);
+  const auto gap = static_cast<uint32_t>(share - theirs);
+  const uint32_t wanted = std::min(surplus, gap);
+  // The last range of this owner gives keys away from its end.
+  for (auto range = map.ranges.rbegin(); range != map.ranges.rend(); ++range) {
+    if (range->owner != self) continue;
+    const uint32_t width = std::min(wanted, range->keys.Width());
+    if (width == 0) return std::nullopt;
+    return balancing_move{{range->keys.last - width + 1, range->keys.last}, poorest};
+  }
+  return std::nullopt;
+}
+
+}  // namespace bulrushway
--- /dev/null
+++ b/src/range_spread.h
@@ -0,0 +1,32 @@
+#ifndef BULRUSHWAY_RANGE_SPREAD_H
+#define BULRUSHWAY_RANGE_SPREAD_H
+
+// How keys are divided between owners when they have to move: evenly by the number of keys, in as
+// few pieces as possible.
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "key_map.h"
+
+namespace bulrushway {
+
+/// Gives the keys to the owners that have the fewest, in pieces that bring each up to its share.
+void SpreadOver(key_map& map, const key_range& keys, const std::string& handover,
+                const std::vector<range_owner>& owners);
+
+/// Keys that go to another owner.
+struct balancing_move {
+  key_range keys;
+  range_owner to;
+};
+
+/// The move that brings `self` closest to its share, if it has clearly more than that and another
+/// of the owners has clearly less.
+std::optional<balancing_move> ChooseBalancingMove(const key_map& map, const range_owner& self,
+                                                  const std::vector<range_owner>& owners);
+
+}  // namespace bulrushway
+
+#endif  // BULRUSHWAY_RANGE_SPREAD_H
--- /dev/null
+++ b/src/range_steward.h
@@ -0,0 +1,184 @@
+#ifndef BULRUSHWAY_RANGE_STEWARD_H
+#define BULRUSHWAY_RANGE_STEWARD_H
+
+// Decides who owns the keys of a divided service, on each node beside one of its targets. Three
+// rules keep owners unique:
+//   - a process changes the owner of its own target's keys only while its lease is valid, and only
+//     once the target has given them up or their grant has run out;
+//   - a process changes the owner of another node's keys only in a transaction that shows that
+//     node's lease as ended, and deletes it;
+//   - a target is granted keys only from a map that was read after the lease was acquired, and
+//     never beyond the end of the lease.
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "clock.h"
+#include "key_map.h"
+#include "process_lease.h"
+#include "target_heartbeat.h"
+
+namespace bulrushway {
+
+/// What a process knows of a node beside a target of its service, itself included.
+struct range_candidate {
+  std::string node;
+  target_life target;
+  /// Its process was heard of lately.
+  bool alive = false;
+  /// Its process says that its lease is valid.
+  bool leased = false;
+  /// Its target may be given keys: up, not leaving, not in a data centre taken out.
+  bool accepting = false;
+};
+
+/// State of the target beside this process.
+enum class target_condition {
+  /// Not heard of yet, or silent for too long to tell.
+  kUnknown,
+  kReady,
+  /// Its keys are to go to others.
+  kLeaving,
+  /// Certainly not running.
+  kDown,
+};
+
+/// A lease that was read together with the time of the store.
+struct observed_lease {
+  lease_record record;
+  uint64_t version = 0;
+};
+
+/// A transaction that gives keys to new owners.
+struct ownership_change {
+  /// Version of the map that the change was worked out from; 0 when there is no map.
+  uint64_t map_version = 0;
+  key_map map;
+  /// Leases that have ended, with their versions; they are deleted in the same transaction.
+  std::vector<std::pair<std::string, uint64_t>> ended_leases;
+  /// Nodes without a lease row, which must still have none.
+  std::vector<std::string> absent_leases;
+  /// For the log.
+  std::string reason;
+};
+
+/// What the steward wants done.
+enum class steward_wish { kNothing, kReadMap, kReadLeases, kChange };
+
+/// Limits of grants and moves.
+struct steward_settings {
+  std::string node;
+  /// Longest grant; also bounded by the rules of the platform.
+  std::chrono::milliseconds longest_hold{5000};
+  /// A target's clock may run slow by this share.
+  double clock_slowness = 0.02;
+  /// The first deal waits until no target has joined for this long, so that it happens once.
+  std::chrono::milliseconds settle{1500};
+  /// Leases of suspects are read this often.
+  std::chrono::milliseconds lease_check{400};
+  /// Pause between two moves that only balance the load.
+  std::chrono::milliseconds balance_pause{3000};
+};
+
+/// The steward of one target's keys.
+class range_steward {
+ public:
+  /// `started`: start of the process. Grants of an earlier process of this node may still count.
+  range_steward(const steward_settings& settings, instant started)
+      : settings_(settings), started_(started) {}
+
+  /// The map as the store has it; nullopt while there is no row.
+  void OnMap(instant read_started, std::optional<key_map> map, uint64_t version);
+  /// The process acquired its lease: maps read before do not count for grants any more.
+  void OnLeaseAcquired(instant now);
+  /// All leases of the service, with the store's time.
+  void OnLeases(instant now, std::vector<observed_lease> leases, store_time store_now);
+  /// The change was committed (with the map's new version), or was not.
+  void OnChanged(instant now, result<uint64_t> outcome);
+  void OnReadFailed() { reading_ = false; }
+
+  /// A heartbeat of the target. What to answer; nothing is granted while the lease is not valid or
+  /// the map is not known.
+  std::optional<target_grant> OnHeartbeat(instant now, const target_heartbeat& heartbeat,
+                                          std::chrono::milliseconds lease_left);
+  /// The target's state, from heartbeats, failures and rules.
+  void SetTarget(instant now, target_condition condition, const target_life& life);
+
+  /// Whether the target holds the key now.
+  bool Holds(instant now, uint32_t key) const;
+  /// Whether the map assigns the key to this node.
+  bool Owns(uint32_t key) const;
+  /// The next step. After kReadMap, kReadLeases and kChange the outcome has to be handed in before
+  /// the next call returns another.
+  steward_wish Next(instant now, const std::vector<range_candidate>& candidates, bool lease_valid);
+  /// The change wished for.
+  const ownership_change& change() const { return change_; }
+
+  const key_map& map() const { return map_; }
+  uint64_t map_version() const { return map_version_; }
+  bool MapKnown() const { return map_known_; }
+  bool Releasing() const { return !releasing_.empty(); }
+
+ private:
+  // Keys that are no longer granted, on their way to another owner.
+  struct release {
+    key_range keys;
+    // The target's last grant of them ends before this.
+    instant grant_end;
+    bool given_up = false;
+    std::string handover = {};
+    // Empty: any.
+    std::string to = {};
+  };
+
+  bool IsReleasing(const key_range& keys) const;
+  void NoteReleased(const target_heartbeat& heartbeat);
+  void DropFinishedReleases();
+  // When the target's last grant of the range ends at the latest.
+  instant GrantEnd(const owned_range& range) const;
+  void Deal(const std::vector<range_candidate>& candidates);
+  bool MoveOwn(instant now, const std::vector<range_candidate>& candidates);
+  bool AdoptOrphans(instant now, const std::vector<range_candidate>& candidates,
+                    bool& wants_leases);
+  void StartReleases(instant now, const std::vector<range_candidate>& candidates);
+  void StartBalancing(instant now, const std::vector<range_candidate>& candidates);
+  bool IsCoordinator(const std::vector<range_candidate>& candidates) const;
+  range_owner Self() const { return {settings_.node, life_}; }
+
+  steward_settings settings_;
+  instant started_;
+  key_map map_;
+  bool map_known_ = false;
+  // A change failed at this time: the map is to be read again.
+  std::optional<instant> stale_since_;
+  uint64_t map_version_ = 0;
+  // A map whose reading began before this instant does not count for grants.
+  instant map_needed_since_{};
+  instant map_read_at_{};
+  bool reading_ = false;
+  bool changing_ = false;
+  ownership_change change_;
+
+  target_condition condition_ = target_condition::kUnknown;
+  target_life life_;
+  std::vector<granted_range> granted_;
+  instant granted_until_{};
+  std::map<uint64_t, instant> grant_ends_;
+  std::vector<release> releasing_;
+
+  std::vector<std::string> last_candidates_;
+  instant candidates_changed_{};
+  std::map<std::string, observed_lease> leases_;
+  store_time leases_at_{0};
+  instant leases_read_{};
+  bool leases_known_ = false;
+  instant last_balance_{};
+};
+
+}  // namespace bulrushway
+
+#endif  // BULRUSHWAY_RANGE_STEWARD_H
--- /dev/null
+++ b/src/request_router.cpp
@@ -0,0 +1,447 @@
+#include "request_router.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <utility>
+
+#include "http_parser.h"
+#include "target_choice.h"
+
+namespace bulrushway {
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+constexpr int kBadRequest = 400;
+constexpr int kNotFound = 404;
+constexpr int kBadGateway = 502;
+constexpr int kUnavailable = 503;
+constexpr int kGatewayTimeout = 504;
+constexpr int kServerError = 500;
+
+// Gates that are asked for one request at most: each refusal costs a round trip.
+constexpr uint32_t kMostTries = 4;
+// The caller counts its time from the sending of its request; this covers the way here and back.
+constexpr milliseconds kCallerMargin{8};
+// A plain request waits this long at a busy target while others may have a free slot.
+constexpr milliseconds kFirstPatience{40};
+// Share of the time left after the work that a request may wait for a slot at its last choice.
+constexpr double kLastPatience = 0.7;
+// Least time left with which another attempt is made.
+constexpr milliseconds kLeastAttempt{15};
+// Pause before the owner of a key is looked up again.
+constexpr milliseconds kOwnerRetry{60};
+// Share of the time left that a request waits for the owner of its key to be known.
+constexpr double kOwnerPatience = 0.5;
+// Least time after which a refused caller is told to come back.
+constexpr milliseconds kLeastRetryAfter{60};
+// The same when nothing is known of how long it will take.
+constexpr milliseconds kUnknownRetryAfter{250};
+// Weight of a new measurement in the usual work of a route.
+constexpr double kWorkWeight = 0.05;
+
+template <class Number>
+std::optional<Number> ParseNumber(const std::string& text) {
+  Number value{};
+  const auto [end, problem] = std::from_chars(text.data(), text.data() + text.size(), value);
+  if (problem != std::errc{} || end != text.data() + text.size()) return std::nullopt;
+  return value;
+}
+
+std::string HostName(std::string host) {
+  host = host.substr(0, host.find(':'));
+  std::transform(host.begin(), host.end(), host.begin(),
+                 [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+  return host;
+}
+
+bool IsOwnerMoving(refusal_reason reason) {
+  return reason == refusal_reason::kMoving || reason == refusal_reason::kNotOwner ||
+         reason == refusal_reason::kNoOwner || reason == refusal_reason::kLeaseLapsed;
+}
+
+}  // namespace
+
+// A caller's request from its arrival to its answer.
+struct request_router::flight {
+  uint64_t id = 0;
+  std::shared_ptr<http_exchange> exchange;
+  std::shared_ptr<const route_table> table;
+  const route* matched = nullptr;
+  std::string request_id;
+  std::string service;
+  std::optional<uint32_t> key;
+  bool keyed = false;
+  bool nested = false;
+  std::string body;
+  instant arrived;
+  instant deadline;
+  // Attempt under way: its number, where it is, and how to cancel it.
+  uint64_t attempt = 0;
+  bool outstanding = false;
+  bool at_own_gate = false;
+  uint64_t ticket = 0;
+  std::string node;
+  // Gates asked, and targets that were handed the request.
+  uint32_t tries = 0;
+  uint32_t offers = 0;
+  bool may_have_run = false;
+  std::vector<std::string> tried;
+  milliseconds retry_after{0};
+  refusal_reason last_reason = refusal_reason::kNone;
+  bool finished = false;
+};
+
+request_router::request_router(decision_log& log, metrics& counters,
+                               request_router_settings settings, request_router_ports ports,
+                               fleet_view& fleet, peer_mesh& mesh, target_gate& gate,
+                               uint64_t seed)
+    : log_(log),
+      metrics_(counters),
+      settings_(std::move(settings)),
+      ports_(std::move(ports)),
+      fleet_(fleet),
+      mesh_(mesh),
+      gate_(gate),
+      rng_(seed) {}
+
+request_router::~request_router() = default;
+
+retry_budget& request_router::BudgetOf(const std::string& service) {
+  return budgets_.try_emplace(service, settings_.retry_share, settings_.retry_burst).first->second;
+}
+
+milliseconds request_router::ExpectedWork(const std::string& route) const {
+  const auto found = usual_work_.find(route);
+  return found == usual_work_.end() ? milliseconds{0}
+                                    : milliseconds(static_cast<int64_t>(found->second));
+}
+
+void request_router::Handle(instant now, std::shared_ptr<http_exchange> exchange) {
+  auto subject = std::make_shared<flight>();
+  subject->id = next_flight_++;
+  subject->exchange = std::move(exchange);
+  subject->arrived = now;
+  flights_.emplace(subject->id, subject);
+  if (!Accept(now, subject)) return;
+  deadlines_.emplace(subject->deadline, subject->id);
+  subject->body = subject->exchange->TakeBody();
+  subject->exchange->OnClosed([this, id = subject->id] { OnCallerLeft(id); });
+  BudgetOf(subject->service).OnRequest();
+  Attempt(now, subject);
+}
+
+bool request_router::Accept(instant now, const flight_ptr& subject) {
+  const http_request& request = subject->exchange->request();
+  const header_names& names = settings_.headers;
+  const auto answer = [&](int status, const std::string& outcome) {
+    Complete(now, subject, http_answer{status, {}, {}}, outcome);
+    return false;
+  };
+  subject->request_id = FindHeader(request.headers, names.request_id);
+  subject->table = ports_.configuration();
+  if (!subject->table) {
+    GiveUp(now, subject, refusal_reason::kNoConfiguration);
+    return false;
+  }
+  subject->matched =
+      subject->table->Find(HostName(FindHeader(request.headers, "Host")), request.target);
+  if (subject->matched == nullptr) return answer(kNotFound, "no route");
+  if (subject->request_id.empty()) return answer(kBadRequest, "no request id");
+  subject->service = ChooseService(*subject->matched, subject->request_id);
+  const service_policy* policy = subject->table->FindService(subject->service);
+  subject->keyed = policy != nullptr && policy->keyed;
+  if (subject->keyed) {
+    subject->key = ParseNumber<uint32_t>(FindHeader(request.headers, names.key));
+    if (!subject->key || *subject->key > kLastKey) return answer(kBadRequest, "no valid key");
+  }
+  const auto wanted = ParseNumber<uint64_t>(FindHeader(request.headers, names.time_left));
+  milliseconds limit = subject->matched->timeout;
+  if (wanted) limit = std::min(limit, milliseconds(*wanted));
+  subject->deadline = now + std::max(limit - kCallerMargin, milliseconds{1});
+  subject->nested = subject->exchange->Peer().ip == settings_.ip;
+  return true;
+}
+
+const node_state* request_router::Choose(instant now, flight& subject,
+                                         refusal_reason& why_none) const {
+  if (!subject.keyed) {
+    why_none = refusal_reason::kNoTarget;
+    return ChooseTarget(now, fleet_.OfService(subject.service),
+                        {subject.matched->home_regions, subject.tried},
+                        const_cast<request_router*>(this)->rng_);
+  }
+  const std::string owner = ports_.owner_of(subject.service, *subject.key);
+  why_none = refusal_reason::kNoOwner;
+  if (owner.empty()) return nullptr;
+  const node_state* node = fleet_.Find(owner);
+  why_none = refusal_reason::kOwnerUnreachable;
+  if (node == nullptr || !node->reachable || !node->reported) return nullptr;
+  const auto& homes = subject.matched->home_regions;
+  if (!homes.empty() && std::find(homes.begin(), homes.end(), node->member.region) == homes.end()) {
+    why_none = refusal_reason::kHomeRegion;
+    return nullptr;
+  }
+  return node;
+}
+
+void request_router::Attempt(instant now, const flight_ptr& subject) {
+  if (subject->finished) return;
+  const auto left = duration_cast<milliseconds>(subject->deadline - now);
+  if (left < kLeastAttempt) return GiveUp(now, subject, refusal_reason::kDeadlineTooShort);
+  refusal_reason why_none = refusal_reason::kNone;
+  const node_state* to = Choose(now, *subject, why_none);
+  if (to != nullptr) return SendTo(now, subject, *to);
+  // An owner that is not known yet may be known in a moment; a call of a running request is worth
+  // waiting for even longer, since its caller's work is lost with it.
+  const bool wait = subject->keyed && why_none != refusal_reason::kHomeRegion &&
+                    (subject->nested ||
+                     now - subject->arrived < kOwnerPatience * (subject->deadline - subject->arrived));
+  if (wait) {
+    subject->last_reason = why_none;
+    return Park(now, subject, kOwnerRetry);
+  }
+  if (!subject->tried.empty() && subject->last_reason != refusal_reason::kNone) {
+    why_none = subject->last_reason;
+  }
+  GiveUp(now, subject, why_none);
+}
+
+dispatch_request request_router::MakeDispatch(instant now, const flight& subject,
+                                              const node_state& to) const {
+  const http_request& asked = subject.exchange->request();
+  dispatch_request request;
+  request.request_id = subject.request_id;
+  request.caller = settings_.service;
+  request.service = subject.service;
+  request.route = subject.matched->name;
+  request.key = subject.key;
+  request.idempotent = subject.matched->idempotent;
+  request.nested = subject.nested;
+  request.rank = subject.matched->rank;
+  request.home_regions = subject.matched->home_regions;
+  const auto way_back = duration_cast<milliseconds>(to.round_trip / 2);
+  const auto left = duration_cast<milliseconds>(subject.deadline - now) - way_back;
+  request.time_left = std::max(left, milliseconds{1});
+  request.expected_work = ExpectedWork(subject.matched->name);
+  const auto spare = std::max(left - request.expected_work, milliseconds{0});
+  request.patience = duration_cast<milliseconds>(spare * kLastPatience);
+  const bool others = !subject.keyed && subject.tries + 1 < kMostTries;
+  if (others) request.patience = std::min(request.patience, kFirstPatience);
+  request.request.method = asked.method;
+  request.request.target = asked.target;
+  request.request.headers = asked.headers;
+  request.request.body = subject.body;
+  return request;
+}
+
+void request_router::SendTo(instant now, const flight_ptr& subject, const node_state& to) {
+  const std::string node = to.member.node;
+  const bool own = to.locality == node_locality::kSelf;
+  dispatch_request request = MakeDispatch(now, *subject, to);
+  const uint64_t attempt = ++subject->attempt;
+  ++subject->tries;
+  subject->tried.push_back(node);
+  subject->node = node;
+  subject->outstanding = true;
+  subject->at_own_gate = own;
+  subject->ticket = 0;
+  fleet_.OnSent(node);
+  const auto done = [this, subject, attempt, node](instant answered, dispatch_answer answer) {
+    OnAnswer(answered, subject, attempt, node, std::move(answer));
+  };
+  if (own) {
+    const uint64_t ticket = gate_.Handle(now, std::move(request), done);
+    if (subject->attempt == attempt) subject->ticket = ticket;
+    return;
+  }
+  subject->ticket = mesh_.Send(node, std::move(request), subject->matched->large_answers, done);
+  if (subject->ticket != 0) return;
+  dispatch_answer unreachable;
+  unreachable.reason = refusal_reason::kOwnerUnreachable;
+  OnAnswer(now, subject, attempt, node, std::move(unreachable));
+}
+
+bool request_router::MayOfferAgain(flight& subject) {
+  if (subject.offers == 0) return true;
+  if (subject.offers >= subject.matched->attempts) return false;
+  return BudgetOf(subject.service).Take();
+}
+
+void request_router::OnAnswer(instant now, const flight_ptr& subject, uint64_t attempt,
+                              const std::string& node, dispatch_answer answer) {
+  fleet_.OnAnswer(now, node, answer);
+  if (subject->finished || attempt != subject->attempt) return;
+  subject->outstanding = false;
+  if (answer.offered) ++subject->offers;
+  const bool idempotent = subject->matched->idempotent;
+  if (answer.reason == refusal_reason::kNone) {
+    const bool failed = answer.answer.status >= kServerError;
+    if (failed && idempotent && !subject->keyed &&
+        subject->deadline - now > 2 * ExpectedWork(subject->matched->name) &&
+        subject->tries < kMostTries && MayOfferAgain(*subject)) {
+      metrics_.CountRetry(refusal_reason::kTargetCrashed);
+      return Attempt(now, subject);
+    }
+    if (!failed) {
+      const auto work = static_cast<double>(answer.work.count());
+      double& usual = usual_work_.try_emplace(subject->matched->name, work).first->second;
+      usual += kWorkWeight * (work - usual);
+    }
+    return Complete(now, subject, std::move(answer.answer), "answered");
+  }
+  subject->last_reason = answer.reason;
+  if (answer.state == run_state::kUnknown) subject->may_have_run = true;
+  if (answer.retry_after.count() > 0) {
+    subject->retry_after = subject->retry_after.count() > 0
+                               ? std::min(subject->retry_after, answer.retry_after)
+                               : answer.retry_after;
+  }
+  if (subject->may_have_run && !idempotent) return GiveUp(now, subject, answer.reason);
+  metrics_.CountRetry(answer.reason);
+  if (subject->keyed) {
+    const bool again = IsOwnerMoving(answer.reason) ||
+                       answer.reason == refusal_reason::kOwnerUnreachable ||
+                       answer.reason == refusal_reason::kTargetUnreachable;
+    if (!again || !MayOfferAgain(*subject)) return GiveUp(now, subject, answer.reason);
+    const milliseconds wait = std::max(answer.retry_after, kOwnerRetry);
+    if (now + wait + ExpectedWork(subject->matched->name) > subject->deadline) {
+      return GiveUp(now, subject, answer.reason);
+    }
+    return Park(now, subject, std::min(wait, 4 * kOwnerRetry));
+  }
+  if (subject->tries >= kMostTries || !MayOfferAgain(*subject)) {
+    return GiveUp(now, subject, answer.reason);
+  }
+  Attempt(now, subject);
+}
+
+void request_router::Park(instant now, const flight_ptr& subject, milliseconds wait) {
+  parked_.emplace(now + wait, subject->id);
+}
+
+void request_router::OnOwnersChanged(instant now) {
+  std::multimap<instant, uint64_t> waiting;
+  waiting.swap(parked_);
+  for (const auto& [until, id] : waiting) {
+    const auto found = flights_.find(id);
+    if (found == flights_.end()) continue;
+    const flight_ptr subject = found->second;
+    Attempt(now, subject);
+  }
+}
+
+void request_router::Tick(instant now) {
+  while (!parked_.empty() && parked_.begin()->first <= now) {
+    const uint64_t id = parked_.begin()->second;
+    parked_.erase(parked_.begin());
+    const auto found = flights_.find(id);
+    if (found == flights_.end() || found->second->outstanding) continue;
+    const flight_ptr subject = found->second;
+    Attempt(now, subject);
+  }
+  while (!deadlines_.empty() && deadlines_.begin()->first <= now) {
+    const uint64_t id = deadlines_.begin()->second;
+    deadlines_.erase(deadlines_.begin());
+    const auto found = flights_.find(id);
+    if (found == flights_.end()) continue;
+    const flight_ptr subject = found->second;
+    // What was sent and not answered may be running.
+    if (subject->outstanding) subject->may_have_run = true;
+    GiveUp(now, subject, refusal_reason::kDeadlinePassed);
+  }
+}
+
+std::string request_router::RetryAfterText(milliseconds wait) {
+  const milliseconds least = wait.count() > 0 ? std::max(wait, kLeastRetryAfter)
+                                              : kUnknownRetryAfter;
+  // Spread, so that callers refused together do not come back together.
+  std::uniform_real_distribution<double> spread(1.0, 2.0);
+  const auto ms = static_cast<int64_t>(static_cast<double>(least.count()) * spread(rng_));
+  constexpr int64_t kMsPerSecond = 1000;
+  std::string fraction = std::to_string(ms % kMsPerSecond);
+  fraction.insert(0, 3 - fraction.size(), '0');
+  return std::to_string(ms / kMsPerSecond) + "." + fraction;
+}
+
+void request_router::GiveUp(instant now, const flight_ptr& subject, refusal_reason reason) {
+  http_answer answer;
+  const run_state state = subject->may_have_run ? run_state::kUnknown : run_state::kNotRun;
+  if (state == run_state::kNotRun) {
+    answer.status = kUnavailable;
+    answer.headers.emplace_back(settings_.headers.retry_after,
+                                RetryAfterText(subject->retry_after));
+  } else {
+    answer.status = reason == refusal_reason::kDeadlinePassed ? kGatewayTimeout : kBadGateway;
+  }
+  metrics_.CountRefusal(reason, state);
+  Complete(now, subject, std::move(answer), std::string(Name(reason)));
+}
+
+void request_router::CancelAttempt(instant now, flight& subject) {
+  if (!subject.outstanding) return;
+  subject.outstanding = false;
+  if (subject.at_own_gate) {
+    gate_.Cancel(now, subject.ticket);
+  } else {
+    mesh_.Cancel(subject.ticket);
+  }
+  dispatch_answer nothing;
+  nothing.reason = refusal_reason::kCancelled;
+  fleet_.OnAnswer(now, subject.node, nothing);
+}
+
+void request_router::Complete(instant now, const flight_ptr& subject, http_answer answer,
+                              const std::string& outcome) {
+  if (subject->finished) return;
+  subject->finished = true;
+  CancelAttempt(now, *subject);
+  const header_names& names = settings_.headers;
+  if (!subject->request_id.empty() && FindHeader(answer.headers, names.request_id).empty()) {
+    answer.headers.emplace_back(names.request_id, subject->request_id);
+  }
+  const auto elapsed = now - subject->arrived;
+  const std::string route = subject->matched == nullptr ? "-" : subject->matched->name;
+  metrics_.Latency("bulrushway_request_seconds", {{"route", route}}).Add(elapsed);
+  const node_state* node = fleet_.Find(subject->node);
+  const auto load_age = node == nullptr ? milliseconds{0}
+                                        : duration_cast<milliseconds>(now - node->load_told);
+  const bool served = answer.status < kBadRequest;
+  log_.Write("request_done",
+             {{"request", subject->request_id},
+              {"route", route},
+              {"service", subject->service},
+              {"key", subject->key ? std::to_string(*subject->key) : "-"},
+              {"outcome", outcome},
+              {"status", std::to_string(answer.status)},
+              {"state", std::string(Name(subject->may_have_run ? run_state::kUnknown
+                                                               : run_state::kNotRun))},
+              {"node", subject->node.empty() ? "-" : subject->node},
+              {"load_age_ms", std::to_string(load_age.count())},
+              {"tries", std::to_string(subject->tries)},
+              {"offers", std::to_string(subject->offers)},
+              {"configuration",
+               subject->table ? std::to_string(subject->table->version()) : "-"},
+              {"elapsed_ms", std::to_string(duration_cast<milliseconds>(elapsed).count())}},
+             served ? log_weight::kRoutine : log_weight::kNotable);
+  subject->exchange->Reply(answer);
+  flights_.erase(subject->id);
+}
+
+void request_router::OnCallerLeft(uint64_t id) {
+  const auto found = flights_.find(id);
+  if (found == flights_.end()) return;
+  const flight_ptr subject = found->second;
+  const instant now = boot_clock::now();
+  subject->finished = true;
+  CancelAttempt(now, *subject);
+  metrics_.Counter("bulrushway_callers_left")++;
+  log_.Write("caller_left", {{"request", subject->request_id},
+                             {"node", subject->node.empty() ? "-" : subject->node},
+                             {"offers", std::to_string(subject->offers)}});
+  flights_.erase(id);
+}
+
+}  // namespace bulrushway
--- /dev/null
+++ b/src/request_router.h
@@ -0,0 +1,111 @@
+#ifndef BULRUSHWAY_REQUEST_ROUTER_H
+#define BULRUSHWAY_REQUEST_ROUTER_H
+
+// Takes callers' requests in, finds where each may run, and brings the whole answer back. All
+// attempts of a request are decided here and nowhere else: a gate never tries again, so that the
+// attempts of several hops cannot multiply.
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+
+#include "decision_log.h"
+#include "fleet_view.h"
+#include "header_names.h"
+#include "http_server.h"
+#include "metrics.h"
+#include "peer_mesh.h"
+#include "retry_budget.h"
+#include "route_table.h"
+#include "target_gate.h"
+
+namespace bulrushway {
+
+/// What the router asks of the rest of the process.
+struct request_router_ports {
+  /// The configuration in force; null while there is none.
+  std::function<std::shared_ptr<const route_table>()> configuration;
+  /// The node that owns a key; empty while nobody does.
+  std::function<std::string(const std::string& service, uint32_t key)> owner_of;
+  /// Whether operators have taken the data centre out of service.
+  std::function<bool(const std::string& data_centre)> evacuated;
+};
+
+/// Who this process is, towards callers.
+struct request_router_settings {
+  std::string node;
+  std::string ip;
+  /// Service of the target beside this process: the caller's name of all requests from here.
+  std::string service;
+  header_names headers;
+  /// Extra arrivals at targets that this process may cause, as a share of the requests it takes,
+  /// and how many of them may be saved up. All processes share one limit and see a part of the
+  /// traffic each.
+  double retry_share = 0.15;
+  double retry_burst = 3;
+};
+
+/// The callers' side of one process.
+class request_router {
+ public:
+  request_router(decision_log& log, metrics& counters, request_router_settings settings,
+                 request_router_ports ports, fleet_view& fleet, peer_mesh& mesh, target_gate& gate,
+                 uint64_t seed);
+  ~request_router();
+
+  /// Takes a caller's request; its exchange is answered once, now or later.
+  void Handle(instant now, std::shared_ptr<http_exchange> exchange);
+  /// Ends requests whose time is over, and tries those again that wait for an owner.
+  void Tick(instant now);
+  /// Keys have changed owners: requests that wait for that are tried again.
+  void OnOwnersChanged(instant now);
+  /// Requests of callers under way.
+  size_t InFlight() const { return flights_.size(); }
+
+ private:
+  struct flight;
+  using flight_ptr = std::shared_ptr<flight>;
+
+  bool Accept(instant now, const flight_ptr& subject);
+  void Attempt(instant now, const flight_ptr& subject);
+  const node_state* Choose(instant now, flight& subject, refusal_reason& why_none) const;
+  void SendTo(instant now, const flight_ptr& subject, const node_state& to);
+  dispatch_request MakeDispatch(instant now, const flight& subject, const node_state& to) const;
+  void OnAnswer(instant now, const flight_ptr& subject, uint64_t attempt,
+                const std::string& node, dispatch_answer answer);
+  bool MayOfferAgain(flight& subject);
+  void Park(instant now, const flight_ptr& subject, std::chrono::milliseconds wait);
+  void GiveUp(instant now, const flight_ptr& subject, refusal_reason reason);
+  void Complete(instant now, const flight_ptr& subject, http_answer answer,
+                const std::string& outcome);
+  void CancelAttempt(instant now, flight& subject);
+  void OnCallerLeft(uint64_t id);
+  std::chrono::milliseconds ExpectedWork(const std::string& route) const;
+  std::string RetryAfterText(std::chrono::milliseconds wait);
+  retry_budget& BudgetOf(const std::string& service);
+
+  decision_log& log_;
+  metrics& metrics_;
+  request_router_settings settings_;
+  request_router_ports ports_;
+  fleet_view& fleet_;
+  peer_mesh& mesh_;
+  target_gate& gate_;
+  std::mt19937_64 rng_;
+  uint64_t next_flight_ = 1;
+  std::map<uint64_t, flight_ptr> flights_;
+  std::multimap<instant, uint64_t> deadlines_;
+  std::multimap<instant, uint64_t> parked_;
+  std::map<std::string, retry_budget> budgets_;
+  // Usual time of work by route, in milliseconds.
+  std::map<std::string, double> usual_work_;
+};
+
+}  // namespace bulrushway
+
+#endif  // BULRUSHWAY_REQUEST_ROUTER_H
--- /dev/null
+++ b/src/table_follower.cpp
@@ -0,0 +1,104 @@
+#include "table_follower.h"
+
+#include <set>
+#include <utility>
+
+namespace bulrushway {
+namespace {
+
+// Wait before a call that failed is repeated. Each call is paid for, and a store in trouble is not
+// helped by more of them.
+constexpr std::chrono::milliseconds kRetryPause{400};
+
+}  // namespace
+
+table_follower::table_follower(event_loop& loop, decision_log& log, const row_store& store,
+                               std::string table, handler changed)
+    : log_(log),
+      store_(store),
+      table_(std::move(table)),
+      changed_(std::move(changed)),
+      retry_(loop, [this](instant now) { Read(now); }) {}
+
+void table_follower::Start(instant now) { Read(now); }
+
+void table_follower::Refresh(instant now) { Read(now); }
+
+void table_follower::Read(instant now) {
+  if (reading_) return;
+  reading_ = true;
+  ++epoch_;
+  store_.read(table_, [this, now](result<row_snapshot> outcome) {
+    OnRead(now, std::move(outcome));
+  });
+}
+
+void table_follower::Note(bool healthy, const std::string& reason) {
+  if (healthy == healthy_) return;
+  healthy_ = healthy;
+  log_.Write(healthy ? "store_answers_again" : "store_call_failed",
+             {{"table", table_}, {"version", std::to_string(version_)}, {"reason", reason}},
+             log_weight::kNotable);
+}
+
+void table_follower::OnRead(instant began, result<row_snapshot> outcome) {
+  reading_ = false;
+  if (!outcome) {
+    Note(false, outcome.error().message);
+    retry_.Once(kRetryPause);
+    return;
+  }
+  Note(true, {});
+  known_ = true;
+  version_ = std::max(version_, outcome->version);
+  std::set<std::string> present;
+  for (const stored_row& row : outcome->rows) present.insert(row.id.key);
+  std::vector<stored_row> changes = std::move(outcome->rows);
+  for (const auto& [key, version] : versions_) {
+    if (present.contains(key)) continue;
+    changes.push_back({{table_, key}, {}, outcome->version, true});
+  }
+  Apply(began, std::move(changes));
+  Watch(boot_clock::now());
+}
+
+void table_follower::Watch(instant now) {
+  const uint64_t epoch = ++epoch_;
+  store_.watch(table_, version_, [this, now, epoch](result<row_snapshot> outcome) {
+    OnWatched(now, epoch, std::move(outcome));
+  });
+}
+
+void table_follower::OnWatched(instant began, uint64_t epoch, result<row_snapshot> outcome) {
+  if (epoch != epoch_) return;
+  if (!outcome) {
+    Note(false, outcome.error().message);
+    // The history is gone, or the store is in trouble: in both cases a read tells what was missed.
+    if (outcome.error().kind == error_kind::kConflict) return Read(boot_clock::now());
+    retry_.Once(kRetryPause);
+    return;
+  }
+  Note(true, {});
+  version_ = std::max(version_, outcome->version);
+  Apply(began, std::move(outcome->rows));
+  Watch(boot_clock::now());
+}
+
+void table_follower::Apply(instant began, std::vector<stored_row> changes) {
+  // A read may be older than what a watch has brought meanwhile, row by row.
+  std::erase_if(changes, [this](const stored_row& row) {
+    const auto known = versions_.find(row.id.key);
+    if (known == versions_.end()) return row.deleted;
+    return row.version <= known->second;
+  });
+  for (const stored_row& row : changes) {
+    if (row.deleted) {
+      versions_.erase(row.id.key);
+    } else {
+      versions_[row.id.key] = row.version;
+    }
+  }
+  changed_(began, changes);
+}
+
+}  // namespace bulrushway
--- /dev/null
+++ b/src/table_follower.h
@@ -0,0 +1,63 @@
+#ifndef BULRUSHWAY_TABLE_FOLLOWER_H
+#define BULRUSHWAY_TABLE_FOLLOWER_H
+
+// Keeps a copy of one table of the platform's store: reads it once, then waits for changes. When
+// the store has forgotten the history, or does not answer, it reads anew.
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+
+#include "decision_log.h"
+#include "event_loop.h"
+#include "row_store.h"
+
+namespace bulrushway {
+
+/// Follows a table.
+class table_follower {
+ public:
+  /// What changed. `began` is when the call that brought it was sent.
+  using handler = std::function<void(instant began, const std::vector<stored_row>& changes)>;
+
+  table_follower(event_loop& loop, decision_log& log, const row_store& store, std::string table,
+                 handler changed);
+
+  /// Begins to follow.
+  void Start(instant now);
+  /// Somebody has seen a newer state than the watch has brought: reads at once, unless a read is
+  /// under way.
+  void Refresh(instant now);
+  /// Whether the table has been read at least once.
+  bool Known() const { return known_; }
+  /// Whether the last call to the store succeeded.
+  bool Healthy() const { return healthy_; }
+  uint64_t version() const { return version_; }
+
+ private:
+  void Read(instant now);
+  void Watch(instant now);
+  void OnRead(instant began, result<row_snapshot> outcome);
+  void OnWatched(instant began, uint64_t epoch, result<row_snapshot> outcome);
+  void Apply(instant began, std::vector<stored_row> changes);
+  void Note(bool healthy, const std::string& reason);
+
+  decision_log& log_;
+  const row_store& store_;
+  std::string table_;
+  handler changed_;
+  timer retry_;
+  // Rows as last seen, with their versions, to tell what a new read has changed.
+  std::map<std::string, uint64_t> versions_;
+  uint64_t version_ = 0;
+  // Counts watches, so that the outcome of one that was given up is ignored.
+  uint64_t epoch_ = 0;
+  bool known_ = false;
+  bool reading_ = false;
+  bool healthy_ = true;
+};
+
+}  // namespace bulrushway
+
+#endif  // BULRUSHWAY_TABLE_FOLLOWER_H
--- /dev/null
+++ b/src/target_choice.cpp
@@ -0,0 +1,64 @@
+#include "target_choice.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace bulrushway {
+namespace {
+
+using milliseconds_f = std::chrono::duration<double, std::milli>;
+
+// A target that is nearly full slows down: at full load work is expected to take longer by this.
+constexpr double kCrowdingCost = 0.6;
+constexpr double kCrowdingPower = 4;
+// What a failed request costs its caller, against which the share of failures is weighed.
+constexpr milliseconds_f kFailureCost{800};
+// Each choice looks at the targets with this much random error, so that processes that know the
+// same do not all choose the same.
+constexpr double kSpread = 0.15;
+// Expected wait while cold is raised by this: most of the rate of a cold target is taken by others.
+constexpr double kColdFactor = 2;
+
+bool Allowed(instant now, const node_state& node, const choice_request& request) {
+  if (!node.Usable() || now < node.avoid_until) return false;
+  const auto& homes = request.home_regions;
+  if (!homes.empty() && std::find(homes.begin(), homes.end(), node.member.region) == homes.end()) {
+    return false;
+  }
+  const auto& tried = request.tried;
+  return std::find(tried.begin(), tried.end(), node.member.node) == tried.end();
+}
+
+}  // namespace
+
+milliseconds_f ExpectedTime(const node_state& node) {
+  const target_report& target = node.report.target;
+  const double slots = std::max(1U, target.slots);
+  const double busy = target.running + target.waiting + node.sent_since;
+  const double work = static_cast<double>(target.usual_work.count());
+  const double queued = std::max(0.0, busy + 1 - slots);
+  const double fill = std::min(1.0, busy / slots);
+  double time = milliseconds_f(node.round_trip).count();
+  time += work * (1 + kCrowdingCost * std::pow(fill, kCrowdingPower));
+  time += queued * work / slots;
+  if (target.cold) time *= kColdFactor;
+  time += node.failure_share * kFailureCost.count();
+  return milliseconds_f(time);
+}
+
+const node_state* ChooseTarget(instant now, const std::vector<const node_state*>& nodes,
+                               const choice_request& request, std::mt19937_64& rng) {
+  std::uniform_real_distribution<double> error(1, 1 + kSpread);
+  const node_state* best = nullptr;
+  double best_time = 0;
+  for (const node_state* node : nodes) {
+    if (!Allowed(now, *node, request)) continue;
+    const double time = ExpectedTime(*node).count() * error(rng);
+    if (best != nullptr && time >= best_time) continue;
+    best = node;
+    best_time = time;
+  }
+  return best;
+}
+
+}  // namespace bulrushway
--- /dev/null
+++ b/src/target_choice.h
@@ -0,0 +1,35 @@
+#ifndef BULRUSHWAY_TARGET_CHOICE_H
+#define BULRUSHWAY_TARGET_CHOICE_H
+
+// Chooses the target of a request that any target of its service may run. The load that targets
+// tell is some hundred milliseconds old when it is used, and many processes choose at once, so that
+// the choice is only a good guess; the gate beside the target corrects it for the price of a round
+// trip.
+
+#include <random>
+#include <string>
+#include <vector>
+
+#include "clock.h"
+#include "fleet_view.h"
+
+namespace bulrushway {
+
+/// What the choice depends on.
+struct choice_request {
+  /// Regions in which the request may run; empty: all.
+  std::vector<std::string> home_regions;
+  /// Nodes that have been asked already.
+  std::vector<std::string> tried;
+};
+
+/// Expected time until an answer from the node's target.
+std::chrono::duration<double, std::milli> ExpectedTime(const node_state& node);
+
+/// The node whose target is expected to answer first, or null when none may be asked.
+const node_state* ChooseTarget(instant now, const std::vector<const node_state*>& nodes,
+                               const choice_request& request, std::mt19937_64& rng);
+
+}  // namespace bulrushway
+
+#endif  // BULRUSHWAY_TARGET_CHOICE_H
--- /dev/null
+++ b/src/target_gate.cpp
@@ -0,0 +1,301 @@
+#include "target_gate.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "http_parser.h"
+
+namespace bulrushway {
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+// Connections of the target that stay unused: those being closed still count at its end.
+constexpr uint32_t kSpareConnections = 4;
+// An answer that takes this much longer than the caller waits is not waited for.
+constexpr milliseconds kAnswerSlack{5};
+
+bool IsSuccess(int status) { return status >= 200 && status < 300; }
+
+}  // namespace
+
+// A request from its arrival to its answer.
+struct target_gate::job {
+  ticket id = 0;
+  dispatch_request request;
+  reply done;
+  instant arrived;
+  instant deadline;
+  instant handed_over;
+  target_life life;
+  http_client::request_id http = 0;
+  bool abandoned = false;
+};
+
+target_gate::target_gate(event_loop& loop, metrics& counters, decision_log& log,
+                         own_target& target, target_gate_settings settings,
+                         target_gate_ports ports)
+    : metrics_(counters),
+      log_(log),
+      target_(target),
+      settings_(std::move(settings)),
+      ports_(std::move(ports)),
+      client_(loop, http_client_settings{.echo_header = settings_.headers.request_id}),
+      work_latency_(metrics_.Latency("bulrushway_target_work_seconds")),
+      wait_latency_(metrics_.Latency("bulrushway_gate_wait_seconds")) {}
+
+target_gate::~target_gate() = default;
+
+void target_gate::SetPolicy(uint32_t connections, double cold_rate, double cold_burst) {
+  client_.SetMaxConnections(connections > 2 * kSpareConnections ? connections - kSpareConnections
+                                                                : std::max(1U, connections / 2));
+  cold_rate_ = cold_rate;
+  queue_.bucket().Configure(cold_rate, cold_burst);
+}
+
+std::optional<std::pair<refusal_reason, milliseconds>> target_gate::Check(
+    instant now, const dispatch_request& request) const {
+  using refused = std::pair<refusal_reason, milliseconds>;
+  if (request.service != settings_.service) return refused{refusal_reason::kNoTarget, 0};
+  const auto& homes = request.home_regions;
+  if (!homes.empty() && std::find(homes.begin(), homes.end(), settings_.region) == homes.end()) {
+    return refused{refusal_reason::kHomeRegion, 0};
+  }
+  if (ports_.evacuated(now)) return refused{refusal_reason::kDataCentreOut, 0};
+  if (!ports_.keyed()) {
+    if (target_.Accepting(now)) return std::nullopt;
+    return refused{target_.Leaving() ? refusal_reason::kStopping
+                                     : refusal_reason::kTargetUnreachable,
+                   0};
+  }
+  if (!request.key) return refused{refusal_reason::kBadRequest, 0};
+  if (!target_.Serving(now)) return refused{refusal_reason::kTargetUnreachable, 0};
+  if (ports_.holds(now, *request.key)) return std::nullopt;
+  return ports_.why_not_held(now, *request.key);
+}
+
+target_gate::ticket target_gate::Handle(instant now, dispatch_request request, reply done) {
+  auto subject = std::make_shared<job>();
+  subject->id = next_ticket_++;
+  subject->deadline = now + request.time_left;
+  subject->arrived = now;
+  subject->request = std::move(request);
+  subject->done = std::move(done);
+  const ticket id = subject->id;
+  jobs_.emplace(id, subject);
+  if (const auto refused = Check(now, subject->request)) {
+    Refuse(now, subject, refused->first, run_state::kNotRun, refused->second, "gate check");
+    return id;
+  }
+  const dispatch_request& asked = subject->request;
+  const slot_verdict verdict =
+      queue_.Arrive(now, {id, asked.rank, asked.nested, subject->deadline, asked.patience,
+                          asked.expected_work});
+  switch (verdict.what) {
+    case slot_verdict::kind::kRun:
+      HandOver(now, subject);
+      break;
+    case slot_verdict::kind::kWait:
+      break;
+    case slot_verdict::kind::kRefuse:
+      Refuse(now, subject, verdict.reason, run_state::kNotRun, verdict.expected_wait, "no slot");
+      break;
+  }
+  return id;
+}
+
+http_request target_gate::TargetRequest(instant now, job& subject) const {
+  const header_names& names = settings_.headers;
+  http_request request = std::move(subject.request.request);
+  std::erase_if(request.headers, [&names](const auto& header) {
+    return EqualIgnoringCase(header.first, names.time_left) ||
+           EqualIgnoringCase(header.first, names.caller) ||
+           EqualIgnoringCase(header.first, names.target_instance);
+  });
+  const auto left = std::max(duration_cast<milliseconds>(subject.deadline - now), milliseconds{1});
+  request.headers.emplace_back(names.time_left, std::to_string(left.count()));
+  request.headers.emplace_back(names.caller, subject.request.caller);
+  request.headers.emplace_back(names.target_instance, subject.life.id);
+  return request;
+}
+
+void target_gate::HandOver(instant now, const job_ptr& subject) {
+  subject->handed_over = now;
+  subject->life = target_.life();
+  running_.emplace(subject->id, subject);
+  wait_latency_.Add(now - subject->arrived);
+  const auto left = duration_cast<milliseconds>(subject->deadline - now) + kAnswerSlack;
+  subject->http = client_.Send(
+      settings_.address, TargetRequest(now, *subject), std::max(left, kAnswerSlack),
+      [this, subject](tl::expected<http_answer, http_failure> outcome) {
+        const instant answered = boot_clock::now();
+        if (outcome) {
+          OnAnswer(answered, subject, std::move(*outcome));
+        } else {
+          OnFailure(answered, subject, outcome.error());
+        }
+      });
+}
+
+void target_gate::NoteLoad(const http_answer& answer) {
+  const std::string text = FindHeader(answer.headers, settings_.headers.load);
+  if (text.empty()) return;
+  if (const auto load = ports_.parse_load(text)) pace_percent_ = std::max(1U, load->pace_percent);
+}
+
+void target_gate::EndWork(instant now, const job_ptr& subject, std::chrono::nanoseconds work) {
+  running_.erase(subject->id);
+  queue_.Finish(now, work);
+}
+
+void target_gate::OnAnswer(instant now, const job_ptr& subject, http_answer answer) {
+  constexpr int kMisdirected = 421;
+  const auto work = now - subject->handed_over;
+  target_.OnAnswer(now);
+  NoteLoad(answer);
+  const header_names& names = settings_.headers;
+  const bool not_run = !FindHeader(answer.headers, names.not_run).empty() ||
+                       answer.status == kMisdirected;
+  if (not_run) {
+    EndWork(now, subject, std::chrono::nanoseconds{0});
+    queue_.OnTargetFull(now);
+    const auto reason = answer.status == kMisdirected ? refusal_reason::kNotOwner
+                                                      : refusal_reason::kTargetShed;
+    Refuse(now, subject, reason, run_state::kNotRun, queue_.UsualWork(),
+           "target answered " + std::to_string(answer.status));
+    PopQueue(now);
+    return;
+  }
+  EndWork(now, subject, work);
+  work_latency_.Add(work);
+  // A success without the target's signature, or with an encoding that nobody asked for, is not
+  // what the target made.
+  const bool damaged = IsSuccess(answer.status) &&
+                       (FindHeader(answer.headers, names.signature).empty() ||
+                        !FindHeader(answer.headers, "Content-Encoding").empty());
+  if (damaged) {
+    Refuse(now, subject, refusal_reason::kAnswerLost, run_state::kUnknown, milliseconds{0},
+           "the answer has no signature or is encoded");
+  } else {
+    dispatch_answer result;
+    result.offered = true;
+    result.work = duration_cast<milliseconds>(work);
+    result.answer = std::move(answer);
+    Finish(now, subject, std::move(result));
+  }
+  PopQueue(now);
+}
+
+void target_gate::OnFailure(instant now, const job_ptr& subject, const http_failure& failure) {
+  EndWork(now, subject, std::chrono::nanoseconds{0});
+  if (failure.refused) {
+    target_.OnRefused(now);
+    client_.CloseIdle(settings_.address);
+  }
+  if (failure.timed_out && !failure.may_have_run) target_.OnSilence(now);
+  const auto state = failure.may_have_run ? run_state::kUnknown : run_state::kNotRun;
+  refusal_reason reason = refusal_reason::kAnswerLost;
+  if (!failure.may_have_run) {
+    reason = refusal_reason::kTargetUnreachable;
+  } else if (failure.timed_out) {
+    reason = refusal_reason::kDeadlinePassed;
+  }
+  Refuse(now, subject, reason, state, milliseconds{0}, failure.message);
+  PopQueue(now);
+}
+
+void target_gate::PopQueue(instant now) {
+  while (const auto id = queue_.Next(now)) {
+    const auto found = jobs_.find(*id);
+    if (found == jobs_.end()) {
+      queue_.Finish(now, std::chrono::nanoseconds{0});
+      continue;
+    }
+    const job_ptr subject = found->second;
+    // The target may have begun to leave, or lost the key, while the request waited.
+    if (const auto refused = Check(now, subject->request)) {
+      queue_.Finish(now, std::chrono::nanoseconds{0});
+      Refuse(now, subject, refused->first, run_state::kNotRun, refused->second,
+             "gate check after waiting");
+      continue;
+    }
+    HandOver(now, subject);
+  }
+}
+
+void target_gate::Tick(instant now) {
+  queue_.SetSlots(target_.slots());
+  queue_.SetCold(now, cold_rate_ > 0 && target_.Cold(now));
+  for (const slot_expiry& expired : queue_.Expire(now)) {
+    const auto found = jobs_.find(expired.id);
+    if (found == jobs_.end()) continue;
+    const job_ptr subject = found->second;
+    Refuse(now, subject, expired.reason, run_state::kNotRun, expired.expected_wait,
+           "waited for a slot");
+  }
+  PopQueue(now);
+}
+
+void target_gate::Cancel(instant now, ticket id) {
+  const auto found = jobs_.find(id);
+  if (found == jobs_.end()) return;
+  const job_ptr subject = found->second;
+  subject->abandoned = true;
+  if (queue_.Withdraw(id)) {
+    jobs_.erase(id);
+    return;
+  }
+  if (!subject->request.idempotent) return;
+  client_.Cancel(subject->http);
+  EndWork(now, subject, std::chrono::nanoseconds{0});
+  jobs_.erase(id);
+  PopQueue(now);
+}
+
+void target_gate::Refuse(instant now, const job_ptr& subject, refusal_reason reason,
+                         run_state state, milliseconds retry_after, const std::string& detail) {
+  dispatch_answer result;
+  result.reason = reason;
+  result.state = state;
+  result.offered = state == run_state::kUnknown || reason == refusal_reason::kTargetShed;
+  result.retry_after = retry_after;
+  metrics_.CountRefusal(reason, state);
+  log_.Write("gate_refused", {{"request", subject->request.request_id},
+                              {"reason", std::string(Name(reason))},
+                              {"state", std::string(Name(state))},
+                              {"detail", detail},
+                              {"running", std::to_string(running_.size())},
+                              {"waiting", std::to_string(queue_.Waiting())},
+                              {"slots", std::to_string(queue_.slots())},
+                              {"waited_ms", std::to_string(duration_cast<milliseconds>(
+                                                               now - subject->arrived)
+                                                               .count())}});
+  Finish(now, subject, std::move(result));
+}
+
+void target_gate::Finish(instant now, const job_ptr& subject, dispatch_answer answer) {
+  jobs_.erase(subject->id);
+  if (subject->abandoned) return;
+  answer.id = subject->request.id;
+  answer.target = Report(now);
+  subject->done(now, std::move(answer));
+}
+
+target_report target_gate::Report(instant now) const {
+  target_report report;
+  report.life = target_.life();
+  report.service = settings_.service;
+  report.accepting = target_.Accepting(now);
+  report.evacuated = ports_.evacuated(now);
+  report.cold = target_.Cold(now);
+  report.slots = target_.slots();
+  report.running = queue_.Running();
+  report.waiting = static_cast<uint32_t>(queue_.Waiting());
+  report.usual_work = queue_.UsualWork();
+  report.pace_percent = pace_percent_;
+  report.cold_rate = static_cast<uint32_t>(cold_rate_);
+  return report;
+}
+
+}  // namespace bulrushway
--- /dev/null
+++ b/src/target_gate.h
@@ -0,0 +1,121 @@
+#ifndef BULRUSHWAY_TARGET_GATE_H
+#define BULRUSHWAY_TARGET_GATE_H
+
+// The gate beside a target: the only way to it. Whatever process asks, the gate hands a request
+// over only while the target takes requests, holds the request's key and has a slot. Each refusal
+// says truthfully whether the target may have run the request; that is decided in one place, from
+// one fact: whether bytes of the request were handed to a connection of the target.
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "decision_log.h"
+#include "header_names.h"
+#include "http_client.h"
+#include "metrics.h"
+#include "own_target.h"
+#include "peer_messages.h"
+#include "slot_queue.h"
+
+namespace bulrushway {
+
+/// Load that a target tells with an answer.
+struct told_load {
+  uint32_t running = 0;
+  uint32_t waiting = 0;
+  uint32_t slots = 0;
+  /// How long work takes on its machine at the moment, in percent of the usual.
+  uint32_t pace_percent = 100;
+};
+
+/// What the gate asks of the rest of the process.
+struct target_gate_ports {
+  /// Whether the service divides its keys between targets.
+  std::function<bool()> keyed;
+  /// Whether the target holds the key now, by grants and lease.
+  std::function<bool(instant, uint32_t key)> holds;
+  /// Why the key is not held, and when that may change.
+  std::function<std::pair<refusal_reason, std::chrono::milliseconds>(instant, uint32_t key)>
+      why_not_held;
+  /// Whether operators have taken the target's data centre out of service.
+  std::function<bool(instant)> evacuated;
+  /// Reads the load header.
+  std::function<std::optional<told_load>(const std::string&)> parse_load;
+};
+
+/// Fixed properties of the gate.
+struct target_gate_settings {
+  socket_address address;
+  std::string service;
+  std::string region;
+  header_names headers;
+};
+
+/// Hands requests to one target.
+class target_gate {
+ public:
+  using reply = std::function<void(instant, dispatch_answer)>;
+  using ticket = uint64_t;
+
+  target_gate(event_loop& loop, metrics& counters, decision_log& log, own_target& target,
+              target_gate_settings settings, target_gate_ports ports);
+  ~target_gate();
+
+  /// Takes a request; `done` is called once, possibly at once.
+  ticket Handle(instant now, dispatch_request request, reply done);
+  /// The caller went away. A waiting request is dropped; a running one is cancelled at the target
+  /// if it is idempotent, since others may as well end what has begun.
+  void Cancel(instant now, ticket id);
+  /// Expires waiting requests and follows changes of the target's state.
+  void Tick(instant now);
+  /// A policy of the service came with a configuration.
+  void SetPolicy(uint32_t connections, double cold_rate, double cold_burst);
+
+  /// For reports to other processes.
+  target_report Report(instant now) const;
+  /// Whether the request is waiting or running.
+  bool Knows(ticket id) const { return jobs_.contains(id); }
+  size_t Running() const { return running_.size(); }
+  size_t Waiting() const { return queue_.Waiting(); }
+
+ private:
+  struct job;
+  using job_ptr = std::shared_ptr<job>;
+
+  std::optional<std::pair<refusal_reason, std::chrono::milliseconds>> Check(
+      instant now, const dispatch_request& request) const;
+  void HandOver(instant now, const job_ptr& subject);
+  void PopQueue(instant now);
+  void OnAnswer(instant now, const job_ptr& subject, http_answer answer);
+  void OnFailure(instant now, const job_ptr& subject, const http_failure& failure);
+  void NoteLoad(const http_answer& answer);
+  void EndWork(instant now, const job_ptr& subject, std::chrono::nanoseconds work);
+  void Refuse(instant now, const job_ptr& subject, refusal_reason reason, run_state state,
+              std::chrono::milliseconds retry_after, const std::string& detail);
+  void Finish(instant now, const job_ptr& subject, dispatch_answer answer);
+  http_request TargetRequest(instant now, job& subject) const;
+
+  metrics& metrics_;
+  decision_log& log_;
+  own_target& target_;
+  target_gate_settings settings_;
+  target_gate_ports ports_;
+  http_client client_;
+  slot_queue queue_;
+  double cold_rate_ = 0;
+  uint32_t pace_percent_ = 100;
+  ticket next_ticket_ = 1;
+  std::map<ticket, job_ptr> jobs_;
+  std::map<ticket, job_ptr> running_;
+  latency_summary& work_latency_;
+  latency_summary& wait_latency_;
+};
+
+}  // namespace bulrushway
+
+#endif  // BULRUSHWAY_TARGET_GATE_H
--- a/standins/common/target_server.cpp
+++ b/standins/common/target_server.cpp
@@ -174,9 +174,9 @@
   answer.headers.emplace_back("X-Bulrush-Request-Id", fields.request_id);
   if (faults_.truncate_next > 0) {
     --faults_.truncate_next;
-    answer.headers.emplace_back("Content-Length", std::to_string(answer.body.size()));
-    answer.body.resize(answer.body.size() / 2);
-    answer.headers.emplace_back("Connection", "close");
+    const size_t half = answer.body.size() / 2;
+    work->caller->ReplyTruncated(WithBootId(std::move(answer)), half);
+    return;
   }
   work->caller->Reply(WithBootId(std::move(answer)));
 }
