--- a/src/event_loop.cpp
+++ b/src/event_loop.cpp
@@ -28,6 +28,7 @@
 event_loop::~event_loop() {
   if (terminate_ != nullptr) event_free(terminate_);
   if (interrupt_ != nullptr) event_free(interrupt_);
+  if (hang_up_ != nullptr) event_free(hang_up_);
   event_base_free(base_);
 }
 
@@ -47,6 +48,15 @@
   event_add(interrupt_, nullptr);
 }
 
+void event_loop::OnReload(std::function<void()> reload) {
+  reload_ = std::move(reload);
+  const auto call = [](evutil_socket_t, short, void* self) {
+    static_cast<event_loop*>(self)->reload_();
+  };
+  hang_up_ = evsignal_new(base_, SIGHUP, call, this);
+  event_add(hang_up_, nullptr);
+}
+
 timer::timer(event_loop& loop, callback expired)
     : event_(event_new(loop.Base(), -1, 0, &timer::Expired, this)), expired_(std::move(expired)) {}
 
--- a/src/event_loop.h
+++ b/src/event_loop.h
@@ -29,6 +29,8 @@
   void Stop();
   /// Calls `stop` once when the process gets SIGTERM or SIGINT, and ignores SIGPIPE.
   void OnTermination(std::function<void()> stop);
+  /// Calls `reload` at each SIGHUP.
+  void OnReload(std::function<void()> reload);
   /// The libevent base, for the transports.
   event_base* Base() const { return base_; }
 
@@ -36,7 +38,9 @@
   event_base* base_;
   event* terminate_ = nullptr;
   event* interrupt_ = nullptr;
+  event* hang_up_ = nullptr;
   std::function<void()> stop_;
+  std::function<void()> reload_;
 };
 
 /// Calls a function once or again and again until destroyed or cancelled.
--- a/src/fleet_view.cpp
+++ b/src/fleet_view.cpp
@@ -119,7 +119,10 @@
     state.avoid_until = now + kAvoidFull;
   }
   if (answer.target.service.empty()) return;
+  // The rate of requests for keys comes with reports only.
+  const uint32_t key_rate = state.report.target.key_request_millirate;
   state.report.target = answer.target;
+  state.report.target.key_request_millirate = key_rate;
   state.load_told = now;
   state.sent_since = 0;
 }
--- a/src/header_names.h
+++ b/src/header_names.h
@@ -29,6 +29,8 @@
   std::string cold_left;
   /// Seconds after which a refused caller may come back.
   std::string retry_after;
+
+  bool operator==(const header_names&) const = default;
 };
 
 }  // namespace bulrushway
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -6,6 +6,7 @@
 #include <event2/listener.h>
 #include <netinet/tcp.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <cstring>
@@ -118,6 +119,11 @@
   Sweep(now);
 }
 
+bool http_server::HasUnsent() const {
+  return std::any_of(connections_.begin(), connections_.end(),
+                     [](const auto& one) { return one.second->HasUnsent(); });
+}
+
 void http_server::Sweep(instant now) {
   std::vector<http_server_connection*> open;
   open.reserve(connections_.size());
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -84,6 +84,8 @@
   void SetLimits(const http_limits& limits) { limits_ = limits; }
   /// From now on each answer closes its connection, and idle connections are closed after `idle`.
   void Drain(instant now, std::chrono::milliseconds idle);
+  /// Whether bytes of answers wait to be sent.
+  bool HasUnsent() const;
   /// Open connections.
   size_t Connections() const { return connections_.size(); }
 
--- a/src/http_server_connection.cpp
+++ b/src/http_server_connection.cpp
@@ -166,6 +166,10 @@
   if (now - last_activity_ > server_.limits_.idle_timeout) Abort();
 }
 
+bool http_server_connection::HasUnsent() const {
+  return evbuffer_get_length(bufferevent_get_output(raw_)) > 0;
+}
+
 void http_server_connection::Forget() {
   // Nobody will answer: the caller learns it from the closed connection.
   if (progress_ == progress::kHandling) CloseAfterWriting();
--- a/src/http_server_connection.h
+++ b/src/http_server_connection.h
@@ -31,6 +31,8 @@
   /// The exchange was destroyed without an answer.
   void Forget();
 
+  bool HasUnsent() const;
+
   const socket_address& peer() const { return peer_; }
 
  private:
--- /dev/null
+++ b/src/key_heat.h
@@ -0,0 +1,43 @@
+#ifndef BULRUSHWAY_KEY_HEAT_H
+#define BULRUSHWAY_KEY_HEAT_H
+
+// How often the keys of a target are asked for, lately. Keys are counted in small groups, since
+// busy keys are close to one another and single keys need not be told apart to divide the load.
+
+#include <cstdint>
+#include <vector>
+
+#include "clock.h"
+#include "target_heartbeat.h"
+
+namespace bulrushway {
+
+/// Decaying counts of requests by group of keys.
+class key_heat {
+ public:
+  /// Keys of one group.
+  static constexpr uint32_t kGroup = 16;
+
+  key_heat();
+
+  /// A request for the key arrived, whether it was served or not.
+  void Note(instant now, uint32_t key);
+  /// Requests per second for these keys. Groups that stand only partly in the range count in
+  /// proportion.
+  double Rate(instant now, const key_range& keys) const;
+  /// Requests per second for all keys.
+  double TotalRate(instant now) const;
+
+ private:
+  double Decay(instant now) const;
+
+  // Counts are kept as if they had grown since `origin_` at the rate at which they decay, so that
+  // only reading has to take the decay into account.
+  std::vector<float> counts_;
+  double total_ = 0;
+  instant origin_{};
+};
+
+}  // namespace bulrushway
+
+#endif  // BULRUSHWAY_KEY_HEAT_H
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -21,15 +21,27 @@
 constexpr double kRetryShareUsed = 0.75;
 // Share of what a cold target bears beyond its rate that is used at once.
 constexpr double kColdBurstUsed = 0.6;
-// After a stop was asked for, new callers may still come until the platform has noticed.
-constexpr milliseconds kStopListening{2600};
-// Kept in hand between the end of a stop and the kill.
+// The platform notices within two questions a second apart that a process is not ready. Requests
+// that come later than this after a stop was asked for are refused: they might not end in time.
+constexpr milliseconds kStopAccepting{2200};
+// Callers that were refused may come back after this time: a process is started again at once.
+constexpr milliseconds kRestart{900};
+// A process stays for this long at least: callers on their way are answered.
+constexpr milliseconds kStopListening{2400};
+// Kept in hand between the end of a stop and the kill, and between the last answers and the kill.
 constexpr milliseconds kStopReserve{400};
+constexpr milliseconds kLastAnswers{600};
+// A process ends this long after it has become idle.
+constexpr milliseconds kLinger{150};
 // An idle connection of a caller is closed this long after a stop began.
 constexpr milliseconds kStopIdle{1500};
 // Longest answer body and request body that a process keeps in memory.
 constexpr size_t kMetricsHeaders = 8 << 10;
 
+double Seconds(std::chrono::nanoseconds time) {
+  return std::chrono::duration<double>(time).count();
+}
+
 http_limits CallerLimits(const caller_limits& limits) {
   return {limits.body_bytes, limits.header_bytes, limits.idle_timeout, limits.request_timeout};
 }
@@ -41,6 +53,9 @@
           [&self](instant now, uint32_t key) {
             return self.ranges_ != nullptr && self.ranges_->Holds(now, key);
           },
+          [&self](instant now, uint32_t key) {
+            if (self.ranges_) self.ranges_->OnRequest(now, key);
+          },
           [&self](instant now, uint32_t key) { return self.WhyNotHeld(now, key); },
           [&self](instant) { return self.DataCentreOut(); }, self.ports_.parse_load};
 }
@@ -60,8 +75,10 @@
 request_router_ports node::RouterPorts(node& self) {
   return {[&self] { return self.table_; },
           [&self](const std::string& service, uint32_t key) { return self.OwnerOf(service, key); },
-          [&self](const std::string& data_centre) {
-            return self.evacuated_.contains(data_centre);
+          [&self](instant now) { return self.UntilRestart(now); },
+          [&self] {
+            if (!self.stopping_since_) return instant::max();
+            return *self.stopping_since_ + self.settings_.stop_limit - kLastAnswers;
           }};
 }
 
@@ -183,6 +200,13 @@
   mesh_.ReportNow(now);
 }
 
+void node::UpdateLimits(instant, const node_settings& settings) {
+  settings_.heartbeat = settings.heartbeat;
+  settings_.drain_limit = settings.drain_limit;
+  settings_.stop_limit = settings.stop_limit;
+  target_.SetLimits(settings_.heartbeat, settings_.drain_limit);
+}
+
 void node::OnEvacuation(instant now, const std::string& data_centre, bool out) {
   const bool changed = out ? evacuated_.insert(data_centre).second : evacuated_.erase(data_centre) > 0;
   if (!changed) return;
@@ -248,6 +272,11 @@
   report.leased = ranges_ != nullptr && ranges_->Leased(now);
   report.configuration_version = table_ ? table_->version() : 0;
   report.target = gate_.Report(now);
+  if (ranges_) {
+    constexpr double kThousandths = 1000;
+    report.target.key_request_millirate =
+        static_cast<uint32_t>(ranges_->steward().RequestRate(now) * kThousandths);
+  }
   return report;
 }
 
@@ -260,6 +289,10 @@
     one.alive = each->reachable && each->reported;
     one.leased = each->report.leased;
     one.accepting = each->Usable() && each->report.leased;
+    const target_report& target = each->report.target;
+    one.cost = Seconds(target.usual_work) / std::max(1U, target.slots);
+    constexpr double kThousandths = 1000;
+    one.demand = target.key_request_millirate / kThousandths * one.cost;
     candidates.push_back(std::move(one));
   }
   return candidates;
@@ -370,9 +403,18 @@
   mesh_.ReportNow(now);
 }
 
+std::optional<milliseconds> node::UntilRestart(instant now) const {
+  if (!stopping_since_ || now - *stopping_since_ < kStopAccepting) return std::nullopt;
+  return kRestart;
+}
+
 void node::FinishStop(instant now) {
   const auto since = now - *stopping_since_;
-  const bool idle = router_.InFlight() == 0 && gate_.Running() == 0 && gate_.Waiting() == 0;
+  const bool busy = router_.InFlight() > 0 || gate_.Running() > 0 || gate_.Waiting() > 0 ||
+                    callers_.HasUnsent() || mesh_.HasUnsent();
+  if (busy) last_busy_ = now;
+  // The last bytes are still on their way when the kernel has taken them.
+  const bool idle = now - last_busy_ > kLinger;
   const bool overdue = since > settings_.stop_limit - kStopReserve;
   if (!overdue && (since < kStopListening || !idle)) return;
   log_.Write("stopped",
--- a/src/node.h
+++ b/src/node.h
@@ -58,6 +58,8 @@
   /// Requests per second that a cold target bears beyond its rate, in all.
   double cold_slack = 5;
   header_names headers;
+
+  bool operator==(const node_settings&) const = default;
 };
 
 /// What the adapter provides.
@@ -92,6 +94,8 @@
   void OnConfiguration(instant now, std::shared_ptr<const route_table> table);
   /// The operators have taken a data centre out of service, or taken it back.
   void OnEvacuation(instant now, const std::string& data_centre, bool out);
+  /// Takes over limits that have changed; names and addresses stay.
+  void UpdateLimits(instant now, const node_settings& settings);
   /// Whether new callers may come.
   bool Ready(instant now) const;
 
@@ -117,6 +121,7 @@
   std::pair<refusal_reason, std::chrono::milliseconds> WhyNotHeld(instant now, uint32_t key) const;
   bool DataCentreOut() const { return evacuated_.contains(settings_.data_centre); }
   void FinishStop(instant now);
+  std::optional<std::chrono::milliseconds> UntilRestart(instant now) const;
   static target_gate_ports GatePorts(node& self);
   static peer_mesh_events MeshEvents(node& self);
   static request_router_ports RouterPorts(node& self);
@@ -147,6 +152,7 @@
   bool announced_ = false;
   bool announcing_ = false;
   std::optional<instant> stopping_since_;
+  instant last_busy_{};
   target_report last_told_;
   timer tick_;
   timer announce_retry_;
--- a/src/own_target.h
+++ b/src/own_target.h
@@ -39,6 +39,12 @@
  public:
   explicit own_target(own_target_settings settings) : settings_(std::move(settings)) {}
 
+  /// Takes over limits that have changed.
+  void SetLimits(std::chrono::milliseconds heartbeat, std::chrono::milliseconds drain_limit) {
+    settings_.heartbeat = heartbeat;
+    settings_.drain_limit = drain_limit;
+  }
+
   heartbeat_verdict OnHeartbeat(instant now, const target_heartbeat& heartbeat);
   /// The target said that it is gone or about to go. False when it is not the life that runs.
   bool OnLeave(instant now, const std::string& id);
--- a/src/peer_mesh.h
+++ b/src/peer_mesh.h
@@ -51,6 +51,8 @@
   void Cancel(ticket id);
   /// Answers a request of a peer.
   void Answer(connection_id to, const dispatch_answer& answer) { transport_.Send(to, answer); }
+  /// Whether bytes for peers wait to be sent.
+  bool HasUnsent() const { return transport_.HasUnsent(); }
   /// Sends reports, replaces connections that do not work.
   void Tick(instant now);
   /// Sends a report to everybody at once: something changed that peers should know now.
--- a/src/peer_messages.h
+++ b/src/peer_messages.h
@@ -127,6 +127,8 @@
   std::chrono::milliseconds usual_work{0};
   /// How long work takes on the target's machine at this moment, in percent of the usual.
   uint32_t pace_percent = 100;
+  /// Requests per second for the target's keys, in thousandths.
+  uint32_t key_request_millirate = 0;
   /// Requests per second that the target may still be given, when cold.
   uint32_t cold_rate = 0;
 };
--- a/src/peer_transport.cpp
+++ b/src/peer_transport.cpp
@@ -6,6 +6,7 @@
 #include <event2/listener.h>
 #include <netinet/tcp.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <cstring>
@@ -96,6 +97,13 @@
   return found != connections_.end() && found->second->established;
 }
 
+bool peer_transport::HasUnsent() const {
+  return std::any_of(connections_.begin(), connections_.end(), [](const auto& one) {
+    return one.second->established &&
+           evbuffer_get_length(bufferevent_get_output(one.second->raw)) > 0;
+  });
+}
+
 std::string peer_transport::PeerAddress(connection_id id) const {
   const auto found = connections_.find(id);
   return found == connections_.end() ? "" : found->second->peer;
--- a/src/peer_transport.h
+++ b/src/peer_transport.h
@@ -50,6 +50,8 @@
   bool Established(connection_id id) const;
   /// Address at the other end; empty when the connection is gone.
   std::string PeerAddress(connection_id id) const;
+  /// Whether bytes of messages wait to be sent.
+  bool HasUnsent() const;
   /// Bytes sent and received on all connections since the start.
   uint64_t BytesSent() const { return bytes_sent_; }
   uint64_t BytesReceived() const { return bytes_received_; }
--- a/src/range_service.h
+++ b/src/range_service.h
@@ -50,6 +50,8 @@
   bool Holds(instant now, uint32_t key) const {
     return Leased(now) && steward_.Holds(now, key);
   }
+  /// A request for the key came to the gate.
+  void OnRequest(instant now, uint32_t key) { steward_.OnRequest(now, key); }
   const range_steward& steward() const { return steward_; }
 
  private:
--- a/src/range_spread.cpp
+++ b/src/range_spread.cpp
@@ -38,6 +38,55 @@
   }
 }
 
+namespace {
+
+// A piece may be this much busier than what its new owner is to take.
+constexpr double kOverfill = 1.4;
+// Pieces below this share of what the new owner is to take are not worth a move.
+constexpr double kUnderfill = 0.3;
+
+// The next group of keys of a range, or what the range has of it.
+key_range NextGroup(const key_range& range, uint32_t from) {
+  const uint32_t end = from / key_heat::kGroup * key_heat::kGroup + key_heat::kGroup - 1;
+  return {from, std::min(range.last, end)};
+}
+
+}  // namespace
+
+std::vector<balancing_move> PlanRelief(instant now, const std::vector<key_range>& own,
+                                       const key_heat& heat,
+                                       const std::vector<relief_owner>& owners) {
+  std::vector<balancing_move> moves;
+  auto to = owners.begin();
+  for (const key_range& range : own) {
+    std::optional<key_range> piece;
+    double rate = 0;
+    const auto close = [&] {
+      if (piece && to != owners.end() && rate >= to->rate * kUnderfill) {
+        moves.push_back({*piece, to->owner});
+        ++to;
+      }
+      piece.reset();
+      rate = 0;
+    };
+    for (uint32_t from = range.first; from <= range.last && to != owners.end();) {
+      const key_range group = NextGroup(range, from);
+      const double group_rate = heat.Rate(now, group);
+      from = group.last + 1;
+      if (rate + group_rate > to->rate * kOverfill) {
+        close();
+        // Too busy for this owner by itself: it stays where it is.
+        if (to == owners.end() || group_rate > to->rate * kOverfill) continue;
+      }
+      piece = key_range{piece ? piece->first : group.first, group.last};
+      rate += group_rate;
+      if (rate >= to->rate) close();
+    }
+    close();
+  }
+  return moves;
+}
+
 std::optional<balancing_move> ChooseBalancingMove(const key_map& map, const range_owner& self,
                                                   const std::vector<range_owner>& owners) {
   if (owners.size() < 2) return std::nullopt;
--- a/src/range_spread.h
+++ b/src/range_spread.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "key_heat.h"
 #include "key_map.h"
 
 namespace bulrushway {
@@ -22,6 +23,20 @@
   range_owner to;
 };
 
+/// An owner that can take load over.
+struct relief_owner {
+  range_owner owner;
+  /// Requests per second that are to go there.
+  double rate = 0;
+};
+
+/// Divides the load of an owner that has too much: pieces of its ranges, in their order, each with
+/// about the rate that its new owner is to take. A group of keys that is too busy for a new owner
+/// stays.
+std::vector<balancing_move> PlanRelief(instant now, const std::vector<key_range>& own,
+                                       const key_heat& heat,
+                                       const std::vector<relief_owner>& owners);
+
 /// The move that brings `self` closest to its share, if it has clearly more than that and another
 /// of the owners has clearly less.
 std::optional<balancing_move> ChooseBalancingMove(const key_map& map, const range_owner& self,
--- a/src/range_steward.cpp
+++ b/src/range_steward.cpp
@@ -16,6 +16,13 @@
 constexpr milliseconds kGrantMargin{250};
 // A lease row that was read longer ago than this is read again before it decides anything.
 constexpr milliseconds kLeaseReadAge{1000};
+// An owner gives load away when its requests would keep more than this share of its slots busy: a
+// move costs its keys about a second, and below this waiting costs less.
+constexpr double kBusyDemand = 0.5;
+// ... and when it has this many times the mean of all owners.
+constexpr double kMuchBusier = 1.35;
+// Least load, as a share of the slots, that is worth a move.
+constexpr double kLeastGap = 0.03;
 
 }  // namespace
 
@@ -278,19 +285,60 @@
   if (!others) return;
   for (const owned_range& range : map_.ranges) {
     if (range.owner != Self() || IsReleasing(range.keys)) continue;
-    releasing_.push_back({range.keys, std::max(now, GrantEnd(range))});
+    Release(now, range.keys, {});
   }
 }
 
 void range_steward::StartBalancing(instant now, const std::vector<range_candidate>& candidates) {
   if (condition_ != target_condition::kReady || !releasing_.empty()) return;
+  if (StartRelief(now, candidates)) return;
   if (now - last_balance_ < settings_.balance_pause) return;
   const auto move = ChooseBalancingMove(map_, Self(), AcceptingOwners(candidates));
   if (!move) return;
   last_balance_ = now;
-  const owned_range* range = map_.Find(move->keys.first);
-  releasing_.push_back(
-      {move->keys, std::max(now, GrantEnd(*range)), false, {}, move->to.node});
+  Release(now, move->keys, move->to.node);
+}
+
+void range_steward::Release(instant now, const key_range& keys, const std::string& to) {
+  const owned_range* range = map_.Find(keys.first);
+  if (range == nullptr) return;
+  releasing_.push_back({keys, std::max(now, GrantEnd(*range)), false, {}, to});
+}
+
+bool range_steward::StartRelief(instant now, const std::vector<range_candidate>& candidates) {
+  if (now - last_relief_ < settings_.relief_pause) return false;
+  double sum = 0;
+  size_t count = 0;
+  const range_candidate* self = nullptr;
+  for (const range_candidate& one : candidates) {
+    if (!one.alive || !one.accepting) continue;
+    if (one.node == settings_.node) self = &one;
+    sum += one.demand;
+    ++count;
+  }
+  if (self == nullptr || count < 2 || self->cost <= 0) return false;
+  const double mean = sum / static_cast<double>(count);
+  if (self->demand < kBusyDemand || self->demand < mean * kMuchBusier) return false;
+
+  std::vector<relief_owner> owners;
+  double surplus = self->demand - mean;
+  for (const range_candidate& one : candidates) {
+    const double gap = mean - one.demand;
+    if (!one.alive || !one.accepting || one.node == settings_.node || gap < kLeastGap) continue;
+    const double taken = std::min(gap, surplus);
+    if (taken < kLeastGap) break;
+    surplus -= taken;
+    owners.push_back({{one.node, one.target}, taken / std::max(one.cost, self->cost)});
+  }
+  std::vector<key_range> own;
+  for (const owned_range& range : map_.ranges) {
+    if (range.owner == Self()) own.push_back(range.keys);
+  }
+  const auto moves = PlanRelief(now, own, heat_, owners);
+  if (moves.empty()) return false;
+  last_relief_ = now;
+  for (const balancing_move& move : moves) Release(now, move.keys, move.to.node);
+  return true;
 }
 
 steward_wish range_steward::Next(instant now, const std::vector<range_candidate>& candidates,
--- a/src/range_steward.h
+++ b/src/range_steward.h
@@ -18,6 +18,7 @@
 #include <vector>
 
 #include "clock.h"
+#include "key_heat.h"
 #include "key_map.h"
 #include "process_lease.h"
 #include "target_heartbeat.h"
@@ -34,6 +35,11 @@
   bool leased = false;
   /// Its target may be given keys: up, not leaving, not in a data centre taken out.
   bool accepting = false;
+  /// Slots that its requests would keep busy, as a share of those it has; above 1 when it cannot
+  /// keep up.
+  double demand = 0;
+  /// Share of the target's slots that one request per second keeps busy.
+  double cost = 0;
 };
 
 /// State of the target beside this process.
@@ -80,8 +86,10 @@
   std::chrono::milliseconds settle{1500};
   /// Leases of suspects are read this often.
   std::chrono::milliseconds lease_check{400};
-  /// Pause between two moves that only balance the load.
+  /// Pause between two moves that only balance the number of keys.
   std::chrono::milliseconds balance_pause{3000};
+  /// Pause between two moves that relieve an owner of load.
+  std::chrono::milliseconds relief_pause{1500};
 };
 
 /// The steward of one target's keys.
@@ -108,6 +116,11 @@
   /// The target's state, from heartbeats, failures and rules.
   void SetTarget(instant now, target_condition condition, const target_life& life);
 
+  /// A request for the key came.
+  void OnRequest(instant now, uint32_t key) { heat_.Note(now, key); }
+  /// Requests per second for the target's keys.
+  double RequestRate(instant now) const { return heat_.TotalRate(now); }
+
   /// Whether the target holds the key now.
   bool Holds(instant now, uint32_t key) const;
   /// Whether the map assigns the key to this node.
@@ -146,6 +159,8 @@
                     bool& wants_leases);
   void StartReleases(instant now, const std::vector<range_candidate>& candidates);
   void StartBalancing(instant now, const std::vector<range_candidate>& candidates);
+  bool StartRelief(instant now, const std::vector<range_candidate>& candidates);
+  void Release(instant now, const key_range& keys, const std::string& to);
   bool IsCoordinator(const std::vector<range_candidate>& candidates) const;
   range_owner Self() const { return {settings_.node, life_}; }
 
@@ -177,6 +192,8 @@
   instant leases_read_{};
   bool leases_known_ = false;
   instant last_balance_{};
+  instant last_relief_{};
+  key_heat heat_;
 };
 
 }  // namespace bulrushway
--- a/src/request_router.cpp
+++ b/src/request_router.cpp
@@ -146,6 +146,11 @@
     GiveUp(now, subject, refusal_reason::kNoConfiguration);
     return false;
   }
+  if (const auto back = ports_.stopping(now)) {
+    subject->retry_after = *back;
+    GiveUp(now, subject, refusal_reason::kStopping);
+    return false;
+  }
   subject->matched =
       subject->table->Find(HostName(FindHeader(request.headers, "Host")), request.target);
   if (subject->matched == nullptr) return answer(kNotFound, "no route");
@@ -160,7 +165,8 @@
   const auto wanted = ParseNumber<uint64_t>(FindHeader(request.headers, names.time_left));
   milliseconds limit = subject->matched->timeout;
   if (wanted) limit = std::min(limit, milliseconds(*wanted));
-  subject->deadline = now + std::max(limit - kCallerMargin, milliseconds{1});
+  subject->deadline = std::min(now + std::max(limit - kCallerMargin, milliseconds{1}),
+                               ports_.latest_deadline());
   subject->nested = subject->exchange->Peer().ip == settings_.ip;
   return true;
 }
--- a/src/request_router.h
+++ b/src/request_router.h
@@ -32,8 +32,10 @@
   std::function<std::shared_ptr<const route_table>()> configuration;
   /// The node that owns a key; empty while nobody does.
   std::function<std::string(const std::string& service, uint32_t key)> owner_of;
-  /// Whether operators have taken the data centre out of service.
-  std::function<bool(const std::string& data_centre)> evacuated;
+  /// Time until this process can serve again, if it is stopping and takes no new requests.
+  std::function<std::optional<std::chrono::milliseconds>(instant)> stopping;
+  /// By when requests have to be answered, since the process ends then.
+  std::function<instant()> latest_deadline;
 };
 
 /// Who this process is, towards callers.
--- a/src/target_gate.cpp
+++ b/src/target_gate.cpp
@@ -89,6 +89,7 @@
     return id;
   }
   const dispatch_request& asked = subject->request;
+  if (asked.key) ports_.asked(now, *asked.key);
   const slot_verdict verdict =
       queue_.Arrive(now, {id, asked.rank, asked.nested, subject->deadline, asked.patience,
                           asked.expected_work});
--- a/src/target_gate.h
+++ b/src/target_gate.h
@@ -39,6 +39,8 @@
   std::function<bool()> keyed;
   /// Whether the target holds the key now, by grants and lease.
   std::function<bool(instant, uint32_t key)> holds;
+  /// A request for the key came, whether it is served or not.
+  std::function<void(instant, uint32_t key)> asked;
   /// Why the key is not held, and when that may change.
   std::function<std::pair<refusal_reason, std::chrono::milliseconds>(instant, uint32_t key)>
       why_not_held;
