Serve first what can be on time, and weigh traffic between regions

Change: at a gate, requests that can meet their latency target go before those that cannot; a late one waits a quarter of its time. A choice counts 30 ms of waiting for a kilobyte between regions. Keys move only from owners that are three quarters busy.

--- a/src/peer_codec.cpp
+++ b/src/peer_codec.cpp
@@ -66,7 +66,7 @@
 
 static auto Fields(auto& m, const dispatch_request&) {
   return std::tie(m.id, m.request_id, m.caller, m.service, m.route, m.key, m.idempotent, m.nested,
-                  m.rank, m.home_regions, m.time_left, m.patience, m.expected_work,
+                  m.rank, m.home_regions, m.time_left, m.target_left, m.patience, m.expected_work,
                   m.request.method, m.request.target, m.request.headers, m.request.body);
 }
 
--- a/src/peer_messages.h
+++ b/src/peer_messages.h
@@ -175,6 +175,8 @@
   std::vector<std::string> home_regions;
   /// Time until the caller gives up.
   std::chrono::milliseconds time_left{0};
+  /// Time until an answer is late; negative when it is late already.
+  std::chrono::milliseconds target_left{0};
   /// Longest wait for a slot after which the request is better refused.
   std::chrono::milliseconds patience{0};
   /// Usual time of the work; zero when unknown.
--- a/src/range_steward.cpp
+++ b/src/range_steward.cpp
@@ -18,7 +18,7 @@
 constexpr milliseconds kLeaseReadAge{1000};
 // An owner gives load away when its requests would keep more than this share of its slots busy: a
 // move costs its keys about a second, and below this waiting costs less.
-constexpr double kBusyDemand = 0.5;
+constexpr double kBusyDemand = 0.75;
 // ... and when it has this many times the mean of all owners.
 constexpr double kMuchBusier = 1.35;
 // Least load, as a share of the slots, that is worth a move.
--- a/src/request_router.cpp
+++ b/src/request_router.cpp
@@ -29,6 +29,8 @@
 constexpr milliseconds kFirstPatience{40};
 // Share of the time left after the work that a request may wait for a slot at its last choice.
 constexpr double kLastPatience = 0.7;
+// The same for a request whose answer will be late: under lasting overload it would wait in vain.
+constexpr double kLatePatience = 0.25;
 // Least time left with which another attempt is made.
 constexpr milliseconds kLeastAttempt{15};
 // Pause before the owner of a key is looked up again.
@@ -78,6 +80,8 @@
   std::string body;
   instant arrived;
   instant deadline;
+  // Until when an answer is worth most.
+  instant target;
   // Attempt under way: its number, where it is, and how to cancel it.
   uint64_t attempt = 0;
   bool outstanding = false;
@@ -114,9 +118,9 @@
 }
 
 milliseconds request_router::ExpectedWork(const std::string& route) const {
-  const auto found = usual_work_.find(route);
-  return found == usual_work_.end() ? milliseconds{0}
-                                    : milliseconds(static_cast<int64_t>(found->second));
+  const auto found = experience_.find(route);
+  return found == experience_.end() ? milliseconds{0}
+                                    : milliseconds(static_cast<int64_t>(found->second.work_ms));
 }
 
 void request_router::Handle(instant now, std::shared_ptr<http_exchange> exchange) {
@@ -165,6 +169,12 @@
   const auto wanted = ParseNumber<uint64_t>(FindHeader(request.headers, names.time_left));
   milliseconds limit = subject->matched->timeout;
   if (wanted) limit = std::min(limit, milliseconds(*wanted));
+  // Time that passed before this attempt counts against the latency target.
+  route_experience& known = experience_[subject->matched->name];
+  const milliseconds said = wanted ? milliseconds(*wanted) : limit;
+  known.full_time = std::max(known.full_time, said);
+  subject->target = now + subject->matched->latency_target - (known.full_time - said) -
+                    kCallerMargin;
   subject->deadline = std::min(now + std::max(limit - kCallerMargin, milliseconds{1}),
                                ports_.latest_deadline());
   subject->nested = subject->exchange->Peer().ip == settings_.ip;
@@ -172,12 +182,13 @@
 }
 
 const node_state* request_router::Choose(instant now, flight& subject,
-                                         refusal_reason& why_none) const {
+                                         refusal_reason& why_none) {
   if (!subject.keyed) {
     why_none = refusal_reason::kNoTarget;
+    const auto known = experience_.find(subject.matched->name);
+    const double bytes = known == experience_.end() ? 0 : known->second.bytes;
     return ChooseTarget(now, fleet_.OfService(subject.service),
-                        {subject.matched->home_regions, subject.tried},
-                        const_cast<request_router*>(this)->rng_);
+                        {subject.matched->home_regions, subject.tried, bytes}, rng_);
   }
   const std::string owner = ports_.owner_of(subject.service, *subject.key);
   why_none = refusal_reason::kNoOwner;
@@ -215,6 +226,18 @@
   GiveUp(now, subject, why_none);
 }
 
+milliseconds request_router::Patience(const flight& subject, milliseconds spare,
+                                      milliseconds on_time) const {
+  spare = std::max(spare, milliseconds{0});
+  const auto longest = duration_cast<milliseconds>(spare * kLastPatience);
+  // A call is worth its caller's work, and a key has no other owner.
+  if (subject.nested || subject.keyed) return longest;
+  const bool others = subject.tries + 1 < kMostTries;
+  if (others && on_time > kFirstPatience) return std::min(longest, kFirstPatience);
+  // Wait as long as the answer can be on time; what is late anyway waits only while load passes.
+  return std::min(longest, std::max(on_time, duration_cast<milliseconds>(spare * kLatePatience)));
+}
+
 dispatch_request request_router::MakeDispatch(instant now, const flight& subject,
                                               const node_state& to) const {
   const http_request& asked = subject.exchange->request();
@@ -232,10 +255,10 @@
   const auto left = duration_cast<milliseconds>(subject.deadline - now) - way_back;
   request.time_left = std::max(left, milliseconds{1});
   request.expected_work = ExpectedWork(subject.matched->name);
-  const auto spare = std::max(left - request.expected_work, milliseconds{0});
-  request.patience = duration_cast<milliseconds>(spare * kLastPatience);
-  const bool others = !subject.keyed && subject.tries + 1 < kMostTries;
-  if (others) request.patience = std::min(request.patience, kFirstPatience);
+  const auto target_left = duration_cast<milliseconds>(subject.target - now) - way_back;
+  request.target_left = target_left;
+  request.patience = Patience(subject, left - request.expected_work,
+                              target_left - request.expected_work);
   request.request.method = asked.method;
   request.request.target = asked.target;
   request.request.headers = asked.headers;
@@ -270,6 +293,18 @@
   OnAnswer(now, subject, attempt, node, std::move(unreachable));
 }
 
+void request_router::NoteExperience(const flight& subject, const dispatch_answer& answer) {
+  const auto work = static_cast<double>(answer.work.count());
+  const auto bytes = static_cast<double>(subject.body.size() + answer.answer.body.size());
+  route_experience& known = experience_[subject.matched->name];
+  if (known.work_ms == 0) {
+    known.work_ms = work;
+    known.bytes = bytes;
+  }
+  known.work_ms += kWorkWeight * (work - known.work_ms);
+  known.bytes += kWorkWeight * (bytes - known.bytes);
+}
+
 bool request_router::MayOfferAgain(flight& subject) {
   if (subject.offers == 0) return true;
   if (subject.offers >= subject.matched->attempts) return false;
@@ -292,9 +327,7 @@
       return Attempt(now, subject);
     }
     if (!failed) {
-      const auto work = static_cast<double>(answer.work.count());
-      double& usual = usual_work_.try_emplace(subject->matched->name, work).first->second;
-      usual += kWorkWeight * (work - usual);
+      NoteExperience(*subject, answer);
     }
     return Complete(now, subject, std::move(answer.answer), "answered");
   }
--- a/src/request_router.h
+++ b/src/request_router.h
@@ -75,11 +75,14 @@
 
   bool Accept(instant now, const flight_ptr& subject);
   void Attempt(instant now, const flight_ptr& subject);
-  const node_state* Choose(instant now, flight& subject, refusal_reason& why_none) const;
+  const node_state* Choose(instant now, flight& subject, refusal_reason& why_none);
   void SendTo(instant now, const flight_ptr& subject, const node_state& to);
+  std::chrono::milliseconds Patience(const flight& subject, std::chrono::milliseconds spare,
+                                     std::chrono::milliseconds on_time) const;
   dispatch_request MakeDispatch(instant now, const flight& subject, const node_state& to) const;
   void OnAnswer(instant now, const flight_ptr& subject, uint64_t attempt,
                 const std::string& node, dispatch_answer answer);
+  void NoteExperience(const flight& subject, const dispatch_answer& answer);
   bool MayOfferAgain(flight& subject);
   void Park(instant now, const flight_ptr& subject, std::chrono::milliseconds wait);
   void GiveUp(instant now, const flight_ptr& subject, refusal_reason reason);
@@ -104,8 +107,17 @@
   std::multimap<instant, uint64_t> deadlines_;
   std::multimap<instant, uint64_t> parked_;
   std::map<std::string, retry_budget> budgets_;
-  // Usual time of work by route, in milliseconds.
-  std::map<std::string, double> usual_work_;
+  // What is learned of a route.
+  struct route_experience {
+    // Usual time of work, in milliseconds.
+    double work_ms = 0;
+    // Bytes of a request and its answer.
+    double bytes = 0;
+    // Longest time that a caller said it will wait: that of a first attempt. A caller that comes
+    // back after a refusal says less.
+    std::chrono::milliseconds full_time{0};
+  };
+  std::map<std::string, route_experience> experience_;
 };
 
 }  // namespace bulrushway
--- a/src/slot_queue.cpp
+++ b/src/slot_queue.cpp
@@ -21,6 +21,11 @@
 
 milliseconds ToMs(double ms) { return milliseconds(static_cast<int64_t>(std::ceil(ms))); }
 
+// An answer would come after the latency target even if the request had a slot now.
+bool IsLate(instant now, const slot_request& request) {
+  return !request.nested && now + request.expected_work > request.target;
+}
+
 bool LeavesTimeForWork(instant start, const slot_request& request) {
   const auto least =
       duration_cast<std::chrono::nanoseconds>(request.expected_work * kLeastShareOfWork);
@@ -65,8 +70,14 @@
   cold_ = cold;
 }
 
-slot_queue::order slot_queue::OrderOf(const slot_request& request) {
-  return {!request.nested, request.rank, request.deadline, request.id};
+slot_queue::order slot_queue::OrderOf(const slot_request& request, bool late) {
+  return {!request.nested, request.rank, late, request.deadline, request.id};
+}
+
+void slot_queue::Insert(const waiting_request& one) {
+  const order place = OrderOf(one.request, one.late);
+  waiting_.emplace(place, one);
+  index_[one.request.id] = place;
 }
 
 bool slot_queue::SlotFree(instant now) const {
@@ -79,9 +90,8 @@
   return ToMs(usual_work_ms_ > 0 ? usual_work_ms_ : kAssumedWorkMs);
 }
 
-milliseconds slot_queue::ExpectedWait(instant now, bool nested, uint32_t rank) const {
-  const slot_request probe{.rank = rank, .nested = nested, .deadline = instant::max()};
-  const order place = OrderOf(probe);
+milliseconds slot_queue::ExpectedWait(instant now, const slot_request& request) const {
+  const order place = OrderOf(request, IsLate(now, request));
   const auto ahead = static_cast<double>(
       std::distance(waiting_.begin(), waiting_.upper_bound(place)));
   if (SlotFree(now) && ahead == 0) return milliseconds{0};
@@ -93,7 +103,9 @@
 }
 
 slot_verdict slot_queue::Arrive(instant now, const slot_request& request) {
-  const bool served_first = waiting_.empty() || OrderOf(request) < waiting_.begin()->first;
+  const bool late = IsLate(now, request);
+  const bool served_first =
+      waiting_.empty() || OrderOf(request, late) < waiting_.begin()->first;
   if (served_first && SlotFree(now)) {
     if (!LeavesTimeForWork(now, request)) {
       return {slot_verdict::kind::kRefuse, refusal_reason::kDeadlineTooShort, milliseconds{0}};
@@ -102,7 +114,7 @@
     ++running_;
     return {};
   }
-  const milliseconds wait = ExpectedWait(now, request.nested, request.rank);
+  const milliseconds wait = ExpectedWait(now, request);
   if (wait > request.patience) {
     const auto reason = cold_ ? refusal_reason::kColdStart : refusal_reason::kQueueFull;
     return {slot_verdict::kind::kRefuse, reason, wait};
@@ -110,9 +122,7 @@
   if (!LeavesTimeForWork(now + wait, request)) {
     return {slot_verdict::kind::kRefuse, refusal_reason::kDeadlineTooShort, wait};
   }
-  const order place = OrderOf(request);
-  waiting_.emplace(place, waiting_request{request, now});
-  index_.emplace(request.id, place);
+  Insert({request, now, late});
   return {slot_verdict::kind::kWait, refusal_reason::kNone, wait};
 }
 
@@ -133,7 +143,24 @@
   return id;
 }
 
+void slot_queue::MoveLate(instant now) {
+  std::vector<waiting_request> late;
+  for (auto it = waiting_.begin(); it != waiting_.end();) {
+    if (it->second.late || !IsLate(now, it->second.request)) {
+      ++it;
+      continue;
+    }
+    late.push_back(it->second);
+    it = waiting_.erase(it);
+  }
+  for (waiting_request& one : late) {
+    one.late = true;
+    Insert(one);
+  }
+}
+
 std::vector<slot_expiry> slot_queue::Expire(instant now) {
+  MoveLate(now);
   std::vector<slot_expiry> expired;
   for (auto it = waiting_.begin(); it != waiting_.end();) {
     const waiting_request& one = it->second;
--- a/src/slot_queue.h
+++ b/src/slot_queue.h
@@ -7,9 +7,11 @@
 // slots elsewhere.
 //
 // The order is: calls made by running requests, whose callers hold slots while they wait; then the
-// most urgent rank; then the earliest deadline. A request is refused at once when its expected wait
-// exceeds its patience or leaves too little time for its work: it can still be served elsewhere, or
-// told truthfully when to come back.
+// most urgent rank; then requests that can still be answered within their latency target before
+// those that cannot, since under lasting overload a queue in order of arrival makes every answer
+// late; then the earliest deadline. A request is refused at once when its expected wait exceeds its
+// patience or leaves too little time for its work: it can still be served elsewhere, or told
+// truthfully when to come back.
 
 #include <chrono>
 #include <cstdint>
@@ -31,6 +33,8 @@
   /// A call made by a running request.
   bool nested = false;
   instant deadline{};
+  /// Until when an answer is worth most.
+  instant target{};
   /// Longest useful wait for a slot.
   std::chrono::milliseconds patience{0};
   /// Usual time of the work itself; zero when unknown.
@@ -104,16 +108,19 @@
   /// Usual time that a request holds a slot.
   std::chrono::milliseconds UsualWork() const;
   /// Expected wait of a request of this rank that arrives now.
-  std::chrono::milliseconds ExpectedWait(instant now, bool nested, uint32_t rank) const;
+  std::chrono::milliseconds ExpectedWait(instant now, const slot_request& request) const;
 
  private:
-  using order = std::tuple<bool, uint32_t, instant, uint64_t>;
+  using order = std::tuple<bool, uint32_t, bool, instant, uint64_t>;
   struct waiting_request {
     slot_request request;
     instant arrived;
+    bool late = false;
   };
 
-  static order OrderOf(const slot_request& request);
+  static order OrderOf(const slot_request& request, bool late);
+  void Insert(const waiting_request& one);
+  void MoveLate(instant now);
   bool SlotFree(instant now) const;
 
   uint32_t slots_ = 0;
--- a/src/target_choice.cpp
+++ b/src/target_choice.cpp
@@ -13,6 +13,11 @@
 constexpr double kCrowdingPower = 4;
 // What a failed request costs its caller, against which the share of failures is weighed.
 constexpr milliseconds_f kFailureCost{800};
+// Traffic between regions, and between data centres, is paid for by volume: a kilobyte is worth this
+// much waiting.
+constexpr milliseconds_f kRemoteCost{30};
+constexpr milliseconds_f kRegionCost{4};
+constexpr double kBytesPerKilobyte = 1000;
 // Each choice looks at the targets with this much random error, so that processes that know the
 // same do not all choose the same.
 constexpr double kSpread = 0.15;
@@ -31,7 +36,7 @@
 
 }  // namespace
 
-milliseconds_f ExpectedTime(const node_state& node) {
+milliseconds_f ExpectedCost(const node_state& node, double bytes) {
   const target_report& target = node.report.target;
   const double slots = std::max(1U, target.slots);
   const double busy = target.running + target.waiting + node.sent_since;
@@ -42,6 +47,9 @@
   time += work * (1 + kCrowdingCost * std::pow(fill, kCrowdingPower));
   time += queued * work / slots;
   if (target.cold) time *= kColdFactor;
+  const double kilobytes = bytes / kBytesPerKilobyte;
+  if (node.locality == node_locality::kRemote) time += kilobytes * kRemoteCost.count();
+  if (node.locality == node_locality::kRegion) time += kilobytes * kRegionCost.count();
   time += node.failure_share * kFailureCost.count();
   return milliseconds_f(time);
 }
@@ -53,7 +61,7 @@
   double best_time = 0;
   for (const node_state* node : nodes) {
     if (!Allowed(now, *node, request)) continue;
-    const double time = ExpectedTime(*node).count() * error(rng);
+    const double time = ExpectedCost(*node, request.bytes).count() * error(rng);
     if (best != nullptr && time >= best_time) continue;
     best = node;
     best_time = time;
--- a/src/target_choice.h
+++ b/src/target_choice.h
@@ -21,10 +21,12 @@
   std::vector<std::string> home_regions;
   /// Nodes that have been asked already.
   std::vector<std::string> tried;
+  /// Bytes of the request and its answer.
+  double bytes = 0;
 };
 
-/// Expected time until an answer from the node's target.
-std::chrono::duration<double, std::milli> ExpectedTime(const node_state& node);
+/// Expected time until an answer from the node's target, raised by what the traffic to it costs.
+std::chrono::duration<double, std::milli> ExpectedCost(const node_state& node, double bytes);
 
 /// The node whose target is expected to answer first, or null when none may be asked.
 const node_state* ChooseTarget(instant now, const std::vector<const node_state*>& nodes,
