Stop asking a target that has been replaced; test the owners of keys in random interleavings

A target had crashed and another life ran at its address; until its first heartbeat every request was sent, answered 421 and sent again after 125 ms, none of it counted against the budget.

Ruled out: keys on the move; the 421 named another instance.

Change: an answer by another instance stops requests until a heartbeat tells which life runs. What a target said about a request counts as an arrival, also when it says "not run". Calls of the store hand their time in, so that leases, maps and stewards can be played in time.

By hand, mutants caught: lease end too early, release without waiting, grant beyond the lease, takeover without its condition, old fences.

--- a/src/header_names.h
+++ b/src/header_names.h
@@ -19,6 +19,8 @@
   std::string caller;
   /// Id of the target that is to run the request; any other refuses it.
   std::string target_instance;
+  /// Id of the target that gave an answer.
+  std::string answering_instance;
   /// Signature of a target on its own answers.
   std::string signature;
   /// Present when a target says that it has not run the request.
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -56,6 +56,9 @@
           [&self](instant now, uint32_t key) {
             if (self.ranges_) self.ranges_->OnRequest(now, key);
           },
+          [&self](instant now, uint32_t key) {
+            if (self.ranges_) self.ranges_->OnNotHeld(now, key);
+          },
           [&self](instant now, uint32_t key) { return self.WhyNotHeld(now, key); },
           [&self](instant) { return self.DataCentreOut(); }, self.ports_.parse_load};
 }
@@ -107,20 +110,19 @@
                         exchange->Reply({200, {{"Content-Type", "text/plain"}}, metrics_.Expose()});
                       }),
       operator_rows_(loop, log_, ports_.store, ports_.operator_table,
-                     [this](instant, const std::vector<stored_row>& rows) {
-                       const instant now = boot_clock::now();
+                     [this](instant now, instant, const std::vector<stored_row>& rows) {
                        for (const stored_row& row : rows) ports_.operator_row(now, row);
                      }),
       member_rows_(loop, log_, ports_.store, kMemberTable,
-                   [this](instant, const std::vector<stored_row>& rows) {
-                     OnMemberRows(boot_clock::now(), rows);
+                   [this](instant now, instant, const std::vector<stored_row>& rows) {
+                     OnMemberRows(now, rows);
                    }),
       key_map_rows_(loop, log_, ports_.store, kKeyMapTable,
-                    [this](instant began, const std::vector<stored_row>& rows) {
-                      OnKeyMapRows(began, rows);
+                    [this](instant now, instant began, const std::vector<stored_row>& rows) {
+                      OnKeyMapRows(now, began, rows);
                     }),
       tick_(loop, [this](instant now) { Tick(now); }),
-      announce_retry_(loop, [this](instant now) { Announce(now); }) {}
+      announce_retry_(loop, [this](instant) { Announce(); }) {}
 
 result<void> node::Start(instant now) {
   if (auto listening = callers_.Listen(settings_.callers); !listening) return listening;
@@ -132,7 +134,7 @@
               {"region", settings_.region},
               {"process", std::to_string(process_)}},
              log_weight::kNotable);
-  Announce(now);
+  Announce();
   operator_rows_.Start(now);
   member_rows_.Start(now);
   key_map_rows_.Start(now);
@@ -140,15 +142,14 @@
   return {};
 }
 
-void node::Announce(instant now) {
+void node::Announce() {
   if (announcing_ || announced_) return;
   announcing_ = true;
   const member_record self{settings_.name,   settings_.peers,   settings_.data_centre,
                            settings_.region, settings_.service, process_};
   fleet_.OnMember(self);
-  (void)now;
   row_transaction announcement{{}, {{{kMemberTable, settings_.name}, EncodeMember(self)}}};
-  ports_.store.commit(std::move(announcement), [this](result<row_receipt> outcome) {
+  ports_.store.commit(std::move(announcement), [this](instant, result<row_receipt> outcome) {
     announcing_ = false;
     announced_ = outcome.has_value();
     if (announced_) return;
@@ -361,7 +362,7 @@
   mesh_.FollowMembers(now);
 }
 
-void node::OnKeyMapRows(instant began, const std::vector<stored_row>& rows) {
+void node::OnKeyMapRows(instant now, instant began, const std::vector<stored_row>& rows) {
   for (const stored_row& row : rows) {
     if (row.deleted) continue;
     auto map = DecodeKeyMap(row.value);
@@ -378,7 +379,7 @@
     if (ranges_ && row.id.key == settings_.service) ranges_->OnMapRow(began, row);
     key_maps_[row.id.key] = std::move(*map);
   }
-  if (!rows.empty()) router_.OnOwnersChanged(boot_clock::now());
+  if (!rows.empty()) router_.OnOwnersChanged(now);
 }
 
 void node::Tick(instant now) {
--- a/src/node.h
+++ b/src/node.h
@@ -113,8 +113,8 @@
   void OnPeerGone(instant now, connection_id from);
   void OnPeerReport(instant now, const node_report& report);
   void OnMemberRows(instant now, const std::vector<stored_row>& rows);
-  void OnKeyMapRows(instant began, const std::vector<stored_row>& rows);
-  void Announce(instant now);
+  void OnKeyMapRows(instant now, instant began, const std::vector<stored_row>& rows);
+  void Announce();
   std::vector<range_candidate> Candidates(instant now) const;
   std::string OwnerOf(const std::string& service, uint32_t key) const;
   bool OwnServiceKeyed() const;
--- a/src/own_target.cpp
+++ b/src/own_target.cpp
@@ -37,6 +37,7 @@
   last_heartbeat_ = now;
   refused_since_.reset();
   silent_since_.reset();
+  misdirected_since_.reset();
   if (heartbeat.draining && !leaving_since_) leaving_since_ = now;
   cold_until_ = std::max(cold_until_, now + heartbeat.cold_left);
   return heartbeat_verdict::kAccepted;
@@ -69,7 +70,7 @@
 }
 
 bool own_target::Accepting(instant now) const {
-  if (life_.id.empty() || leaving_since_) return false;
+  if (life_.id.empty() || leaving_since_ || misdirected_since_) return false;
   if (Down(now)) return false;
   // One request in a while finds out whether the target is back.
   if (refused_since_ && now - *refused_since_ < kRetryRefused) return false;
@@ -78,7 +79,7 @@
 }
 
 bool own_target::Serving(instant now) const {
-  if (life_.id.empty() || Down(now)) return false;
+  if (life_.id.empty() || misdirected_since_ || Down(now)) return false;
   return !leaving_since_ || now - *leaving_since_ < settings_.drain_limit - kDrainMargin;
 }
 
--- a/src/own_target.h
+++ b/src/own_target.h
@@ -52,6 +52,9 @@
   void OnRefused(instant now);
   /// Connections or answers do not come in time.
   void OnSilence(instant now);
+  /// Another target answered at the address: the life that is known has ended, and the next
+  /// heartbeat tells which one runs.
+  void OnMisdirected(instant now) { misdirected_since_ = now; }
   /// Any answer came.
   void OnAnswer(instant now);
   /// A health answer told how much longer the target is cold.
@@ -81,6 +84,7 @@
   uint32_t slots_ = 0;
   instant last_heartbeat_{};
   std::optional<instant> leaving_since_;
+  std::optional<instant> misdirected_since_;
   std::optional<instant> refused_since_;
   std::optional<instant> silent_since_;
   instant cold_until_{};
--- a/src/range_service.cpp
+++ b/src/range_service.cpp
@@ -38,8 +38,7 @@
 void range_service::KeepLease(instant now) {
   if (lease_.WantsRead(now)) {
     lease_.OnReadStarted();
-    store_.read(kLeaseTable, [this, now](result<row_snapshot> outcome) {
-      const instant answered = boot_clock::now();
+    store_.read(kLeaseTable, [this, now](instant answered, result<row_snapshot> outcome) {
       if (!outcome) return lease_.OnReadFailed(answered);
       clock_.Note(now, answered, outcome->now);
       for (const observed_lease& lease : LeasesIn(*outcome)) {
@@ -54,8 +53,7 @@
   if (!write) return;
   const row_key id = LeaseOf(settings_.node);
   row_transaction renewal{{{id, write->version}}, {{id, EncodeLease(write->record)}}};
-  store_.commit(std::move(renewal), [this, now](result<row_receipt> outcome) {
-    const instant answered = boot_clock::now();
+  store_.commit(std::move(renewal), [this, now](instant answered, result<row_receipt> outcome) {
     if (!outcome) {
       metrics_.Counter("bulrushway_lease_renewals_failed")++;
       return lease_.OnWriteFailed(answered, outcome.error().kind == error_kind::kConflict);
@@ -83,9 +81,9 @@
 }
 
 void range_service::ReadMap(instant now) {
-  store_.read(kKeyMapTable, [this, now](result<row_snapshot> outcome) {
+  store_.read(kKeyMapTable, [this, now](instant answered, result<row_snapshot> outcome) {
     if (!outcome) return steward_.OnReadFailed();
-    clock_.Note(now, boot_clock::now(), outcome->now);
+    clock_.Note(now, answered, outcome->now);
     for (const stored_row& row : outcome->rows) {
       if (row.id.key == settings_.service) return OnMapRow(now, row);
     }
@@ -103,9 +101,8 @@
 }
 
 void range_service::ReadLeases(instant now) {
-  store_.read(kLeaseTable, [this, now](result<row_snapshot> outcome) {
+  store_.read(kLeaseTable, [this, now](instant answered, result<row_snapshot> outcome) {
     if (!outcome) return steward_.OnReadFailed();
-    const instant answered = boot_clock::now();
     clock_.Note(now, answered, outcome->now);
     steward_.OnLeases(answered, LeasesIn(*outcome), outcome->now);
   });
@@ -126,8 +123,8 @@
   }
   const std::string reason = change.reason;
   const uint64_t before = change.map_version;
-  store_.commit(std::move(transaction), [this, now, reason, before](result<row_receipt> outcome) {
-    const instant answered = boot_clock::now();
+  store_.commit(std::move(transaction), [this, now, reason, before](instant answered,
+                                                             result<row_receipt> outcome) {
     if (outcome) {
       clock_.Note(now, answered, outcome->now);
       metrics_.Counter("bulrushway_ownership_changes", {{"reason", reason}})++;
--- a/src/range_service.h
+++ b/src/range_service.h
@@ -52,6 +52,8 @@
   }
   /// A request for the key came to the gate.
   void OnRequest(instant now, uint32_t key) { steward_.OnRequest(now, key); }
+  /// The target refused a key that it was granted.
+  void OnNotHeld(instant now, uint32_t key) { steward_.OnNotHeld(now, key); }
   const range_steward& steward() const { return steward_; }
 
  private:
--- a/src/range_steward.cpp
+++ b/src/range_steward.cpp
@@ -14,6 +14,8 @@
 // The target counts a grant from the sending of its heartbeat, this process from the receipt. The
 // process stops using a grant this much before its own count ends.
 constexpr milliseconds kGrantMargin{250};
+// A target that did not hold a key yet is asked again after this: its grant was on the way.
+constexpr milliseconds kNotHeldPause{100};
 // A lease row that was read longer ago than this is read again before it decides anything.
 constexpr milliseconds kLeaseReadAge{1000};
 // An owner gives load away when its requests would keep more than this share of its slots busy: a
@@ -150,15 +152,30 @@
     known_end = std::max(known_end, end);
   }
   granted_ = grant.ranges;
+  not_held_until_.clear();
   granted_until_ = now + grant.hold - kGrantMargin;
   return grant;
 }
 
+const granted_range* range_steward::FindGranted(uint32_t key) const {
+  const auto found =
+      std::find_if(granted_.begin(), granted_.end(),
+                   [key](const granted_range& range) { return range.keys.Contains(key); });
+  return found == granted_.end() ? nullptr : &*found;
+}
+
+void range_steward::OnNotHeld(instant now, uint32_t key) {
+  if (const granted_range* range = FindGranted(key)) {
+    not_held_until_[range->fence] = now + kNotHeldPause;
+  }
+}
+
 bool range_steward::Holds(instant now, uint32_t key) const {
   if (now >= granted_until_) return false;
-  return std::any_of(granted_.begin(), granted_.end(), [key](const granted_range& range) {
-    return range.keys.Contains(key);
-  });
+  const granted_range* range = FindGranted(key);
+  if (range == nullptr) return false;
+  const auto refused = not_held_until_.find(range->fence);
+  return refused == not_held_until_.end() || now >= refused->second;
 }
 
 bool range_steward::Owns(uint32_t key) const {
--- a/src/range_steward.h
+++ b/src/range_steward.h
@@ -118,6 +118,9 @@
 
   /// A request for the key came.
   void OnRequest(instant now, uint32_t key) { heat_.Note(now, key); }
+  /// The target says that it does not hold a key that it was granted: the grant has not reached it
+  /// yet, or has run out. Its range is not asked for for a moment.
+  void OnNotHeld(instant now, uint32_t key);
   /// Requests per second for the target's keys.
   double RequestRate(instant now) const { return heat_.TotalRate(now); }
 
@@ -150,6 +153,7 @@
 
   bool IsReleasing(const key_range& keys) const;
   void NoteReleased(const target_heartbeat& heartbeat);
+  const granted_range* FindGranted(uint32_t key) const;
   void DropFinishedReleases();
   // When the target's last grant of the range ends at the latest.
   instant GrantEnd(const owned_range& range) const;
@@ -182,6 +186,8 @@
   target_life life_;
   std::vector<granted_range> granted_;
   instant granted_until_{};
+  // By fence: ranges that the target did not hold when it was asked, until when they are left alone.
+  std::map<uint64_t, instant> not_held_until_;
   std::map<uint64_t, instant> grant_ends_;
   std::vector<release> releasing_;
 
--- a/src/row_store.h
+++ b/src/row_store.h
@@ -67,17 +67,19 @@
   store_time now{0};
 };
 
-/// The calls. Each callback is called once, from the loop, never before the call returns. An error
-/// of kind kConflict says that nothing was done (a condition does not hold, or the history of a
-/// watch is gone); one of kind kPeer that nobody knows.
+/// Called once with the time at which the answer came, from the loop, never before the call
+/// returns. An error of kind kConflict says that nothing was done (a condition does not hold, or
+/// the history of a watch is gone); one of kind kPeer that nobody knows.
+using rows_callback = std::function<void(instant answered, result<row_snapshot>)>;
+using receipt_callback = std::function<void(instant answered, result<row_receipt>)>;
+
+/// The calls.
 struct row_store {
   /// All rows of a table.
-  std::function<void(const std::string& table, std::function<void(result<row_snapshot>)>)> read;
-  std::function<void(row_transaction, std::function<void(result<row_receipt>)>)> commit;
+  std::function<void(const std::string& table, rows_callback)> read;
+  std::function<void(row_transaction, receipt_callback)> commit;
   /// The changes of a table after a version; waits for the first one.
-  std::function<void(const std::string& table, uint64_t after,
-                     std::function<void(result<row_snapshot>)>)>
-      watch;
+  std::function<void(const std::string& table, uint64_t after, rows_callback)> watch;
 };
 
 }  // namespace bulrushway
--- a/src/table_follower.cpp
+++ b/src/table_follower.cpp
@@ -28,8 +28,8 @@
   if (reading_) return;
   reading_ = true;
   ++epoch_;
-  store_.read(table_, [this, now](result<row_snapshot> outcome) {
-    OnRead(now, std::move(outcome));
+  store_.read(table_, [this, now](instant answered, result<row_snapshot> outcome) {
+    OnRead(answered, now, std::move(outcome));
   });
 }
 
@@ -41,7 +41,7 @@
              log_weight::kNotable);
 }
 
-void table_follower::OnRead(instant began, result<row_snapshot> outcome) {
+void table_follower::OnRead(instant now, instant began, result<row_snapshot> outcome) {
   reading_ = false;
   if (!outcome) {
     Note(false, outcome.error().message);
@@ -58,33 +58,34 @@
     if (present.contains(key)) continue;
     changes.push_back({{table_, key}, {}, outcome->version, true});
   }
-  Apply(began, std::move(changes));
-  Watch(boot_clock::now());
+  Apply(now, began, std::move(changes));
+  Watch(now);
 }
 
 void table_follower::Watch(instant now) {
   const uint64_t epoch = ++epoch_;
-  store_.watch(table_, version_, [this, now, epoch](result<row_snapshot> outcome) {
-    OnWatched(now, epoch, std::move(outcome));
+  store_.watch(table_, version_, [this, now, epoch](instant answered, result<row_snapshot> outcome) {
+    OnWatched(answered, now, epoch, std::move(outcome));
   });
 }
 
-void table_follower::OnWatched(instant began, uint64_t epoch, result<row_snapshot> outcome) {
+void table_follower::OnWatched(instant now, instant began, uint64_t epoch,
+                               result<row_snapshot> outcome) {
   if (epoch != epoch_) return;
   if (!outcome) {
     Note(false, outcome.error().message);
     // The history is gone, or the store is in trouble: in both cases a read tells what was missed.
-    if (outcome.error().kind == error_kind::kConflict) return Read(boot_clock::now());
+    if (outcome.error().kind == error_kind::kConflict) return Read(now);
     retry_.Once(kRetryPause);
     return;
   }
   Note(true, {});
   version_ = std::max(version_, outcome->version);
-  Apply(began, std::move(outcome->rows));
-  Watch(boot_clock::now());
+  Apply(now, began, std::move(outcome->rows));
+  Watch(now);
 }
 
-void table_follower::Apply(instant began, std::vector<stored_row> changes) {
+void table_follower::Apply(instant now, instant began, std::vector<stored_row> changes) {
   // A read may be older than what a watch has brought meanwhile, row by row.
   std::erase_if(changes, [this](const stored_row& row) {
     const auto known = versions_.find(row.id.key);
@@ -98,7 +99,7 @@
       versions_[row.id.key] = row.version;
     }
   }
-  changed_(began, changes);
+  changed_(now, began, changes);
 }
 
 }  // namespace bulrushway
--- a/src/table_follower.h
+++ b/src/table_follower.h
@@ -19,7 +19,8 @@
 class table_follower {
  public:
   /// What changed. `began` is when the call that brought it was sent.
-  using handler = std::function<void(instant began, const std::vector<stored_row>& changes)>;
+  using handler =
+      std::function<void(instant now, instant began, const std::vector<stored_row>& changes)>;
 
   table_follower(event_loop& loop, decision_log& log, const row_store& store, std::string table,
                  handler changed);
@@ -38,9 +39,9 @@
  private:
   void Read(instant now);
   void Watch(instant now);
-  void OnRead(instant began, result<row_snapshot> outcome);
-  void OnWatched(instant began, uint64_t epoch, result<row_snapshot> outcome);
-  void Apply(instant began, std::vector<stored_row> changes);
+  void OnRead(instant now, instant began, result<row_snapshot> outcome);
+  void OnWatched(instant now, instant began, uint64_t epoch, result<row_snapshot> outcome);
+  void Apply(instant now, instant began, std::vector<stored_row> changes);
   void Note(bool healthy, const std::string& reason);
 
   decision_log& log_;
--- a/src/target_gate.cpp
+++ b/src/target_gate.cpp
@@ -31,6 +31,8 @@
   target_life life;
   http_client::request_id http = 0;
   bool abandoned = false;
+  // Bytes of the request were handed to a connection of the target.
+  bool arrived_at_target = false;
 };
 
 target_gate::target_gate(event_loop& loop, metrics& counters, decision_log& log,
@@ -150,9 +152,26 @@
   queue_.Finish(now, work);
 }
 
+refusal_reason target_gate::NoteNotRun(instant now, const job& subject,
+                                       const http_answer& answer) {
+  constexpr int kMisdirected = 421;
+  if (answer.status != kMisdirected) {
+    queue_.OnTargetFull(now);
+    return refusal_reason::kTargetShed;
+  }
+  const std::string other = FindHeader(answer.headers, settings_.headers.answering_instance);
+  if (!other.empty() && other != subject.life.id) {
+    if (subject.life == target_.life()) target_.OnMisdirected(now);
+    return refusal_reason::kTargetUnreachable;
+  }
+  if (subject.request.key) ports_.lost(now, *subject.request.key);
+  return refusal_reason::kNotOwner;
+}
+
 void target_gate::OnAnswer(instant now, const job_ptr& subject, http_answer answer) {
   constexpr int kMisdirected = 421;
   const auto work = now - subject->handed_over;
+  subject->arrived_at_target = true;
   target_.OnAnswer(now);
   NoteLoad(answer);
   const header_names& names = settings_.headers;
@@ -160,9 +179,7 @@
                        answer.status == kMisdirected;
   if (not_run) {
     EndWork(now, subject, std::chrono::nanoseconds{0});
-    queue_.OnTargetFull(now);
-    const auto reason = answer.status == kMisdirected ? refusal_reason::kNotOwner
-                                                      : refusal_reason::kTargetShed;
+    const refusal_reason reason = NoteNotRun(now, *subject, answer);
     Refuse(now, subject, reason, run_state::kNotRun, queue_.UsualWork(),
            "target answered " + std::to_string(answer.status));
     PopQueue(now);
@@ -195,6 +212,7 @@
     client_.CloseIdle(settings_.address);
   }
   if (failure.timed_out && !failure.may_have_run) target_.OnSilence(now);
+  subject->arrived_at_target = failure.may_have_run;
   const auto state = failure.may_have_run ? run_state::kUnknown : run_state::kNotRun;
   refusal_reason reason = refusal_reason::kAnswerLost;
   if (!failure.may_have_run) {
@@ -259,7 +277,8 @@
   dispatch_answer result;
   result.reason = reason;
   result.state = state;
-  result.offered = state == run_state::kUnknown || reason == refusal_reason::kTargetShed;
+  // Whatever the target says of a request that reached it, it has arrived there.
+  result.offered = subject->arrived_at_target;
   result.retry_after = retry_after;
   metrics_.CountRefusal(reason, state);
   log_.Write("gate_refused", {{"request", subject->request.request_id},
--- a/src/target_gate.h
+++ b/src/target_gate.h
@@ -41,6 +41,8 @@
   std::function<bool(instant, uint32_t key)> holds;
   /// A request for the key came, whether it is served or not.
   std::function<void(instant, uint32_t key)> asked;
+  /// The target says that it does not hold a key that it was believed to hold.
+  std::function<void(instant, uint32_t key)> lost;
   /// Why the key is not held, and when that may change.
   std::function<std::pair<refusal_reason, std::chrono::milliseconds>(instant, uint32_t key)>
       why_not_held;
@@ -95,6 +97,8 @@
   void PopQueue(instant now);
   void OnAnswer(instant now, const job_ptr& subject, http_answer answer);
   void OnFailure(instant now, const job_ptr& subject, const http_failure& failure);
+  // What an answer that says "not run" tells of the target.
+  refusal_reason NoteNotRun(instant now, const job& subject, const http_answer& answer);
   void NoteLoad(const http_answer& answer);
   void EndWork(instant now, const job_ptr& subject, std::chrono::nanoseconds work);
   void Refuse(instant now, const job_ptr& subject, refusal_reason reason, run_state state,
--- /dev/null
+++ b/test/support/key_fleet.cpp
@@ -0,0 +1,314 @@
+#include "key_fleet.h"
+
+#include <fcntl.h>
+
+#include <algorithm>
+
+namespace bulrushway {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kStep{10};
+constexpr milliseconds kHeartbeat{870};
+constexpr milliseconds kReleaseHeartbeat{100};
+// Keys that are looked at: every range is wider than their distance.
+constexpr uint32_t kProbe = 499;
+// A feed may be behind by this much.
+constexpr milliseconds kLongestFeedLag{1500};
+const std::string kService = "cronometraje";
+
+int NullDevice() {
+  static const int descriptor = open("/dev/null", O_WRONLY | O_CLOEXEC);
+  return descriptor;
+}
+
+}  // namespace
+
+bool simulated_target::Holds(instant now, uint32_t key) const {
+  return up && std::any_of(holds.begin(), holds.end(), [&](const held& one) {
+           return now < one.until && one.keys.Contains(key);
+         });
+}
+
+void simulated_target::DropExpired(instant now) {
+  std::erase_if(holds, [now](const held& one) { return now >= one.until; });
+}
+
+void simulated_target::TakeGrant(instant sent, instant now, const target_grant& grant) {
+  const auto hold = std::chrono::duration_cast<std::chrono::nanoseconds>(grant.hold / clock_rate);
+  std::vector<held> taken;
+  for (const granted_range& range : grant.ranges) {
+    taken.push_back({range.keys, range.fence, sent + hold});
+  }
+  for (const held& before : holds) {
+    if (now >= before.until) continue;
+    // What is left out is released, range by range.
+    uint32_t from = before.keys.first;
+    const auto release = [this](uint32_t first, uint32_t last) {
+      released.push_back({{first, last}, "handover-" + std::to_string(first)});
+      next_heartbeat = instant{};
+    };
+    for (const granted_range& range : grant.ranges) {
+      if (!range.keys.Overlaps(before.keys)) continue;
+      if (range.keys.first > from) release(from, range.keys.first - 1);
+      from = std::max(from, range.keys.last + 1);
+    }
+    if (from <= before.keys.last) release(from, before.keys.last);
+  }
+  holds = std::move(taken);
+}
+
+key_fleet::key_fleet(uint64_t seed, size_t nodes)
+    : log_(loop_, "test", NullDevice()),
+      rng_(seed),
+      store_(seed + 1),
+      now_(instant{} + std::chrono::hours(1)) {
+  store_.Advance(now_);
+  for (size_t i = 0; i < nodes; ++i) {
+    auto node = std::make_unique<simulated_node>();
+    node->name = "n" + std::to_string(i);
+    node->ip = "10.0.0." + std::to_string(i + 1);
+    node->target.clock_rate = std::uniform_real_distribution<double>(0.981, 1.0)(rng_);
+    StartTarget(*node);
+    StartProcess(*node);
+    nodes_.push_back(std::move(node));
+  }
+}
+
+key_fleet::~key_fleet() = default;
+
+void key_fleet::StartProcess(simulated_node& node) {
+  node.process_up = true;
+  node.process = next_process_++;
+  node.alive = std::make_shared<bool>(true);
+  node.rows = store_.Rows([&node] { return node.reaches_store; },
+                          [alive = node.alive] { return *alive; });
+  range_service_settings settings{node.name, node.ip, kService, node.process, {}, {}};
+  settings.steward.node = node.name;
+  node.ranges = std::make_unique<range_service>(log_, metrics_, node.rows, settings, now_);
+}
+
+void key_fleet::StopProcess(simulated_node& node) {
+  node.process_up = false;
+  *node.alive = false;
+  node.ranges.reset();
+}
+
+void key_fleet::StartTarget(simulated_node& node) {
+  const double rate = node.target.clock_rate;
+  node.target = {};
+  node.target.clock_rate = rate;
+  node.target.life = {"t" + std::to_string(++wall_ms_), wall_ms_};
+  std::uniform_int_distribution<int> phase(0, static_cast<int>(kHeartbeat.count()));
+  node.target.next_heartbeat = now_ + milliseconds(phase(rng_));
+}
+
+std::vector<range_candidate> key_fleet::CandidatesFor() const {
+  std::vector<range_candidate> candidates;
+  for (const auto& node : nodes_) {
+    range_candidate one;
+    one.node = node->name;
+    one.target = node->target.life;
+    one.alive = node->process_up && now_ >= node->paused_until;
+    one.leased = one.alive && node->ranges->Leased(now_);
+    one.accepting = one.leased && node->target.up && !node->target.draining;
+    one.cost = 0.01;
+    candidates.push_back(one);
+  }
+  return candidates;
+}
+
+void key_fleet::Heartbeat(simulated_node& node) {
+  simulated_target& target = node.target;
+  target_heartbeat heartbeat;
+  heartbeat.life = target.life;
+  heartbeat.service = kService;
+  heartbeat.slots = 12;
+  heartbeat.draining = target.draining;
+  heartbeat.sequence = ++target.sequence;
+  target.DropExpired(now_);
+  for (const auto& one : target.holds) heartbeat.held.push_back({one.keys, one.fence});
+  heartbeat.released = target.released;
+  target.next_heartbeat = now_ + kHeartbeat;
+  if (!node.process_up || now_ < node.paused_until) return;
+  node.ranges->SetTarget(
+      now_, target.draining ? target_condition::kLeaving : target_condition::kReady, target.life);
+  // The target counts its grants from an earlier moment than the process does.
+  std::uniform_int_distribution<int> on_the_way(0, 200);
+  const instant sent = now_ - milliseconds(on_the_way(rng_));
+  const auto grant = node.ranges->OnHeartbeat(now_, heartbeat);
+  target.released.clear();
+  if (!grant) return;
+  target.TakeGrant(sent, now_, *grant);
+  if (!target.released.empty()) target.next_heartbeat = now_ + kReleaseHeartbeat;
+}
+
+void key_fleet::Step() {
+  now_ += kStep;
+  store_.Advance(now_);
+  for (auto& node : nodes_) {
+    if (node->lost) continue;
+    if (!node->process_up && now_ >= node->up_again) StartProcess(*node);
+    if (!node->target.up && node->target_returns && now_ >= node->up_again) {
+      StartTarget(*node);
+    }
+    if (node->target.up && now_ >= node->target.next_heartbeat) Heartbeat(*node);
+    if (!node->process_up || now_ < node->paused_until) continue;
+    if (!node->target.up) node->ranges->SetTarget(now_, target_condition::kDown, node->target.life);
+    FollowMap(*node);
+    node->ranges->Tick(now_, CandidatesFor());
+  }
+  Check();
+}
+
+void key_fleet::FollowMap(simulated_node& node) {
+  const stored_row* row = store_.Find({kKeyMapTable, kService});
+  const bool behind = row != nullptr && row->version > node.ranges->steward().map_version();
+  if (!behind || !node.reaches_store || store_.faults.down || now_ < node.next_feed) return;
+  node.ranges->OnMapRow(now_, *row);
+  std::uniform_int_distribution<int> lag(0, static_cast<int>(kLongestFeedLag.count()));
+  node.next_feed = now_ + milliseconds(lag(rng_));
+}
+
+void key_fleet::Check() {
+  if (!violation_.empty()) return;
+  for (uint32_t key = 0; key <= kLastKey; key += kProbe) {
+    const simulated_node* holder = nullptr;
+    for (const auto& node : nodes_) {
+      if (!node->target.Holds(now_, key)) continue;
+      if (holder != nullptr) {
+        violation_ = "key " + std::to_string(key) + " is held by " + holder->name + " and " +
+                     node->name;
+        return;
+      }
+      holder = node.get();
+    }
+    for (const simulated_target& target : cut_off_) {
+      if (holder == nullptr || !target.Holds(now_, key)) continue;
+      violation_ = "key " + std::to_string(key) + " is held by " + holder->name +
+                   " and by a target that was cut off";
+      return;
+    }
+    if (holder == nullptr) continue;
+    last_held_[key] = now_;
+    uint64_t fence = 0;
+    for (const auto& one : holder->target.holds) {
+      if (one.keys.Contains(key)) fence = one.fence;
+    }
+    auto& [last_holder, last_fence] = last_fence_[key];
+    const std::string& life = holder->target.life.id;
+    const bool rising = fence > last_fence || (fence == last_fence && life == last_holder);
+    if (!rising) {
+      violation_ = "key " + std::to_string(key) + " went to " + life + " with fence " +
+                   std::to_string(fence) + " after " + std::to_string(last_fence);
+    }
+    last_holder = life;
+    last_fence = fence;
+  }
+}
+
+void key_fleet::Play(milliseconds span) {
+  const instant end = now_ + span;
+  while (now_ < end) Step();
+}
+
+void key_fleet::Disturb() {
+  std::uniform_int_distribution<size_t> pick(0, nodes_.size() - 1);
+  std::uniform_int_distribution<int> fault(0, 9);
+  std::uniform_int_distribution<int> span(200, 9000);
+  simulated_node& node = *nodes_[pick(rng_)];
+  if (node.lost) return;
+  const milliseconds lasts(span(rng_));
+  node.up_again = now_ + lasts;
+  switch (fault(rng_)) {
+    case 0:  // The process is killed and started again.
+      if (node.process_up) StopProcess(node);
+      break;
+    case 1:  // The machine loses power.
+      if (node.process_up) StopProcess(node);
+      node.target.up = false;
+      node.target_returns = true;
+      break;
+    case 2:  // The target crashes.
+      node.target.up = false;
+      node.target_returns = true;
+      break;
+    case 3:
+      node.target.draining = true;
+      break;
+    case 4:
+      node.paused_until = now_ + lasts;
+      break;
+    case 5:
+      node.reaches_store = !node.reaches_store;
+      break;
+    case 6:
+      store_.faults.down = !store_.faults.down;
+      break;
+    case 7:
+      store_.faults.lost_answers = 0.4;
+      store_.faults.late_commits = 0.5;
+      break;
+    case 8:
+      store_.faults.delay = milliseconds(span(rng_) / 20);
+      break;
+    default: {  // The machine is replaced under its name, at another address.
+      if (node.process_up) StopProcess(node);
+      cut_off_.push_back(node.target);
+      node.ip += "0";
+      StartTarget(node);
+      break;
+    }
+  }
+}
+
+void key_fleet::Heal() {
+  store_.faults = {};
+  for (auto& node : nodes_) {
+    node->reaches_store = true;
+    node->paused_until = {};
+    node->up_again = now_;
+    node->target_returns = true;
+    if (node->target.draining) {
+      node->target.up = false;
+      node->target.draining = false;
+    }
+  }
+}
+
+const simulated_node* key_fleet::HolderOf(uint32_t key) const {
+  for (const auto& node : nodes_) {
+    if (node->target.Holds(now_, key)) return node.get();
+  }
+  return nullptr;
+}
+
+double key_fleet::HeldWithin(milliseconds span) const {
+  size_t probes = 0;
+  size_t held = 0;
+  for (uint32_t key = 0; key <= kLastKey; key += kProbe) {
+    ++probes;
+    const auto last = last_held_.find(key);
+    if (last != last_held_.end() && now_ - last->second <= span) ++held;
+  }
+  return static_cast<double>(held) / static_cast<double>(probes);
+}
+
+key_fleet_report key_fleet::Report() {
+  key_fleet_report report;
+  report.violation = violation_;
+  size_t probes = 0;
+  size_t held = 0;
+  for (uint32_t key = 0; key <= kLastKey; key += kProbe) {
+    ++probes;
+    if (HolderOf(key) != nullptr) ++held;
+  }
+  report.held_at_end = static_cast<double>(held) / static_cast<double>(probes);
+  if (const stored_row* row = store_.Find({kKeyMapTable, kService})) {
+    report.map_version = row->version;
+  }
+  return report;
+}
+
+}  // namespace bulrushway
