--- a/src/http_client_connection.cpp
+++ b/src/http_client_connection.cpp
@@ -152,9 +152,9 @@
   failure.may_have_run = written_;
   failure.refused = !established_ && errno == ECONNREFUSED;
   failure.broken_off = !parser_->Started();
-  failure.message = established_ ? "The connection ended before the answer was complete."
-                                 : std::string("The connection cannot be opened: ") +
-                                       std::strerror(errno) + ".";
+  failure.message =
+      established_ ? "The connection ended before the answer was complete."
+                   : std::string("The connection cannot be opened: ") + std::strerror(errno) + ".";
   Fail(std::move(failure));
 }
 
--- a/src/http_parser.cpp
+++ b/src/http_parser.cpp
@@ -16,9 +16,15 @@
 
 // Headers that concern one connection, apart from those that the Connection header names. The
 // length is written anew by the serializer.
-constexpr std::array<std::string_view, 9> kHopByHopHeaders = {
-    "Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
-    "TE",         "Trailer",    "Transfer-Encoding", "Upgrade"};
+constexpr std::array<std::string_view, 9> kHopByHopHeaders = {"Connection",
+                                                              "Keep-Alive",
+                                                              "Proxy-Connection",
+                                                              "Proxy-Authenticate",
+                                                              "Proxy-Authorization",
+                                                              "TE",
+                                                              "Trailer",
+                                                              "Transfer-Encoding",
+                                                              "Upgrade"};
 
 std::string_view View(boost::beast::string_view text) { return {text.data(), text.size()}; }
 
@@ -37,8 +43,8 @@
   size_t taken = 0;
   while (taken < bytes.size() && !parser.is_done()) {
     failure = {};
-    taken += parser.put(boost::asio::const_buffer(bytes.data() + taken, bytes.size() - taken),
-                        failure);
+    taken +=
+        parser.put(boost::asio::const_buffer(bytes.data() + taken, bytes.size() - taken), failure);
     if (failure) break;
   }
   if (failure == beast_http::error::need_more) failure = {};
@@ -136,10 +142,9 @@
       return Failure(error_kind::kPeer, "read answer", peer,
                      "The answer is not valid HTTP: " + failure.message() + ".");
     }
-    const bool interim =
-        state_->parser.is_done() &&
-        beast_http::to_status_class(state_->parser.get().result_int()) ==
-            beast_http::status_class::informational;
+    const bool interim = state_->parser.is_done() &&
+                         beast_http::to_status_class(state_->parser.get().result_int()) ==
+                             beast_http::status_class::informational;
     if (!interim) return taken;
     state_ = std::make_unique<state>();
     state_->parser.eager(true);
@@ -219,8 +224,8 @@
 
 std::string SerializeAnswerHead(const http_answer& answer, bool keep_alive) {
   std::string text = "HTTP/1.1 " + std::to_string(answer.status) + " ";
-  text.append(View(beast_http::obsolete_reason(beast_http::int_to_status(
-      static_cast<unsigned>(answer.status)))));
+  text.append(View(beast_http::obsolete_reason(
+      beast_http::int_to_status(static_cast<unsigned>(answer.status)))));
   text.append("\r\n");
   AppendHeaders(text, answer.headers);
   constexpr int kNoContent = 204;
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -35,8 +35,8 @@
   socket_address Peer() const;
   /// Sends the answer; later calls and calls after the caller went away do nothing.
   void Reply(const http_answer& answer);
-  /// Sends the head of the answer and `bytes` of its body, then closes the connection: for stand-ins
-  /// of targets that break off.
+  /// Sends the head of the answer and `bytes` of its body, then closes the connection: for
+  /// stand-ins of targets that break off.
   void ReplyTruncated(const http_answer& answer, size_t bytes);
   /// Closes the caller's connection without an answer. Not to be called from within the handler.
   void Drop();
--- a/src/http_server_connection.cpp
+++ b/src/http_server_connection.cpp
@@ -47,9 +47,9 @@
   auto* connection = static_cast<http_server_connection*>(self);
   if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) == 0) return;
   // The answer of the last request may still be on its way to a caller that has closed its side.
-  const bool writing =
-      evbuffer_get_length(bufferevent_get_output(connection->raw_)) > 0 &&
-      (what & BEV_EVENT_ERROR) == 0 && connection->progress_ != progress::kHandling;
+  const bool writing = evbuffer_get_length(bufferevent_get_output(connection->raw_)) > 0 &&
+                       (what & BEV_EVENT_ERROR) == 0 &&
+                       connection->progress_ != progress::kHandling;
   if (writing) {
     connection->peer_closed_ = true;
     connection->CloseAfterWriting();
--- a/src/key_map.cpp
+++ b/src/key_map.cpp
@@ -29,11 +29,9 @@
 }  // namespace
 
 const owned_range* key_map::Find(uint32_t key) const {
-  const auto after =
-      std::upper_bound(ranges.begin(), ranges.end(), key,
-                       [](uint32_t wanted, const owned_range& range) {
-                         return wanted < range.keys.first;
-                       });
+  const auto after = std::upper_bound(
+      ranges.begin(), ranges.end(), key,
+      [](uint32_t wanted, const owned_range& range) { return wanted < range.keys.first; });
   if (after == ranges.begin()) return nullptr;
   const owned_range& found = *std::prev(after);
   return found.keys.Contains(key) ? &found : nullptr;
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -60,7 +60,8 @@
             if (self.ranges_) self.ranges_->OnNotHeld(now, key);
           },
           [&self](instant now, uint32_t key) { return self.WhyNotHeld(now, key); },
-          [&self](instant) { return self.DataCentreOut(); }, self.ports_.parse_load};
+          [&self](instant) { return self.DataCentreOut(); },
+          self.ports_.parse_load};
 }
 
 peer_mesh_events node::MeshEvents(node& self) {
@@ -172,7 +173,8 @@
 }
 
 std::pair<refusal_reason, milliseconds> node::WhyNotHeld(instant now, uint32_t key) const {
-  if (!ranges_ || !ranges_->steward().Owns(key)) return {refusal_reason::kNotOwner, milliseconds{0}};
+  if (!ranges_ || !ranges_->steward().Owns(key))
+    return {refusal_reason::kNotOwner, milliseconds{0}};
   if (!ranges_->Leased(now)) return {refusal_reason::kLeaseLapsed, milliseconds{0}};
   // The target learns of its keys with its next heartbeat.
   const auto wait = std::chrono::duration_cast<milliseconds>(target_.NextHeartbeat() - now);
@@ -193,7 +195,8 @@
                     std::max(1.0, settings_.cold_slack * kColdBurstUsed));
   }
   if (OwnServiceKeyed() && !ranges_) {
-    range_service_settings ranges{settings_.name, settings_.ip, settings_.service, process_, {}, {}};
+    range_service_settings ranges{settings_.name, settings_.ip, settings_.service,
+                                  process_,       {},           {}};
     ranges.steward.node = settings_.name;
     ranges.steward.longest_hold = std::min(ranges.steward.longest_hold, settings_.longest_grant);
     ranges_ = std::make_unique<range_service>(log_, metrics_, ports_.store, ranges, now);
@@ -209,7 +212,8 @@
 }
 
 void node::OnEvacuation(instant now, const std::string& data_centre, bool out) {
-  const bool changed = out ? evacuated_.insert(data_centre).second : evacuated_.erase(data_centre) > 0;
+  const bool changed =
+      out ? evacuated_.insert(data_centre).second : evacuated_.erase(data_centre) > 0;
   if (!changed) return;
   log_.Write(out ? "data_centre_out" : "data_centre_back", {{"data_centre", data_centre}},
              log_weight::kNotable);
@@ -222,11 +226,11 @@
   const target_life before = target_.life();
   answer.verdict = target_.OnHeartbeat(now, heartbeat);
   if (answer.verdict != heartbeat_verdict::kAccepted) {
-    log_.Write("heartbeat_ignored",
-               {{"target", heartbeat.life.id},
-                {"sequence", std::to_string(heartbeat.sequence)},
-                {"reason", answer.verdict == heartbeat_verdict::kForeign ? "another service or address"
-                                                                         : "outdated"}});
+    log_.Write("heartbeat_ignored", {{"target", heartbeat.life.id},
+                                     {"sequence", std::to_string(heartbeat.sequence)},
+                                     {"reason", answer.verdict == heartbeat_verdict::kForeign
+                                                    ? "another service or address"
+                                                    : "outdated"}});
     return answer;
   }
   const bool changed = before != target_.life() || was_leaving != target_.Leaving();
--- a/src/own_target.cpp
+++ b/src/own_target.cpp
@@ -65,7 +65,8 @@
 void own_target::OnCold(instant now, milliseconds left) { cold_until_ = now + left; }
 
 bool own_target::Down(instant now) const {
-  const auto overdue = std::chrono::duration_cast<milliseconds>(settings_.heartbeat * kMissedHeartbeat);
+  const auto overdue =
+      std::chrono::duration_cast<milliseconds>(settings_.heartbeat * kMissedHeartbeat);
   return refused_since_.has_value() && now - last_heartbeat_ > overdue;
 }
 
--- a/src/peer_codec.cpp
+++ b/src/peer_codec.cpp
@@ -53,8 +53,7 @@
 
 static auto Fields(auto& m, const target_report&) {
   return std::tie(m.life, m.service, m.accepting, m.evacuated, m.cold, m.slots, m.running,
-                  m.waiting, m.usual_work, m.pace_percent,
-                  m.key_request_millirate, m.cold_rate);
+                  m.waiting, m.usual_work, m.pace_percent, m.key_request_millirate, m.cold_rate);
 }
 
 static auto Fields(auto& m, const node_report&) {
@@ -65,8 +64,8 @@
 static auto Fields(auto& m, const node_report_receipt&) { return std::tie(m.sequence); }
 
 static auto Fields(auto& m, const dispatch_request&) {
-  return std::tie(m.id, m.request_id, m.caller, m.service, m.route, m.key, m.idempotent,
-                  m.rank, m.home_regions, m.time_left, m.target_left, m.patience, m.expected_work,
+  return std::tie(m.id, m.request_id, m.caller, m.service, m.route, m.key, m.idempotent, m.rank,
+                  m.home_regions, m.time_left, m.target_left, m.patience, m.expected_work,
                   m.request.method, m.request.target, m.request.headers, m.request.body);
 }
 
--- a/src/peer_mesh.cpp
+++ b/src/peer_mesh.cpp
@@ -92,8 +92,8 @@
     to.reported_at = now;
     to.receipted = false;
   }
-  to.next_report = now + (to.locality == node_locality::kRemote ? kReportBetweenRegions
-                                                                : kReportWithinRegion);
+  to.next_report =
+      now + (to.locality == node_locality::kRemote ? kReportBetweenRegions : kReportWithinRegion);
 }
 
 void peer_mesh::ReportNow(instant now) {
--- a/src/peer_mesh.h
+++ b/src/peer_mesh.h
@@ -45,8 +45,7 @@
   void FollowMembers(instant now);
   /// Sends a request. `done` is called once, never before Send returns; 0 if there is no
   /// connection, and `done` is not called.
-  ticket Send(const std::string& node, dispatch_request request, bool large_answer,
-              callback done);
+  ticket Send(const std::string& node, dispatch_request request, bool large_answer, callback done);
   /// The answer is not wanted any more.
   void Cancel(ticket id);
   /// Answers a request of a peer.
--- a/src/peer_messages.h
+++ b/src/peer_messages.h
@@ -203,8 +203,8 @@
 using peer_message =
     std::variant<hello_message, forward_request, forward_answer, cancel_request, control_message,
                  document_request, document_answer, freshness_request, freshness_answer,
-                 memory_request, memory_answer, node_report, node_report_receipt,
-                 dispatch_request, dispatch_answer>;
+                 memory_request, memory_answer, node_report, node_report_receipt, dispatch_request,
+                 dispatch_answer>;
 
 }  // namespace bulrushway
 
--- a/src/range_service.cpp
+++ b/src/range_service.cpp
@@ -18,10 +18,10 @@
   const bool leased = Leased(now);
   if (leased != leased_) {
     leased_ = leased;
-    log_.Write(leased ? "lease_acquired" : "lease_lapsed",
-               {{"service", settings_.service},
-                {"map_version", std::to_string(steward_.map_version())}},
-               log_weight::kNotable);
+    log_.Write(
+        leased ? "lease_acquired" : "lease_lapsed",
+        {{"service", settings_.service}, {"map_version", std::to_string(steward_.map_version())}},
+        log_weight::kNotable);
   }
   switch (steward_.Next(now, candidates, leased)) {
     case steward_wish::kNothing:
@@ -124,7 +124,7 @@
   const std::string reason = change.reason;
   const uint64_t before = change.map_version;
   store_.commit(std::move(transaction), [this, now, reason, before](instant answered,
-                                                             result<row_receipt> outcome) {
+                                                                    result<row_receipt> outcome) {
     if (outcome) {
       clock_.Note(now, answered, outcome->now);
       metrics_.Counter("bulrushway_ownership_changes", {{"reason", reason}})++;
--- a/src/range_service.h
+++ b/src/range_service.h
@@ -19,7 +19,8 @@
 
 /// Table of the maps of owners, by service. Everybody follows it.
 inline constexpr const char* kKeyMapTable = "key-maps";
-/// Table of leases, by service and node. A table of its own, since its many renewals concern nobody.
+/// Table of leases, by service and node. A table of its own, since its many renewals concern
+/// nobody.
 inline constexpr const char* kLeaseTable = "leases";
 
 /// Identity of the process.
@@ -47,9 +48,7 @@
     steward_.SetTarget(now, condition, life);
   }
   bool Leased(instant now) const { return lease_.Valid(now, clock_); }
-  bool Holds(instant now, uint32_t key) const {
-    return Leased(now) && steward_.Holds(now, key);
-  }
+  bool Holds(instant now, uint32_t key) const { return Leased(now) && steward_.Holds(now, key); }
   /// A request for the key came to the gate.
   void OnRequest(instant now, uint32_t key) { steward_.OnRequest(now, key); }
   /// The target refused a key that it was granted.
--- a/src/range_steward.cpp
+++ b/src/range_steward.cpp
@@ -49,8 +49,8 @@
 instant range_steward::GrantEnd(const owned_range& range) const {
   const auto known = grant_ends_.find(range.fence);
   if (known != grant_ends_.end()) return known->second;
-  return started_ + duration_cast<milliseconds>(settings_.longest_hold *
-                                                (1 + settings_.clock_slowness));
+  return started_ +
+         duration_cast<milliseconds>(settings_.longest_hold * (1 + settings_.clock_slowness));
 }
 
 void range_steward::OnLeaseAcquired(instant now) { map_needed_since_ = now; }
@@ -111,9 +111,8 @@
     }
     // The heartbeat may have been sent before the target learned that it is to give them up.
     const bool still_held =
-        std::any_of(heartbeat.held.begin(), heartbeat.held.end(), [&](const held_range& held) {
-          return held.keys.Overlaps(waiting.keys);
-        });
+        std::any_of(heartbeat.held.begin(), heartbeat.held.end(),
+                    [&](const held_range& held) { return held.keys.Overlaps(waiting.keys); });
     if (still_held) waiting.given_up = false;
   }
 }
--- a/src/range_steward.h
+++ b/src/range_steward.h
@@ -186,7 +186,8 @@
   target_life life_;
   std::vector<granted_range> granted_;
   instant granted_until_{};
-  // By fence: ranges that the target did not hold when it was asked, until when they are left alone.
+  // By fence: ranges that the target did not hold when it was asked, until when they are left
+  // alone.
   std::map<uint64_t, instant> not_held_until_;
   std::map<uint64_t, instant> grant_ends_;
   std::vector<release> releasing_;
--- a/src/request_router.cpp
+++ b/src/request_router.cpp
@@ -99,8 +99,7 @@
 
 request_router::request_router(decision_log& log, metrics& counters,
                                request_router_settings settings, request_router_ports ports,
-                               fleet_view& fleet, peer_mesh& mesh, target_gate& gate,
-                               uint64_t seed)
+                               fleet_view& fleet, peer_mesh& mesh, target_gate& gate, uint64_t seed)
     : log_(log),
       metrics_(counters),
       settings_(std::move(settings)),
@@ -172,15 +171,14 @@
   route_experience& known = experience_[subject->matched->name];
   const milliseconds said = wanted ? milliseconds(*wanted) : limit;
   known.full_time = std::max(known.full_time, said);
-  subject->target = now + subject->matched->latency_target - (known.full_time - said) -
-                    kCallerMargin;
-  subject->deadline = std::min(now + std::max(limit - kCallerMargin, milliseconds{1}),
-                               ports_.latest_deadline());
+  subject->target =
+      now + subject->matched->latency_target - (known.full_time - said) - kCallerMargin;
+  subject->deadline =
+      std::min(now + std::max(limit - kCallerMargin, milliseconds{1}), ports_.latest_deadline());
   return true;
 }
 
-const node_state* request_router::Choose(instant now, flight& subject,
-                                         refusal_reason& why_none) {
+const node_state* request_router::Choose(instant now, flight& subject, refusal_reason& why_none) {
   if (!subject.keyed) {
     why_none = refusal_reason::kNoTarget;
     const auto known = experience_.find(subject.matched->name);
@@ -253,8 +251,8 @@
   request.expected_work = ExpectedWork(subject.matched->name);
   const auto target_left = duration_cast<milliseconds>(subject.target - now) - way_back;
   request.target_left = target_left;
-  request.patience = Patience(subject, left - request.expected_work,
-                              target_left - request.expected_work);
+  request.patience =
+      Patience(subject, left - request.expected_work, target_left - request.expected_work);
   request.request.method = asked.method;
   request.request.target = asked.target;
   request.request.headers = asked.headers;
@@ -390,8 +388,8 @@
 }
 
 std::string request_router::RetryAfterText(milliseconds wait) {
-  const milliseconds least = wait.count() > 0 ? std::max(wait, kLeastRetryAfter)
-                                              : kUnknownRetryAfter;
+  const milliseconds least =
+      wait.count() > 0 ? std::max(wait, kLeastRetryAfter) : kUnknownRetryAfter;
   // Spread, so that callers refused together do not come back together.
   std::uniform_real_distribution<double> spread(1.0, 2.0);
   const auto ms = static_cast<int64_t>(static_cast<double>(least.count()) * spread(rng_));
@@ -441,8 +439,8 @@
   const std::string route = subject->matched == nullptr ? "-" : subject->matched->name;
   metrics_.Latency("bulrushway_request_seconds", {{"route", route}}).Add(elapsed);
   const node_state* node = fleet_.Find(subject->node);
-  const auto load_age = node == nullptr ? milliseconds{0}
-                                        : duration_cast<milliseconds>(now - node->load_told);
+  const auto load_age =
+      node == nullptr ? milliseconds{0} : duration_cast<milliseconds>(now - node->load_told);
   const bool served = answer.status < kBadRequest;
   log_.Write("request_done",
              {{"request", subject->request_id},
@@ -451,14 +449,13 @@
               {"key", subject->key ? std::to_string(*subject->key) : "-"},
               {"outcome", outcome},
               {"status", std::to_string(answer.status)},
-              {"state", std::string(Name(subject->may_have_run ? run_state::kUnknown
-                                                               : run_state::kNotRun))},
+              {"state",
+               std::string(Name(subject->may_have_run ? run_state::kUnknown : run_state::kNotRun))},
               {"node", subject->node.empty() ? "-" : subject->node},
               {"load_age_ms", std::to_string(load_age.count())},
               {"tries", std::to_string(subject->tries)},
               {"offers", std::to_string(subject->offers)},
-              {"configuration",
-               subject->table ? std::to_string(subject->table->version()) : "-"},
+              {"configuration", subject->table ? std::to_string(subject->table->version()) : "-"},
               {"elapsed_ms", std::to_string(duration_cast<milliseconds>(elapsed).count())}},
              served ? log_weight::kRoutine : log_weight::kNotable);
   subject->exchange->Reply(answer);
--- a/src/request_router.h
+++ b/src/request_router.h
@@ -79,8 +79,8 @@
   std::chrono::milliseconds Patience(const flight& subject, std::chrono::milliseconds spare,
                                      std::chrono::milliseconds on_time) const;
   dispatch_request MakeDispatch(instant now, const flight& subject, const node_state& to) const;
-  void OnAnswer(instant now, const flight_ptr& subject, uint64_t attempt,
-                const std::string& node, dispatch_answer answer);
+  void OnAnswer(instant now, const flight_ptr& subject, uint64_t attempt, const std::string& node,
+                dispatch_answer answer);
   void NoteExperience(const flight& subject, const dispatch_answer& answer);
   bool MayOfferAgain(flight& subject);
   void Park(instant now, const flight_ptr& subject, std::chrono::milliseconds wait);
--- a/src/slot_queue.cpp
+++ b/src/slot_queue.cpp
@@ -92,20 +92,18 @@
 
 milliseconds slot_queue::ExpectedWait(instant now, const slot_request& request) const {
   const order place = OrderOf(request, IsLate(now, request));
-  const auto ahead = static_cast<double>(
-      std::distance(waiting_.begin(), waiting_.upper_bound(place)));
+  const auto ahead =
+      static_cast<double>(std::distance(waiting_.begin(), waiting_.upper_bound(place)));
   if (SlotFree(now) && ahead == 0) return milliseconds{0};
   const double work = usual_work_ms_ > 0 ? usual_work_ms_ : kAssumedWorkMs;
   const double by_slots = (ahead + 1) * work / std::max(1U, slots_);
-  const double by_rate =
-      cold_ ? static_cast<double>(bucket_.Wait(now).count()) : 0;
+  const double by_rate = cold_ ? static_cast<double>(bucket_.Wait(now).count()) : 0;
   return ToMs(std::max(by_slots, by_rate));
 }
 
 slot_verdict slot_queue::Arrive(instant now, const slot_request& request) {
   const bool late = IsLate(now, request);
-  const bool served_first =
-      waiting_.empty() || OrderOf(request, late) < waiting_.begin()->first;
+  const bool served_first = waiting_.empty() || OrderOf(request, late) < waiting_.begin()->first;
   if (served_first && SlotFree(now)) {
     if (!LeavesTimeForWork(now, request)) {
       return {slot_verdict::kind::kRefuse, refusal_reason::kDeadlineTooShort, milliseconds{0}};
--- a/src/slot_queue.h
+++ b/src/slot_queue.h
@@ -6,12 +6,12 @@
 // slots: bursts, hot keys, targets that turn slow, and calls made by requests that already hold
 // slots elsewhere.
 //
-// The order is: the most urgent rank, which operators give to calls that running requests make, since
-// their callers hold slots while they wait; then requests that can still be answered within their latency target before
-// those that cannot, since under lasting overload a queue in order of arrival makes every answer
-// late; then the earliest deadline. A request is refused at once when its expected wait exceeds its
-// patience or leaves too little time for its work: it can still be served elsewhere, or told
-// truthfully when to come back.
+// The order is: the most urgent rank, which operators give to calls that running requests make,
+// since their callers hold slots while they wait; then requests that can still be answered within
+// their latency target before those that cannot, since under lasting overload a queue in order of
+// arrival makes every answer late; then the earliest deadline. A request is refused at once when
+// its expected wait exceeds its patience or leaves too little time for its work: it can still be
+// served elsewhere, or told truthfully when to come back.
 
 #include <chrono>
 #include <cstdint>
--- a/src/store_clock.cpp
+++ b/src/store_clock.cpp
@@ -9,9 +9,7 @@
 // error of a quartz clock.
 constexpr int kRateMargin = 1000;
 
-store_time RoundedUp(std::chrono::nanoseconds span) {
-  return std::chrono::ceil<store_time>(span);
-}
+store_time RoundedUp(std::chrono::nanoseconds span) { return std::chrono::ceil<store_time>(span); }
 
 }  // namespace
 
--- a/src/table_follower.cpp
+++ b/src/table_follower.cpp
@@ -64,9 +64,10 @@
 
 void table_follower::Watch(instant now) {
   const uint64_t epoch = ++epoch_;
-  store_.watch(table_, version_, [this, now, epoch](instant answered, result<row_snapshot> outcome) {
-    OnWatched(answered, now, epoch, std::move(outcome));
-  });
+  store_.watch(table_, version_,
+               [this, now, epoch](instant answered, result<row_snapshot> outcome) {
+                 OnWatched(answered, now, epoch, std::move(outcome));
+               });
 }
 
 void table_follower::OnWatched(instant now, instant began, uint64_t epoch,
--- a/src/target_choice.cpp
+++ b/src/target_choice.cpp
@@ -13,8 +13,8 @@
 constexpr double kCrowdingPower = 4;
 // What a failed request costs its caller, against which the share of failures is weighed.
 constexpr milliseconds_f kFailureCost{800};
-// Traffic between regions, and between data centres, is paid for by volume: a kilobyte is worth this
-// much waiting.
+// Traffic between regions, and between data centres, is paid for by volume: a kilobyte is worth
+// this much waiting.
 constexpr milliseconds_f kRemoteCost{30};
 constexpr milliseconds_f kRegionCost{4};
 constexpr double kBytesPerKilobyte = 1000;
--- a/src/target_gate.cpp
+++ b/src/target_gate.cpp
@@ -35,9 +35,8 @@
   bool arrived_at_target = false;
 };
 
-target_gate::target_gate(event_loop& loop, metrics& counters, decision_log& log,
-                         own_target& target, target_gate_settings settings,
-                         target_gate_ports ports)
+target_gate::target_gate(event_loop& loop, metrics& counters, decision_log& log, own_target& target,
+                         target_gate_settings settings, target_gate_ports ports)
     : metrics_(counters),
       log_(log),
       target_(target),
@@ -67,9 +66,8 @@
   if (ports_.evacuated(now)) return refused{refusal_reason::kDataCentreOut, 0};
   if (!ports_.keyed()) {
     if (target_.Accepting(now)) return std::nullopt;
-    return refused{target_.Leaving() ? refusal_reason::kStopping
-                                     : refusal_reason::kTargetUnreachable,
-                   0};
+    return refused{
+        target_.Leaving() ? refusal_reason::kStopping : refusal_reason::kTargetUnreachable, 0};
   }
   if (!request.key) return refused{refusal_reason::kBadRequest, 0};
   if (!target_.Serving(now)) return refused{refusal_reason::kTargetUnreachable, 0};
@@ -129,16 +127,16 @@
   running_.emplace(subject->id, subject);
   wait_latency_.Add(now - subject->arrived);
   const auto left = duration_cast<milliseconds>(subject->deadline - now) + kAnswerSlack;
-  subject->http = client_.Send(
-      settings_.address, TargetRequest(now, *subject), std::max(left, kAnswerSlack),
-      [this, subject](tl::expected<http_answer, http_failure> outcome) {
-        const instant answered = boot_clock::now();
-        if (outcome) {
-          OnAnswer(answered, subject, std::move(*outcome));
-        } else {
-          OnFailure(answered, subject, outcome.error());
-        }
-      });
+  subject->http =
+      client_.Send(settings_.address, TargetRequest(now, *subject), std::max(left, kAnswerSlack),
+                   [this, subject](tl::expected<http_answer, http_failure> outcome) {
+                     const instant answered = boot_clock::now();
+                     if (outcome) {
+                       OnAnswer(answered, subject, std::move(*outcome));
+                     } else {
+                       OnFailure(answered, subject, outcome.error());
+                     }
+                   });
 }
 
 void target_gate::NoteLoad(const http_answer& answer) {
@@ -152,8 +150,7 @@
   queue_.Finish(now, work);
 }
 
-refusal_reason target_gate::NoteNotRun(instant now, const job& subject,
-                                       const http_answer& answer) {
+refusal_reason target_gate::NoteNotRun(instant now, const job& subject, const http_answer& answer) {
   constexpr int kMisdirected = 421;
   if (answer.status != kMisdirected) {
     queue_.OnTargetFull(now);
@@ -175,8 +172,8 @@
   target_.OnAnswer(now);
   NoteLoad(answer);
   const header_names& names = settings_.headers;
-  const bool not_run = !FindHeader(answer.headers, names.not_run).empty() ||
-                       answer.status == kMisdirected;
+  const bool not_run =
+      !FindHeader(answer.headers, names.not_run).empty() || answer.status == kMisdirected;
   if (not_run) {
     EndWork(now, subject, std::chrono::nanoseconds{0});
     const refusal_reason reason = NoteNotRun(now, *subject, answer);
@@ -189,9 +186,9 @@
   work_latency_.Add(work);
   // A success without the target's signature, or with an encoding that nobody asked for, is not
   // what the target made.
-  const bool damaged = IsSuccess(answer.status) &&
-                       (FindHeader(answer.headers, names.signature).empty() ||
-                        !FindHeader(answer.headers, "Content-Encoding").empty());
+  const bool damaged =
+      IsSuccess(answer.status) && (FindHeader(answer.headers, names.signature).empty() ||
+                                   !FindHeader(answer.headers, "Content-Encoding").empty());
   if (damaged) {
     Refuse(now, subject, refusal_reason::kAnswerLost, run_state::kUnknown, milliseconds{0},
            "the answer has no signature or is encoded");
@@ -281,16 +278,16 @@
   result.offered = subject->arrived_at_target;
   result.retry_after = retry_after;
   metrics_.CountRefusal(reason, state);
-  log_.Write("gate_refused", {{"request", subject->request.request_id},
-                              {"reason", std::string(Name(reason))},
-                              {"state", std::string(Name(state))},
-                              {"detail", detail},
-                              {"running", std::to_string(running_.size())},
-                              {"waiting", std::to_string(queue_.Waiting())},
-                              {"slots", std::to_string(queue_.slots())},
-                              {"waited_ms", std::to_string(duration_cast<milliseconds>(
-                                                               now - subject->arrived)
-                                                               .count())}});
+  log_.Write(
+      "gate_refused",
+      {{"request", subject->request.request_id},
+       {"reason", std::string(Name(reason))},
+       {"state", std::string(Name(state))},
+       {"detail", detail},
+       {"running", std::to_string(running_.size())},
+       {"waiting", std::to_string(queue_.Waiting())},
+       {"slots", std::to_string(queue_.slots())},
+       {"waited_ms", std::to_string(duration_cast<milliseconds>(now - subject->arrived).count())}});
   Finish(now, subject, std::move(result));
 }
 
--- /dev/null
+++ b/standins/common/row_server.h
@@ -0,0 +1,80 @@
+#ifndef BULRUSHWAY_ROW_SERVER_H
+#define BULRUSHWAY_ROW_SERVER_H
+
+// Stand-in of the store of the users' platform: rows with versions, conditional transactions and a
+// feed that waits, over HTTP as the platform speaks it.
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "delayed_calls.h"
+#include "http_server.h"
+
+namespace bulrushway::standin {
+
+/// The store.
+class row_server {
+ public:
+  row_server(event_loop& loop, const socket_address& address);
+
+  result<void> Listen();
+  /// Writes a row as the operators do.
+  void Put(const std::string& table, const std::string& key, const std::string& value);
+  void Delete(const std::string& table, const std::string& key);
+  /// The value of a row.
+  std::optional<std::string> Get(const std::string& table, const std::string& key) const;
+  /// While down, every call is answered 503.
+  void SetDown(bool down) { down_ = down; }
+  /// Feeds that ask for what came before now are told that it is gone.
+  void ForgetHistory() { oldest_ = version_; }
+  uint64_t Calls() const { return calls_; }
+
+ private:
+  using exchange = std::shared_ptr<http_exchange>;
+  using row_name = std::pair<std::string, std::string>;
+  struct stored_value {
+    std::string value;
+    uint64_t version = 0;
+  };
+  struct change {
+    row_name name;
+    uint64_t version = 0;
+    bool deleted = false;
+  };
+  struct waiting_feed {
+    exchange call;
+    std::string table;
+    uint64_t after = 0;
+    uint64_t number = 0;
+  };
+
+  void Handle(const exchange& call);
+  void Commit(const exchange& call);
+  void Read(const exchange& call);
+  void Feed(const exchange& call);
+  bool AnswerFeed(const waiting_feed& feed, bool even_if_empty);
+  void Changed();
+  double Seconds() const;
+
+  event_loop& loop_;
+  socket_address address_;
+  http_server server_;
+  delayed_calls later_;
+  bool down_ = false;
+  uint64_t version_ = 0;
+  uint64_t oldest_ = 0;
+  uint64_t calls_ = 0;
+  uint64_t feeds_ = 0;
+  std::map<row_name, stored_value> rows_;
+  std::deque<change> history_;
+  std::vector<waiting_feed> waiting_;
+};
+
+}  // namespace bulrushway::standin
+
+#endif  // BULRUSHWAY_ROW_SERVER_H
--- a/test/correctness/own_target_test.cpp
+++ b/test/correctness/own_target_test.cpp
@@ -97,7 +97,8 @@
   BOOST_TEST(!target.Accepting(kStart));
 }
 
-BOOST_AUTO_TEST_CASE(after_another_target_has_answered_at_its_address_until_that_one_says_who_it_is) {
+BOOST_AUTO_TEST_CASE(
+    after_another_target_has_answered_at_its_address_until_that_one_says_who_it_is) {
   own_target target = MakeTarget();
   target.OnHeartbeat(kStart, Heartbeat("a", 100, 1));
   target.OnMisdirected(kStart);
--- a/test/correctness/slot_queue_test.cpp
+++ b/test/correctness/slot_queue_test.cpp
@@ -114,7 +114,7 @@
   for (int ms = 0; ms < 1000; ms += 5) {
     const instant now = kStart + milliseconds(ms);
     queue.Expire(now);
-    slot_request request{++id, 1, now + seconds(1), now + seconds(1), milliseconds(0),
+    slot_request request{++id,           1, now + seconds(1), now + seconds(1), milliseconds(0),
                          milliseconds(5)};
     if (queue.Arrive(now, request).what == kind::kRun) {
       ++begun;
--- a/test/performance/overload_order_comparison.cpp
+++ b/test/performance/overload_order_comparison.cpp
@@ -85,8 +85,8 @@
       request.expected_work = kWork;
       const auto spare = request.target - now - kWork;
       const auto late_spare = (request.deadline - now - kWork) / 4;
-      request.patience = std::chrono::duration_cast<milliseconds>(
-          spare.count() > 0 ? spare * 7 / 10 : late_spare);
+      request.patience =
+          std::chrono::duration_cast<milliseconds>(spare.count() > 0 ? spare * 7 / 10 : late_spare);
       const slot_verdict verdict = queue.Arrive(now, request);
       if (verdict.what == slot_verdict::kind::kRun) begin(now, id);
       if (verdict.what == slot_verdict::kind::kRefuse) come_back(now, who, verdict.expected_wait);
--- /dev/null
+++ b/test/process/platform_path_test.cpp
@@ -0,0 +1,277 @@
+// Real processes beside stand-ins of the platform's targets and store: requests reach the right
+// target and come back, keys have one owner, a process that stops cuts nothing.
+
+#include <boost/test/unit_test.hpp>
+#include <csignal>
+#include <fstream>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "child_process.h"
+#include "http_client.h"
+#include "row_server.h"
+#include "sealing_target.h"
+
+namespace bulrushway::testing {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using outcome = tl::expected<http_answer, http_failure>;
+
+constexpr milliseconds kStep{20};
+const std::string kFolder = "/tmp/bulrushway-platform-test";
+
+constexpr const char* kConfiguration =
+    R"({"version":"00000001","resources":[)"
+    R"({"type":"routes","metadata":{"name":"look"},"spec":{"host":"h","prefix":"/look/",)"
+    R"("kind":"safe","timeout_s":2,"latency_target_s":0.5,"priority":2,"service":"plain",)"
+    R"("attempts":2}},)"
+    R"({"type":"routes","metadata":{"name":"pay"},"spec":{"host":"h","prefix":"/pay/",)"
+    R"("kind":"unsafe","timeout_s":2,"latency_target_s":0.5,"priority":1,"service":"keyed",)"
+    R"("attempts":2}},)"
+    R"({"type":"services","metadata":{"name":"plain"},"spec":{"max_conns":64,"cold_per_s":22}},)"
+    R"({"type":"services","metadata":{"name":"keyed"},"spec":{"max_conns":64,"sharded":true}},)"
+    R"({"type":"limits","metadata":{},"spec":{"max_header_bytes":16384,"max_body_bytes":100000,)"
+    R"("header_timeout_s":3,"idle_timeout_s":15}}]})";
+
+// One machine: a target, the process beside it, and where they listen. Machine n has the loopback
+// address 127.0.7.n.
+struct machine {
+  std::string ip;
+  std::unique_ptr<standin::sealing_target> target;
+  std::unique_ptr<child_process> process;
+  std::string settings_file;
+
+  socket_address At(uint16_t port) const { return {ip, port}; }
+};
+
+constexpr uint16_t kCallers = 7147;
+constexpr uint16_t kReady = 7141;
+constexpr uint16_t kControl = 7144;
+constexpr uint16_t kTarget = 7145;
+
+class deployment {
+ public:
+  deployment() : store_(loop_, kStore) {
+    BOOST_REQUIRE(store_.Listen());
+    for (const char* service : {"plain", "plain", "keyed", "keyed"}) AddMachine(service);
+  }
+
+  event_loop& loop() { return loop_; }
+  standin::row_server& store() { return store_; }
+  std::vector<machine>& machines() { return machines_; }
+
+  // Lets events happen until `done`, or for at most `limit`; true when done.
+  bool Until(const std::function<bool()>& done, milliseconds limit) {
+    const instant end = boot_clock::now() + limit;
+    timer step(loop_, [this](instant) { loop_.Stop(); });
+    while (!done()) {
+      if (boot_clock::now() >= end) return false;
+      step.Once(kStep);
+      loop_.Run();
+    }
+    return true;
+  }
+  void Wait(milliseconds time) {
+    Until([] { return false; }, time);
+  }
+
+  // Sends a request to the process of machine `at`; the result comes later.
+  std::shared_ptr<std::optional<outcome>> Send(size_t at, const std::string& path,
+                                               const std::string& id, int key = -1) {
+    http_request request;
+    request.method = path.starts_with("/pay/") ? "POST" : "GET";
+    request.target = path;
+    request.headers = {
+        {"Host", "h"}, {"X-Bulrushway-Request-Id", id}, {"X-Bulrushway-Request-Timeout", "2000"}};
+    if (key >= 0) request.headers.emplace_back("X-Bulrushway-Shard-Key", std::to_string(key));
+    auto result = std::make_shared<std::optional<outcome>>();
+    client_.Send(machines_[at].At(kCallers), std::move(request), seconds(3),
+                 [result](outcome came) { *result = std::move(came); });
+    return result;
+  }
+  int StatusOf(size_t at, const std::string& path, const std::string& id, int key = -1) {
+    const auto result = Send(at, path, id, key);
+    Until([&] { return result->has_value(); }, seconds(4));
+    if (!result->has_value() || !(*result)->has_value()) return 0;
+    return (**result)->status;
+  }
+  bool Ready(size_t at) {
+    http_request request;
+    request.target = "/bulrushway/ready";
+    int status = 0;
+    client_.Send(machines_[at].At(kReady), std::move(request), seconds(1),
+                 [&status](const outcome& came) { status = came ? came->status : -1; });
+    Until([&status] { return status != 0; }, seconds(2));
+    return status == 200;
+  }
+  // Waits until every process is ready and all keys have an owner.
+  bool Settled() {
+    return Until(
+        [this] {
+          for (size_t i = 0; i < machines_.size(); ++i) {
+            if (machines_[i].process->Running() && !Ready(i)) return false;
+          }
+          return Owners(0) == 1 && Owners(65535) == 1;
+        },
+        seconds(15));
+  }
+  int Owners(uint32_t key) {
+    int owners = 0;
+    for (const machine& each : machines_) owners += each.target->Holds(key) ? 1 : 0;
+    return owners;
+  }
+  void StartProcess(machine& one) {
+    setenv("BULRUSHWAY_BOOT", one.settings_file.c_str(), 1);
+    one.process =
+        std::make_unique<child_process>(std::string(BULRUSHWAY_PROGRAMS) + "/bulrushway-node",
+                                        std::vector<std::string>{}, one.settings_file + ".log");
+  }
+
+ private:
+  void AddMachine(const std::string& service) {
+    const std::string number = std::to_string(machines_.size() + 1);
+    machine one;
+    one.ip = "127.0.7." + number;
+    one.settings_file = kFolder + number + ".ini";
+    standin::sealing_target_settings target;
+    target.id = "i-" + number;
+    target.service = service;
+    target.address = one.At(kTarget);
+    target.control = one.At(kControl);
+    target.keyed = service == "keyed";
+    one.target = std::make_unique<standin::sealing_target>(loop_, target);
+    BOOST_REQUIRE(one.target->Listen());
+    std::ofstream(one.settings_file)
+        << "[node]\nname = n" << number << "\nip = " << one.ip << "\ndata_centre = a\nregion = r\n"
+        << "service = " << service << "\ntarget = " << ToString(one.At(kTarget))
+        << "\nheartbeat = 300 ms\n[listen]\ncallers = " << ToString(one.At(kCallers))
+        << "\nready = " << ToString(one.At(kReady))
+        << "\nheartbeats = " << ToString(one.At(kControl))
+        << "\nfirst_and_last_port = 7380,7395\n[store]\naddress = " << ToString(kStore)
+        << "\n[bounds]\ndrain_s = 2.5\ngrace_s = 6\nhold_max_s = 10\n";
+    StartProcess(one);
+    machines_.push_back(std::move(one));
+  }
+
+  const socket_address kStore{"127.0.7.100", 7142};
+  event_loop loop_;
+  standin::row_server store_;
+  http_client client_{loop_, http_client_settings{.max_connections = 64}};
+  std::vector<machine> machines_;
+};
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(processes_on_the_platform)
+
+BOOST_AUTO_TEST_CASE(serve_requests_from_the_first_configuration_on) {
+  deployment fleet;
+  BOOST_TEST_CONTEXT("without a configuration they are not ready and refuse, not run") {
+    fleet.Wait(milliseconds(800));
+    BOOST_TEST(!fleet.Ready(0));
+    BOOST_TEST(fleet.StatusOf(0, "/look/1", "early") == 503);
+  }
+  fleet.store().Put("op", "config", kConfiguration);
+  BOOST_REQUIRE(fleet.Settled());
+
+  BOOST_TEST_CONTEXT("plain requests reach a target of their service, from every process") {
+    for (size_t i = 0; i < 4; ++i) {
+      BOOST_TEST(fleet.StatusOf(i, "/look/x", "look" + std::to_string(i)) == 200);
+    }
+  }
+  BOOST_TEST_CONTEXT("keyed requests run once each, at the one owner of their key") {
+    for (int key = 0; key < 65536; key += 5000) {
+      const std::string id = "pay" + std::to_string(key);
+      BOOST_TEST(fleet.StatusOf(static_cast<size_t>(key) % 4, "/pay/x", id, key) == 200);
+      int runs = 0;
+      for (const machine& each : fleet.machines()) {
+        const auto found = each.target->Runs().find(id);
+        if (found != each.target->Runs().end()) runs += found->second;
+      }
+      BOOST_TEST(runs == 1);
+    }
+  }
+  BOOST_TEST_CONTEXT("what no route matches is not found, and what has no key is a bad request") {
+    BOOST_TEST(fleet.StatusOf(0, "/nowhere/", "n1") == 404);
+    BOOST_TEST(fleet.StatusOf(0, "/pay/x", "n2") == 400);
+  }
+  BOOST_TEST_CONTEXT("a data centre out of service gets nothing until it is back") {
+    fleet.store().Put("op", "evacuate/a", "{}");
+    fleet.Wait(milliseconds(300));
+    BOOST_TEST(fleet.StatusOf(0, "/look/x", "out") == 503);
+    fleet.store().Delete("op", "evacuate/a");
+    fleet.Wait(milliseconds(600));
+    BOOST_TEST(fleet.StatusOf(0, "/look/x", "back") == 200);
+  }
+  BOOST_TEST_CONTEXT("the store may forget its history, or be away for a while") {
+    fleet.store().ForgetHistory();
+    fleet.store().SetDown(true);
+    fleet.Wait(seconds(2));
+    BOOST_TEST(fleet.StatusOf(1, "/look/x", "away") == 200);
+    BOOST_TEST(fleet.StatusOf(1, "/pay/x", "away-key", 7) == 200);
+    fleet.store().SetDown(false);
+    fleet.Wait(seconds(1));
+    BOOST_TEST(fleet.StatusOf(1, "/pay/x", "back-key", 7) == 200);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(lose_no_request_when_one_is_asked_to_stop) {
+  deployment fleet;
+  fleet.store().Put("op", "config", kConfiguration);
+  BOOST_REQUIRE(fleet.Settled());
+  std::vector<std::shared_ptr<std::optional<outcome>>> results;
+  for (int i = 0; i < 40; ++i) {
+    results.push_back(fleet.Send(0, "/look/x", "stop" + std::to_string(i)));
+    if (i == 10) fleet.machines()[0].process->Signal(SIGTERM);
+    fleet.Wait(milliseconds(10));
+  }
+  BOOST_TEST(fleet.Until(
+      [&] {
+        return std::all_of(results.begin(), results.end(),
+                           [](const auto& one) { return one->has_value(); });
+      },
+      seconds(4)));
+  for (const auto& one : results) {
+    BOOST_REQUIRE((*one)->has_value());
+    BOOST_TEST((**one)->status == 200);
+  }
+  BOOST_TEST(!fleet.Ready(0));
+  BOOST_TEST(fleet.machines()[0].process->WaitForEnd(seconds(7)));
+  BOOST_TEST(fleet.machines()[0].process->ExitStatus() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(move_the_keys_of_a_draining_target_and_take_a_restart_in_their_stride) {
+  deployment fleet;
+  fleet.store().Put("op", "config", kConfiguration);
+  BOOST_REQUIRE(fleet.Settled());
+
+  BOOST_TEST_CONTEXT("a killed process that comes back serves the keys that its target holds") {
+    machine& one = fleet.machines()[2];
+    one.process->Kill();
+    fleet.StartProcess(one);
+    BOOST_REQUIRE(fleet.Settled());
+    BOOST_TEST(fleet.Until(
+        [&] { return fleet.StatusOf(0, "/pay/x", "again" + std::to_string(rand()), 3) == 200; },
+        seconds(6)));
+  }
+  BOOST_TEST_CONTEXT("a draining target is acknowledged and its keys go to the other") {
+    fleet.machines()[2].target->Drain();
+    BOOST_TEST(
+        fleet.Until([&] { return fleet.machines()[2].target->DrainAcknowledged(); }, seconds(2)));
+    BOOST_TEST(fleet.Until(
+        [&] {
+          const auto& other = *fleet.machines()[3].target;
+          return other.Holds(0) && other.Holds(40000) && other.Holds(65535);
+        },
+        seconds(5)));
+    BOOST_TEST(fleet.StatusOf(2, "/pay/x", "moved", 3) == 200);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace bulrushway::testing
--- a/test/support/fake_row_store.h
+++ b/test/support/fake_row_store.h
@@ -40,13 +40,16 @@
   row_store Rows(std::function<bool()> reaches, std::function<bool()> alive) {
     row_store rows;
     rows.read = [this, reaches, alive](const std::string& table, rows_callback done) {
-      Call(reaches, alive, [this, table, alive, done] {
-        row_snapshot snapshot{{}, version_, Now()};
-        for (const auto& [id, row] : rows_) {
-          if (id.table == table) snapshot.rows.push_back(row);
-        }
-        Answer(alive, [done, snapshot](instant now) { done(now, snapshot); });
-      }, [done](instant now) { done(now, NoAnswer()); });
+      Call(
+          reaches, alive,
+          [this, table, alive, done] {
+            row_snapshot snapshot{{}, version_, Now()};
+            for (const auto& [id, row] : rows_) {
+              if (id.table == table) snapshot.rows.push_back(row);
+            }
+            Answer(alive, [done, snapshot](instant now) { done(now, snapshot); });
+          },
+          [done](instant now) { done(now, NoAnswer()); });
     };
     rows.commit = [this, reaches, alive](const row_transaction& change, receipt_callback done) {
       const bool lost = Chance(faults.lost_answers);
--- a/test/support/key_fleet.cpp
+++ b/test/support/key_fleet.cpp
@@ -82,8 +82,8 @@
   node.process_up = true;
   node.process = next_process_++;
   node.alive = std::make_shared<bool>(true);
-  node.rows = store_.Rows([&node] { return node.reaches_store; },
-                          [alive = node.alive] { return *alive; });
+  node.rows =
+      store_.Rows([&node] { return node.reaches_store; }, [alive = node.alive] { return *alive; });
   range_service_settings settings{node.name, node.ip, kService, node.process, {}, {}};
   settings.steward.node = node.name;
   node.ranges = std::make_unique<range_service>(log_, metrics_, node.rows, settings, now_);
@@ -178,8 +178,8 @@
     for (const auto& node : nodes_) {
       if (!node->target.Holds(now_, key)) continue;
       if (holder != nullptr) {
-        violation_ = "key " + std::to_string(key) + " is held by " + holder->name + " and " +
-                     node->name;
+        violation_ =
+            "key " + std::to_string(key) + " is held by " + holder->name + " and " + node->name;
         return;
       }
       holder = node.get();
