--- a/src/node.cpp
+++ b/src/node.cpp
@@ -14,6 +14,8 @@
 constexpr const char* kMemberTable = "members";
 // How often waiting requests and connections are looked at.
 constexpr milliseconds kTickInterval{25};
+// What peers know is read from the store when the feeds have not brought it after this time.
+constexpr milliseconds kFeedDelay{300};
 // Wait before the announcement of this process is repeated.
 constexpr milliseconds kAnnounceRetry{500};
 // Share of the permitted extra arrivals that this process uses: processes see different shares of
@@ -307,7 +309,7 @@
   const uint64_t id = request.id;
   const auto key = std::make_pair(from, id);
   const target_gate::ticket ticket =
-      gate_.Handle(now, std::move(request), [this, key](instant, dispatch_answer answer) {
+      gate_.Handle(now, std::move(request), [this, key](instant, const dispatch_answer& answer) {
         peer_requests_.erase(key);
         mesh_.Answer(key.first, answer);
       });
@@ -334,11 +336,28 @@
 
 void node::OnPeerReport(instant now, const node_report& report) {
   fleet_.OnReport(now, report);
-  // A peer that knows a newer configuration has seen it in the store.
+  // A peer that knows a newer configuration has seen it in the store; one that is not known here has
+  // announced itself there. Both are on their way, unless a feed has gone silent.
+  newest_version_heard_ = std::max(newest_version_heard_, report.configuration_version);
+  if (fleet_.Find(report.node) != nullptr) return;
+  stranger_ = report.node;
+  if (!stranger_since_) stranger_since_ = now;
+}
+
+void node::RefreshIfBehind(instant now) {
   const uint64_t mine = table_ ? table_->version() : 0;
-  if (report.configuration_version > mine) operator_rows_.Refresh(now);
-  // A peer that is not in the table yet: its row is on the way, or the feed is behind.
-  if (fleet_.Find(report.node) == nullptr) member_rows_.Refresh(now);
+  if (newest_version_heard_ <= mine) {
+    behind_since_.reset();
+  } else if (!behind_since_) {
+    behind_since_ = now;
+  } else if (now - *behind_since_ > kFeedDelay) {
+    behind_since_ = now;
+    operator_rows_.Refresh(now);
+  }
+  if (stranger_since_ && now - *stranger_since_ > kFeedDelay) {
+    stranger_since_.reset();
+    if (fleet_.Find(stranger_) == nullptr) member_rows_.Refresh(now);
+  }
 }
 
 void node::OnMemberRows(instant now, const std::vector<stored_row>& rows) {
@@ -393,6 +412,7 @@
   report.sequence = ++own_reports_;
   fleet_.OnReport(now, report);
   mesh_.Tick(now);
+  RefreshIfBehind(now);
   router_.Tick(now);
   if (stopping_since_) FinishStop(now);
 }
--- a/src/node.h
+++ b/src/node.h
@@ -112,6 +112,7 @@
   void OnPeerCancelled(instant now, connection_id from, uint64_t id);
   void OnPeerGone(instant now, connection_id from);
   void OnPeerReport(instant now, const node_report& report);
+  void RefreshIfBehind(instant now);
   void OnMemberRows(instant now, const std::vector<stored_row>& rows);
   void OnKeyMapRows(instant now, instant began, const std::vector<stored_row>& rows);
   void Announce();
@@ -149,6 +150,10 @@
   // Requests of peers at the gate: by connection and the peer's number.
   std::map<std::pair<connection_id, uint64_t>, target_gate::ticket> peer_requests_;
   uint64_t own_reports_ = 0;
+  uint64_t newest_version_heard_ = 0;
+  std::optional<instant> behind_since_;
+  std::string stranger_;
+  std::optional<instant> stranger_since_;
   bool announced_ = false;
   bool announcing_ = false;
   std::optional<instant> stopping_since_;
