Pass requests on through a third data centre while the direct path is cut

Cause: with two zones cut from each other, requests for keys whose owner stands beyond the cut were refused for its whole length, and with them the requests whose calls they were; a third zone reaches both.

Change: such a request goes to a node in another data centre than both ends, which passes it on and brings the answer back. Not within 0.7 s of losing the owner, since it may be gone for everybody.

--- a/src/fleet_view.cpp
+++ b/src/fleet_view.cpp
@@ -79,9 +79,11 @@
   state.sent_since = 0;
 }
 
-void fleet_view::OnReachable(const std::string& node, bool reachable) {
+void fleet_view::OnReachable(instant now, const std::string& node, bool reachable) {
   const auto found = nodes_.find(node);
-  if (found != nodes_.end()) found->second.reachable = reachable;
+  if (found == nodes_.end() || found->second.reachable == reachable) return;
+  found->second.reachable = reachable;
+  found->second.reachable_since = now;
 }
 
 void fleet_view::OnRoundTrip(const std::string& node, std::chrono::nanoseconds round_trip) {
@@ -118,7 +120,11 @@
       answer.reason == refusal_reason::kTargetShed) {
     state.avoid_until = now + kAvoidFull;
   }
-  if (answer.target.service.empty()) return;
+  // An answer that was passed on tells of another node's target.
+  if (answer.target.service != state.member.service) return;
+  if (answer.target.life != state.report.target.life && !state.report.target.life.id.empty()) {
+    return;
+  }
   // The rate of requests for keys comes with reports only.
   const uint32_t key_rate = state.report.target.key_request_millirate;
   state.report.target = answer.target;
--- a/src/fleet_view.h
+++ b/src/fleet_view.h
@@ -43,6 +43,8 @@
   node_locality locality = node_locality::kRemote;
   /// A connection to it works both ways.
   bool reachable = false;
+  /// Since when it is as it is.
+  instant reachable_since{};
   bool reported = false;
   node_report report;
   /// When the target's load was last told, by a report or an answer.
@@ -77,7 +79,7 @@
   /// A report of the node, or of this process itself. Late ones are ignored.
   void OnReport(instant now, const node_report& report);
   /// The connection to the node was made, works again, or is lost.
-  void OnReachable(const std::string& node, bool reachable);
+  void OnReachable(instant now, const std::string& node, bool reachable);
   void OnRoundTrip(const std::string& node, std::chrono::nanoseconds round_trip);
   void OnSent(const std::string& node);
   void OnAnswer(instant now, const std::string& node, const dispatch_answer& answer);
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -308,6 +308,7 @@
 void node::OnPeerRequest(instant now, connection_id from, dispatch_request request) {
   const uint64_t id = request.id;
   const auto key = std::make_pair(from, id);
+  if (!request.relay_to.empty()) return Relay(key, std::move(request));
   const target_gate::ticket ticket =
       gate_.Handle(now, std::move(request), [this, key](instant, const dispatch_answer& answer) {
         peer_requests_.erase(key);
@@ -316,7 +317,36 @@
   if (gate_.Knows(ticket)) peer_requests_[key] = ticket;
 }
 
+void node::Relay(const std::pair<connection_id, uint64_t>& key, dispatch_request request) {
+  const std::string to = std::exchange(request.relay_to, {});
+  const bool large = request.large_answer;
+  const node_state* known = fleet_.Find(to);
+  peer_mesh::ticket ticket = 0;
+  if (known != nullptr && known->reachable) {
+    ticket =
+        mesh_.Send(to, std::move(request), large, [this, key](instant, dispatch_answer answer) {
+          relayed_.erase(key);
+          answer.id = key.second;
+          mesh_.Answer(key.first, answer);
+        });
+  }
+  if (ticket != 0) {
+    relayed_[key] = ticket;
+    return;
+  }
+  log_.Write("relay_refused", {{"to", to}, {"reachable", known == nullptr ? "unknown" : "no"}});
+  dispatch_answer unreachable;
+  unreachable.id = key.second;
+  unreachable.reason = refusal_reason::kOwnerUnreachable;
+  mesh_.Answer(key.first, unreachable);
+}
+
 void node::OnPeerCancelled(instant now, connection_id from, uint64_t id) {
+  if (const auto relayed = relayed_.find({from, id}); relayed != relayed_.end()) {
+    mesh_.Cancel(relayed->second);
+    relayed_.erase(relayed);
+    return;
+  }
   const auto found = peer_requests_.find({from, id});
   if (found == peer_requests_.end()) return;
   const target_gate::ticket ticket = found->second;
@@ -332,6 +362,11 @@
     it = peer_requests_.erase(it);
   }
   for (const target_gate::ticket ticket : tickets) gate_.Cancel(now, ticket);
+  for (auto it = relayed_.lower_bound({from, 0});
+       it != relayed_.end() && it->first.first == from;) {
+    mesh_.Cancel(it->second);
+    it = relayed_.erase(it);
+  }
 }
 
 void node::OnPeerReport(instant now, const node_report& report) {
--- a/src/node.h
+++ b/src/node.h
@@ -109,6 +109,7 @@
   void FollowTarget(instant now);
   node_report OwnReport(instant now);
   void OnPeerRequest(instant now, connection_id from, dispatch_request request);
+  void Relay(const std::pair<connection_id, uint64_t>& key, dispatch_request request);
   void OnPeerCancelled(instant now, connection_id from, uint64_t id);
   void OnPeerGone(instant now, connection_id from);
   void OnPeerReport(instant now, const node_report& report);
@@ -149,6 +150,8 @@
   std::map<std::string, key_map> key_maps_;
   // Requests of peers at the gate: by connection and the peer's number.
   std::map<std::pair<connection_id, uint64_t>, target_gate::ticket> peer_requests_;
+  // Requests that peers have this process pass on.
+  std::map<std::pair<connection_id, uint64_t>, peer_mesh::ticket> relayed_;
   uint64_t own_reports_ = 0;
   uint64_t newest_version_heard_ = 0;
   std::optional<instant> behind_since_;
--- a/src/peer_codec.cpp
+++ b/src/peer_codec.cpp
@@ -64,9 +64,10 @@
 static auto Fields(auto& m, const node_report_receipt&) { return std::tie(m.sequence); }
 
 static auto Fields(auto& m, const dispatch_request&) {
-  return std::tie(m.id, m.request_id, m.caller, m.service, m.route, m.key, m.idempotent, m.rank,
-                  m.home_regions, m.time_left, m.target_left, m.patience, m.expected_work,
-                  m.request.method, m.request.target, m.request.headers, m.request.body);
+  return std::tie(m.id, m.request_id, m.caller, m.service, m.route, m.relay_to, m.key, m.idempotent,
+                  m.large_answer, m.rank, m.home_regions, m.time_left, m.target_left, m.patience,
+                  m.expected_work, m.request.method, m.request.target, m.request.headers,
+                  m.request.body);
 }
 
 static auto Fields(auto& m, const dispatch_answer&) {
--- a/src/peer_mesh.cpp
+++ b/src/peer_mesh.cpp
@@ -139,7 +139,7 @@
   if (known != nullptr && known->reachable) {
     log_.Write("peer_lost", {{"peer", node}, {"reason", why}}, log_weight::kNotable);
   }
-  fleet_.OnReachable(node, false);
+  fleet_.OnReachable(now, node, false);
   FailPending(now, gone, stood);
 }
 
@@ -176,7 +176,7 @@
   const node_state* known = fleet_.Find(found->first);
   if (known != nullptr && !known->reachable) {
     log_.Write("peer_reachable", {{"peer", found->first}}, log_weight::kNotable);
-    fleet_.OnReachable(found->first, true);
+    fleet_.OnReachable(now, found->first, true);
   }
 }
 
@@ -221,7 +221,7 @@
   if (known != nullptr && known->reachable) {
     log_.Write("peer_lost", {{"peer", node}, {"reason", reason.message}}, log_weight::kNotable);
   }
-  fleet_.OnReachable(node, false);
+  fleet_.OnReachable(now, node, false);
   FailPending(now, from, stood);
 }
 
--- a/src/peer_messages.h
+++ b/src/peer_messages.h
@@ -166,8 +166,12 @@
   std::string caller;
   std::string service;
   std::string route;
+  /// Node to which the receiver is to pass the request on; empty: it is for the receiver's own
+  /// target.
+  std::string relay_to;
   std::optional<uint32_t> key;
   bool idempotent = false;
+  bool large_answer = false;
   uint32_t rank = 0;
   /// Regions in which the request may be served; empty: all.
   std::vector<std::string> home_regions;
--- a/src/request_router.cpp
+++ b/src/request_router.cpp
@@ -206,7 +206,8 @@
   if (left < kLeastAttempt) return GiveUp(now, subject, refusal_reason::kDeadlineTooShort);
   refusal_reason why_none = refusal_reason::kNone;
   const node_state* to = Choose(now, *subject, why_none);
-  if (to != nullptr) return SendTo(now, subject, *to);
+  if (to != nullptr) return SendTo(now, subject, *to, nullptr);
+  if (why_none == refusal_reason::kOwnerUnreachable && SendThroughRelay(now, subject)) return;
   // An owner that is not known yet may be known in a moment.
   const bool wait =
       subject->keyed && why_none != refusal_reason::kHomeRegion &&
@@ -243,6 +244,7 @@
   request.route = subject.matched->name;
   request.key = subject.key;
   request.idempotent = subject.matched->idempotent;
+  request.large_answer = subject.matched->large_answers;
   request.rank = subject.matched->rank;
   request.home_regions = subject.matched->home_regions;
   const auto way_back = duration_cast<milliseconds>(to.round_trip / 2);
@@ -260,10 +262,22 @@
   return request;
 }
 
-void request_router::SendTo(instant now, const flight_ptr& subject, const node_state& to) {
-  const std::string node = to.member.node;
+bool request_router::SendThroughRelay(instant now, const flight_ptr& subject) {
+  const node_state* owner = fleet_.Find(ports_.owner_of(subject->service, *subject->key));
+  if (owner == nullptr || subject->tries >= kMostTries) return false;
+  const node_state* relay = ChooseRelay(now, fleet_, *owner, subject->tried, rng_);
+  if (relay == nullptr) return false;
+  metrics_.Counter("bulrushway_requests_relayed")++;
+  SendTo(now, subject, *owner, relay);
+  return true;
+}
+
+void request_router::SendTo(instant now, const flight_ptr& subject, const node_state& to,
+                            const node_state* relay) {
+  const std::string node = relay == nullptr ? to.member.node : relay->member.node;
   const bool own = to.locality == node_locality::kSelf;
   dispatch_request request = MakeDispatch(now, *subject, to);
+  if (relay != nullptr) request.relay_to = to.member.node;
   const uint64_t attempt = ++subject->attempt;
   ++subject->tries;
   subject->tried.push_back(node);
--- a/src/request_router.h
+++ b/src/request_router.h
@@ -75,7 +75,10 @@
   bool Accept(instant now, const flight_ptr& subject);
   void Attempt(instant now, const flight_ptr& subject);
   const node_state* Choose(instant now, flight& subject, refusal_reason& why_none);
-  void SendTo(instant now, const flight_ptr& subject, const node_state& to);
+  // Passes the request on through `relay` when the node cannot be reached directly.
+  void SendTo(instant now, const flight_ptr& subject, const node_state& to,
+              const node_state* relay);
+  bool SendThroughRelay(instant now, const flight_ptr& subject);
   std::chrono::milliseconds Patience(const flight& subject, std::chrono::milliseconds spare,
                                      std::chrono::milliseconds on_time) const;
   dispatch_request MakeDispatch(instant now, const flight& subject, const node_state& to) const;
--- a/src/target_choice.cpp
+++ b/src/target_choice.cpp
@@ -21,6 +21,8 @@
 // Each choice looks at the targets with this much random error, so that processes that know the
 // same do not all choose the same.
 constexpr double kSpread = 0.15;
+// Others notice within this time that a node is gone; until then a relay would send to it in vain.
+constexpr std::chrono::milliseconds kRelayDelay{700};
 // Expected wait while cold is raised by this: most of the rate of a cold target is taken by others.
 constexpr double kColdFactor = 2;
 
@@ -69,4 +71,27 @@
   return best;
 }
 
+const node_state* ChooseRelay(instant now, const fleet_view& fleet, const node_state& owner,
+                              const std::vector<std::string>& tried, std::mt19937_64& rng) {
+  if (owner.reachable || !owner.reported || now - owner.reachable_since < kRelayDelay) {
+    return nullptr;
+  }
+  const node_state* self = fleet.Find(fleet.self());
+  if (self == nullptr) return nullptr;
+  const node_state* best = nullptr;
+  double best_time = 0;
+  std::uniform_real_distribution<double> error(1, 1 + kSpread);
+  for (const auto& [name, node] : fleet.nodes()) {
+    const std::string& place = node.member.data_centre;
+    const bool third = place != self->member.data_centre && place != owner.member.data_centre;
+    const bool asked = std::find(tried.begin(), tried.end(), name) != tried.end();
+    if (!third || asked || !node.reachable || !node.reported || node.report.stopping) continue;
+    const double time = (milliseconds_f(node.round_trip).count() + 1) * error(rng);
+    if (best != nullptr && time >= best_time) continue;
+    best = &node;
+    best_time = time;
+  }
+  return best;
+}
+
 }  // namespace bulrushway
--- a/src/target_choice.h
+++ b/src/target_choice.h
@@ -32,6 +32,13 @@
 const node_state* ChooseTarget(instant now, const std::vector<const node_state*>& nodes,
                                const choice_request& request, std::mt19937_64& rng);
 
+/// A node that may pass a request on to `owner`, to which this process has no connection: in
+/// another data centre than both, since it is the path between these two that is cut. Null when the
+/// owner was lost just now, so that others may not have noticed yet that it is gone, or when there
+/// is no such node.
+const node_state* ChooseRelay(instant now, const fleet_view& fleet, const node_state& owner,
+                              const std::vector<std::string>& tried, std::mt19937_64& rng);
+
 }  // namespace bulrushway
 
 #endif  // BULRUSHWAY_TARGET_CHOICE_H
