Refuse requests that were at several crashes of targets

Cause: a request may crash each target that runs it, and comes again. On the platform's path nothing remembered it: after the third crash it would go on reaching targets, which the users' rules forbid.

Change: a gate remembers requests that broke off together when its target went down, and tells its peers.

--- a/src/node.cpp
+++ b/src/node.cpp
@@ -63,6 +63,7 @@
           },
           [&self](instant now, uint32_t key) { return self.WhyNotHeld(now, key); },
           [&self](instant) { return self.DataCentreOut(); },
+          [&self](instant now) { self.TellSuspects(now); },
           self.ports_.parse_load};
 }
 
@@ -75,7 +76,10 @@
           },
           [&self](instant now, connection_id from) { self.OnPeerGone(now, from); },
           [&self](instant now, const node_report& report) { self.OnPeerReport(now, report); },
-          [&self](instant now) { return self.OwnReport(now); }};
+          [&self](instant now) { return self.OwnReport(now); },
+          [&self](instant now, const poison_notice& notice) {
+            for (const poison_entry& entry : notice.entries) self.gate_.poison().Merge(entry, now);
+          }};
 }
 
 request_router_ports node::RouterPorts(node& self) {
@@ -98,7 +102,7 @@
       target_({settings_.service, settings_.target, settings_.heartbeat, settings_.drain_limit}),
       gate_(loop, metrics_, log_, target_,
             {settings_.target, settings_.service, settings_.region, settings_.headers},
-            GatePorts(*this)),
+            GatePorts(*this), process),
       mesh_(loop, log_, fleet_, MeshEvents(*this)),
       router_(log_, metrics_,
               {settings_.name, settings_.service, settings_.headers,
@@ -379,6 +383,12 @@
   if (!stranger_since_) stranger_since_ = now;
 }
 
+void node::TellSuspects(instant now) {
+  mesh_.SendToAll([this, now](const node_state& peer) {
+    return poison_notice{gate_.poison().Export(peer.member.region, now)};
+  });
+}
+
 void node::RefreshIfBehind(instant now) {
   const uint64_t mine = table_ ? table_->version() : 0;
   if (newest_version_heard_ <= mine) {
--- a/src/node.h
+++ b/src/node.h
@@ -113,6 +113,7 @@
   void OnPeerCancelled(instant now, connection_id from, uint64_t id);
   void OnPeerGone(instant now, connection_id from);
   void OnPeerReport(instant now, const node_report& report);
+  void TellSuspects(instant now);
   void RefreshIfBehind(instant now);
   void OnMemberRows(instant now, const std::vector<stored_row>& rows);
   void OnKeyMapRows(instant now, instant began, const std::vector<stored_row>& rows);
--- a/src/peer_codec.cpp
+++ b/src/peer_codec.cpp
@@ -75,6 +75,14 @@
                   m.answer.status, m.answer.headers, m.answer.body);
 }
 
+static auto Fields(auto& m, const crash_sighting&) { return std::tie(m.crash, m.alone); }
+
+static auto Fields(auto& m, const poison_entry&) {
+  return std::tie(m.fingerprint, m.crashes, m.release, m.remaining, m.home_regions);
+}
+
+static auto Fields(auto& m, const poison_notice&) { return std::tie(m.entries); }
+
 static constexpr auto HighestOf(remembered_state) { return remembered_state::kUnknown; }
 
 static constexpr auto HighestOf(refusal_reason) {
--- a/src/peer_mesh.cpp
+++ b/src/peer_mesh.cpp
@@ -100,6 +100,16 @@
   for (auto& [node, each] : peers_) SendReport(now, each);
 }
 
+void peer_mesh::SendToAll(const std::function<peer_message(const node_state&)>& make) {
+  for (const auto& [node, each] : peers_) {
+    const node_state* known = fleet_.Find(node);
+    const connection_id to = each.links[0].connection;
+    if (known != nullptr && to != 0 && transport_.Established(to)) {
+      transport_.Send(to, make(*known));
+    }
+  }
+}
+
 void peer_mesh::Tick(instant now) {
   for (auto& [node, each] : peers_) {
     for (link& which : each.links) {
@@ -196,6 +206,8 @@
     done(now, std::move(*answer));
   } else if (const auto* cancel = std::get_if<cancel_request>(&message)) {
     events_.cancelled(now, from, cancel->id);
+  } else if (const auto* notice = std::get_if<poison_notice>(&message)) {
+    events_.suspects(now, *notice);
   }
 }
 
--- a/src/peer_mesh.h
+++ b/src/peer_mesh.h
@@ -29,6 +29,8 @@
   std::function<void(instant, const node_report&)> report;
   /// The report to send to peers now.
   std::function<node_report(instant)> own_report;
+  /// A peer tells of requests that were at targets when these crashed.
+  std::function<void(instant, const poison_notice&)> suspects;
 };
 
 /// Connections to all peers.
@@ -50,6 +52,8 @@
   void Cancel(ticket id);
   /// Answers a request of a peer.
   void Answer(connection_id to, const dispatch_answer& answer) { transport_.Send(to, answer); }
+  /// Sends a message, made for each, to all peers that are connected.
+  void SendToAll(const std::function<peer_message(const node_state&)>& make);
   /// Whether bytes for peers wait to be sent.
   bool HasUnsent() const { return transport_.HasUnsent(); }
   /// Sends reports, replaces connections that do not work.
--- a/src/peer_messages.h
+++ b/src/peer_messages.h
@@ -13,6 +13,7 @@
 
 #include "http_message.h"
 #include "idempotency_memory.h"
+#include "poison_registry.h"
 #include "refusal.h"
 #include "target_heartbeat.h"
 
@@ -203,12 +204,17 @@
   http_answer answer;
 };
 
+/// Requests that were at targets when these crashed, as far as the receiver may know of them.
+struct poison_notice {
+  std::vector<poison_entry> entries;
+};
+
 /// Any message between processes. The order is part of the protocol: append only.
 using peer_message =
     std::variant<hello_message, forward_request, forward_answer, cancel_request, control_message,
                  document_request, document_answer, freshness_request, freshness_answer,
                  memory_request, memory_answer, node_report, node_report_receipt, dispatch_request,
-                 dispatch_answer>;
+                 dispatch_answer, poison_notice>;
 
 }  // namespace bulrushway
 
--- a/src/target_gate.cpp
+++ b/src/target_gate.cpp
@@ -31,18 +31,20 @@
   target_life life;
   http_client::request_id http = 0;
   bool abandoned = false;
+  request_fingerprint fingerprint = 0;
   // Bytes of the request were handed to a connection of the target.
   bool arrived_at_target = false;
 };
 
 target_gate::target_gate(event_loop& loop, metrics& counters, decision_log& log, own_target& target,
-                         target_gate_settings settings, target_gate_ports ports)
+                         target_gate_settings settings, target_gate_ports ports, uint64_t seed)
     : metrics_(counters),
       log_(log),
       target_(target),
       settings_(std::move(settings)),
       ports_(std::move(ports)),
       client_(loop, http_client_settings{.echo_header = settings_.headers.request_id}),
+      next_crash_(seed),
       work_latency_(metrics_.Latency("bulrushway_target_work_seconds")),
       wait_latency_(metrics_.Latency("bulrushway_gate_wait_seconds")) {}
 
@@ -84,6 +86,15 @@
   subject->done = std::move(done);
   const ticket id = subject->id;
   jobs_.emplace(id, subject);
+  const dispatch_request& came = subject->request;
+  subject->fingerprint =
+      MakeRequestFingerprint(came.service, came.request.method + " " + came.request.target,
+                             came.caller, came.request.body);
+  if (poison_.Quarantined(subject->fingerprint, now)) {
+    Refuse(now, subject, refusal_reason::kQuarantined, run_state::kNotRun, milliseconds{0},
+           "was at several targets when they crashed");
+    return id;
+  }
   if (const auto refused = Check(now, subject->request)) {
     Refuse(now, subject, refused->first, run_state::kNotRun, refused->second, "gate check");
     return id;
@@ -183,6 +194,7 @@
     return;
   }
   EndWork(now, subject, work);
+  poison_.OnAnswered(subject->fingerprint, now);
   work_latency_.Add(work);
   // A success without the target's signature, or with an encoding that nobody asked for, is not
   // what the target made.
@@ -204,7 +216,11 @@
 
 void target_gate::OnFailure(instant now, const job_ptr& subject, const http_failure& failure) {
   EndWork(now, subject, std::chrono::nanoseconds{0});
+  if (failure.broken_off && failure.may_have_run) {
+    crash_watch_.OnBrokenOff(now, {subject->fingerprint, subject->request.home_regions});
+  }
   if (failure.refused) {
+    OnCrash(now);
     target_.OnRefused(now);
     client_.CloseIdle(settings_.address);
   }
@@ -221,6 +237,20 @@
   PopQueue(now);
 }
 
+void target_gate::OnCrash(instant now) {
+  const std::vector<suspect_request> suspects = crash_watch_.TakeSuspects(now);
+  if (suspects.empty()) return;
+  for (const request_fingerprint found : poison_.OnCrash(next_crash_++, suspects, now)) {
+    log_.Write("request_quarantined",
+               {{"fingerprint", std::to_string(found)}, {"target", last_life_.id}},
+               log_weight::kNotable);
+  }
+  log_.Write("target_crashed",
+             {{"target", last_life_.id}, {"requests", std::to_string(suspects.size())}},
+             log_weight::kNotable);
+  ports_.suspects_changed(now);
+}
+
 void target_gate::PopQueue(instant now) {
   while (const auto id = queue_.Next(now)) {
     const auto found = jobs_.find(*id);
@@ -241,6 +271,10 @@
 }
 
 void target_gate::Tick(instant now) {
+  if (last_life_ != target_.life()) {
+    if (!last_life_.id.empty()) OnCrash(now);
+    last_life_ = target_.life();
+  }
   queue_.SetSlots(target_.slots());
   queue_.SetCold(now, cold_rate_ > 0 && target_.Cold(now));
   for (const slot_expiry& expired : queue_.Expire(now)) {
--- a/src/target_gate.h
+++ b/src/target_gate.h
@@ -14,6 +14,7 @@
 #include <optional>
 #include <string>
 
+#include "crash_watch.h"
 #include "decision_log.h"
 #include "header_names.h"
 #include "http_client.h"
@@ -48,6 +49,8 @@
       why_not_held;
   /// Whether operators have taken the target's data centre out of service.
   std::function<bool(instant)> evacuated;
+  /// The target crashed while requests were at it: peers should know which.
+  std::function<void(instant)> suspects_changed;
   /// Reads the load header.
   std::function<std::optional<told_load>(const std::string&)> parse_load;
 };
@@ -67,7 +70,7 @@
   using ticket = uint64_t;
 
   target_gate(event_loop& loop, metrics& counters, decision_log& log, own_target& target,
-              target_gate_settings settings, target_gate_ports ports);
+              target_gate_settings settings, target_gate_ports ports, uint64_t seed);
   ~target_gate();
 
   /// Takes a request; `done` is called once, possibly at once.
@@ -80,6 +83,9 @@
   /// A policy of the service came with a configuration.
   void SetPolicy(uint32_t connections, double cold_rate, double cold_burst);
 
+  /// Requests that crash targets, as this process and its peers know them.
+  poison_registry& poison() { return poison_; }
+
   /// For reports to other processes.
   target_report Report(instant now) const;
   /// Whether the request is waiting or running.
@@ -104,6 +110,7 @@
   void Refuse(instant now, const job_ptr& subject, refusal_reason reason, run_state state,
               std::chrono::milliseconds retry_after, const std::string& detail);
   void Finish(instant now, const job_ptr& subject, dispatch_answer answer);
+  void OnCrash(instant now);
   http_request TargetRequest(instant now, job& subject) const;
 
   metrics& metrics_;
@@ -113,6 +120,11 @@
   target_gate_ports ports_;
   http_client client_;
   slot_queue queue_;
+  crash_watch crash_watch_;
+  poison_registry poison_{poison_settings{}};
+  // Numbers of crashes, unique across processes.
+  uint64_t next_crash_;
+  target_life last_life_;
   double cold_rate_ = 0;
   uint32_t pace_percent_ = 100;
   ticket next_ticket_ = 1;
