Split the router, the node and the steward by what they do

Change: how a request ends, what a node does for its peers, and which keys the steward moves stand in files of their own; nothing else changes.

--- a/src/node.cpp
+++ b/src/node.cpp
@@ -14,8 +14,6 @@
 constexpr const char* kMemberTable = "members";
 // How often waiting requests and connections are looked at.
 constexpr milliseconds kTickInterval{25};
-// What peers know is read from the store when the feeds have not brought it after this time.
-constexpr milliseconds kFeedDelay{300};
 // Wait before the announcement of this process is repeated.
 constexpr milliseconds kAnnounceRetry{500};
 // Share of the permitted extra arrivals that this process uses: processes see different shares of
@@ -30,14 +28,13 @@
 constexpr milliseconds kRestart{900};
 // A process stays for this long at least: callers on their way are answered.
 constexpr milliseconds kStopListening{2400};
-// Kept in hand between the end of a stop and the kill, and between the last answers and the kill.
+// Kept in hand between the end of a stop and the kill.
 constexpr milliseconds kStopReserve{400};
-constexpr milliseconds kLastAnswers{600};
 // A process ends this long after it has become idle.
 constexpr milliseconds kLinger{150};
 // An idle connection of a caller is closed this long after a stop began.
 constexpr milliseconds kStopIdle{1500};
-// Longest answer body and request body that a process keeps in memory.
+// Headers of a question for the metrics.
 constexpr size_t kMetricsHeaders = 8 << 10;
 
 double Seconds(std::chrono::nanoseconds time) {
@@ -50,48 +47,6 @@
 
 }  // namespace
 
-target_gate_ports node::GatePorts(node& self) {
-  return {[&self] { return self.OwnServiceKeyed(); },
-          [&self](instant now, uint32_t key) {
-            return self.ranges_ != nullptr && self.ranges_->Holds(now, key);
-          },
-          [&self](instant now, uint32_t key) {
-            if (self.ranges_) self.ranges_->OnRequest(now, key);
-          },
-          [&self](instant now, uint32_t key) {
-            if (self.ranges_) self.ranges_->OnNotHeld(now, key);
-          },
-          [&self](instant now, uint32_t key) { return self.WhyNotHeld(now, key); },
-          [&self](instant) { return self.DataCentreOut(); },
-          [&self](instant now) { self.TellSuspects(now); },
-          self.ports_.parse_load};
-}
-
-peer_mesh_events node::MeshEvents(node& self) {
-  return {[&self](instant now, connection_id from, dispatch_request request) {
-            self.OnPeerRequest(now, from, std::move(request));
-          },
-          [&self](instant now, connection_id from, uint64_t id) {
-            self.OnPeerCancelled(now, from, id);
-          },
-          [&self](instant now, connection_id from) { self.OnPeerGone(now, from); },
-          [&self](instant now, const node_report& report) { self.OnPeerReport(now, report); },
-          [&self](instant now) { return self.OwnReport(now); },
-          [&self](instant now, const poison_notice& notice) {
-            for (const poison_entry& entry : notice.entries) self.gate_.poison().Merge(entry, now);
-          }};
-}
-
-request_router_ports node::RouterPorts(node& self) {
-  return {[&self] { return self.table_; },
-          [&self](const std::string& service, uint32_t key) { return self.OwnerOf(service, key); },
-          [&self](instant now) { return self.UntilRestart(now); },
-          [&self] {
-            if (!self.stopping_since_) return instant::max();
-            return *self.stopping_since_ + self.settings_.stop_limit - kLastAnswers;
-          }};
-}
-
 node::node(event_loop& loop, const node_settings& settings, node_ports ports, uint64_t process)
     : loop_(loop),
       settings_(settings),
@@ -309,102 +264,6 @@
   return candidates;
 }
 
-void node::OnPeerRequest(instant now, connection_id from, dispatch_request request) {
-  const uint64_t id = request.id;
-  const auto key = std::make_pair(from, id);
-  if (!request.relay_to.empty()) return Relay(key, std::move(request));
-  const target_gate::ticket ticket =
-      gate_.Handle(now, std::move(request), [this, key](instant, const dispatch_answer& answer) {
-        peer_requests_.erase(key);
-        mesh_.Answer(key.first, answer);
-      });
-  if (gate_.Knows(ticket)) peer_requests_[key] = ticket;
-}
-
-void node::Relay(const std::pair<connection_id, uint64_t>& key, dispatch_request request) {
-  const std::string to = std::exchange(request.relay_to, {});
-  const bool large = request.large_answer;
-  const node_state* known = fleet_.Find(to);
-  peer_mesh::ticket ticket = 0;
-  if (known != nullptr && known->reachable) {
-    ticket =
-        mesh_.Send(to, std::move(request), large, [this, key](instant, dispatch_answer answer) {
-          relayed_.erase(key);
-          answer.id = key.second;
-          mesh_.Answer(key.first, answer);
-        });
-  }
-  if (ticket != 0) {
-    relayed_[key] = ticket;
-    return;
-  }
-  log_.Write("relay_refused", {{"to", to}, {"reachable", known == nullptr ? "unknown" : "no"}});
-  dispatch_answer unreachable;
-  unreachable.id = key.second;
-  unreachable.reason = refusal_reason::kOwnerUnreachable;
-  mesh_.Answer(key.first, unreachable);
-}
-
-void node::OnPeerCancelled(instant now, connection_id from, uint64_t id) {
-  if (const auto relayed = relayed_.find({from, id}); relayed != relayed_.end()) {
-    mesh_.Cancel(relayed->second);
-    relayed_.erase(relayed);
-    return;
-  }
-  const auto found = peer_requests_.find({from, id});
-  if (found == peer_requests_.end()) return;
-  const target_gate::ticket ticket = found->second;
-  peer_requests_.erase(found);
-  gate_.Cancel(now, ticket);
-}
-
-void node::OnPeerGone(instant now, connection_id from) {
-  std::vector<target_gate::ticket> tickets;
-  for (auto it = peer_requests_.lower_bound({from, 0});
-       it != peer_requests_.end() && it->first.first == from;) {
-    tickets.push_back(it->second);
-    it = peer_requests_.erase(it);
-  }
-  for (const target_gate::ticket ticket : tickets) gate_.Cancel(now, ticket);
-  for (auto it = relayed_.lower_bound({from, 0});
-       it != relayed_.end() && it->first.first == from;) {
-    mesh_.Cancel(it->second);
-    it = relayed_.erase(it);
-  }
-}
-
-void node::OnPeerReport(instant now, const node_report& report) {
-  fleet_.OnReport(now, report);
-  // A peer that knows a newer configuration has seen it in the store; one that is not known here
-  // has announced itself there. Both are on their way, unless a feed has gone silent.
-  newest_version_heard_ = std::max(newest_version_heard_, report.configuration_version);
-  if (fleet_.Find(report.node) != nullptr) return;
-  stranger_ = report.node;
-  if (!stranger_since_) stranger_since_ = now;
-}
-
-void node::TellSuspects(instant now) {
-  mesh_.SendToAll([this, now](const node_state& peer) {
-    return poison_notice{gate_.poison().Export(peer.member.region, now)};
-  });
-}
-
-void node::RefreshIfBehind(instant now) {
-  const uint64_t mine = table_ ? table_->version() : 0;
-  if (newest_version_heard_ <= mine) {
-    behind_since_.reset();
-  } else if (!behind_since_) {
-    behind_since_ = now;
-  } else if (now - *behind_since_ > kFeedDelay) {
-    behind_since_ = now;
-    operator_rows_.Refresh(now);
-  }
-  if (stranger_since_ && now - *stranger_since_ > kFeedDelay) {
-    stranger_since_.reset();
-    if (fleet_.Find(stranger_) == nullptr) member_rows_.Refresh(now);
-  }
-}
-
 void node::OnMemberRows(instant now, const std::vector<stored_row>& rows) {
   for (const stored_row& row : rows) {
     if (row.id.key == settings_.name) continue;
