--- a/src/own_target.h
+++ b/src/own_target.h
@@ -73,7 +73,6 @@
   bool Cold(instant now) const { return now < cold_until_; }
   /// Time of the next heartbeat, if they come in time.
   instant NextHeartbeat() const { return last_heartbeat_ + settings_.heartbeat; }
-  instant LastHeartbeat() const { return last_heartbeat_; }
 
  private:
   bool Down(instant now) const;
--- a/src/peer_mesh.cpp
+++ b/src/peer_mesh.cpp
@@ -182,7 +182,6 @@
     each.receipted = true;
     fleet_.OnRoundTrip(found->first, now - each.reported_at);
   }
-  each.last_receipt = now;
   const node_state* known = fleet_.Find(found->first);
   if (known != nullptr && !known->reachable) {
     log_.Write("peer_reachable", {{"peer", found->first}}, log_weight::kNotable);
--- a/src/peer_mesh.h
+++ b/src/peer_mesh.h
@@ -77,7 +77,6 @@
     uint64_t reported = 0;
     instant reported_at;
     bool receipted = true;
-    instant last_receipt;
   };
   struct pending {
     std::string node;
