--- a/src/datagram_transport.cpp
+++ b/src/datagram_transport.cpp
@@ -1,6 +1,5 @@
 #include "datagram_transport.h"
 
-#include <arpa/inet.h>
 #include <event2/event.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -9,6 +8,8 @@
 #include <cerrno>
 #include <cstring>
 
+#include "socket_options.h"
+
 namespace bulrushway {
 namespace {
 
@@ -27,10 +28,7 @@
 
 result<void> datagram_transport::Listen(const socket_address& address) {
   socket_ = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-  sockaddr_in raw{};
-  raw.sin_family = AF_INET;
-  raw.sin_port = htons(address.port);
-  inet_pton(AF_INET, address.ip.c_str(), &raw.sin_addr);
+  const sockaddr_in raw = ToSockaddr(address);
   if (bind(socket_, reinterpret_cast<const sockaddr*>(&raw), sizeof raw) != 0) {
     return Failure(
         error_kind::kUser, "listen for datagrams", ToString(address),
@@ -45,10 +43,7 @@
 }
 
 void datagram_transport::Send(const socket_address& to, std::string_view bytes) {
-  sockaddr_in raw{};
-  raw.sin_family = AF_INET;
-  raw.sin_port = htons(to.port);
-  inet_pton(AF_INET, to.ip.c_str(), &raw.sin_addr);
+  const sockaddr_in raw = ToSockaddr(to);
   sendto(socket_, bytes.data(), bytes.size(), 0, reinterpret_cast<const sockaddr*>(&raw),
          sizeof raw);
   ++packets_sent_;
@@ -65,9 +60,7 @@
     if (length < 0) return;
     ++packets_received_;
     bytes_ += static_cast<uint64_t>(length) + kDatagramOverhead;
-    std::array<char, INET_ADDRSTRLEN> text{};
-    inet_ntop(AF_INET, &from.sin_addr, text.data(), text.size());
-    received_({text.data(), ntohs(from.sin_port)}, {buffer.data(), static_cast<size_t>(length)});
+    received_(FromSockaddr(from), {buffer.data(), static_cast<size_t>(length)});
   }
 }
 
--- a/src/http_client_connection.cpp
+++ b/src/http_client_connection.cpp
@@ -1,15 +1,15 @@
 #include "http_client_connection.h"
 
-#include <arpa/inet.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
-#include <netinet/tcp.h>
 
 #include <cerrno>
 #include <charconv>
 #include <cstring>
 
+#include "socket_options.h"
+
 namespace bulrushway {
 namespace {
 
@@ -50,15 +50,11 @@
   if (established_) return Write();
   if (bufferevent_getfd(raw_) >= 0) return;
   opened_ = now;
-  sockaddr_in to{};
-  to.sin_family = AF_INET;
-  to.sin_port = htons(address_.port);
-  inet_pton(AF_INET, address_.ip.c_str(), &to.sin_addr);
+  sockaddr_in to = ToSockaddr(address_);
   // A connect that fails at once reports through the event callback, from the loop.
   bufferevent_socket_connect(raw_, reinterpret_cast<sockaddr*>(&to), sizeof to);
   if (const evutil_socket_t socket = bufferevent_getfd(raw_); socket >= 0) {
-    const int on = 1;
-    setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    DisableDelay(socket);
   }
 }
 
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -1,18 +1,16 @@
 #include "http_server.h"
 
-#include <arpa/inet.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
-#include <netinet/tcp.h>
 
 #include <algorithm>
-#include <array>
 #include <cerrno>
 #include <cstring>
 #include <vector>
 
 #include "http_server_connection.h"
+#include "socket_options.h"
 
 namespace bulrushway {
 namespace {
@@ -83,16 +81,11 @@
 }
 
 result<void> http_server::Listen(const socket_address& address) {
-  sockaddr_in raw{};
-  raw.sin_family = AF_INET;
-  raw.sin_port = htons(address.port);
-  inet_pton(AF_INET, address.ip.c_str(), &raw.sin_addr);
+  const sockaddr_in raw = ToSockaddr(address);
   const auto accepted = [](evconnlistener*, evutil_socket_t socket, sockaddr* from, int,
                            void* self) {
     const auto* peer = reinterpret_cast<const sockaddr_in*>(from);
-    std::array<char, INET_ADDRSTRLEN> text{};
-    inet_ntop(AF_INET, &peer->sin_addr, text.data(), text.size());
-    static_cast<http_server*>(self)->Adopt(socket, {text.data(), ntohs(peer->sin_port)});
+    static_cast<http_server*>(self)->Adopt(socket, FromSockaddr(*peer));
   };
   listener_ =
       evconnlistener_new_bind(loop_.Base(), accepted, this,
@@ -105,8 +98,7 @@
 }
 
 void http_server::Adopt(int socket, const socket_address& peer) {
-  const int on = 1;
-  setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  DisableDelay(socket);
   bufferevent* raw = bufferevent_socket_new(loop_.Base(), socket, BEV_OPT_CLOSE_ON_FREE);
   auto connection = std::make_unique<http_server_connection>(*this, raw, peer);
   http_server_connection* key = connection.get();
--- a/src/peer_transport.cpp
+++ b/src/peer_transport.cpp
@@ -1,10 +1,8 @@
 #include "peer_transport.h"
 
-#include <arpa/inet.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
-#include <netinet/tcp.h>
 
 #include <algorithm>
 #include <array>
@@ -12,25 +10,9 @@
 #include <cstring>
 
 #include "peer_codec.h"
+#include "socket_options.h"
 
 namespace bulrushway {
-namespace {
-
-sockaddr_in ToSockaddr(const socket_address& address) {
-  sockaddr_in raw{};
-  raw.sin_family = AF_INET;
-  raw.sin_port = htons(address.port);
-  inet_pton(AF_INET, address.ip.c_str(), &raw.sin_addr);
-  return raw;
-}
-
-void DisableDelay(evutil_socket_t socket) {
-  const int on = 1;
-  setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-}
-
-}  // namespace
-
 struct peer_transport::connection {
   peer_transport* transport;
   connection_id id;
@@ -54,12 +36,9 @@
                            void* self) {
     auto* transport = static_cast<peer_transport*>(self);
     DisableDelay(socket);
-    const auto* peer = reinterpret_cast<const sockaddr_in*>(from);
-    std::array<char, INET_ADDRSTRLEN> text{};
-    inet_ntop(AF_INET, &peer->sin_addr, text.data(), text.size());
     bufferevent* link =
         bufferevent_socket_new(transport->loop_.Base(), socket, BEV_OPT_CLOSE_ON_FREE);
-    transport->Adopt(link, std::string(text.data()) + ":" + std::to_string(ntohs(peer->sin_port)),
+    transport->Adopt(link, ToString(FromSockaddr(*reinterpret_cast<const sockaddr_in*>(from))),
                      true);
   };
   constexpr int kBacklog = 512;
