--- a/platform/base64.cpp
+++ b/src/base64.cpp
@@ -5,7 +5,7 @@
 #include <boost/archive/iterators/binary_from_base64.hpp>
 #include <boost/archive/iterators/transform_width.hpp>
 
-namespace bulrushway::platform {
+namespace bulrushway {
 namespace {
 
 namespace iterators = boost::archive::iterators;
@@ -42,4 +42,4 @@
   return bytes;
 }
 
-}  // namespace bulrushway::platform
+}  // namespace bulrushway
--- a/src/caller_request.cpp
+++ b/src/caller_request.cpp
@@ -61,9 +61,9 @@
   return BadHeader("X-Bulrush-Attempt", text, "it must be \"first\" or \"repeat\"");
 }
 
-result<void> ReadNames(const http_request& request, forward_request& read) {
+result<void> ReadNames(const http_request& request, dispatch_request& read) {
   const std::array<std::pair<const char*, std::string*>, 4> names = {{
-      {"X-Bulrush-Key", &read.key},
+      {"X-Bulrush-Key", &read.key_name},
       {"X-Bulrush-Tenant", &read.tenant},
       {"Idempotency-Key", &read.idempotency_key},
       {"X-Bulrush-Request-Id", &read.request_id},
@@ -77,7 +77,7 @@
 }
 
 result<void> ReadTimes(const http_request& request, const deadline_limits& limits,
-                       forward_request& read) {
+                       dispatch_request& read) {
   const auto deadline = ReadNumber(request, "X-Bulrush-Deadline-Ms");
   if (!deadline) return tl::unexpected<error>(deadline.error());
   read.time_left = std::chrono::milliseconds(deadline->value_or(limits.usual.count()));
@@ -90,10 +90,10 @@
 
 }  // namespace
 
-result<forward_request> ParseCallerRequest(const http_request& request,
-                                           const deadline_limits& limits,
-                                           const std::string& fallback_id) {
-  forward_request read;
+result<dispatch_request> ParseCallerRequest(const http_request& request,
+                                            const deadline_limits& limits,
+                                            const std::string& fallback_id) {
+  dispatch_request read;
   read.service = ServiceOf(request.target);
   if (auto names = ReadNames(request, read); !names) return tl::unexpected<error>(names.error());
   if (auto times = ReadTimes(request, limits, read); !times) {
@@ -114,7 +114,7 @@
   return read;
 }
 
-http_answer CallerAnswer(const forward_request& request, const forward_answer& answer) {
+http_answer CallerAnswer(const dispatch_request& request, const dispatch_answer& answer) {
   http_answer shown{answer.answer.status, {}, answer.answer.body};
   for (const auto& header : answer.answer.headers) {
     const bool repeated = header.first == "X-Bulrush-Repeated";
--- a/src/caller_request.h
+++ b/src/caller_request.h
@@ -22,12 +22,12 @@
 
 /// Reads a caller's request into the form that travels between processes. Without a request id, one
 /// is made from `fallback_id`. A bad header is a user error that quotes it.
-result<forward_request> ParseCallerRequest(const http_request& request,
-                                           const deadline_limits& limits,
-                                           const std::string& fallback_id);
+result<dispatch_request> ParseCallerRequest(const http_request& request,
+                                            const deadline_limits& limits,
+                                            const std::string& fallback_id);
 
 /// The answer of a target as the caller gets it.
-http_answer CallerAnswer(const forward_request& request, const forward_answer& answer);
+http_answer CallerAnswer(const dispatch_request& request, const dispatch_answer& answer);
 
 /// A refusal as the caller gets it. `home_regions` tells where to go when the request is bound to
 /// other regions.
--- a/src/configuration_service.cpp
+++ b/src/configuration_service.cpp
@@ -15,16 +15,15 @@
 }  // namespace
 
 configuration_service::configuration_service(event_loop& loop, event_log& log,
-                                             http_table_service& table, forwarder& peers,
-                                             peer_transport& transport, membership& members,
-                                             rules_view& rules, uint64_t seed)
+                                             http_table_service& table, peer_mesh& peers,
+                                             const fleet_view& fleet, rules_view& rules,
+                                             uint64_t seed)
     : log_(log),
       table_(table),
       peers_(peers),
-      transport_(transport),
-      members_(members),
+      fleet_(fleet),
       rules_(rules),
-      follower_(members.Self().node, boot_clock::now(), seed),
+      follower_(fleet.self(), boot_clock::now(), seed),
       tick_(loop, [this](instant now) { Tick(now); }) {}
 
 result<void> configuration_service::Start(instant now) {
@@ -41,23 +40,19 @@
   Tick(now);
 }
 
-void configuration_service::OnItem(instant now, const gossip_item& item) {
-  if (item.kind != static_cast<uint8_t>(gossip_kind::kConfigurationHead)) return;
-  Run(now, follower_.OnHeadTold(now, item.payload, "gossip"));
-}
-
 void configuration_service::OnMessage(instant now, connection_id from,
                                       const peer_message& message) {
-  if (const auto* wanted = std::get_if<document_request>(&message)) {
+  if (const auto* notice = std::get_if<configuration_notice>(&message)) {
+    Run(now, follower_.OnHeadTold(now, notice->head, peers_.AddressOf(from)));
+  } else if (const auto* wanted = std::get_if<document_request>(&message)) {
     const std::string* bytes = follower_.FindDocument(wanted->hash);
-    transport_.Send(from, document_answer{wanted->hash, bytes != nullptr, bytes ? *bytes : ""});
+    peers_.Reply(from, document_answer{wanted->hash, bytes != nullptr, bytes ? *bytes : ""});
   } else if (const auto* document = std::get_if<document_answer>(&message)) {
     if (!document->found) return follower_.OnFetchFailed(now, document->hash);
-    Run(now,
-        follower_.OnDocument(now, document->hash, document->bytes, transport_.PeerAddress(from)));
+    Run(now, follower_.OnDocument(now, document->hash, document->bytes, peers_.AddressOf(from)));
   } else if (const auto* asked = std::get_if<freshness_request>(&message)) {
     const auto age = follower_.Staleness(now);
-    if (age) transport_.Send(from, freshness_answer{asked->sequence, follower_.Version(), *age});
+    if (age) peers_.Reply(from, freshness_answer{asked->sequence, follower_.Version(), *age});
   } else if (const auto* fresh = std::get_if<freshness_answer>(&message)) {
     const auto sent = freshness_asked_.find(fresh->sequence);
     if (sent == freshness_asked_.end()) return;
@@ -83,23 +78,20 @@
   const auto& near = known_.near.size() > 1 ? known_.near : known_.far;
   if (near.empty()) return;
   const uint64_t sequence = ++freshness_sequence_;
-  const announcement* peer = members_.Known().Find(near[sequence % near.size()]);
-  if (peer == nullptr || peer->node == members_.Self().node) return;
+  const std::string& peer = near[sequence % near.size()];
+  if (peer == fleet_.self()) return;
   if (freshness_asked_.size() >= kMostFreshnessAsked) freshness_asked_.clear();
   freshness_asked_[sequence] = now;
-  peers_.SendMessage(now, peer->peer, freshness_request{sequence});
+  peers_.Post(peer, freshness_request{sequence});
 }
 
 void configuration_service::RefreshMembers(instant now) {
-  const directory& directory = members_.Known();
-  if (seen_revision_ == directory.Revision()) return;
-  seen_revision_ = directory.Revision();
   known_ = {};
-  const std::string& here = members_.Self().data_centre;
-  for (const announcement* member : directory.Live()) {
-    auto& list = member->data_centre == here ? known_.near : known_.far;
-    list.push_back(member->node);
-    follower_.OnVersionSeen(now, member->configuration_version);
+  for (const auto& [node, state] : fleet_.nodes()) {
+    if (!state.reachable) continue;
+    auto& list = state.locality <= node_locality::kDataCentre ? known_.near : known_.far;
+    list.push_back(node);
+    follower_.OnVersionSeen(now, state.report.configuration_version);
   }
 }
 
@@ -114,18 +106,19 @@
                     [this, sent = now](const result<std::vector<table_row>>& rows) {
                       const instant then = boot_clock::now();
                       if (!rows) return follower_.OnPollFailed(then);
-                      const auto head = std::ranges::find(*rows, kHeadKey, &table_row::key);
-                      std::optional<std::string> bytes;
-                      if (head != rows->end()) bytes = head->value;
-                      Run(then, follower_.OnPolled(then, sent, bytes));
+                      OnHead(then, sent, *rows);
                     });
 }
 
-void configuration_service::Perform(instant now, const fetch_document& action) {
-  const announcement* peer = action.peer.empty() ? nullptr : members_.Known().Find(action.peer);
-  if (peer != nullptr) {
-    return peers_.SendMessage(now, peer->peer, document_request{action.hash});
-  }
+void configuration_service::OnHead(instant now, instant sent, const std::vector<table_row>& rows) {
+  const auto row = std::ranges::find(rows, kHeadKey, &table_row::key);
+  if (row == rows.end()) return Run(now, follower_.OnPolled(now, sent, std::nullopt));
+  if (const auto head = DecodeHead(row->value, "platform")) polled_version_ = head->version;
+  Run(now, follower_.OnPolled(now, sent, row->value));
+}
+
+void configuration_service::Perform(instant, const fetch_document& action) {
+  if (!action.peer.empty() && peers_.Post(action.peer, document_request{action.hash})) return;
   table_.Get(DocumentName(action.hash),
              [this, hash = action.hash](const result<std::string>& bytes) {
                const instant then = boot_clock::now();
@@ -141,9 +134,11 @@
   adopted_(now);
 }
 
-void configuration_service::Perform(instant now, const publish_head& action) {
-  members_.Publish(now, {static_cast<uint8_t>(gossip_kind::kConfigurationHead), "head",
-                         action.head.version, Encode(action.head)});
+void configuration_service::Perform(instant, const publish_head& action) {
+  // Those who were told by a peer do not tell others: whoever read it from the platform tells all.
+  if (action.head.version != polled_version_) return;
+  const configuration_notice notice{Encode(action.head)};
+  peers_.SendToAll([&notice](const node_state&) { return notice; });
 }
 
 void configuration_service::Perform(instant, const report_event& action) {
--- a/src/configuration_service.h
+++ b/src/configuration_service.h
@@ -2,7 +2,7 @@
 #define BULRUSHWAY_CONFIGURATION_SERVICE_H
 
 // Carries out what the configuration follower decides: polls the platform, fetches documents from
-// peers and the object store, spreads heads by gossip, and puts adopted versions in force.
+// peers and the object store, tells peers of new heads, and puts adopted versions in force.
 
 #include <functional>
 #include <map>
@@ -12,10 +12,8 @@
 #include "configuration_store.h"
 #include "event_log.h"
 #include "event_loop.h"
-#include "forwarder.h"
 #include "http_table_service.h"
-#include "membership.h"
-#include "peer_transport.h"
+#include "peer_mesh.h"
 #include "rules_view.h"
 
 namespace bulrushway {
@@ -24,8 +22,8 @@
 class configuration_service {
  public:
   configuration_service(event_loop& loop, event_log& log, http_table_service& table,
-                        forwarder& peers, peer_transport& transport, membership& members,
-                        rules_view& rules, uint64_t seed);
+                        peer_mesh& peers, const fleet_view& fleet, rules_view& rules,
+                        uint64_t seed);
 
   /// Calls `adopted` after each adoption.
   void OnAdopted(std::function<void(instant)> adopted) { adopted_ = std::move(adopted); }
@@ -33,8 +31,6 @@
   void Stop(instant now);
   /// Reads the head now: an operator says that it has changed.
   void Poke(instant now);
-  /// A head arrived by gossip.
-  void OnItem(instant now, const gossip_item& item);
   /// A message of this module arrived on a connection; other messages are left alone.
   void OnMessage(instant now, connection_id from, const peer_message& message);
   /// Whether the rules forbid new work because they have not been confirmed for too long.
@@ -50,6 +46,7 @@
   void Tick(instant now);
   void AskFreshness(instant now);
   void RefreshMembers(instant now);
+  void OnHead(instant now, instant sent, const std::vector<table_row>& rows);
   void Run(instant now, const follower_actions& actions);
   void Perform(instant now, const poll_head& action);
   void Perform(instant now, const fetch_document& action);
@@ -59,9 +56,8 @@
 
   event_log& log_;
   http_table_service& table_;
-  forwarder& peers_;
-  peer_transport& transport_;
-  membership& members_;
+  peer_mesh& peers_;
+  const fleet_view& fleet_;
   rules_view& rules_;
   configuration_follower follower_;
   timer tick_;
@@ -70,7 +66,8 @@
   uint64_t freshness_sequence_ = 0;
   instant next_freshness_;
   known_members known_;
-  uint64_t seen_revision_ = 0;
+  // Newest version that this process has read from the platform itself.
+  uint64_t polled_version_ = 0;
   bool missing_told_ = false;
   instant started_;
 };
--- a/src/ctl_fleet.cpp
+++ b/src/ctl_fleet.cpp
@@ -37,7 +37,6 @@
           {"service", status.service},
           {"data_centre", status.data_centre},
           {"state", status.state},
-          {"term", status.term},
           {"lease_ms", status.lease_ms},
           {"slices", status.slices},
           {"config_version", status.config_version},
@@ -63,13 +62,12 @@
 void PrintStatus(const ctl_session& session, const std::vector<node_status>& fleet,
                  uint64_t newest) {
   session.Print(Padded("NODE", 28) + Padded("DATA CENTRE", 14) + Padded("STATE", 16) +
-                Padded("TERM", 8) + Padded("SLICES", 8) + "CONFIGURATION");
+                Padded("SLICES", 8) + "CONFIGURATION");
   for (const node_status& status : fleet) {
     const bool lags = status.reachable && status.config_version < newest;
     session.Print(Padded(status.node.empty() ? ToString(status.address) : status.node, 28) +
                   Padded(status.data_centre, 14) +
                   Padded(status.reachable ? status.state : "unreachable", 16) +
-                  Padded(std::to_string(status.term), 8) +
                   Padded(std::to_string(status.slices), 8) + std::to_string(status.config_version) +
                   (lags ? " (lags)" : ""));
   }
--- a/src/ctl_survey.cpp
+++ b/src/ctl_survey.cpp
@@ -20,7 +20,6 @@
   status.service = TextOf(value, "service");
   status.data_centre = TextOf(value, "data_centre");
   status.state = TextOf(value, "state");
-  status.term = static_cast<uint64_t>(NumberOf(value, "term"));
   status.lease_ms = NumberOf(value, "lease_ms");
   status.slices = static_cast<uint64_t>(NumberOf(value, "slices"));
   status.config_version = static_cast<uint64_t>(NumberOf(value, "config_version"));
--- a/src/ctl_survey.h
+++ b/src/ctl_survey.h
@@ -23,7 +23,6 @@
   std::string service;
   std::string data_centre;
   std::string state;
-  uint64_t term = 0;
   int64_t lease_ms = 0;
   uint64_t slices = 0;
   uint64_t config_version = 0;
--- a/src/ctl_verbs.cpp
+++ b/src/ctl_verbs.cpp
@@ -42,7 +42,7 @@
     {"stop", "NODE", 1, 1, need::kPlatform, CtlStop,
      "plan a stop of a node: no new work --from TIME --until TIME"},
     {"status", "", 0, 0, need::kNodes, CtlStatus,
-     "state, owner's term and configuration of each node, and who lags"},
+     "state, keys and configuration of each node, and who lags"},
     {"owner", "SERVICE KEY", 2, 2, need::kNodes, CtlOwner, "which node owns a key"},
     {"events", "", 0, 0, need::kNodes, CtlEvents, "latest events of all nodes"},
     {"metrics", "", 0, 0, need::kNodes, CtlMetrics, "counters of all nodes"},
--- a/src/daemon.h
+++ b/src/daemon.h
@@ -12,10 +12,11 @@
 
 #include "configuration_service.h"
 #include "daemon_settings.h"
+#include "decision_log.h"
 #include "entry.h"
 #include "event_log.h"
 #include "event_loop.h"
-#include "forwarder.h"
+#include "fleet_view.h"
 #include "gate.h"
 #include "http_client.h"
 #include "http_server.h"
@@ -23,8 +24,10 @@
 #include "kernel.h"
 #include "membership.h"
 #include "metrics.h"
-#include "peer_transport.h"
+#include "peer_mesh.h"
 #include "rules_view.h"
+#include "slice_owner.h"
+#include "table_row_store.h"
 
 namespace bulrushway {
 
@@ -49,7 +52,7 @@
     result<void> Start(instant now);
     void Stop(instant now);
   };
-  /// A service of the kernel: accepts peers.
+  /// A service of the kernel: accepts peers and joins them.
   struct peers_service {
     daemon* owner;
     result<void> Start(instant now);
@@ -57,50 +60,59 @@
   };
 
  private:
-  struct incoming_request;
-
   static std::chrono::sys_seconds WallNow();
-  gate_ports MakeGatePorts();
-  entry_ports MakeEntryPorts();
-  membership_ports MakeMembershipPorts();
-  announcement MakeAnnouncement() const;
+  static gate_ports MakeGatePorts(daemon& self);
+  static entry_ports MakeEntryPorts(daemon& self);
+  static peer_mesh_events MakeMeshEvents(daemon& self);
+  static membership_events MakeMemberEvents(daemon& self);
+  static slice_owner_ports MakeSlicePorts(daemon& self);
+  membership_settings MakeMemberSettings(uint64_t process) const;
   void OnExchange(std::shared_ptr<http_exchange> exchange);
-  void OnPeerMessage(connection_id from, peer_message message);
-  void OnPeerClosed(connection_id id, bool stood, const error& reason);
-  void OnForwarded(instant now, connection_id from, forward_request request);
-  void PublishSuspects(instant now);
-  void OnItem(instant now, const gossip_item& item);
-  void OnGained(instant now, const std::vector<slice_epoch>& slices);
+  void OnPeerRequest(instant now, connection_id from, dispatch_request request);
+  void OnPeerCancelled(instant now, connection_id from, uint64_t id);
+  void OnPeerGone(instant now, connection_id from);
+  void OnPeerMessage(instant now, connection_id from, const peer_message& message);
+  void OnDecision(std::string_view event, decision_log::fields values);
+  node_report OwnReport(instant now) const;
+  void TellSuspects(instant now);
+  void OnGained(instant now, const std::vector<gained_slice>& slices);
+  void OnLost(instant now, const std::vector<slice_number>& slices, bool lapsed);
   void OnMemoryRequest(connection_id from, const memory_request& request);
   void OnMemoryAnswer(instant now, const memory_answer& answer);
   uint32_t Slots() const;
+  bool Leaving() const;
   void ProbeTarget(instant now);
   void SetTargetUp(bool up);
   void Tick(instant now);
   void OnRules(instant now);
   void CheckStopped(instant now);
-  std::optional<gate_refusal> CheckRules(instant now, const forward_request& request) const;
-  gate_refusal NotServed(instant now, uint32_t slice) const;
+  std::optional<gate_refusal> CheckRules(instant now, const dispatch_request& request) const;
+  gate_refusal NotServed(instant now, slice_number slice) const;
+  std::string OwnerOf(const std::string& service, slice_number slice) const;
+  size_t OwnedSlices(const std::string& service) const;
   http_answer Administer(instant now, const http_request& request);
   http_answer ShowStatus(instant now) const;
   http_answer ShowOwner(const http_request& request) const;
   http_answer ShowMetrics(instant now);
   http_answer ShowEvents(const http_request& request) const;
   http_answer SetFaults(const http_request& request);
-  bool Dropped(connection_id from) const;
   http_answer Quarantine(instant now, const http_request& request);
 
   daemon_settings settings_;
   event_loop loop_;
   event_log log_;
+  decision_log decisions_;
   metrics metrics_;
   kernel kernel_;
   http_client platform_client_;
   http_table_service table_;
+  table_row_store row_tables_;
+  row_store rows_;
   rules_view rules_;
-  peer_transport transport_;
-  forwarder forwarder_;
-  membership membership_;
+  fleet_view fleet_;
+  peer_mesh mesh_;
+  membership members_;
+  slice_owner slices_;
   configuration_service configuration_;
   gate gate_;
   entry entry_;
@@ -108,11 +120,13 @@
   callers_service callers_{this};
   peers_service peers_{this};
   timer tick_;
+  // Requests of peers at the gate: by connection and the peer's number.
   std::map<std::pair<connection_id, uint64_t>, gate::ticket> incoming_;
-  std::map<connection_id, std::string> hellos_;
   std::set<std::string> dropped_;
   bool faults_allowed_ = false;
   http_client probe_client_;
+  uint64_t process_;
+  uint64_t own_reports_ = 0;
   bool probing_ = false;
   int failed_probes_ = 0;
   instant next_probe_;
@@ -120,7 +134,7 @@
   bool stopping_ = false;
   bool data_centre_out_ = false;
   instant out_since_;
-  instant next_forwarder_tick_;
+  instant last_tick_;
   instant stop_deadline_;
   instant drained_since_;
 };
--- a/src/daemon_admin.cpp
+++ b/src/daemon_admin.cpp
@@ -1,4 +1,5 @@
 // The operators' paths of a process, under /-/.
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 #include "daemon.h"
@@ -16,37 +17,17 @@
   return {status, {{"Content-Type", "application/json"}}, value.dump() + "\n"};
 }
 
-std::string_view PhaseName(ownership_phase phase) {
-  switch (phase) {
-    case ownership_phase::kIdle:
-      return "idle";
-    case ownership_phase::kStarting:
-      return "starting";
-    case ownership_phase::kWriting:
-      return "writing term";
-    case ownership_phase::kGainingLease:
-      return "gaining lease";
-    case ownership_phase::kServing:
-      return "serving";
-    case ownership_phase::kStopped:
-      return "stopped";
-  }
-  return "unknown";
-}
-
-json ToJson(const announcement& member, bool alive) {
-  return {{"node", member.node},
-          {"service", member.service},
-          {"region", member.region},
-          {"data_centre", member.data_centre},
-          {"address", ToString(member.peer)},
-          {"http", ToString(member.http)},
-          {"term", member.term},
-          {"slices", member.slices},
-          {"config_version", member.configuration_version},
-          {"leaving", member.leaving},
-          {"target_up", member.target_up},
-          {"alive", alive}};
+json ToJson(const node_state& node) {
+  return {{"node", node.member.node},
+          {"service", node.member.service},
+          {"region", node.member.region},
+          {"data_centre", node.member.data_centre},
+          {"address", ToString(node.member.address)},
+          {"http", ToString(node.member.operators)},
+          {"config_version", node.report.configuration_version},
+          {"leaving", node.report.stopping || node.report.target.evacuated},
+          {"target_up", node.report.target.accepting},
+          {"alive", node.reachable && node.reported}};
 }
 
 }  // namespace
@@ -69,27 +50,35 @@
 }
 
 http_answer daemon::ShowStatus(instant now) const {
-  const announcement& self = membership_.Self();
-  const auto ownership = membership_.OwnershipStatus();
+  const service_facts* facts = rules_.FindService(settings_.node.service);
+  const bool keyed = facts != nullptr && facts->keyed;
   const auto lease =
-      std::chrono::duration_cast<std::chrono::milliseconds>(membership_.LeaseExpiry() - now);
+      std::chrono::duration_cast<std::chrono::milliseconds>(slices_.LeaseEnd(now) - now);
+  std::string state = "serving";
+  if (keyed && !members_.Leased(now)) state = "gaining lease";
+  if (!rules_.Configured()) state = "waiting for configuration";
+  if (data_centre_out_) state = "out";
+  if (stopping_) state = "stopping";
   json members = json::array();
-  for (const announcement* member : membership_.Known().Live()) {
-    members.push_back(ToJson(*member, true));
-  }
-  json status = ToJson(self, true);
-  status["lease_ms"] = ownership ? lease.count() : 0;
-  status["state"] = stopping_          ? "stopping"
-                    : data_centre_out_ ? "out"
-                    : ownership        ? PhaseName(ownership->phase)
-                                       : "waiting for configuration";
-  status["process"] = std::to_string(self.process);
-  status["in_flight"] = gate_.InFlight();
-  status["waiting"] = gate_.Waiting();
-  status["concurrency_cap"] = gate_.cap().limit();
-  status["cold"] = gate_.cap().cold();
-  status["owned_slices_of_service"] = membership_.Known().OwnedSlices(self.service);
-  status["witnessed_terms"] = ownership ? ownership->witnessed_terms : 0;
+  for (const auto& [name, node] : fleet_.nodes()) members.push_back(ToJson(node));
+  json status = {{"node", settings_.node.name},
+                 {"service", settings_.node.service},
+                 {"region", settings_.node.region},
+                 {"data_centre", settings_.node.data_centre},
+                 {"address", ToString(settings_.listen.peer)},
+                 {"http", ToString(settings_.listen.http)},
+                 {"slices", slices_.Held()},
+                 {"config_version", rules_.Version()},
+                 {"leaving", Leaving()},
+                 {"target_up", target_up_},
+                 {"lease_ms", keyed ? lease.count() : 0},
+                 {"state", state},
+                 {"process", std::to_string(process_)},
+                 {"in_flight", gate_.InFlight()},
+                 {"waiting", gate_.Waiting()},
+                 {"concurrency_cap", gate_.cap().limit()},
+                 {"cold", gate_.cap().cold()},
+                 {"owned_slices_of_service", OwnedSlices(settings_.node.service)}};
   const auto staleness = configuration_.Staleness(now);
   status["config_age_ms"] = staleness ? json(staleness->count()) : json();
   status["why_not"] = configuration_.WhyNone();
@@ -104,13 +93,12 @@
   if (facts == nullptr || !facts->keyed || key.empty()) {
     return JsonAnswer({{"error", "There is no keyed service \"" + service + "\" or no key."}}, 404);
   }
-  forward_request asked;
+  dispatch_request asked;
   asked.service = service;
-  asked.key = key;
   asked.tenant = QueryValue(request.target, "tenant");
   const uint32_t partition = PartitionFor(facts->layout, rules_.HomeRegions(asked));
   const uint32_t slice = SliceOf(facts->layout, partition, key);
-  const std::string owner = membership_.Known().OwnerOf(service, slice);
+  const std::string owner = OwnerOf(service, slice);
   return JsonAnswer({{"service", service},
                      {"key", key},
                      {"slice", slice},
@@ -118,8 +106,11 @@
                      {"according_to", settings_.node.name}});
 }
 
-http_answer daemon::ShowMetrics(instant now) {
-  membership_.ExportMetrics(now);
+http_answer daemon::ShowMetrics(instant) {
+  const auto live = std::ranges::count_if(fleet_.nodes(),
+                                          [](const auto& known) { return known.second.reachable; });
+  metrics_.Gauge("bulrush_members") = static_cast<double>(live);
+  metrics_.Gauge("bulrush_owned_slices") = static_cast<double>(slices_.Held());
   metrics_.Gauge("bulrush_gate_in_flight") = static_cast<double>(gate_.InFlight());
   metrics_.Gauge("bulrush_gate_waiting") = static_cast<double>(gate_.Waiting());
   metrics_.Gauge("bulrush_concurrency_cap") = gate_.cap().limit();
@@ -129,10 +120,8 @@
   metrics_.Counter("bulrush_answers_crossed_total") = counts.crossed;
   metrics_.Counter("bulrush_cut_by_lapse_total") = counts.cut_by_lapse;
   metrics_.Counter("bulrush_answered_from_memory_total") = counts.answered_from_memory;
-  metrics_.Counter("bulrush_stray_answers_total") = forwarder_.StrayAnswers();
-  metrics_.Counter("bulrush_silent_connections_total") = forwarder_.SilentConnections();
-  metrics_.Counter("bulrush_peer_bytes_sent_total") = transport_.BytesSent();
-  metrics_.Counter("bulrush_peer_bytes_received_total") = transport_.BytesReceived();
+  metrics_.Counter("bulrush_peer_bytes_sent_total") = mesh_.BytesSent();
+  metrics_.Counter("bulrush_peer_bytes_received_total") = mesh_.BytesReceived();
   for (const auto& [pair, count] : entry_.links().Counts()) {
     const metric_labels labels{{"from", pair.first}, {"to", pair.second}};
     metrics_.Counter("bulrush_link_bytes_total", labels) = count.bytes;
@@ -163,14 +152,16 @@
 }
 
 http_answer daemon::SetFaults(const http_request& request) {
-  if (const std::string node = QueryValue(request.target, "drop_from"); !node.empty()) {
-    dropped_.insert(node);
-    membership_.SetDropped(node, true);
-  }
-  if (const std::string node = QueryValue(request.target, "pass_from"); !node.empty()) {
-    dropped_.erase(node);
-    membership_.SetDropped(node, false);
-  }
+  const auto set = [this](const std::string& node, bool dropped) {
+    if (node.empty()) return;
+    if (dropped) dropped_.insert(node);
+    if (!dropped) dropped_.erase(node);
+    // The platform is named like a peer.
+    if (node == "platform") table_.SetCut(dropped);
+    mesh_.SetDropped(node, dropped);
+  };
+  set(QueryValue(request.target, "drop_from"), true);
+  set(QueryValue(request.target, "pass_from"), false);
   json nodes = dropped_;
   return JsonAnswer({{"dropped", nodes}});
 }
@@ -183,7 +174,7 @@
     if (!number || !gate_.poison().Release(std::stoull(fingerprint), now)) {
       return JsonAnswer({{"error", "No request \"" + fingerprint + "\" is quarantined."}}, 404);
     }
-    PublishSuspects(now);
+    TellSuspects(now);
     log_.Write(event_id::kQuarantineReleased, {{"fingerprint", fingerprint}});
     return JsonAnswer({{"released", fingerprint}});
   }
--- /dev/null
+++ b/src/daemon_peers.cpp
@@ -0,0 +1,149 @@
+// What a process does for its peers: requests at its gate, memories of requests, reports.
+#include <algorithm>
+#include <utility>
+
+#include "daemon.h"
+
+namespace bulrushway {
+
+node_report daemon::OwnReport(instant now) const {
+  node_report report;
+  report.node = settings_.node.name;
+  report.data_centre = settings_.node.data_centre;
+  report.region = settings_.node.region;
+  report.process = process_;
+  report.stopping = stopping_;
+  report.leased = members_.Leased(now);
+  report.configuration_version = rules_.Version();
+  target_report& target = report.target;
+  target.life = slices_.life();
+  target.service = settings_.node.service;
+  target.accepting = target_up_ && rules_.Configured() && !Leaving();
+  target.evacuated = data_centre_out_;
+  target.cold = gate_.cap().cold();
+  target.slots = Slots();
+  target.running = static_cast<uint32_t>(gate_.InFlight());
+  target.waiting = static_cast<uint32_t>(gate_.Waiting());
+  return report;
+}
+
+void daemon::OnPeerRequest(instant now, connection_id from, dispatch_request request) {
+  const uint64_t id = request.id;
+  // The gate may answer at once, before the ticket is known.
+  auto answered = std::make_shared<bool>(false);
+  const gate::ticket ticket =
+      gate_.Handle(now, std::move(request), [this, from, id, answered](dispatch_answer answer) {
+        *answered = true;
+        incoming_.erase({from, id});
+        answer.id = id;
+        mesh_.Answer(from, answer);
+      });
+  if (!*answered) incoming_[{from, id}] = ticket;
+}
+
+void daemon::OnPeerCancelled(instant now, connection_id from, uint64_t id) {
+  const auto found = incoming_.find({from, id});
+  if (found == incoming_.end()) return;
+  const gate::ticket ticket = found->second;
+  incoming_.erase(found);
+  gate_.Cancel(now, ticket);
+}
+
+void daemon::OnPeerGone(instant now, connection_id from) {
+  // Nobody is left to take the answers of these requests.
+  std::vector<gate::ticket> orphans;
+  for (auto it = incoming_.lower_bound({from, 0});
+       it != incoming_.end() && it->first.first == from;) {
+    orphans.push_back(it->second);
+    it = incoming_.erase(it);
+  }
+  for (const gate::ticket ticket : orphans) gate_.Cancel(now, ticket);
+}
+
+void daemon::OnPeerMessage(instant now, connection_id from, const peer_message& message) {
+  if (const auto* wanted = std::get_if<memory_request>(&message)) {
+    OnMemoryRequest(from, *wanted);
+  } else if (const auto* memory = std::get_if<memory_answer>(&message)) {
+    OnMemoryAnswer(now, *memory);
+  } else {
+    configuration_.OnMessage(now, from, message);
+  }
+}
+
+void daemon::TellSuspects(instant now) {
+  mesh_.SendToAll([this, now](const node_state& peer) {
+    return poison_notice{gate_.poison().Export(peer.member.region, now)};
+  });
+}
+
+void daemon::OnGained(instant now, const std::vector<gained_slice>& slices) {
+  log_.Write(event_id::kSlicesGained, {{"slices", std::to_string(slices.size())}});
+  metrics_.Counter("bulrush_slices_gained_total") += slices.size();
+  std::map<std::string, memory_request> asked;
+  for (const gained_slice& gained : slices) {
+    const node_state* last = fleet_.Find(gained.last_node);
+    if (gained.last_node.empty()) {
+      gate_.GainFirst(gained.slice);
+    } else if (last == nullptr || !last->reachable || gained.last_node == settings_.node.name) {
+      gate_.GainSlice(gained.slice);
+    } else {
+      gate_.AwaitMemory(now, gained.slice);
+      asked[gained.last_node].slices.push_back(gained.slice);
+    }
+  }
+  for (const auto& [node, request] : asked) {
+    if (mesh_.Post(node, request)) continue;
+    for (const slice_number slice : request.slices) gate_.GiveUpMemory(slice);
+  }
+}
+
+void daemon::OnLost(instant now, const std::vector<slice_number>& slices, bool lapsed) {
+  log_.Write(event_id::kSlicesLost,
+             {{"slices", std::to_string(slices.size())}, {"lapsed", lapsed ? "yes" : "no"}});
+  metrics_.Counter("bulrush_slices_lost_total") += slices.size();
+  if (lapsed) {
+    const uint64_t before = gate_.counts().cut_by_lapse;
+    gate_.OnLapse(now);
+    const uint64_t cut = gate_.counts().cut_by_lapse - before;
+    if (cut > 0) log_.Write(event_id::kInFlightCut, {{"requests", std::to_string(cut)}});
+  }
+  for (const slice_number slice : slices) gate_.LoseSlice(now, slice);
+}
+
+void daemon::OnMemoryRequest(connection_id from, const memory_request& request) {
+  for (const slice_number slice : request.slices) {
+    auto memory = gate_.RetiredMemory(slice);
+    memory_answer answer{slice, memory.has_value(), {}};
+    if (memory) answer.memory = std::move(*memory);
+    mesh_.Reply(from, std::move(answer));
+  }
+}
+
+void daemon::OnMemoryAnswer(instant now, const memory_answer& answer) {
+  if (answer.known) {
+    gate_.ImportMemory(now, answer.slice, answer.memory);
+  } else {
+    gate_.GiveUpMemory(answer.slice);
+  }
+}
+
+std::string daemon::OwnerOf(const std::string& service, slice_number slice) const {
+  const service_facts* facts = rules_.FindService(service);
+  if (facts == nullptr) return {};
+  const slice_place place = PlaceOf(service, facts->layout, slice);
+  return members_.OwnerOf(place.space, place.key);
+}
+
+size_t daemon::OwnedSlices(const std::string& service) const {
+  const service_facts* facts = rules_.FindService(service);
+  if (facts == nullptr || !facts->keyed) return 0;
+  const uint32_t slices = PartitionCount(facts->layout) * facts->layout.slices_per_partition;
+  size_t owned = 0;
+  for (slice_number slice = 0; slice < slices; ++slice) {
+    const node_state* owner = fleet_.Find(OwnerOf(service, slice));
+    if (owner != nullptr && owner->reachable) ++owned;
+  }
+  return owned;
+}
+
+}  // namespace bulrushway
--- a/src/daemon_ports.cpp
+++ b/src/daemon_ports.cpp
@@ -1,70 +1,126 @@
-// How the services of a process reach each other: the ports of gate, entry and membership.
+// How the services of a process reach each other: the ports of gate, entry, mesh and membership.
+#include <algorithm>
+#include <array>
 #include <chrono>
 #include <utility>
 
 #include "daemon.h"
 
 namespace bulrushway {
-gate_ports daemon::MakeGatePorts() {
+namespace {
+
+// Decisions of the parts that are shared with other programs, by their numbered events.
+struct numbered_decision {
+  std::string_view name;
+  event_id event;
+};
+constexpr auto kNumbered = std::to_array<numbered_decision>({
+    {"lease_acquired", event_id::kLeaseAcquired},
+    {"lease_lapsed", event_id::kLeaseLapsed},
+    {"lease_unreadable", event_id::kRowRefused},
+    {"key_map_unreadable", event_id::kRowRefused},
+    {"member_unreadable", event_id::kRowRefused},
+    {"ownership_change", event_id::kOwnersChanged},
+    {"duplicate_node", event_id::kDuplicateNode},
+    {"member_known", event_id::kMemberJoined},
+    {"member_gone", event_id::kMemberLeft},
+    {"peer_lost", event_id::kPeerLost},
+    {"peer_reachable", event_id::kPeerReachable},
+    {"store_call_failed", event_id::kPlatformUnreachable},
+    {"store_answers_again", event_id::kPlatformAnswersAgain},
+});
+
+}  // namespace
+
+void daemon::OnDecision(std::string_view event, decision_log::fields values) {
+  const auto* known = std::ranges::find(kNumbered, event, &numbered_decision::name);
+  if (known == kNumbered.end()) return;
+  event_fields fields;
+  for (const auto& [name, value] : values) fields.emplace_back(std::string(name), value);
+  log_.Write(known->event, std::move(fields));
+}
+
+gate_ports daemon::MakeGatePorts(daemon& self) {
   gate_ports ports;
-  ports.check_rules = [this](instant now, const forward_request& request) {
-    return CheckRules(now, request);
+  ports.check_rules = [&self](instant now, const dispatch_request& request) {
+    return self.CheckRules(now, request);
   };
-  ports.keyed = [this] {
-    const service_facts* facts = rules_.FindService(settings_.node.service);
+  ports.keyed = [&self] {
+    const service_facts* facts = self.rules_.FindService(self.settings_.node.service);
     return facts != nullptr && facts->keyed;
   };
-  ports.serves = [this](instant now, uint32_t slice) { return membership_.Serves(now, slice); };
-  ports.lease_expiry = [this] { return membership_.LeaseExpiry(); };
-  ports.not_served = [this](instant now, uint32_t slice) { return NotServed(now, slice); };
-  ports.share = [this](const forward_request& request) { return rules_.Share(request); };
-  ports.home_regions = [this](const forward_request& request) {
-    return rules_.HomeRegions(request);
+  ports.serves = [&self](instant now, slice_number slice) {
+    self.slices_.OnRequest(now, slice);
+    return self.slices_.Serves(now, slice);
+  };
+  ports.lease_expiry = [&self](instant now) { return self.slices_.LeaseEnd(now); };
+  ports.not_served = [&self](instant now, slice_number slice) {
+    return self.NotServed(now, slice);
   };
-  ports.target_state = [this](instant, bool up) { SetTargetUp(up); };
-  ports.quarantined = [this](instant, uint64_t fingerprint) {
-    log_.Write(event_id::kRequestQuarantined, {{"fingerprint", std::to_string(fingerprint)}});
+  ports.share = [&self](const dispatch_request& request) { return self.rules_.Share(request); };
+  ports.home_regions = [&self](const dispatch_request& request) {
+    return self.rules_.HomeRegions(request);
   };
-  ports.suspects_changed = [this](instant now) { PublishSuspects(now); };
+  ports.target_state = [&self](instant, bool up) { self.SetTargetUp(up); };
+  ports.quarantined = [&self](instant, uint64_t fingerprint) {
+    self.log_.Write(event_id::kRequestQuarantined, {{"fingerprint", std::to_string(fingerprint)}});
+  };
+  ports.suspects_changed = [&self](instant now) { self.TellSuspects(now); };
   return ports;
 }
 
-entry_ports daemon::MakeEntryPorts() {
+entry_ports daemon::MakeEntryPorts(daemon& self) {
   entry_ports ports;
-  ports.configured = [this] { return rules_.Configured(); };
-  ports.find_service = [this](const std::string& service) { return rules_.FindService(service); };
-  ports.home_regions = [this](const forward_request& request) {
-    return rules_.HomeRegions(request);
+  ports.configured = [&self] { return self.rules_.Configured(); };
+  ports.find_service = [&self](const std::string& service) {
+    return self.rules_.FindService(service);
   };
-  ports.idempotent_route = [this](const forward_request& request) {
-    return rules_.IdempotentRoute(request);
+  ports.home_regions = [&self](const dispatch_request& request) {
+    return self.rules_.HomeRegions(request);
   };
-  ports.may_use = [this](instant, const announcement& to) { return rules_.MayUse(to, WallNow()); };
-  ports.configuration_version = [this] { return rules_.Version(); };
-  ports.stopping = [this] { return stopping_; };
-  ports.learn_owner = [this](const std::string& service, uint32_t slice, const std::string& node) {
-    membership_.LearnOwner(service, slice, node);
+  ports.idempotent_route = [&self](const dispatch_request& request) {
+    return self.rules_.IdempotentRoute(request);
   };
-  return ports;
-}
-
-membership_ports daemon::MakeMembershipPorts() {
-  membership_ports ports;
-  ports.gained = [this](instant now, const std::vector<slice_epoch>& slices) {
-    OnGained(now, slices);
+  ports.may_use = [&self](instant, const node_state& to) {
+    return self.rules_.MayUse(to, WallNow());
   };
-  ports.lost = [this](instant now, const std::vector<slice_number>& slices, bool lapsed) {
-    if (lapsed) {
-      gate_.OnLapse(now);
-      if (const uint64_t cut = gate_.counts().cut_by_lapse; cut > 0) {
-        log_.Write(event_id::kInFlightCut, {{"total", std::to_string(cut)}});
-      }
-    }
-    for (const slice_number slice : slices) gate_.LoseSlice(now, slice);
+  ports.stopping = [&self] { return self.stopping_; };
+  ports.owner_of = [&self](const std::string& service, slice_number slice) {
+    return self.OwnerOf(service, slice);
   };
-  ports.in_flight = [this](slice_number slice) { return gate_.InFlight(slice); };
-  ports.item = [this](instant now, const gossip_item& item) { OnItem(now, item); };
+  ports.owners_outdated = [&self](instant now) { self.members_.RefreshOwners(now); };
   return ports;
 }
 
+membership_events daemon::MakeMemberEvents(daemon& self) {
+  return {[&self](instant now) { self.mesh_.FollowMembers(now); }, [](instant) {}};
+}
+
+slice_owner_ports daemon::MakeSlicePorts(daemon& self) {
+  return {
+      [&self](instant now, const std::vector<gained_slice>& slices) { self.OnGained(now, slices); },
+      [&self](instant now, const std::vector<slice_number>& slices, bool lapsed) {
+        self.OnLost(now, slices, lapsed);
+      },
+      [&self] { return self.gate_.BusySlices(); }};
+}
+
+peer_mesh_events daemon::MakeMeshEvents(daemon& self) {
+  return {[&self](instant now, connection_id from, dispatch_request request) {
+            self.OnPeerRequest(now, from, std::move(request));
+          },
+          [&self](instant now, connection_id from, uint64_t id) {
+            self.OnPeerCancelled(now, from, id);
+          },
+          [&self](instant now, connection_id from) { self.OnPeerGone(now, from); },
+          [&self](instant now, const node_report& report) { self.fleet_.OnReport(now, report); },
+          [&self](instant now) { return self.OwnReport(now); },
+          [&self](instant now, const poison_notice& notice) {
+            for (const poison_entry& entry : notice.entries) self.gate_.poison().Merge(entry, now);
+          },
+          [&self](instant now, connection_id from, const peer_message& message) {
+            self.OnPeerMessage(now, from, message);
+          }};
+}
+
 }  // namespace bulrushway
--- a/src/decision_log.cpp
+++ b/src/decision_log.cpp
@@ -57,6 +57,7 @@
 }
 
 void decision_log::Write(std::string_view event, fields values, log_weight weight) {
+  if (observer_ && weight == log_weight::kNotable) observer_(event, values);
   if (!Allow(weight)) return;
   timespec time{};
   clock_gettime(CLOCK_REALTIME, &time);
--- a/src/decision_log.h
+++ b/src/decision_log.h
@@ -7,6 +7,7 @@
 // own.
 
 #include <cstdint>
+#include <functional>
 #include <initializer_list>
 #include <string>
 #include <string_view>
@@ -37,6 +38,10 @@
 
   /// Adds a line `time node=N event=E key=value...`.
   void Write(std::string_view event, fields values, log_weight weight = log_weight::kRoutine);
+  /// Calls `observer` with each notable line, before the limit on lines.
+  void OnNotable(std::function<void(std::string_view event, fields values)> observer) {
+    observer_ = std::move(observer);
+  }
   /// Writes out what has been collected.
   void Flush();
   uint64_t LeftOut() const { return left_out_; }
@@ -51,6 +56,7 @@
   uint64_t lines_[2] = {0, 0};
   uint64_t left_out_ = 0;
   uint64_t reported_left_out_ = 0;
+  std::function<void(std::string_view, fields)> observer_;
   timer flush_;
 };
 
--- a/standins/common/delayed_calls.cpp
+++ b/src/delayed_calls.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace bulrushway::standin {
+namespace bulrushway {
 
 delayed_calls::delayed_calls(event_loop& loop)
     : timer_(loop, [this](instant now) { Expire(now); }) {}
@@ -27,4 +27,4 @@
   timer_.Once(std::max<std::chrono::nanoseconds>(delay, std::chrono::nanoseconds{0}));
 }
 
-}  // namespace bulrushway::standin
+}  // namespace bulrushway
--- a/standins/common/delayed_calls.h
+++ b/src/delayed_calls.h
@@ -8,7 +8,7 @@
 
 #include "event_loop.h"
 
-namespace bulrushway::standin {
+namespace bulrushway {
 
 /// Functions in the order of the time at which they are due.
 class delayed_calls {
@@ -26,6 +26,6 @@
   timer timer_;
 };
 
-}  // namespace bulrushway::standin
+}  // namespace bulrushway
 
 #endif  // BULRUSHWAY_DELAYED_CALLS_H
--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -11,6 +11,10 @@
 // Attempts of a lookup request at most, the first and hedges included. Attempts of a keyed request
 // are limited by the retry rules.
 constexpr uint32_t kMostAttempts = 6;
+// What is known of the other processes is taken over this often: reports come every 200 ms.
+constexpr milliseconds kRefreshInterval{50};
+// A gate answers at the deadline itself; this covers the way back.
+constexpr milliseconds kAnswerGrace{50};
 
 milliseconds Millis(std::chrono::nanoseconds time) { return std::chrono::ceil<milliseconds>(time); }
 
@@ -30,7 +34,7 @@
 struct entry::flight {
   uint64_t id = 0;
   std::shared_ptr<http_exchange> exchange;
-  forward_request request;
+  dispatch_request request;
   const service_facts* facts = nullptr;
   std::vector<std::string> home_regions;
   instant arrived;
@@ -68,7 +72,7 @@
 }
 
 entry::entry(event_loop& loop, metrics& counters, entry_settings settings, entry_ports ports,
-             const directory& known, forwarder& peers, gate& own_gate, uint64_t seed)
+             const fleet_view& known, peer_mesh& peers, gate& own_gate, uint64_t seed)
     : loop_(loop),
       metrics_(counters),
       settings_(std::move(settings)),
@@ -93,13 +97,30 @@
 }
 
 void entry::Refresh(instant now) {
-  const uint64_t version = ports_.configuration_version();
-  if (known_.Revision() == seen_directory_ && version == seen_configuration_) return;
-  seen_directory_ = known_.Revision();
-  seen_configuration_ = version;
+  next_refresh_ = now + kRefreshInterval;
   for (auto& [service, state] : services_) {
     state->targets.Refresh(known_, service, settings_.place,
-                           [this, now](const announcement& to) { return ports_.may_use(now, to); });
+                           [this, now](const node_state& to) { return ports_.may_use(now, to); });
+  }
+}
+
+void entry::Tick(instant now) {
+  if (now >= next_refresh_) Refresh(now);
+  EndOverdue(now);
+}
+
+void entry::EndOverdue(instant now) {
+  while (!deadlines_.empty() && deadlines_.begin()->first <= now) {
+    const uint64_t id = deadlines_.begin()->second;
+    deadlines_.erase(deadlines_.begin());
+    const auto found = flights_.find(id);
+    if (found == flights_.end()) continue;
+    const auto subject = found->second;
+    // What was sent and not answered may be running.
+    const bool under_way = std::ranges::any_of(subject->open, &attempt::open);
+    const bool may_have_run = under_way || subject->may_have_run;
+    Refuse(now, subject, refusal_reason::kDeadlinePassed,
+           may_have_run ? run_state::kUnknown : run_state::kNotRun, milliseconds{0});
   }
 }
 
@@ -130,7 +151,7 @@
     return refuse(refusal_reason::kBadRequest, parsed.error().message);
   }
   subject->request = std::move(*parsed);
-  forward_request& request = subject->request;
+  dispatch_request& request = subject->request;
   subject->deadline = now + request.time_left;
   if (ports_.stopping()) return refuse(refusal_reason::kStopping, "This process is stopping.");
   if (!ports_.configured()) {
@@ -145,7 +166,7 @@
   if (request.request.body.size() > settings_.max_body) {
     return refuse(refusal_reason::kBodyTooLarge, "The body is too large.");
   }
-  if (subject->facts->keyed && request.key.empty()) {
+  if (subject->facts->keyed && request.key_name.empty()) {
     return refuse(refusal_reason::kBadRequest,
                   "The service \"" + request.service + "\" needs the header X-Bulrush-Key.");
   }
@@ -163,23 +184,22 @@
 }
 
 void entry::Begin(instant now, const std::shared_ptr<flight>& subject) {
-  forward_request& request = subject->request;
+  dispatch_request& request = subject->request;
   service_state& state = StateOf(request.service);
-  if (state.targets.Size() == 0) seen_directory_ = ~uint64_t{0};
-  Refresh(now);
+  if (state.targets.Size() == 0) Refresh(now);
+  deadlines_.emplace(subject->deadline + kAnswerGrace, subject->id);
   extra_attempts_.OnRequest();
   state.hedges.OnRequest();
-  request.configuration_version = ports_.configuration_version();
   if (subject->facts->keyed) {
     const slice_layout& layout = subject->facts->layout;
     const uint32_t partition = PartitionFor(layout, subject->home_regions);
-    request.slice = SliceOf(layout, partition, request.key);
+    request.slice = SliceOf(layout, partition, request.key_name);
   }
   if (Attempt(now, subject)) ArmHedge(now, subject);
 }
 
 bool entry::Attempt(instant now, const std::shared_ptr<flight>& subject) {
-  const announcement* to = ChooseTarget(now, *subject);
+  const member_record* to = ChooseTarget(now, *subject);
   if (to == nullptr) {
     const bool keyed = subject->facts->keyed;
     ++subject->attempts;
@@ -191,11 +211,11 @@
   return true;
 }
 
-const announcement* entry::ChooseTarget(instant now, flight& subject) {
-  const forward_request& request = subject.request;
+const member_record* entry::ChooseTarget(instant now, flight& subject) {
+  const dispatch_request& request = subject.request;
   if (subject.facts->keyed) {
-    const std::string owner = known_.OwnerOf(request.service, request.slice);
-    return owner.empty() ? nullptr : known_.Find(owner);
+    const node_state* owner = known_.Find(ports_.owner_of(request.service, request.slice));
+    return owner == nullptr ? nullptr : &owner->member;
   }
   service_state& state = StateOf(request.service);
   const auto pick = [&](const std::vector<std::string>& regions) {
@@ -203,21 +223,20 @@
         [&](auto& picker) { return state.targets.Pick(now, picker, subject.tried, regions, rng_); },
         state.picker);
   };
-  const announcement* chosen = pick(subject.home_regions);
+  const member_record* chosen = pick(subject.home_regions);
   if (chosen == nullptr || Pays(now, subject, *chosen)) return chosen;
   // The paid link is used up for requests that have a choice; stay near if anybody is there.
-  const announcement* near = pick({settings_.place.region});
+  const member_record* near = pick({settings_.place.region});
   return near == nullptr ? chosen : near;
 }
 
-bool entry::Pays(instant now, flight& subject, const announcement& to) {
+bool entry::Pays(instant now, flight& subject, const member_record& to) {
   if (LocalityOf(settings_.place, to) != target_locality::kRemote) return true;
   return links_.Spill(settings_.place.region, to.region, subject.request.request.body.size(), now);
 }
 
-void entry::SendTo(instant now, const std::shared_ptr<flight>& subject, const announcement& to) {
-  forward_request copy = subject->request;
-  copy.repeat = subject->attempts > 0;
+void entry::SendTo(instant now, const std::shared_ptr<flight>& subject, const member_record& to) {
+  dispatch_request copy = subject->request;
   copy.time_left = std::max(Millis(subject->deadline - now), milliseconds{1});
   ++subject->attempts;
   const uint64_t number = subject->open.size();
@@ -230,17 +249,23 @@
     subject->tried.push_back(to.node);
   }
   subject->open.push_back(sent);
-  const auto answered = [this, subject, number](const forward_answer& answer) {
-    OnAnswer(boot_clock::now(), subject, number, answer);
+  const auto answered = [this, subject, number](instant then, const dispatch_answer& answer) {
+    OnAnswer(then, subject, number, answer);
   };
-  if (!sent.local) {
-    links_.Count(settings_.place.region, to.region, copy.request.body.size());
-    const uint64_t id = peers_.Send(now, to.peer, std::move(copy), answered);
+  if (sent.local) {
+    const uint64_t id = own_gate_.Handle(
+        now, std::move(copy),
+        [answered](const dispatch_answer& answer) { answered(boot_clock::now(), answer); });
     subject->open[number].id = id;
     return;
   }
-  const uint64_t id = own_gate_.Handle(now, std::move(copy), answered);
+  links_.Count(settings_.place.region, to.region, copy.request.body.size());
+  const uint64_t id = peers_.Send(to.node, std::move(copy), false, answered);
   subject->open[number].id = id;
+  if (id != 0) return;
+  dispatch_answer unreachable;
+  unreachable.reason = refusal_reason::kOwnerUnreachable;
+  OnAnswer(now, subject, number, unreachable);
 }
 
 void entry::ArmHedge(instant now, const std::shared_ptr<flight>& subject) {
@@ -260,7 +285,7 @@
   const bool enough = subject->hedges >= hedge_policy::kMostHedges;
   if (subject->done || enough || subject->attempts >= kMostAttempts) return;
   ArmHedge(now, subject);
-  const announcement* to = ChooseTarget(now, *subject);
+  const member_record* to = ChooseTarget(now, *subject);
   if (to == nullptr) return;
   const std::string& service = subject->request.service;
   if (!StateOf(service).hedges.TakeHedge(subject->hedges, extra_attempts_)) {
@@ -273,7 +298,7 @@
 }
 
 void entry::OnAnswer(instant now, const std::shared_ptr<flight>& subject, uint64_t number,
-                     const forward_answer& answer) {
+                     const dispatch_answer& answer) {
   attempt& ended = subject->open[number];
   if (!ended.open) return;
   ended.open = false;
@@ -287,14 +312,12 @@
     state.targets.MarkCold(ended.node, answer.reason == refusal_reason::kColdStart);
   }
   if (!ended.local) {
-    if (const announcement* from = known_.Find(ended.node)) {
-      links_.Count(from->region, settings_.place.region, answer.answer.body.size());
+    if (const node_state* from = known_.Find(ended.node)) {
+      links_.Count(from->member.region, settings_.place.region, answer.answer.body.size());
     }
   }
   if (subject->done) return;
-  if (!answer.owner_hint.empty()) {
-    ports_.learn_owner(subject->request.service, subject->request.slice, answer.owner_hint);
-  }
+  if (answer.reason == refusal_reason::kNotOwner) ports_.owners_outdated(now);
   if (!answered) {
     OnRefused(now, subject, answer.reason, answer.state, answer.retry_after);
     return;
--- a/src/entry.h
+++ b/src/entry.h
@@ -15,13 +15,13 @@
 #include <variant>
 
 #include "caller_request.h"
-#include "directory.h"
-#include "forwarder.h"
+#include "fleet_view.h"
 #include "gate.h"
 #include "hedge_policy.h"
 #include "http_server.h"
 #include "link_budget.h"
 #include "metrics.h"
+#include "peer_mesh.h"
 #include "retry_budget.h"
 #include "retry_rules.h"
 #include "service_targets.h"
@@ -43,16 +43,17 @@
   /// The service, or null.
   std::function<const service_facts*(const std::string& service)> find_service;
   /// Regions to which the request is bound; empty: none.
-  std::function<std::vector<std::string>(const forward_request&)> home_regions;
+  std::function<std::vector<std::string>(const dispatch_request&)> home_regions;
   /// Whether the inventory says that the request may run twice without harm.
-  std::function<bool(const forward_request&)> idempotent_route;
+  std::function<bool(const dispatch_request&)> idempotent_route;
   /// Whether the rules allow new work at the member.
-  std::function<bool(instant, const announcement&)> may_use;
+  std::function<bool(instant, const node_state&)> may_use;
   /// Version of the configuration in force.
   std::function<uint64_t()> configuration_version;
-  /// A gate says which node owns a slice.
-  std::function<void(const std::string& service, uint32_t slice, const std::string& node)>
-      learn_owner;
+  /// The node that owns a slice; empty while nobody does.
+  std::function<std::string(const std::string& service, uint32_t slice)> owner_of;
+  /// A gate says that it does not own a slice that it was believed to own.
+  std::function<void(instant)> owners_outdated;
   /// The process begins no new requests: it is stopping.
   std::function<bool()> stopping;
 };
@@ -84,13 +85,13 @@
 class entry {
  public:
   entry(event_loop& loop, metrics& counters, entry_settings settings, entry_ports ports,
-        const directory& known, forwarder& peers, gate& own_gate, uint64_t seed);
+        const fleet_view& known, peer_mesh& peers, gate& own_gate, uint64_t seed);
   ~entry();
 
   /// Takes a caller's request; its exchange is answered once, now or later.
   void Handle(instant now, std::shared_ptr<http_exchange> exchange);
-  /// Rebuilds what is cached of the directory when that or the rules have changed.
-  void Refresh(instant now);
+  /// Ends requests whose time is over, and takes over what is known of the other processes.
+  void Tick(instant now);
   /// Requests of callers under way.
   size_t InFlight() const { return flights_.size(); }
   /// Bytes sent between regions.
@@ -105,12 +106,14 @@
   bool Accept(instant now, const std::shared_ptr<flight>& subject);
   void Begin(instant now, const std::shared_ptr<flight>& subject);
   bool Attempt(instant now, const std::shared_ptr<flight>& subject);
-  const announcement* ChooseTarget(instant now, flight& subject);
-  void SendTo(instant now, const std::shared_ptr<flight>& subject, const announcement& to);
+  void Refresh(instant now);
+  void EndOverdue(instant now);
+  const member_record* ChooseTarget(instant now, flight& subject);
+  void SendTo(instant now, const std::shared_ptr<flight>& subject, const member_record& to);
   void ArmHedge(instant now, const std::shared_ptr<flight>& subject);
   void OnHedgeTime(instant now, const std::shared_ptr<flight>& subject);
   void OnAnswer(instant now, const std::shared_ptr<flight>& subject, uint64_t attempt_number,
-                const forward_answer& answer);
+                const dispatch_answer& answer);
   void OnRefused(instant now, const std::shared_ptr<flight>& subject, refusal_reason reason,
                  run_state state, std::chrono::milliseconds retry_after);
   void CancelAttempts(instant now, flight& subject);
@@ -118,14 +121,14 @@
               run_state state, std::chrono::milliseconds retry_after,
               const std::string& detail = {});
   void Complete(instant now, const std::shared_ptr<flight>& subject, const http_answer& answer);
-  bool Pays(instant now, flight& subject, const announcement& to);
+  bool Pays(instant now, flight& subject, const member_record& to);
 
   event_loop& loop_;
   metrics& metrics_;
   entry_settings settings_;
   entry_ports ports_;
-  const directory& known_;
-  forwarder& peers_;
+  const fleet_view& known_;
+  peer_mesh& peers_;
   gate& own_gate_;
   std::mt19937_64 rng_;
   uint64_t next_flight_ = 1;
@@ -133,8 +136,8 @@
   std::map<std::string, std::unique_ptr<service_state>> services_;
   retry_budget extra_attempts_ = retry_budget::ForExtraAttempts();
   link_budget links_;
-  uint64_t seen_directory_ = 0;
-  uint64_t seen_configuration_ = 0;
+  std::multimap<instant, uint64_t> deadlines_;
+  instant next_refresh_;
 };
 
 }  // namespace bulrushway
--- a/src/event_catalogue.h
+++ b/src/event_catalogue.h
@@ -28,18 +28,15 @@
   kPlatformAnswersAgain = 206,
   kConfigurationFresh = 207,
 
-  kTermActive = 301,
   kLeaseLapsed = 302,
-  kTermGone = 303,
   kSlicesGained = 304,
   kSlicesLost = 305,
   kRowRefused = 306,
   kDuplicateNode = 307,
-  kAddressChanged = 308,
-  kClockJump = 309,
-  kOwnership = 310,
   kMemberJoined = 311,
   kMemberLeft = 312,
+  kLeaseAcquired = 313,
+  kOwnersChanged = 314,
 
   kTargetUp = 401,
   kTargetDown = 402,
@@ -52,10 +49,9 @@
   kDataCentreBack = 409,
   kHotKeys = 410,
 
-  kBadFrame = 501,
-  kBadDatagram = 502,
-  kPeerSilent = 503,
   kLoopLate = 504,
+  kPeerLost = 505,
+  kPeerReachable = 506,
 };
 
 /// What the catalogue says of an event.
--- a/src/fleet_view.cpp
+++ b/src/fleet_view.cpp
@@ -8,7 +8,7 @@
 
 static auto Fields(auto& m, const socket_address&) { return std::tie(m.ip, m.port); }
 static auto Fields(auto& m, const member_record&) {
-  return std::tie(m.node, m.address, m.data_centre, m.region, m.service, m.process);
+  return std::tie(m.node, m.address, m.data_centre, m.region, m.service, m.process, m.operators);
 }
 
 namespace {
--- a/src/fleet_view.h
+++ b/src/fleet_view.h
@@ -27,6 +27,8 @@
   std::string service;
   /// Life of the process.
   uint64_t process = 0;
+  /// Where it takes operators' questions; none where these go elsewhere.
+  socket_address operators = {};
 
   bool operator==(const member_record&) const = default;
 };
--- a/src/gate.cpp
+++ b/src/gate.cpp
@@ -33,7 +33,7 @@
 
 gate::~gate() = default;
 
-gate::ticket gate::Handle(instant now, forward_request request, reply done) {
+gate::ticket gate::Handle(instant now, dispatch_request request, reply done) {
   auto subject = std::make_shared<job>();
   subject->id = next_ticket_++;
   subject->arrived = now;
@@ -43,12 +43,12 @@
   subject->done = std::move(done);
   subject->fingerprint =
       MakeRequestFingerprint(subject->request.service, PathOf(subject->request.request.target),
-                             subject->request.key, subject->request.request.body);
+                             subject->request.key_name, subject->request.request.body);
   const ticket id = subject->id;
   jobs_.emplace(id, subject);
   if (subject->keyed) ++per_slice_[subject->request.slice];
   if (const auto refusal = Check(now, *subject)) {
-    Refuse(subject, refusal->reason, run_state::kNotRun, refusal->retry_after, refusal->owner_hint);
+    Refuse(subject, refusal->reason, run_state::kNotRun, refusal->retry_after);
     return id;
   }
   if (Remembered(now, subject)) return id;
@@ -59,7 +59,7 @@
 std::optional<gate_refusal> gate::Check(instant now, job& subject) {
   if (auto refusal = ports_.check_rules(now, subject.request)) return refusal;
   if (poison_.Quarantined(subject.fingerprint, now)) {
-    return gate_refusal{refusal_reason::kQuarantined, {}, {}};
+    return gate_refusal{refusal_reason::kQuarantined, {}};
   }
   if (!subject.keyed) return std::nullopt;
   const auto epoch = ports_.serves(now, subject.request.slice);
@@ -91,11 +91,11 @@
   subject->queued = false;
   // The lease and the rules may have changed while the request waited.
   if (const auto refusal = Check(now, *subject)) {
-    Refuse(subject, refusal->reason, run_state::kNotRun, refusal->retry_after, refusal->owner_hint);
+    Refuse(subject, refusal->reason, run_state::kNotRun, refusal->retry_after);
     return;
   }
   instant limit = subject->deadline;
-  if (subject->keyed) limit = std::min(limit, ports_.lease_expiry());
+  if (subject->keyed) limit = std::min(limit, ports_.lease_expiry(now));
   if (limit - now < kShortestRun) {
     const bool lapsing = limit < subject->deadline;
     Refuse(subject, lapsing ? refusal_reason::kLeaseLapsed : refusal_reason::kDeadlineTooShort,
@@ -122,15 +122,15 @@
   const auto add = [&sent](const char* name, const std::string& value) {
     sent.headers.emplace_back(name, value);
   };
-  const forward_request& request = subject.request;
+  const dispatch_request& request = subject.request;
   add("X-Bulrush-Service", request.service);
   add("X-Bulrush-Request-Id", request.request_id);
-  if (!request.key.empty()) add("X-Bulrush-Key", request.key);
+  if (!request.key_name.empty()) add("X-Bulrush-Key", request.key_name);
   if (!request.tenant.empty()) add("X-Bulrush-Tenant", request.tenant);
   if (!request.idempotency_key.empty()) add("Idempotency-Key", request.idempotency_key);
   instant limit = subject.deadline;
   if (subject.keyed) {
-    const instant expiry = ports_.lease_expiry();
+    const instant expiry = ports_.lease_expiry(now);
     limit = std::min(limit, expiry);
     add("X-Bulrush-Slice", std::to_string(request.slice));
     add("X-Bulrush-Epoch", std::to_string(subject.epoch));
@@ -175,7 +175,7 @@
   if (subject->identified) {
     memory_.Answered(subject->request.slice, subject->identity, RememberedForm(answer));
   }
-  forward_answer whole;
+  dispatch_answer whole;
   whole.answer = std::move(answer);
   Finish(subject, whole);
 }
@@ -186,7 +186,7 @@
   if (failure.timed_out) {
     running_.erase(subject->id);
     cap_.OnTimeout(now - subject->handed_over, now);
-    const bool lapsed = subject->keyed && ports_.lease_expiry() <= now;
+    const bool lapsed = subject->keyed && ports_.lease_expiry(now) <= now;
     Refuse(subject, lapsed ? refusal_reason::kLeaseLapsed : refusal_reason::kDeadlinePassed,
            run_state::kUnknown);
     return;
@@ -280,9 +280,10 @@
   }
 }
 
-size_t gate::InFlight(uint32_t slice) const {
-  const auto found = per_slice_.find(slice);
-  return found == per_slice_.end() ? 0 : found->second;
+std::vector<uint32_t> gate::BusySlices() const {
+  std::vector<uint32_t> busy;
+  for (const auto& [slice, requests] : per_slice_) busy.push_back(slice);
+  return busy;
 }
 
 void gate::SetSlots(uint32_t slots) {
@@ -292,7 +293,7 @@
 }
 
 void gate::Refuse(const std::shared_ptr<job>& subject, refusal_reason reason, run_state state,
-                  std::chrono::milliseconds retry_after, const std::string& hint) {
+                  std::chrono::milliseconds retry_after) {
   if (subject->identified) {
     if (state == run_state::kNotRun) {
       memory_.NotRun(subject->request.slice, subject->identity);
@@ -301,22 +302,20 @@
     }
   }
   metrics_.CountRefusal(reason, state);
-  forward_answer refusal;
+  dispatch_answer refusal;
   refusal.reason = reason;
   refusal.state = state;
   refusal.retry_after = retry_after;
-  refusal.owner_hint = hint;
   Finish(subject, refusal);
 }
 
-void gate::Finish(const std::shared_ptr<job>& subject, const forward_answer& answer) {
+void gate::Finish(const std::shared_ptr<job>& subject, const dispatch_answer& answer) {
   Forget(subject);
   const auto joined = std::move(subject->joined);
   const auto deliver = [&answer](job& to) {
     if (!to.done) return;
-    forward_answer own = answer;
+    dispatch_answer own = answer;
     own.id = to.request.id;
-    own.request_id = to.request.request_id;
     const reply done = std::move(to.done);
     done(std::move(own));
   };
--- a/src/gate.h
+++ b/src/gate.h
@@ -29,25 +29,24 @@
 struct gate_refusal {
   refusal_reason reason = refusal_reason::kNone;
   std::chrono::milliseconds retry_after{0};
-  std::string owner_hint;
 };
 
 /// What the gate asks of the rest of the process.
 struct gate_ports {
   /// Refuses by rule: configuration, home regions, data centre out, planned stop.
-  std::function<std::optional<gate_refusal>(instant, const forward_request&)> check_rules;
+  std::function<std::optional<gate_refusal>(instant, const dispatch_request&)> check_rules;
   /// Whether the service of this target divides its keys between owners.
   std::function<bool()> keyed;
   /// Epoch of the slice if this node may serve it right now.
   std::function<std::optional<uint64_t>(instant, uint32_t slice)> serves;
   /// Until when the lease is good.
-  std::function<instant()> lease_expiry;
+  std::function<instant(instant)> lease_expiry;
   /// Why the slice is not served here: not the owner, moving, or lapsed.
   std::function<gate_refusal(instant, uint32_t slice)> not_served;
   /// Weight of a tenant's share and priority of a request.
-  std::function<std::pair<double, uint8_t>(const forward_request&)> share;
+  std::function<std::pair<double, uint8_t>(const dispatch_request&)> share;
   /// Regions that may know of the request; empty: all.
-  std::function<std::vector<std::string>(const forward_request&)> home_regions;
+  std::function<std::vector<std::string>(const dispatch_request&)> home_regions;
   /// The target crashed or answers again.
   std::function<void(instant, bool up)> target_state;
   /// A request is quarantined from now on.
@@ -78,14 +77,14 @@
 /// Hands requests to one target.
 class gate {
  public:
-  using reply = std::function<void(forward_answer)>;
+  using reply = std::function<void(dispatch_answer)>;
   using ticket = uint64_t;
 
   gate(event_loop& loop, metrics& counters, const gate_settings& settings, gate_ports ports);
   ~gate();
 
   /// Takes a request; `done` is called once, possibly at once.
-  ticket Handle(instant now, forward_request request, reply done);
+  ticket Handle(instant now, dispatch_request request, reply done);
   /// The caller went away. A request that waits is dropped; one at the target is cancelled there,
   /// unless a repeat may still ask for its answer.
   void Cancel(instant now, ticket id);
@@ -109,8 +108,8 @@
   void GiveUpMemory(uint32_t slice);
   /// What is remembered of a slice that was lost not long ago.
   std::optional<slice_memory_export> RetiredMemory(uint32_t slice) const;
-  /// Requests at the target, or waiting, for a slice.
-  size_t InFlight(uint32_t slice) const;
+  /// Slices with requests at the target, or waiting.
+  std::vector<uint32_t> BusySlices() const;
   /// Requests at the target.
   size_t InFlight() const { return running_.size(); }
   /// Requests waiting for the target.
@@ -136,9 +135,8 @@
   void OnFailure(instant now, const std::shared_ptr<job>& subject, const http_failure& failure);
   void OnCrash(instant now);
   void Refuse(const std::shared_ptr<job>& subject, refusal_reason reason, run_state state,
-              std::chrono::milliseconds retry_after = std::chrono::milliseconds{0},
-              const std::string& hint = {});
-  void Finish(const std::shared_ptr<job>& subject, const forward_answer& answer);
+              std::chrono::milliseconds retry_after = std::chrono::milliseconds{0});
+  void Finish(const std::shared_ptr<job>& subject, const dispatch_answer& answer);
   void Forget(const std::shared_ptr<job>& subject);
   http_request TargetRequest(instant now, const job& subject) const;
 
--- a/src/gate_job.h
+++ b/src/gate_job.h
@@ -15,7 +15,7 @@
 // meanwhile wait in `joined`.
 struct gate::job {
   ticket id = 0;
-  forward_request request;
+  dispatch_request request;
   reply done;
   instant arrived;
   instant deadline;
--- a/src/gate_memory.cpp
+++ b/src/gate_memory.cpp
@@ -18,22 +18,22 @@
 
 http_answer Recall(const std::string& bytes) {
   auto message = DecodeFrame(bytes, "own memory");
-  return std::get<forward_answer>(*message).answer;
+  return std::get<dispatch_answer>(*message).answer;
 }
 
 }  // namespace
 
 std::string RememberedForm(const http_answer& answer) {
-  forward_answer kept;
+  dispatch_answer kept;
   kept.answer = answer;
   return EncodeFrame(kept).substr(kFrameHeaderSize);
 }
 
 bool gate::Remembered(instant now, const std::shared_ptr<job>& subject) {
-  const forward_request& request = subject->request;
+  const dispatch_request& request = subject->request;
   if (!subject->keyed || request.idempotent || request.idempotency_key.empty()) return false;
-  subject->identity =
-      MakeRequestIdentity(request.service, request.tenant, request.key, request.idempotency_key);
+  subject->identity = MakeRequestIdentity(request.service, request.tenant, request.key_name,
+                                          request.idempotency_key);
   identified_request asked{subject->identity,
                            request.slice,
                            subject->fingerprint,
@@ -55,7 +55,7 @@
       return true;
     case repeat_verdict::kAnswered: {
       ++counts_.answered_from_memory;
-      forward_answer answer;
+      dispatch_answer answer;
       answer.answer = Recall(*decision.answer);
       answer.answer.headers.emplace_back("X-Bulrush-Repeated", "1");
       Finish(subject, answer);
--- a/src/http_table_service.cpp
+++ b/src/http_table_service.cpp
@@ -11,6 +11,8 @@
 using json = nlohmann::json;
 
 constexpr std::chrono::milliseconds kPlatformTimeout{1500};
+// Nothing listens there.
+const socket_address kNowhere{"127.0.0.1", 1};
 
 std::string EncodeComponent(const std::string& text) {
   char* encoded = evhttp_uriencode(text.c_str(), static_cast<ev_ssize_t>(text.size()), 0);
@@ -32,22 +34,32 @@
 }
 
 // An unexpected shape is reported like a missing answer: nothing may be concluded from it.
-result<std::vector<table_row>> ParseRows(const std::string& body, const std::string& peer) {
-  const json parsed = json::parse(body, nullptr, false);
-  std::vector<table_row> rows;
-  const auto bad = [&peer] {
-    return Failure(error_kind::kPeer, "read rows", peer,
-                   "The platform's answer is not a list of rows.");
-  };
-  if (!parsed.is_object() || !parsed.contains("rows") || !parsed["rows"].is_array()) return bad();
-  for (const json& row : parsed["rows"]) {
-    const bool whole = row.is_object() && row.contains("key") && row["key"].is_string() &&
-                       row.contains("value") && row["value"].is_string() &&
-                       row.contains("version") && row["version"].is_number_unsigned();
-    if (!whole) return bad();
-    rows.push_back({row["key"], row["value"], row["version"]});
+result<table_snapshot> ParseRows(const std::string& body, const std::string& peer) {
+  try {
+    const json parsed = json::parse(body);
+    table_snapshot snapshot;
+    snapshot.now = std::chrono::milliseconds(parsed.at("now_ms").get<int64_t>());
+    for (const json& row : parsed.at("rows")) {
+      snapshot.rows.push_back({row.at("key").get<std::string>(), row.at("value").get<std::string>(),
+                               row.at("version").get<uint64_t>()});
+    }
+    return snapshot;
+  } catch (const json::exception& broken) {
+    return Failure(
+        error_kind::kPeer, "read rows", peer,
+        std::string("The platform's answer is not a list of rows: ") + broken.what() + ".");
+  }
+}
+
+result<table_receipt> ParseReceipt(const std::string& body, const std::string& peer) {
+  try {
+    const json parsed = json::parse(body);
+    return table_receipt{parsed.at("versions").get<std::vector<uint64_t>>(),
+                         std::chrono::milliseconds(parsed.at("now_ms").get<int64_t>())};
+  } catch (const json::exception& broken) {
+    return Failure(error_kind::kPeer, "commit transaction", peer,
+                   std::string("The platform's answer is not a receipt: ") + broken.what() + ".");
   }
-  return rows;
 }
 
 }  // namespace
@@ -56,7 +68,7 @@
     : client_(client), addresses_(std::move(addresses)) {}
 
 socket_address http_table_service::Address() const {
-  return addresses_[current_ % addresses_.size()];
+  return cut_ ? kNowhere : addresses_[current_ % addresses_.size()];
 }
 
 void http_table_service::Send(http_request request, const std::string& step,
@@ -82,12 +94,20 @@
 }
 
 void http_table_service::Commit(const transaction& txn, commit_callback done) {
+  CommitRows(txn, [done = std::move(done)](const result<table_receipt>& receipt) {
+    if (!receipt) return done(tl::unexpected<error>(receipt.error()));
+    done({});
+  });
+}
+
+void http_table_service::CommitRows(const transaction& txn,
+                                    std::function<void(result<table_receipt>)> done) {
   http_request request{"POST", "/table/txn", {{"Content-Type", "application/json"}}, {}};
   request.body = ToJson(txn).dump();
   Send(std::move(request), "commit transaction",
        [done = std::move(done), peer = ToString(Address())](const result<http_answer>& answer) {
          if (!answer) return done(tl::unexpected<error>(answer.error()));
-         if (answer->status == 200) return done({});
+         if (answer->status == 200) return done(ParseReceipt(answer->body, peer));
          if (answer->status == 409) {
            return done(Failure(error_kind::kConflict, "commit transaction", peer,
                                "A row changed first: " + answer->body + "."));
@@ -98,7 +118,15 @@
        });
 }
 
-void http_table_service::ReadPrefix(const std::string& prefix, rows_callback done) {
+void http_table_service::ReadPrefix(const std::string& prefix, table_callback done) {
+  ReadRows(prefix, [done = std::move(done)](result<table_snapshot> snapshot) {
+    if (!snapshot) return done(tl::unexpected<error>(snapshot.error()));
+    done(std::move(snapshot->rows));
+  });
+}
+
+void http_table_service::ReadRows(const std::string& prefix,
+                                  std::function<void(result<table_snapshot>)> done) {
   http_request request{"GET", "/table/rows?prefix=" + EncodeComponent(prefix), {}, {}};
   Send(std::move(request), "read rows",
        [done = std::move(done), peer = ToString(Address())](const result<http_answer>& answer) {
--- a/src/key_map.cpp
+++ b/src/key_map.cpp
@@ -10,7 +10,7 @@
 static auto Fields(auto& m, const target_life&) { return std::tie(m.id, m.started_ms); }
 static auto Fields(auto& m, const range_owner&) { return std::tie(m.node, m.target); }
 static auto Fields(auto& m, const owned_range&) {
-  return std::tie(m.keys, m.owner, m.fence, m.handover);
+  return std::tie(m.keys, m.owner, m.fence, m.handover, m.last_node);
 }
 static auto Fields(auto& m, const key_map&) { return std::tie(m.ranges, m.next_fence); }
 
@@ -52,7 +52,7 @@
   for (size_t i = 0; i < owners.size(); ++i) {
     const auto first = static_cast<uint32_t>(all * i / owners.size());
     const auto last = static_cast<uint32_t>(all * (i + 1) / owners.size() - 1);
-    map.ranges.push_back({{first, last}, owners[i], map.next_fence++, {}});
+    map.ranges.push_back({{first, last}, owners[i], map.next_fence++, {}, {}});
   }
   return map;
 }
@@ -71,7 +71,7 @@
     }
     const key_range moved{std::max(range.keys.first, keys.first),
                           std::min(range.keys.last, keys.last)};
-    changed.push_back({moved, owner, map.next_fence++, handover});
+    changed.push_back({moved, owner, map.next_fence++, handover, range.owner.node});
     if (range.keys.last > keys.last) {
       changed.push_back(range);
       changed.back().keys.first = keys.last + 1;
--- a/src/key_map.h
+++ b/src/key_map.h
@@ -28,6 +28,8 @@
   uint64_t fence = 0;
   /// From the last owner; empty when it is not known.
   std::string handover;
+  /// Node of the last owner; empty when the keys never had another.
+  std::string last_node = {};
 };
 
 /// All ranges of a service. Ranges are sorted, do not overlap, and cover all keys unless the map is
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -10,12 +10,8 @@
 
 using std::chrono::milliseconds;
 
-// The processes' own table: one row for each, with its address.
-constexpr const char* kMemberTable = "members";
 // How often waiting requests and connections are looked at.
 constexpr milliseconds kTickInterval{25};
-// Wait before the announcement of this process is repeated.
-constexpr milliseconds kAnnounceRetry{500};
 // Share of the permitted extra arrivals that this process uses: processes see different shares of
 // the traffic at different moments.
 constexpr double kRetryShareUsed = 0.75;
@@ -37,10 +33,6 @@
 // Headers of a question for the metrics.
 constexpr size_t kMetricsHeaders = 8 << 10;
 
-double Seconds(std::chrono::nanoseconds time) {
-  return std::chrono::duration<double>(time).count();
-}
-
 http_limits CallerLimits(const caller_limits& limits) {
   return {limits.body_bytes, limits.header_bytes, limits.idle_timeout, limits.request_timeout};
 }
@@ -71,20 +63,22 @@
                       [this](const std::shared_ptr<http_exchange>& exchange) {
                         exchange->Reply({200, {{"Content-Type", "text/plain"}}, metrics_.Expose()});
                       }),
+      members_(loop, log_, metrics_, ports_.store, fleet_,
+               {{settings_.name,
+                 settings_.peers,
+                 settings_.data_centre,
+                 settings_.region,
+                 settings_.service,
+                 process_,
+                 {}},
+                settings_.ip,
+                settings_.longest_grant},
+               MemberEvents(*this)),
       operator_rows_(loop, log_, ports_.store, ports_.operator_table,
                      [this](instant now, instant, const std::vector<stored_row>& rows) {
                        for (const stored_row& row : rows) ports_.operator_row(now, row);
                      }),
-      member_rows_(loop, log_, ports_.store, kMemberTable,
-                   [this](instant now, instant, const std::vector<stored_row>& rows) {
-                     OnMemberRows(now, rows);
-                   }),
-      key_map_rows_(loop, log_, ports_.store, kKeyMapTable,
-                    [this](instant now, instant began, const std::vector<stored_row>& rows) {
-                      OnKeyMapRows(now, began, rows);
-                    }),
-      tick_(loop, [this](instant now) { Tick(now); }),
-      announce_retry_(loop, [this](instant) { Announce(); }) {}
+      tick_(loop, [this](instant now) { Tick(now); }) {}
 
 result<void> node::Start(instant now) {
   if (auto listening = callers_.Listen(settings_.callers); !listening) return listening;
@@ -96,47 +90,24 @@
               {"region", settings_.region},
               {"process", std::to_string(process_)}},
              log_weight::kNotable);
-  Announce();
+  members_.Start(now);
   operator_rows_.Start(now);
-  member_rows_.Start(now);
-  key_map_rows_.Start(now);
   tick_.Every(kTickInterval);
   return {};
 }
 
-void node::Announce() {
-  if (announcing_ || announced_) return;
-  announcing_ = true;
-  const member_record self{settings_.name,   settings_.peers,   settings_.data_centre,
-                           settings_.region, settings_.service, process_};
-  fleet_.OnMember(self);
-  row_transaction announcement{{}, {{{kMemberTable, settings_.name}, EncodeMember(self)}}};
-  ports_.store.commit(std::move(announcement), [this](instant, result<row_receipt> outcome) {
-    announcing_ = false;
-    announced_ = outcome.has_value();
-    if (announced_) return;
-    log_.Write("announcement_failed", {{"reason", outcome.error().message}}, log_weight::kNotable);
-    announce_retry_.Once(kAnnounceRetry);
-  });
-}
-
 bool node::OwnServiceKeyed() const {
   if (!table_) return false;
   const service_policy* policy = table_->FindService(settings_.service);
   return policy != nullptr && policy->keyed;
 }
 
-std::string node::OwnerOf(const std::string& service, uint32_t key) const {
-  const auto found = key_maps_.find(service);
-  if (found == key_maps_.end()) return {};
-  const owned_range* range = found->second.Find(key);
-  return range == nullptr ? std::string{} : range->owner.node;
-}
-
 std::pair<refusal_reason, milliseconds> node::WhyNotHeld(instant now, uint32_t key) const {
-  if (!ranges_ || !ranges_->steward().Owns(key))
+  const range_service* keys = OwnKeys();
+  if (keys == nullptr || !keys->steward().Owns(key)) {
     return {refusal_reason::kNotOwner, milliseconds{0}};
-  if (!ranges_->Leased(now)) return {refusal_reason::kLeaseLapsed, milliseconds{0}};
+  }
+  if (!keys->Leased(now)) return {refusal_reason::kLeaseLapsed, milliseconds{0}};
   // The target learns of its keys with its next heartbeat.
   const auto wait = std::chrono::duration_cast<milliseconds>(target_.NextHeartbeat() - now);
   return {refusal_reason::kMoving, std::max(wait, milliseconds{10})};
@@ -155,13 +126,7 @@
     gate_.SetPolicy(policy->connections, policy->cold_rate,
                     std::max(1.0, settings_.cold_slack * kColdBurstUsed));
   }
-  if (OwnServiceKeyed() && !ranges_) {
-    range_service_settings ranges{settings_.name, settings_.ip, settings_.service,
-                                  process_,       {},           {}};
-    ranges.steward.node = settings_.name;
-    ranges.steward.longest_hold = std::min(ranges.steward.longest_hold, settings_.longest_grant);
-    ranges_ = std::make_unique<range_service>(log_, metrics_, ports_.store, ranges, now);
-  }
+  if (OwnServiceKeyed()) members_.HoldKeysOf(now, {{settings_.service, {}}});
   mesh_.ReportNow(now);
 }
 
@@ -205,7 +170,7 @@
                log_weight::kNotable);
   }
   FollowTarget(now);
-  if (ranges_) answer.grant = ranges_->OnHeartbeat(now, heartbeat);
+  if (range_service* keys = OwnKeys()) answer.grant = keys->OnHeartbeat(now, heartbeat);
   if (changed) mesh_.ReportNow(now);
   return answer;
 }
@@ -219,12 +184,10 @@
 }
 
 void node::FollowTarget(instant now) {
-  if (ranges_) {
-    target_condition condition = target_.Condition(now);
-    const bool leaving = DataCentreOut() || stopping_since_.has_value();
-    if (condition == target_condition::kReady && leaving) condition = target_condition::kLeaving;
-    ranges_->SetTarget(now, condition, target_.life());
-  }
+  target_condition condition = target_.Condition(now);
+  const bool leaving = DataCentreOut() || stopping_since_.has_value();
+  if (condition == target_condition::kReady && leaving) condition = target_condition::kLeaving;
+  members_.SetTarget(now, condition, target_.life());
   gate_.Tick(now);
 }
 
@@ -235,83 +198,18 @@
   report.region = settings_.region;
   report.process = process_;
   report.stopping = stopping_since_.has_value();
-  report.leased = ranges_ != nullptr && ranges_->Leased(now);
+  report.leased = members_.Leased(now);
   report.configuration_version = table_ ? table_->version() : 0;
   report.target = gate_.Report(now);
-  if (ranges_) {
-    constexpr double kThousandths = 1000;
-    report.target.key_request_millirate =
-        static_cast<uint32_t>(ranges_->steward().RequestRate(now) * kThousandths);
-  }
+  constexpr double kThousandths = 1000;
+  report.target.key_request_millirate =
+      static_cast<uint32_t>(members_.RequestRate(now) * kThousandths);
   return report;
 }
 
-std::vector<range_candidate> node::Candidates(instant) const {
-  std::vector<range_candidate> candidates;
-  for (const node_state* each : fleet_.OfService(settings_.service)) {
-    range_candidate one;
-    one.node = each->member.node;
-    one.target = each->report.target.life;
-    one.alive = each->reachable && each->reported;
-    one.leased = each->report.leased;
-    one.accepting = each->Usable() && each->report.leased;
-    const target_report& target = each->report.target;
-    one.cost = Seconds(target.usual_work) / std::max(1U, target.slots);
-    constexpr double kThousandths = 1000;
-    one.demand = target.key_request_millirate / kThousandths * one.cost;
-    candidates.push_back(std::move(one));
-  }
-  return candidates;
-}
-
-void node::OnMemberRows(instant now, const std::vector<stored_row>& rows) {
-  for (const stored_row& row : rows) {
-    if (row.id.key == settings_.name) continue;
-    if (row.deleted) {
-      fleet_.OnMemberGone(row.id.key);
-      log_.Write("member_gone", {{"member", row.id.key}}, log_weight::kNotable);
-      continue;
-    }
-    const auto member = DecodeMember(row.value);
-    if (!member) {
-      log_.Write("member_unreadable", {{"row", row.id.key}, {"reason", member.error().message}},
-                 log_weight::kNotable);
-      continue;
-    }
-    if (!fleet_.OnMember(*member)) continue;
-    log_.Write("member_known",
-               {{"member", member->node},
-                {"address", ToString(member->address)},
-                {"service", member->service},
-                {"version", std::to_string(row.version)}},
-               log_weight::kNotable);
-  }
-  mesh_.FollowMembers(now);
-}
-
-void node::OnKeyMapRows(instant now, instant began, const std::vector<stored_row>& rows) {
-  for (const stored_row& row : rows) {
-    if (row.deleted) continue;
-    auto map = DecodeKeyMap(row.value);
-    if (!map) {
-      log_.Write("key_map_unreadable", {{"service", row.id.key}, {"reason", map.error().message}},
-                 log_weight::kNotable);
-      continue;
-    }
-    log_.Write("owners_known",
-               {{"service", row.id.key},
-                {"version", std::to_string(row.version)},
-                {"ranges", std::to_string(map->ranges.size())}},
-               log_weight::kNotable);
-    if (ranges_ && row.id.key == settings_.service) ranges_->OnMapRow(began, row);
-    key_maps_[row.id.key] = std::move(*map);
-  }
-  if (!rows.empty()) router_.OnOwnersChanged(now);
-}
-
 void node::Tick(instant now) {
   FollowTarget(now);
-  if (ranges_) ranges_->Tick(now, Candidates(now));
+  members_.Tick(now);
   node_report report = OwnReport(now);
   report.sequence = ++own_reports_;
   fleet_.OnReport(now, report);
--- a/src/node.h
+++ b/src/node.h
@@ -19,10 +19,10 @@
 #include "fleet_view.h"
 #include "header_names.h"
 #include "http_server.h"
+#include "membership.h"
 #include "metrics.h"
 #include "own_target.h"
 #include "peer_mesh.h"
-#include "range_service.h"
 #include "request_router.h"
 #include "route_table.h"
 #include "row_store.h"
@@ -115,11 +115,8 @@
   void OnPeerReport(instant now, const node_report& report);
   void TellSuspects(instant now);
   void RefreshIfBehind(instant now);
-  void OnMemberRows(instant now, const std::vector<stored_row>& rows);
-  void OnKeyMapRows(instant now, instant began, const std::vector<stored_row>& rows);
-  void Announce();
-  std::vector<range_candidate> Candidates(instant now) const;
-  std::string OwnerOf(const std::string& service, uint32_t key) const;
+  range_service* OwnKeys() { return members_.Find(settings_.service); }
+  const range_service* OwnKeys() const { return members_.Find(settings_.service); }
   bool OwnServiceKeyed() const;
   std::pair<refusal_reason, std::chrono::milliseconds> WhyNotHeld(instant now, uint32_t key) const;
   bool DataCentreOut() const { return evacuated_.contains(settings_.data_centre); }
@@ -128,6 +125,7 @@
   static target_gate_ports GatePorts(node& self);
   static peer_mesh_events MeshEvents(node& self);
   static request_router_ports RouterPorts(node& self);
+  static membership_events MemberEvents(node& self);
 
   event_loop& loop_;
   node_settings settings_;
@@ -142,13 +140,10 @@
   request_router router_;
   http_server callers_;
   http_server metrics_server_;
+  membership members_;
   table_follower operator_rows_;
-  table_follower member_rows_;
-  table_follower key_map_rows_;
-  std::unique_ptr<range_service> ranges_;
   std::shared_ptr<const route_table> table_;
   std::set<std::string> evacuated_;
-  std::map<std::string, key_map> key_maps_;
   // Requests of peers at the gate: by connection and the peer's number.
   std::map<std::pair<connection_id, uint64_t>, target_gate::ticket> peer_requests_;
   // Requests that peers have this process pass on.
@@ -158,13 +153,10 @@
   std::optional<instant> behind_since_;
   std::string stranger_;
   std::optional<instant> stranger_since_;
-  bool announced_ = false;
-  bool announcing_ = false;
   std::optional<instant> stopping_since_;
   instant last_busy_{};
   target_report last_told_;
   timer tick_;
-  timer announce_retry_;
 };
 
 }  // namespace bulrushway
--- a/src/node_peers.cpp
+++ b/src/node_peers.cpp
@@ -20,13 +20,14 @@
 target_gate_ports node::GatePorts(node& self) {
   return {[&self] { return self.OwnServiceKeyed(); },
           [&self](instant now, uint32_t key) {
-            return self.ranges_ != nullptr && self.ranges_->Holds(now, key);
+            const range_service* keys = self.OwnKeys();
+            return keys != nullptr && keys->Holds(now, key);
           },
           [&self](instant now, uint32_t key) {
-            if (self.ranges_) self.ranges_->OnRequest(now, key);
+            if (range_service* keys = self.OwnKeys()) keys->OnRequest(now, key);
           },
           [&self](instant now, uint32_t key) {
-            if (self.ranges_) self.ranges_->OnNotHeld(now, key);
+            if (range_service* keys = self.OwnKeys()) keys->OnNotHeld(now, key);
           },
           [&self](instant now, uint32_t key) { return self.WhyNotHeld(now, key); },
           [&self](instant) { return self.DataCentreOut(); },
@@ -46,12 +47,23 @@
           [&self](instant now) { return self.OwnReport(now); },
           [&self](instant now, const poison_notice& notice) {
             for (const poison_entry& entry : notice.entries) self.gate_.poison().Merge(entry, now);
+          },
+          [&self](instant, connection_id from, const peer_message& message) {
+            self.log_.Write("message_ignored", {{"from", self.mesh_.AddressOf(from)},
+                                                {"type", std::to_string(message.index())}});
           }};
 }
 
+membership_events node::MemberEvents(node& self) {
+  return {[&self](instant now) { self.mesh_.FollowMembers(now); },
+          [&self](instant now) { self.router_.OnOwnersChanged(now); }};
+}
+
 request_router_ports node::RouterPorts(node& self) {
   return {[&self] { return self.table_; },
-          [&self](const std::string& service, uint32_t key) { return self.OwnerOf(service, key); },
+          [&self](const std::string& service, uint32_t key) {
+            return self.members_.OwnerOf(service, key);
+          },
           [&self](instant now) { return self.UntilRestart(now); },
           [&self] {
             if (!self.stopping_since_) return instant::max();
@@ -151,7 +163,7 @@
   }
   if (stranger_since_ && now - *stranger_since_ > kFeedDelay) {
     stranger_since_.reset();
-    if (fleet_.Find(stranger_) == nullptr) member_rows_.Refresh(now);
+    if (fleet_.Find(stranger_) == nullptr) members_.RefreshMembers(now);
   }
 }
 
--- a/src/peer_codec.cpp
+++ b/src/peer_codec.cpp
@@ -6,24 +6,9 @@
 
 namespace bulrushway {
 
-static auto Fields(auto& m, const hello_message&) {
-  return std::tie(m.node, m.data_centre, m.region);
-}
-
-static auto Fields(auto& m, const forward_request&) {
-  return std::tie(m.id, m.request_id, m.service, m.tenant, m.key, m.idempotency_key, m.idempotent,
-                  m.caller_attempt, m.first_sent, m.slice, m.time_left, m.configuration_version,
-                  m.repeat, m.request.method, m.request.target, m.request.headers, m.request.body);
-}
-
-static auto Fields(auto& m, const forward_answer&) {
-  return std::tie(m.id, m.request_id, m.reason, m.state, m.retry_after, m.owner_hint,
-                  m.answer.status, m.answer.headers, m.answer.body);
-}
-
 static auto Fields(auto& m, const cancel_request&) { return std::tie(m.id); }
 
-static auto Fields(auto& m, const control_message&) { return std::tie(m.bytes); }
+static auto Fields(auto& m, const configuration_notice&) { return std::tie(m.head); }
 
 static auto Fields(auto& m, const document_request&) { return std::tie(m.hash); }
 
@@ -64,10 +49,11 @@
 static auto Fields(auto& m, const node_report_receipt&) { return std::tie(m.sequence); }
 
 static auto Fields(auto& m, const dispatch_request&) {
-  return std::tie(m.id, m.request_id, m.caller, m.service, m.route, m.relay_to, m.key, m.idempotent,
-                  m.large_answer, m.rank, m.home_regions, m.time_left, m.target_left, m.patience,
-                  m.expected_work, m.request.method, m.request.target, m.request.headers,
-                  m.request.body);
+  return std::tie(m.id, m.request_id, m.caller, m.service, m.route, m.relay_to, m.key, m.key_name,
+                  m.slice, m.tenant, m.idempotency_key, m.caller_attempt, m.first_sent,
+                  m.idempotent, m.large_answer, m.rank, m.home_regions, m.time_left, m.target_left,
+                  m.patience, m.expected_work, m.request.method, m.request.target,
+                  m.request.headers, m.request.body);
 }
 
 static auto Fields(auto& m, const dispatch_answer&) {
--- a/src/peer_codec.h
+++ b/src/peer_codec.h
@@ -15,7 +15,7 @@
 namespace bulrushway {
 
 /// Version of the protocol between processes.
-inline constexpr uint32_t kPeerProtocolVersion = 1;
+inline constexpr uint32_t kPeerProtocolVersion = 2;
 /// Bytes of the length in front of each frame.
 inline constexpr size_t kFrameHeaderSize = 4;
 /// Longest frame in bytes, header not counted.
--- a/src/peer_mesh.cpp
+++ b/src/peer_mesh.cpp
@@ -74,6 +74,30 @@
   return id;
 }
 
+bool peer_mesh::Post(const std::string& node, const peer_message& message) {
+  const auto found = peers_.find(node);
+  if (found == peers_.end()) return false;
+  const connection_id to = found->second.links[0].connection;
+  return to != 0 && transport_.Established(to) && transport_.Send(to, message);
+}
+
+void peer_mesh::SetDropped(const std::string& node, bool dropped) {
+  if (dropped) {
+    dropped_.insert(node);
+  } else {
+    dropped_.erase(node);
+  }
+}
+
+bool peer_mesh::IsDropped(connection_id from, const peer_message& message) {
+  if (const auto* report = std::get_if<node_report>(&message)) senders_[from] = report->node;
+  if (dropped_.empty()) return false;
+  const auto opened = outgoing_.find(from);
+  if (opened != outgoing_.end()) return dropped_.contains(opened->second);
+  const auto sender = senders_.find(from);
+  return sender != senders_.end() && dropped_.contains(sender->second);
+}
+
 void peer_mesh::Cancel(ticket id) {
   const auto found = pending_.find(id);
   if (found == pending_.end()) return;
@@ -190,6 +214,7 @@
 }
 
 void peer_mesh::OnMessage(instant now, connection_id from, peer_message message) {
+  if (IsDropped(from, message)) return;
   if (auto* report = std::get_if<node_report>(&message)) {
     transport_.Send(from, node_report_receipt{report->sequence});
     events_.report(now, *report);
@@ -207,12 +232,15 @@
     events_.cancelled(now, from, cancel->id);
   } else if (const auto* notice = std::get_if<poison_notice>(&message)) {
     events_.suspects(now, *notice);
+  } else {
+    events_.other(now, from, message);
   }
 }
 
 void peer_mesh::OnClosed(instant now, connection_id from, bool stood, const error& reason) {
   const auto owner = outgoing_.find(from);
   if (owner == outgoing_.end()) {
+    senders_.erase(from);
     events_.caller_gone(now, from);
     return;
   }
--- a/src/peer_mesh.h
+++ b/src/peer_mesh.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 
 #include "decision_log.h"
@@ -31,6 +32,8 @@
   std::function<node_report(instant)> own_report;
   /// A peer tells of requests that were at targets when these crashed.
   std::function<void(instant, const poison_notice&)> suspects;
+  /// Any other message. Answer through Reply().
+  std::function<void(instant, connection_id from, const peer_message&)> other;
 };
 
 /// Connections to all peers.
@@ -52,6 +55,17 @@
   void Cancel(ticket id);
   /// Answers a request of a peer.
   void Answer(connection_id to, const dispatch_answer& answer) { transport_.Send(to, answer); }
+  /// Sends a message to a peer. False when there is no connection: nothing was sent.
+  bool Post(const std::string& node, const peer_message& message);
+  /// Answers a message of a peer.
+  void Reply(connection_id to, const peer_message& message) { transport_.Send(to, message); }
+  /// Address at the other end of a connection; empty when it is gone.
+  std::string AddressOf(connection_id id) const { return transport_.PeerAddress(id); }
+  /// Ignores all that the peer sends, as if its packets were lost. For failure tests.
+  void SetDropped(const std::string& node, bool dropped);
+  /// Bytes sent to and received from peers since the start.
+  uint64_t BytesSent() const { return transport_.BytesSent(); }
+  uint64_t BytesReceived() const { return transport_.BytesReceived(); }
   /// Sends a message, made for each, to all peers that are connected.
   void SendToAll(const std::function<peer_message(const node_state&)>& make);
   /// Whether bytes for peers wait to be sent.
@@ -87,6 +101,7 @@
   void Open(instant now, peer& to, link& which);
   void SendReport(instant now, peer& to);
   void OnMessage(instant now, connection_id from, peer_message message);
+  bool IsDropped(connection_id from, const peer_message& message);
   void OnClosed(instant now, connection_id from, bool stood, const error& reason);
   void CloseLink(instant now, const std::string& node, link& which, const std::string& why);
   void FailPending(instant now, connection_id connection, bool stood);
@@ -99,6 +114,9 @@
   std::map<std::string, peer> peers_;
   std::map<connection_id, std::string> outgoing_;
   std::map<ticket, pending> pending_;
+  // Nodes by connections that they opened, as far as they have reported.
+  std::map<connection_id, std::string> senders_;
+  std::set<std::string> dropped_;
   ticket next_ticket_ = 1;
   uint64_t report_sequence_ = 0;
 };
--- a/src/peer_messages.h
+++ b/src/peer_messages.h
@@ -19,61 +19,14 @@
 
 namespace bulrushway {
 
-/// First message on a connection, from the side that opened it.
-struct hello_message {
-  std::string node;
-  std::string data_centre;
-  std::string region;
-};
-
-/// A caller's request on its way to the gate beside a target.
-struct forward_request {
-  /// Unique on the connection; answers carry it back.
-  uint64_t id = 0;
-  /// The caller's request id, for correlation end to end.
-  std::string request_id;
-  std::string service;
-  std::string tenant;
-  std::string key;
-  std::string idempotency_key;
-  bool idempotent = false;
-  /// Which attempt the caller says this is: 0 unsaid, 1 first, 2 repeat.
-  uint8_t caller_attempt = 0;
-  /// When the caller first sent it, by the caller's wall clock; zero when unsaid.
-  std::chrono::milliseconds first_sent{0};
-  /// Slice of the key; meaningless for lookup services.
-  uint32_t slice = 0;
-  /// Time left until the caller gives up.
-  std::chrono::milliseconds time_left{0};
-  /// Version of the configuration under which the entry decided.
-  uint64_t configuration_version = 0;
-  /// True when the entry has sent this request before: a retry after "not run" or a hedge.
-  bool repeat = false;
-  http_request request;
-};
-
-/// The answer to a forward_request: the target's answer, or a refusal.
-struct forward_answer {
-  uint64_t id = 0;
-  std::string request_id;
-  /// kNone when a target answered.
-  refusal_reason reason = refusal_reason::kNone;
-  run_state state = run_state::kNotRun;
-  /// When it makes sense to send the request again; zero when unknown.
-  std::chrono::milliseconds retry_after{0};
-  /// Node that owns the key according to the gate, when it is not this one.
-  std::string owner_hint;
-  http_answer answer;
-};
-
 /// The caller went away or another copy of the request has won.
 struct cancel_request {
   uint64_t id = 0;
 };
 
-/// Membership, lease and configuration traffic too large for a datagram.
-struct control_message {
-  std::string bytes;
+/// The newest head of the configuration, from a process that has read it from the platform.
+struct configuration_notice {
+  std::string head;
 };
 
 /// Asks a peer for a document of the configuration.
@@ -171,6 +124,17 @@
   /// target.
   std::string relay_to;
   std::optional<uint32_t> key;
+  /// The key where callers name it by text, and the slice that it belongs to.
+  std::string key_name;
+  uint32_t slice = 0;
+  /// Whose request it is.
+  std::string tenant;
+  /// Names the request for repeats; empty: repeats are not recognized.
+  std::string idempotency_key;
+  /// Which attempt the caller says this is: 0 unsaid, 1 first, 2 repeat.
+  uint8_t caller_attempt = 0;
+  /// When the caller first sent it, by the caller's wall clock; zero when unsaid.
+  std::chrono::milliseconds first_sent{0};
   bool idempotent = false;
   bool large_answer = false;
   uint32_t rank = 0;
@@ -211,10 +175,9 @@
 
 /// Any message between processes. The order is part of the protocol: append only.
 using peer_message =
-    std::variant<hello_message, forward_request, forward_answer, cancel_request, control_message,
-                 document_request, document_answer, freshness_request, freshness_answer,
-                 memory_request, memory_answer, node_report, node_report_receipt, dispatch_request,
-                 dispatch_answer, poison_notice>;
+    std::variant<cancel_request, configuration_notice, document_request, document_answer,
+                 freshness_request, freshness_answer, memory_request, memory_answer, node_report,
+                 node_report_receipt, dispatch_request, dispatch_answer, poison_notice>;
 
 }  // namespace bulrushway
 
--- a/src/range_service.h
+++ b/src/range_service.h
@@ -49,6 +49,8 @@
   }
   bool Leased(instant now) const { return lease_.Valid(now, clock_); }
   bool Holds(instant now, uint32_t key) const { return Leased(now) && steward_.Holds(now, key); }
+  /// Until when the lease is valid for certain.
+  instant LeaseEnd(instant now) const { return now + lease_.Left(now, clock_); }
   /// A request for the key came to the gate.
   void OnRequest(instant now, uint32_t key) { steward_.OnRequest(now, key); }
   /// The target refused a key that it was granted.
--- a/src/range_steward.cpp
+++ b/src/range_steward.cpp
@@ -158,12 +158,13 @@
   }
 }
 
-bool range_steward::Holds(instant now, uint32_t key) const {
-  if (now >= granted_until_) return false;
+std::optional<uint64_t> range_steward::Fence(instant now, uint32_t key) const {
+  if (now >= granted_until_) return std::nullopt;
   const granted_range* range = FindGranted(key);
-  if (range == nullptr) return false;
+  if (range == nullptr) return std::nullopt;
   const auto refused = not_held_until_.find(range->fence);
-  return refused == not_held_until_.end() || now >= refused->second;
+  if (refused != not_held_until_.end() && now < refused->second) return std::nullopt;
+  return range->fence;
 }
 
 bool range_steward::Owns(uint32_t key) const {
--- a/src/range_steward.h
+++ b/src/range_steward.h
@@ -125,7 +125,9 @@
   double RequestRate(instant now) const { return heat_.TotalRate(now); }
 
   /// Whether the target holds the key now.
-  bool Holds(instant now, uint32_t key) const;
+  bool Holds(instant now, uint32_t key) const { return Fence(now, key).has_value(); }
+  /// The fencing token under which it does.
+  std::optional<uint64_t> Fence(instant now, uint32_t key) const;
   /// Whether the map assigns the key to this node.
   bool Owns(uint32_t key) const;
   /// The next step. After kReadMap, kReadLeases and kChange the outcome has to be handed in before
--- a/src/rules_view.cpp
+++ b/src/rules_view.cpp
@@ -26,13 +26,13 @@
   return found == services_.end() ? nullptr : &found->second;
 }
 
-std::vector<std::string> rules_view::HomeRegions(const forward_request& request) const {
+std::vector<std::string> rules_view::HomeRegions(const dispatch_request& request) const {
   if (!in_force_) return {};
   return bulrushway::HomeRegions(in_force_->rules, request.service, request.tenant,
                                  PathOf(request.request.target));
 }
 
-bool rules_view::IdempotentRoute(const forward_request& request) const {
+bool rules_view::IdempotentRoute(const dispatch_request& request) const {
   const service_entry* service =
       in_force_ ? in_force_->places.FindService(request.service) : nullptr;
   return service != nullptr && IsIdempotentRoute(*service, PathOf(request.request.target));
@@ -46,8 +46,8 @@
   return in_force_ && StopInForce(in_force_->rules, upstream, wall_now) != nullptr;
 }
 
-bool rules_view::MayUse(const announcement& to, std::chrono::sys_seconds wall_now) const {
-  return !DataCentreOut(to.data_centre) && !PlannedStop(to.node, wall_now);
+bool rules_view::MayUse(const node_state& to, std::chrono::sys_seconds wall_now) const {
+  return !DataCentreOut(to.member.data_centre) && !PlannedStop(to.member.node, wall_now);
 }
 
 std::pair<uint32_t, uint32_t> rules_view::Capacity(const std::string& upstream,
@@ -57,7 +57,7 @@
           ConnectionsOf(in_force_->places, upstream, service)};
 }
 
-std::pair<double, uint8_t> rules_view::Share(const forward_request& request) const {
+std::pair<double, uint8_t> rules_view::Share(const dispatch_request& request) const {
   const tenant_entry* tenant = in_force_ ? in_force_->rules.FindTenant(request.tenant) : nullptr;
   if (tenant == nullptr) return {100, 5};
   // The rules count 0 as the most important, the queue the largest number.
--- a/src/service_targets.cpp
+++ b/src/service_targets.cpp
@@ -4,31 +4,34 @@
 
 namespace bulrushway {
 
-target_locality LocalityOf(const own_place& here, const announcement& member) {
+target_locality LocalityOf(const own_place& here, const member_record& member) {
   if (member.data_centre == here.data_centre) return target_locality::kDataCentre;
   if (member.region == here.region) return target_locality::kRegion;
   return target_locality::kRemote;
 }
 
-void service_targets::Refresh(const directory& known, const std::string& service,
+void service_targets::Refresh(const fleet_view& known, const std::string& service,
                               const own_place& here, const allowed& may_use) {
   const std::map<std::string, size_t> old_index = std::move(index_);
   const std::vector<target_view> old_views = std::move(views_);
   members_.clear();
   views_.clear();
   index_.clear();
-  for (const announcement* member : known.Live(service)) members_.push_back(*member);
+  for (const node_state* node : known.OfService(service)) {
+    if (node->reachable && node->reported) members_.push_back(node->member);
+  }
   std::ranges::stable_sort(
-      members_, {}, [&here](const announcement& member) { return LocalityOf(here, member); });
-  for (const announcement& member : members_) {
+      members_, {}, [&here](const member_record& member) { return LocalityOf(here, member); });
+  for (const member_record& member : members_) {
+    const node_state& node = *known.Find(member.node);
     uint64_t& process = processes_[member.node];
     if (process != member.process) loads_[member.node].Reset();
     process = member.process;
     const auto old = old_index.find(member.node);
     target_view view = old == old_index.end() ? target_view{} : old_views[old->second];
-    view.slots = std::max<uint32_t>(member.slots, 1);
+    view.slots = std::max<uint32_t>(node.report.target.slots, 1);
     view.locality = LocalityOf(here, member);
-    view.draining = member.leaving || !member.target_up || !may_use(member);
+    view.draining = !node.Usable() || !may_use(node);
     index_[member.node] = views_.size();
     views_.push_back(view);
     Update(member.node);
--- a/src/service_targets.h
+++ b/src/service_targets.h
@@ -11,8 +11,7 @@
 #include <string>
 #include <vector>
 
-#include "announcement.h"
-#include "directory.h"
+#include "fleet_view.h"
 #include "target_load.h"
 #include "target_picker.h"
 #include "target_view.h"
@@ -26,23 +25,23 @@
 };
 
 /// Distance of a member from this process.
-target_locality LocalityOf(const own_place& here, const announcement& member);
+target_locality LocalityOf(const own_place& here, const member_record& member);
 
 /// The targets of one service.
 class service_targets {
  public:
   /// Whether the rules allow new work at a member now.
-  using allowed = std::function<bool(const announcement&)>;
+  using allowed = std::function<bool(const node_state&)>;
 
-  /// Takes over the live members of the service; loads of members that stay are kept, those of a
-  /// restarted process are forgotten.
-  void Refresh(const directory& known, const std::string& service, const own_place& here,
+  /// Takes over the members of the service that can be reached; loads of members that stay are
+  /// kept, those of a restarted process are forgotten.
+  void Refresh(const fleet_view& known, const std::string& service, const own_place& here,
                const allowed& may_use);
 
   /// Chooses a target among those not in `tried` that stand in one of `regions` (empty: any).
   template <target_picker Picker>
-  const announcement* Pick(instant now, Picker& picker, const std::vector<std::string>& tried,
-                           const std::vector<std::string>& regions, std::mt19937_64& rng) {
+  const member_record* Pick(instant now, Picker& picker, const std::vector<std::string>& tried,
+                            const std::vector<std::string>& regions, std::mt19937_64& rng) {
     std::vector<size_t> marked = MarkTried(tried, regions);
     const auto chosen = picker.Pick(now, views_, rng);
     for (const size_t index : marked) views_[index].tried = false;
@@ -63,7 +62,7 @@
                                 const std::vector<std::string>& regions);
   void Update(const std::string& node);
 
-  std::vector<announcement> members_;
+  std::vector<member_record> members_;
   std::vector<target_view> views_;
   std::map<std::string, size_t> index_;
   std::map<std::string, target_load> loads_;
--- a/src/slice.h
+++ b/src/slice.h
@@ -5,14 +5,16 @@
 // service are divided into partitions: partition 0 may be held anywhere, partition p > 0 only in
 // the region with index p - 1.
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 #include <vector>
 
-#include "term.h"
-
 namespace bulrushway {
 
+/// Number of a slice, over all partitions.
+using slice_number = uint32_t;
+
 /// How the slices of a service are laid out.
 struct slice_layout {
   /// Regions in the fixed order of the inventory.
--- /dev/null
+++ b/src/slice_owner.cpp
@@ -0,0 +1,131 @@
+#include "slice_owner.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace bulrushway {
+namespace {
+
+// How often grants are renewed and changes of the map are taken over. Each time costs a pass over
+// the slices.
+constexpr std::chrono::milliseconds kRenewal{50};
+
+std::string SpaceName(const std::string& service, const slice_layout& layout, uint32_t partition) {
+  return partition == 0 ? service : service + "@" + layout.regions[partition - 1];
+}
+
+}  // namespace
+
+slice_place PlaceOf(const std::string& service, const slice_layout& layout, slice_number slice) {
+  const uint64_t number = slice % layout.slices_per_partition;
+  const uint64_t key = number * (uint64_t{kLastKey} + 1) / layout.slices_per_partition;
+  return {SpaceName(service, layout, PartitionOf(layout, slice)), static_cast<uint32_t>(key)};
+}
+
+void slice_owner::Begin(instant now, const slice_layout& layout) {
+  if (layout_) return;
+  layout_ = layout;
+  std::vector<key_space> spaces;
+  for (uint32_t partition = 0; partition < PartitionCount(layout); ++partition) {
+    if (!PartitionAllowed(layout, partition, region_)) continue;
+    partitions_.push_back(partition);
+    spaces.push_back({SpaceName(service_, layout, partition),
+                      partition == 0 ? std::string{} : layout.regions[partition - 1]});
+  }
+  members_.HoldKeysOf(now, spaces);
+}
+
+void slice_owner::Tick(instant now, target_condition condition) {
+  if (!layout_) return;
+  members_.SetTarget(now, condition, life_);
+  const bool leased = members_.Leased(now);
+  if (now < next_renewal_ && leased == leased_) return;
+  next_renewal_ = now + kRenewal;
+  leased_ = leased;
+  ++sequence_;
+  for (const uint32_t partition : partitions_) {
+    if (range_service* keys = members_.Find(SpaceName(service_, *layout_, partition))) {
+      Renew(now, *keys, partition);
+    }
+  }
+  TellChanges(now);
+}
+
+void slice_owner::Renew(instant now, range_service& keys, uint32_t partition) {
+  target_heartbeat own;
+  own.life = life_;
+  own.service = service_;
+  own.sequence = sequence_;
+  for (const slice_number slice : ports_.busy()) {
+    if (PartitionOf(*layout_, slice) != partition) continue;
+    const uint32_t key = PlaceOf(service_, *layout_, slice).key;
+    own.held.push_back({{key, key}, 0});
+  }
+  // All that is not busy can be given up at once.
+  own.released.push_back({{0, kLastKey}, {}});
+  keys.OnHeartbeat(now, own);
+}
+
+void slice_owner::TellChanges(instant now) {
+  std::map<slice_number, uint64_t> held;
+  std::vector<gained_slice> gained;
+  for (const uint32_t partition : partitions_) {
+    const range_service* keys = members_.Find(SpaceName(service_, *layout_, partition));
+    if (keys == nullptr || !keys->Leased(now)) continue;
+    const uint32_t first = partition * layout_->slices_per_partition;
+    for (uint32_t i = 0; i < layout_->slices_per_partition; ++i) {
+      const slice_number slice = first + i;
+      const uint32_t key = PlaceOf(service_, *layout_, slice).key;
+      const auto fence = keys->steward().Fence(now, key);
+      if (!fence) continue;
+      held.emplace(slice, *fence);
+      const auto known = held_.find(slice);
+      if (known != held_.end() && known->second == *fence) continue;
+      const owned_range* range = keys->steward().map().Find(key);
+      gained.push_back({slice, range == nullptr ? std::string{} : range->last_node});
+    }
+  }
+  std::vector<slice_number> lost;
+  for (const auto& [slice, fence] : held_) {
+    if (!held.contains(slice)) lost.push_back(slice);
+  }
+  const bool lapsed = !lost.empty() && !members_.Leased(now);
+  held_ = std::move(held);
+  if (!lost.empty()) ports_.lost(now, lost, lapsed);
+  if (!gained.empty()) ports_.gained(now, gained);
+}
+
+void slice_owner::OnRequest(instant now, slice_number slice) {
+  if (!layout_) return;
+  const slice_place place = PlaceOf(service_, *layout_, slice);
+  if (range_service* keys = members_.Find(place.space)) keys->OnRequest(now, place.key);
+}
+
+std::optional<uint64_t> slice_owner::Serves(instant now, slice_number slice) const {
+  // What was gained and not told yet is not served: its memory of requests has not been asked for.
+  const auto held = held_.find(slice);
+  if (held == held_.end()) return std::nullopt;
+  const slice_place place = PlaceOf(service_, *layout_, slice);
+  const range_service* keys = members_.Find(place.space);
+  if (keys == nullptr || !keys->Leased(now)) return std::nullopt;
+  const auto fence = keys->steward().Fence(now, place.key);
+  return fence == held->second ? fence : std::nullopt;
+}
+
+instant slice_owner::LeaseEnd(instant now) const {
+  instant end = instant::max();
+  for (const uint32_t partition : partitions_) {
+    const range_service* keys = members_.Find(SpaceName(service_, *layout_, partition));
+    if (keys != nullptr) end = std::min(end, keys->LeaseEnd(now));
+  }
+  return end;
+}
+
+bool slice_owner::Owns(slice_number slice) const {
+  if (!layout_) return false;
+  const slice_place place = PlaceOf(service_, *layout_, slice);
+  const range_service* keys = members_.Find(place.space);
+  return keys != nullptr && keys->steward().Owns(place.key);
+}
+
+}  // namespace bulrushway
--- a/src/table_service.h
+++ b/src/table_service.h
@@ -47,14 +47,14 @@
 /// under the same operation id.
 using commit_callback = std::function<void(result<void>)>;
 /// Called once with the rows found.
-using rows_callback = std::function<void(result<std::vector<table_row>>)>;
+using table_callback = std::function<void(result<std::vector<table_row>>)>;
 /// Called once with an object's bytes.
 using object_callback = std::function<void(result<std::string>)>;
 
 /// A transactional table.
 template <class Table>
 concept table_service = requires(Table table, transaction txn, std::string prefix,
-                                 commit_callback committed, rows_callback read) {
+                                 commit_callback committed, table_callback read) {
   { table.Commit(txn, committed) } -> std::same_as<void>;
   { table.ReadPrefix(prefix, read) } -> std::same_as<void>;
 };
--- a/standins/common/platform_server.h
+++ b/standins/common/platform_server.h
@@ -47,7 +47,7 @@
   void HandleData(const exchange& caller);
   http_answer Serve(const http_request& request, instant now);
   http_answer ServeTransaction(const http_request& request, instant now);
-  http_answer ServeRows(const http_request& request) const;
+  http_answer ServeRows(const http_request& request, instant now) const;
   http_answer ServeObject(const http_request& request);
   http_answer Stats(instant now);
   result<void> ListenForData();
--- a/standins/common/platform_store.h
+++ b/standins/common/platform_store.h
@@ -37,6 +37,8 @@
   commit_outcome Commit(const transaction& txn, instant now);
   /// Existing rows whose key begins with `prefix`, in the order of keys.
   std::vector<table_row> Rows(const std::string& prefix) const;
+  /// The row's version; 0 when there is no such row.
+  uint64_t VersionOf(const std::string& key) const;
   /// Stores an object; false when other bytes are stored under the name.
   bool Put(const std::string& name, const std::string& bytes);
   /// An object's bytes, or nullptr.
@@ -58,7 +60,6 @@
     instant at;
   };
 
-  uint64_t VersionOf(const std::string& key) const;
   commit_outcome Check(const transaction& txn) const;
   void Apply(const transaction& txn);
   void Forget(instant now);
