Move keys for a load that lasts, and by number only to idle owners

Ruled out: conflicts as the cause; each change was wished for by its own owner.

Change: relief needs a second of overload on end; an owner that has its share of the load is given none for having few keys.

--- a/src/range_steward.h
+++ b/src/range_steward.h
@@ -88,6 +88,9 @@
   std::chrono::milliseconds lease_check{400};
   /// Pause between two moves that only balance the number of keys.
   std::chrono::milliseconds balance_pause{3000};
+  /// An owner gives load away once it has had too much for this long: a target's pace changes
+  /// several times a second, and a move costs its keys about a second.
+  std::chrono::milliseconds relief_patience{1000};
   /// Pause between two moves that relieve an owner of load.
   std::chrono::milliseconds relief_pause{1500};
 };
@@ -165,6 +168,8 @@
                     bool& wants_leases);
   void StartReleases(instant now, const std::vector<range_candidate>& candidates);
   void StartBalancing(instant now, const std::vector<range_candidate>& candidates);
+  // Whether the node has its share of the load, however few keys it has.
+  static bool IsBusy(const std::vector<range_candidate>& candidates, const std::string& node);
   bool StartRelief(instant now, const std::vector<range_candidate>& candidates);
   void Release(instant now, const key_range& keys, const std::string& to);
   bool IsCoordinator(const std::vector<range_candidate>& candidates) const;
@@ -202,6 +207,8 @@
   bool leases_known_ = false;
   instant last_balance_{};
   instant last_relief_{};
+  // Since when this owner has had too much load.
+  std::optional<instant> busy_since_;
   key_heat heat_;
 };
 
--- a/src/range_steward_moves.cpp
+++ b/src/range_steward_moves.cpp
@@ -18,6 +18,9 @@
 constexpr double kBusyDemand = 0.75;
 // ... and when it has this many times the mean of all owners.
 constexpr double kMuchBusier = 1.35;
+// An owner with few keys is given more only if it has less than this many times the mean load: a
+// slow target has given its keys away for good reason.
+constexpr double kIdleDemand = 0.5;
 // Least load, as a share of the slots, that is worth a move.
 constexpr double kLeastGap = 0.03;
 
@@ -138,11 +141,23 @@
   if (StartRelief(now, candidates)) return;
   if (now - last_balance_ < settings_.balance_pause) return;
   const auto move = ChooseBalancingMove(map_, Self(), AcceptingOwners(candidates));
-  if (!move) return;
+  if (!move || IsBusy(candidates, move->to.node)) return;
   last_balance_ = now;
   Release(now, move->keys, move->to.node);
 }
 
+bool range_steward::IsBusy(const std::vector<range_candidate>& candidates,
+                           const std::string& node) {
+  double sum = 0;
+  double own = 0;
+  for (const range_candidate& one : candidates) {
+    if (one.alive && one.accepting) sum += one.demand;
+    if (one.node == node) own = one.demand;
+  }
+  const double mean = sum / static_cast<double>(std::max<size_t>(1, candidates.size()));
+  return own > kLeastGap && own > mean * kIdleDemand;
+}
+
 void range_steward::Release(instant now, const key_range& keys, const std::string& to) {
   const owned_range* range = map_.Find(keys.first);
   if (range == nullptr) return;
@@ -162,7 +177,12 @@
   }
   if (self == nullptr || count < 2 || self->cost <= 0) return false;
   const double mean = sum / static_cast<double>(count);
-  if (self->demand < kBusyDemand || self->demand < mean * kMuchBusier) return false;
+  if (self->demand < kBusyDemand || self->demand < mean * kMuchBusier) {
+    busy_since_.reset();
+    return false;
+  }
+  if (!busy_since_) busy_since_ = now;
+  if (now - *busy_since_ < settings_.relief_patience) return false;
 
   std::vector<relief_owner> owners;
   double surplus = self->demand - mean;
