Let the former owner of a key name the new one

Cause: after a move a request that came to the former owner waited for the feed to bring the map, and every process had to follow each change at once for that reason.

Change: a gate that refuses a key names its owner as the map of its steward has it; the router asks that one next, unless it has been asked already, and the next requests for the key go there until a map comes.

--- a/src/node.h
+++ b/src/node.h
@@ -119,6 +119,7 @@
   const range_service* OwnKeys() const { return members_.Find(settings_.service); }
   bool OwnServiceKeyed() const;
   std::pair<refusal_reason, std::chrono::milliseconds> WhyNotHeld(instant now, uint32_t key) const;
+  std::string OtherOwner(uint32_t key) const;
   bool DataCentreOut() const { return evacuated_.contains(settings_.data_centre); }
   void FinishStop(instant now);
   std::optional<std::chrono::milliseconds> UntilRestart(instant now) const;
--- a/src/node_peers.cpp
+++ b/src/node_peers.cpp
@@ -17,6 +17,13 @@
 
 }  // namespace
 
+std::string node::OtherOwner(uint32_t key) const {
+  const range_service* keys = OwnKeys();
+  const owned_range* range = keys == nullptr ? nullptr : keys->steward().map().Find(key);
+  if (range == nullptr || range->owner.node == settings_.name) return {};
+  return range->owner.node;
+}
+
 target_gate_ports node::GatePorts(node& self) {
   return {[&self] { return self.OwnServiceKeyed(); },
           [&self](instant now, uint32_t key) {
@@ -30,6 +37,7 @@
             if (range_service* keys = self.OwnKeys()) keys->OnNotHeld(now, key);
           },
           [&self](instant now, uint32_t key) { return self.WhyNotHeld(now, key); },
+          [&self](uint32_t key) { return self.OtherOwner(key); },
           [&self](instant) { return self.DataCentreOut(); },
           [&self](instant now) { self.TellSuspects(now); },
           self.ports_.parse_load};
--- a/src/peer_codec.cpp
+++ b/src/peer_codec.cpp
@@ -57,7 +57,7 @@
 }
 
 static auto Fields(auto& m, const dispatch_answer&) {
-  return std::tie(m.id, m.reason, m.state, m.offered, m.retry_after, m.work, m.target,
+  return std::tie(m.id, m.reason, m.state, m.offered, m.retry_after, m.owner, m.work, m.target,
                   m.answer.status, m.answer.headers, m.answer.body);
 }
 
--- a/src/peer_messages.h
+++ b/src/peer_messages.h
@@ -161,6 +161,8 @@
   bool offered = false;
   /// When the target is likely to have room; zero when unknown.
   std::chrono::milliseconds retry_after{0};
+  /// Node that owns the key, as the gate that does not knows it; empty when unknown.
+  std::string owner;
   /// Time that the target took.
   std::chrono::milliseconds work{0};
   /// The target's state after this request.
--- a/src/request_router.cpp
+++ b/src/request_router.cpp
@@ -148,7 +148,7 @@
     return ChooseTarget(now, fleet_.OfService(subject.service),
                         {subject.matched->home_regions, subject.tried, bytes}, rng_);
   }
-  const std::string owner = ports_.owner_of(subject.service, *subject.key);
+  const std::string owner = OwnerOf(subject);
   why_none = refusal_reason::kNoOwner;
   if (owner.empty()) return nullptr;
   const node_state* node = fleet_.Find(owner);
@@ -225,7 +225,7 @@
 }
 
 bool request_router::SendThroughRelay(instant now, const flight_ptr& subject) {
-  const node_state* owner = fleet_.Find(ports_.owner_of(subject->service, *subject->key));
+  const node_state* owner = fleet_.Find(OwnerOf(*subject));
   if (owner == nullptr || subject->tries >= kMostTries) return false;
   const node_state* relay = ChooseRelay(now, fleet_, *owner, subject->tried, rng_);
   if (relay == nullptr) return false;
@@ -315,6 +315,10 @@
                        answer.reason == refusal_reason::kOwnerUnreachable ||
                        answer.reason == refusal_reason::kTargetUnreachable;
     if (!again || !MayOfferAgain(*subject)) return GiveUp(now, subject, answer.reason);
+    const bool other_known =
+        subject->tries < kMostTries && fleet_.Find(answer.owner) != nullptr &&
+        owner_hints_.Learn(subject->service, *subject->key, answer.owner, subject->tried);
+    if (other_known) return Attempt(now, subject);
     const milliseconds wait = std::max(answer.retry_after, kOwnerRetry);
     if (now + wait + ExpectedWork(subject->matched->name) > subject->deadline) {
       return GiveUp(now, subject, answer.reason);
@@ -331,7 +335,13 @@
   parked_.emplace(now + wait, subject->id);
 }
 
+std::string request_router::OwnerOf(const flight& subject) const {
+  std::string named = owner_hints_.Find(subject.service, *subject.key);
+  return named.empty() ? ports_.owner_of(subject.service, *subject.key) : named;
+}
+
 void request_router::OnOwnersChanged(instant now) {
+  owner_hints_.Clear();
   std::multimap<instant, uint64_t> waiting;
   waiting.swap(parked_);
   for (const auto& [until, id] : waiting) {
--- a/src/request_router.h
+++ b/src/request_router.h
@@ -19,6 +19,7 @@
 #include "header_names.h"
 #include "http_server.h"
 #include "metrics.h"
+#include "owner_hints.h"
 #include "peer_mesh.h"
 #include "retry_budget.h"
 #include "route_table.h"
@@ -84,6 +85,8 @@
   dispatch_request MakeDispatch(instant now, const flight& subject, const node_state& to) const;
   void OnAnswer(instant now, const flight_ptr& subject, uint64_t attempt, const std::string& node,
                 dispatch_answer answer);
+  // The owner of the request's key, by the map or by what a gate has said since.
+  std::string OwnerOf(const flight& subject) const;
   void NoteExperience(const flight& subject, const dispatch_answer& answer);
   bool MayOfferAgain(flight& subject);
   void Park(instant now, const flight_ptr& subject, std::chrono::milliseconds wait);
@@ -109,6 +112,7 @@
   std::multimap<instant, uint64_t> deadlines_;
   std::multimap<instant, uint64_t> parked_;
   std::map<std::string, retry_budget> budgets_;
+  owner_hints owner_hints_;
   // What is learned of a route.
   struct route_experience {
     // Usual time of work, in milliseconds.
--- a/src/target_gate.cpp
+++ b/src/target_gate.cpp
@@ -311,6 +311,9 @@
   // Whatever the target says of a request that reached it, it has arrived there.
   result.offered = subject->arrived_at_target;
   result.retry_after = retry_after;
+  if (reason == refusal_reason::kNotOwner && subject->request.key) {
+    result.owner = ports_.other_owner(*subject->request.key);
+  }
   metrics_.CountRefusal(reason, state);
   log_.Write(
       "gate_refused",
--- a/src/target_gate.h
+++ b/src/target_gate.h
@@ -47,6 +47,8 @@
   /// Why the key is not held, and when that may change.
   std::function<std::pair<refusal_reason, std::chrono::milliseconds>(instant, uint32_t key)>
       why_not_held;
+  /// The node that owns a key that this one does not; empty when it is not known.
+  std::function<std::string(uint32_t key)> other_owner;
   /// Whether operators have taken the target's data centre out of service.
   std::function<bool(instant)> evacuated;
   /// The target crashed while requests were at it: peers should know which.
