Follow tables in steps while they change

Ruled out: leases (765 calls) and first reads (240).

Change: after an answer with changes the next call waits, 700 ms for members and 150 ms for the configuration; for owners 15 ms for each process, so that the calls of all stay below 70 a second.

--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -8,6 +8,14 @@
 
 // The processes' own table: one row for each, with its address.
 constexpr const char* kMemberTable = "members";
+// Processes start together: their rows are followed at this interval while they come.
+constexpr std::chrono::milliseconds kMemberPause{700};
+// Owners are followed closely, since requests for keys that have moved are refused where they were.
+// Every process follows every change, so that the calls of all grow with the square of the fleet
+// unless the pause grows with it: by this for each process, which is 65 calls a second at most in
+// all.
+constexpr std::chrono::milliseconds kOwnerPause{150};
+constexpr std::chrono::milliseconds kOwnerPausePerMember{15};
 // Wait before the announcement of this process is repeated.
 constexpr std::chrono::milliseconds kAnnounceRetry{500};
 
@@ -26,14 +34,20 @@
       fleet_(fleet),
       settings_(std::move(settings)),
       events_(std::move(events)),
-      member_rows_(loop, log, store, kMemberTable,
-                   [this](instant now, instant, const std::vector<stored_row>& rows) {
-                     OnMemberRows(now, rows);
-                   }),
-      key_map_rows_(loop, log, store, kKeyMapTable,
-                    [this](instant now, instant began, const std::vector<stored_row>& rows) {
-                      OnKeyMapRows(now, began, rows);
-                    }),
+      member_rows_(
+          loop, log, store, kMemberTable, [] { return kMemberPause; },
+          [this](instant now, instant, const std::vector<stored_row>& rows) {
+            OnMemberRows(now, rows);
+          }),
+      key_map_rows_(
+          loop, log, store, kKeyMapTable,
+          [this] {
+            const auto members = static_cast<int64_t>(fleet_.nodes().size());
+            return std::max(kOwnerPause, kOwnerPausePerMember * members);
+          },
+          [this](instant now, instant began, const std::vector<stored_row>& rows) {
+            OnKeyMapRows(now, began, rows);
+          }),
       announce_retry_(loop, [this](instant) { Announce(); }) {}
 
 void membership::Start(instant now) {
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -10,6 +10,8 @@
 
 using std::chrono::milliseconds;
 
+// Versions of the configuration that come in quick succession are taken over at this interval.
+constexpr milliseconds kOperatorPause{150};
 // How often waiting requests and connections are looked at.
 constexpr milliseconds kTickInterval{25};
 // Share of the permitted extra arrivals that this process uses: processes see different shares of
@@ -74,10 +76,11 @@
                 settings_.ip,
                 settings_.longest_grant},
                MemberEvents(*this)),
-      operator_rows_(loop, log_, ports_.store, ports_.operator_table,
-                     [this](instant now, instant, const std::vector<stored_row>& rows) {
-                       for (const stored_row& row : rows) ports_.operator_row(now, row);
-                     }),
+      operator_rows_(
+          loop, log_, ports_.store, ports_.operator_table, [] { return kOperatorPause; },
+          [this](instant now, instant, const std::vector<stored_row>& rows) {
+            for (const stored_row& row : rows) ports_.operator_row(now, row);
+          }),
       tick_(loop, [this](instant now) { Tick(now); }) {}
 
 result<void> node::Start(instant now) {
--- a/src/table_follower.cpp
+++ b/src/table_follower.cpp
@@ -13,12 +13,14 @@
 }  // namespace
 
 table_follower::table_follower(event_loop& loop, decision_log& log, const row_store& store,
-                               std::string table, handler changed)
+                               std::string table, pause_function pause, handler changed)
     : log_(log),
       store_(store),
       table_(std::move(table)),
+      pause_(std::move(pause)),
       changed_(std::move(changed)),
-      retry_(loop, [this](instant now) { Read(now); }) {}
+      retry_(loop, [this](instant now) { Read(now); }),
+      next_watch_(loop, [this](instant now) { Watch(now); }) {}
 
 void table_follower::Start(instant now) { Read(now); }
 
@@ -27,6 +29,7 @@
 void table_follower::Read(instant now) {
   if (reading_) return;
   reading_ = true;
+  next_watch_.Cancel();
   ++epoch_;
   store_.read(table_, [this, now](instant answered, result<row_snapshot> outcome) {
     OnRead(answered, now, std::move(outcome));
@@ -59,7 +62,7 @@
     changes.push_back({{table_, key}, {}, outcome->version, true});
   }
   Apply(now, began, std::move(changes));
-  Watch(now);
+  next_watch_.Once(pause_());
 }
 
 void table_follower::Watch(instant now) {
@@ -82,8 +85,10 @@
   }
   Note(true, {});
   version_ = std::max(version_, outcome->version);
+  const bool changed = !outcome->rows.empty();
   Apply(now, began, std::move(outcome->rows));
-  Watch(now);
+  if (!changed) return Watch(now);
+  next_watch_.Once(pause_());
 }
 
 void table_follower::Apply(instant now, instant began, std::vector<stored_row> changes) {
--- a/src/table_follower.h
+++ b/src/table_follower.h
@@ -4,6 +4,7 @@
 // Keeps a copy of one table of the platform's store: reads it once, then waits for changes. When
 // the store has forgotten the history, or does not answer, it reads anew.
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -22,8 +23,13 @@
   using handler =
       std::function<void(instant now, instant began, const std::vector<stored_row>& changes)>;
 
+  using pause_function = std::function<std::chrono::milliseconds()>;
+
+  /// After changes have come, the next call waits for as long as `pause` says, so that a burst of
+  /// changes costs each process few calls and not one for each change: all processes follow, and
+  /// every call is paid for.
   table_follower(event_loop& loop, decision_log& log, const row_store& store, std::string table,
-                 handler changed);
+                 pause_function pause, handler changed);
 
   /// Begins to follow.
   void Start(instant now);
@@ -47,8 +53,10 @@
   decision_log& log_;
   const row_store& store_;
   std::string table_;
+  pause_function pause_;
   handler changed_;
   timer retry_;
+  timer next_watch_;
   // Rows as last seen, with their versions, to tell what a new read has changed.
   std::map<std::string, uint64_t> versions_;
   uint64_t version_ = 0;
--- /dev/null
+++ b/test/correctness/fleet_growth_test.cpp
@@ -0,0 +1,129 @@
+// What a process does each second does not grow with the fleet: reports to peers, and calls of the
+// store when many rows change at once.
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <boost/test/unit_test.hpp>
+
+#include "delayed_calls.h"
+#include "owner_hints.h"
+#include "peer_mesh.h"
+#include "table_follower.h"
+
+namespace bulrushway {
+namespace {
+
+using std::chrono::milliseconds;
+
+// A store whose table gets a row every two milliseconds, and whose feed answers each change at
+// once.
+struct busy_store {
+  explicit busy_store(event_loop& loop) : later(loop) {
+    rows.read = [this](const std::string&, rows_callback done) {
+      later.At(boot_clock::now(), [this, done = std::move(done)](instant now) {
+        done(now, row_snapshot{{}, version, store_time{0}});
+      });
+    };
+    rows.watch = [this](const std::string&, uint64_t after, const rows_callback& done) {
+      ++watches;
+      waiting = [this, after, done](instant now) {
+        row_snapshot answer;
+        answer.version = version;
+        for (uint64_t v = after + 1; v <= version; ++v) {
+          answer.rows.push_back({{"members", "node-" + std::to_string(v)}, "x", v, false});
+        }
+        done(now, std::move(answer));
+      };
+      if (version > after) Tell();
+    };
+  }
+
+  void Write() {
+    ++version;
+    Tell();
+  }
+
+  void Tell() {
+    if (!waiting) return;
+    later.At(boot_clock::now(),
+             [answer = std::exchange(waiting, nullptr)](instant now) { answer(now); });
+  }
+
+  delayed_calls later;
+  row_store rows;
+  uint64_t version = 0;
+  int watches = 0;
+  std::function<void(instant)> waiting;
+};
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(in_a_fleet_of_any_size)
+
+BOOST_AUTO_TEST_CASE(a_process_sends_a_bounded_number_of_reports) {
+  for (const size_t peers : {5U, 14U, 78U, 299U, 2177U}) {
+    for (const auto locality : {node_locality::kDataCentre, node_locality::kRemote}) {
+      const milliseconds interval = ReportInterval(locality, peers);
+      const double reports =
+          static_cast<double>(peers) * 1000 / static_cast<double>(interval.count());
+      BOOST_TEST(reports <= 81);
+    }
+  }
+  // Fleets for which there is room tell their load often.
+  BOOST_TEST((ReportInterval(node_locality::kDataCentre, 14) == milliseconds{200}));
+  BOOST_TEST((ReportInterval(node_locality::kRemote, 14) == milliseconds{500}));
+}
+
+BOOST_AUTO_TEST_CASE(many_changes_at_once_cost_few_calls_of_the_store) {
+  event_loop loop;
+  decision_log log(loop, "n", open("/dev/null", O_WRONLY));
+  busy_store store(loop);
+  size_t heard = 0;
+  table_follower follower(
+      loop, log, store.rows, "members", [] { return milliseconds{50}; },
+      [&heard](instant, instant, const std::vector<stored_row>& changes) {
+        heard += changes.size();
+      });
+  follower.Start(boot_clock::now());
+  constexpr uint64_t kRows = 79;
+  timer writes(loop, [&store](instant) {
+    if (store.version < kRows) store.Write();
+  });
+  writes.Every(milliseconds{2});
+  timer end(loop, [&loop](instant) { loop.Stop(); });
+  end.Once(milliseconds{600});
+  loop.Run();
+  BOOST_TEST(heard == kRows);
+  // 79 rows come within 160 ms or little more, and a call is made every 50 ms while they do.
+  BOOST_TEST(store.watches < 20);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(a_key_that_has_moved)
+
+BOOST_AUTO_TEST_CASE(is_asked_for_at_the_owner_that_the_former_one_names) {
+  owner_hints hints;
+  BOOST_TEST(hints.Learn("druck", 7, "b", {"a"}));
+  BOOST_TEST(hints.Find("druck", 7) == "b");
+  BOOST_TEST(hints.Find("druck", 8).empty());
+  BOOST_TEST(hints.Find("auskunft", 7).empty());
+}
+
+BOOST_AUTO_TEST_CASE(is_not_sent_to_and_fro_between_nodes_that_name_each_other) {
+  owner_hints hints;
+  BOOST_TEST(hints.Learn("druck", 7, "b", {"a"}));
+  BOOST_TEST(!hints.Learn("druck", 7, "a", {"a", "b"}));
+  BOOST_TEST(!hints.Learn("druck", 7, "", {"a"}));
+}
+
+BOOST_AUTO_TEST_CASE(is_looked_up_in_the_map_again_when_that_has_come) {
+  owner_hints hints;
+  BOOST_TEST(hints.Learn("druck", 7, "b", {}));
+  hints.Clear();
+  BOOST_TEST(hints.Find("druck", 7).empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace bulrushway
