Move keys for the link as well as for slots

Cause: on the grown site four of 17 owners lost their connections again and again (668 of 1,109 "reports are not receipted"): photos of 90 kB fill their links of 13 Mbit/s, while their slots have room, so that no key moved.

Ruled out: processor time, 0.02 of a core there.

Change: the machine's link comes with the settings (deploy/node.ini); a gate knows the usual size of its answers, and an owner's load is that of its slots or of its link, whichever is scarcer. An owner that needs more than it has gives away at 1.15 times the mean already.

--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -141,7 +141,9 @@
     one.leased = each->report.leased;
     one.accepting = each->Usable() && each->report.leased;
     const target_report& target = each->report.target;
-    one.cost = Seconds(target.usual_work) / std::max(1U, target.slots);
+    // A request takes a slot, and its answer the link: whichever is scarcer counts.
+    one.cost = std::max(Seconds(target.usual_work) / std::max(1U, target.slots),
+                        Seconds(target.link_time));
     constexpr double kThousandths = 1000;
     one.demand = target.key_request_millirate / kThousandths * one.cost;
     candidates.push_back(std::move(one));
--- a/src/node.h
+++ b/src/node.h
@@ -55,6 +55,8 @@
   std::chrono::milliseconds longest_grant{10'000};
   /// Extra arrivals at targets that all processes may cause, as a share of requests.
   double retry_share = 0.2;
+  /// What the machine's link carries each way; 0: unknown, taken for ample.
+  double link_bytes_per_second = 0;
   /// Requests per second that a cold target bears beyond its rate, in all.
   double cold_slack = 5;
   header_names headers;
--- a/src/peer_codec.cpp
+++ b/src/peer_codec.cpp
@@ -38,7 +38,8 @@
 
 static auto Fields(auto& m, const target_report&) {
   return std::tie(m.life, m.service, m.accepting, m.evacuated, m.cold, m.slots, m.running,
-                  m.waiting, m.usual_work, m.pace_percent, m.key_request_millirate, m.cold_rate);
+                  m.waiting, m.usual_work, m.link_time, m.pace_percent, m.key_request_millirate,
+                  m.cold_rate);
 }
 
 static auto Fields(auto& m, const node_report&) {
--- a/src/peer_messages.h
+++ b/src/peer_messages.h
@@ -79,6 +79,8 @@
   uint32_t waiting = 0;
   /// Usual time that a request holds a slot.
   std::chrono::milliseconds usual_work{0};
+  /// Time for which an answer usually occupies the link of the target's machine.
+  std::chrono::microseconds link_time{0};
   /// How long work takes on the target's machine at this moment, in percent of the usual.
   uint32_t pace_percent = 100;
   /// Requests per second for the target's keys, in thousandths.
--- a/src/range_steward_moves.cpp
+++ b/src/range_steward_moves.cpp
@@ -18,6 +18,8 @@
 constexpr double kBusyDemand = 0.75;
 // ... and when it has this many times the mean of all owners.
 constexpr double kMuchBusier = 1.35;
+// The same for an owner that cannot keep up: its requests wait longer the longer it stays so.
+constexpr double kOverloadedBusier = 1.15;
 // An owner with few keys is given more only if it has less than this many times the mean load: a
 // slow target has given its keys away for good reason.
 constexpr double kIdleDemand = 0.5;
@@ -177,7 +179,8 @@
   }
   if (self == nullptr || count < 2 || self->cost <= 0) return false;
   const double mean = sum / static_cast<double>(count);
-  if (self->demand < kBusyDemand || self->demand < mean * kMuchBusier) {
+  const double much = self->demand > 1 ? kOverloadedBusier : kMuchBusier;
+  if (self->demand < kBusyDemand || self->demand < mean * much) {
     busy_since_.reset();
     return false;
   }
--- a/src/target_gate.cpp
+++ b/src/target_gate.cpp
@@ -13,6 +13,11 @@
 
 // Connections of the target that stay unused: those being closed still count at its end.
 constexpr uint32_t kSpareConnections = 4;
+// Weight of a new answer in their usual size: sizes differ much, so that the last fifty count.
+constexpr double kBytesWeight = 0.02;
+// Share of the machine's link that its target's answers may fill: the rest is for the answers to
+// its own callers, for reports, and for bursts.
+constexpr double kLinkShare = 0.75;
 // An answer that takes this much longer than the caller waits is not waited for.
 constexpr milliseconds kAnswerSlack{5};
 
@@ -196,6 +201,7 @@
   EndWork(now, subject, work);
   poison_.OnAnswered(subject->fingerprint, now);
   work_latency_.Add(work);
+  answer_bytes_ += kBytesWeight * (static_cast<double>(answer.body.size()) - answer_bytes_);
   // A success without the target's signature, or with an encoding that nobody asked for, is not
   // what the target made.
   const bool damaged =
@@ -347,6 +353,11 @@
   report.running = queue_.Running();
   report.waiting = static_cast<uint32_t>(queue_.Waiting());
   report.usual_work = queue_.UsualWork();
+  if (settings_.link_bytes_per_second > 0) {
+    const std::chrono::duration<double> on_link(answer_bytes_ /
+                                                (settings_.link_bytes_per_second * kLinkShare));
+    report.link_time = duration_cast<std::chrono::microseconds>(on_link);
+  }
   report.pace_percent = pace_percent_;
   report.cold_rate = static_cast<uint32_t>(cold_rate_);
   return report;
--- a/src/target_gate.h
+++ b/src/target_gate.h
@@ -63,6 +63,8 @@
   std::string service;
   std::string region;
   header_names headers;
+  /// What the machine's link carries each way; 0: unknown, taken for ample.
+  double link_bytes_per_second = 0;
 };
 
 /// Hands requests to one target.
@@ -129,6 +131,8 @@
   target_life last_life_;
   double cold_rate_ = 0;
   uint32_t pace_percent_ = 100;
+  // Usual bytes of an answer.
+  double answer_bytes_ = 0;
   ticket next_ticket_ = 1;
   std::map<ticket, job_ptr> jobs_;
   std::map<ticket, job_ptr> running_;
--- a/test/correctness/key_relief_test.cpp
+++ b/test/correctness/key_relief_test.cpp
@@ -71,6 +71,12 @@
   BOOST_TEST(GivesWithin(milliseconds{2000}, 1.5, 0.3));
 }
 
+BOOST_AUTO_TEST_CASE(that_cannot_keep_up_gives_keys_away_though_all_are_busy) {
+  Divide(kLastKey / 2);
+  BOOST_TEST(!GivesWithin(milliseconds{2000}, 0.95, 0.75));
+  BOOST_TEST(GivesWithin(milliseconds{2000}, 1.4, 0.9));
+}
+
 BOOST_AUTO_TEST_CASE(gives_none_by_number_to_a_slow_target_that_has_its_share_of_the_load) {
   Divide(kLastKey / 5 * 4);
   BOOST_TEST(!GivesWithin(milliseconds{5000}, 0.6, 0.6));
--- a/test/correctness/platform_messages_test.cpp
+++ b/test/correctness/platform_messages_test.cpp
@@ -193,6 +193,14 @@
     BOOST_TEST((good->node.drain_limit == milliseconds(2500)));
     BOOST_TEST(good->node.peers.port == 5);
     BOOST_TEST(good->node.metrics.port == 7);
+    BOOST_TEST(good->node.link_bytes_per_second == 0);
+
+    BOOST_TEST_CONTEXT("with the speed of the link, where it is known") {
+      const auto known =
+          ParseProcessSettings("node.ini", right + "[machine]\nlink_mbit_per_second = 13.0\n");
+      BOOST_REQUIRE(known.has_value());
+      BOOST_TEST(known->node.link_bytes_per_second == 1'625'000);
+    }
   }
 }
 
