--- a/src/configuration_service.cpp
+++ b/src/configuration_service.cpp
@@ -137,8 +137,8 @@
 void configuration_service::Perform(instant, const publish_head& action) {
   // Those who were told by a peer do not tell others: whoever read it from the platform tells all.
   if (action.head.version != polled_version_) return;
-  const configuration_notice notice{Encode(action.head)};
-  peers_.SendToAll([&notice](const node_state&) { return notice; });
+  const std::string head = Encode(action.head);
+  peers_.SendToAll([&head](const node_state&) { return configuration_notice{head}; });
 }
 
 void configuration_service::Perform(instant, const report_event& action) {
