--- a/src/entry.h
+++ b/src/entry.h
@@ -48,8 +48,6 @@
   std::function<bool(const dispatch_request&)> idempotent_route;
   /// Whether the rules allow new work at the member.
   std::function<bool(instant, const node_state&)> may_use;
-  /// Version of the configuration in force.
-  std::function<uint64_t()> configuration_version;
   /// The node that owns a slice; empty while nobody does.
   std::function<std::string(const std::string& service, uint32_t slice)> owner_of;
   /// A gate says that it does not own a slice that it was believed to own.
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -91,14 +91,14 @@
 }
 
 range_service* membership::Find(const std::string& space) {
-  for (held_space& held : held_) {
-    if (held.space.name == space) return held.ranges.get();
-  }
-  return nullptr;
+  return const_cast<range_service*>(std::as_const(*this).Find(space));
 }
 
 const range_service* membership::Find(const std::string& space) const {
-  return const_cast<membership*>(this)->Find(space);
+  const auto found = std::find_if(held_.begin(), held_.end(), [&space](const held_space& held) {
+    return held.space.name == space;
+  });
+  return found == held_.end() ? nullptr : found->ranges.get();
 }
 
 bool membership::Leased(instant now) const {
@@ -119,14 +119,10 @@
   });
 }
 
-const key_map* membership::MapOf(const std::string& space) const {
-  const auto found = key_maps_.find(space);
-  return found == key_maps_.end() ? nullptr : &found->second;
-}
-
 std::string membership::OwnerOf(const std::string& space, uint32_t key) const {
-  const key_map* map = MapOf(space);
-  const owned_range* range = map == nullptr ? nullptr : map->Find(key);
+  const auto map = key_maps_.find(space);
+  if (map == key_maps_.end()) return {};
+  const owned_range* range = map->second.Find(key);
   return range == nullptr ? std::string{} : range->owner.node;
 }
 
--- a/src/membership.h
+++ b/src/membership.h
@@ -64,8 +64,6 @@
   /// The state of the target beside this process.
   void SetTarget(instant now, target_condition condition, const target_life& life);
 
-  /// Whether the target may own keys at all.
-  bool HoldsKeys() const { return !held_.empty(); }
   /// The steward of the space's keys; null when the target may own none of them.
   range_service* Find(const std::string& space);
   const range_service* Find(const std::string& space) const;
@@ -76,9 +74,7 @@
   /// Whether no key is assigned to this node.
   bool OwnsNothing() const;
 
-  /// The map of owners as last heard; null while there is none.
-  const key_map* MapOf(const std::string& space) const;
-  /// The node that owns the key; empty while nobody does.
+  /// The node that owns the key, by the map as last heard; empty while nobody does.
   std::string OwnerOf(const std::string& space, uint32_t key) const;
   /// What peers know is read at once, in case that the feeds have gone silent.
   void RefreshMembers(instant now) { member_rows_.Refresh(now); }
@@ -91,7 +87,7 @@
   };
 
   void Announce();
-  // Another process that runs under the name of this node shows in its row.
+  // Another process under the name of this node shows in its row.
   void CheckOwnRow(const stored_row& row);
   void OnMemberRows(instant now, const std::vector<stored_row>& rows);
   void OnKeyMapRows(instant now, instant began, const std::vector<stored_row>& rows);
