--- a/test/correctness/key_relief_test.cpp
+++ b/test/correctness/key_relief_test.cpp
@@ -10,6 +10,11 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kTick{25};
+constexpr double kTickSeconds = 0.025;
+// Share of the target that one request per second keeps busy.
+constexpr double kCost = 0.01;
+// Odd, so that all keys have their turn.
+constexpr uint32_t kStride = 7919;
 
 struct two_owners {
   two_owners() : steward(Settings(), now) {
@@ -25,7 +30,8 @@
   }
 
   // Keys below `first_of_b` belong to a, the others to b.
-  void Divide(uint32_t first_of_b) {
+  void Divide(uint32_t first) {
+    first_of_b = first;
     key_map map = DealEvenly({{"a", life}}, 1);
     Reassign(map, {first_of_b, kLastKey}, {"b", {"tb", 1}}, {});
     steward.OnMap(now, map, 1);
@@ -38,10 +44,14 @@
   // Lets time pass under these loads; true as soon as keys are being given away.
   bool GivesWithin(milliseconds time, double demand_a, double demand_b) {
     for (const instant end = now + time; now < end; now += kTick) {
-      for (uint32_t key = 0; key < kLastKey; key += 512) steward.OnRequest(now, key);
+      // As many requests as this demand means, spread over the keys of a.
+      for (due += demand_a / kCost * kTickSeconds; due >= 1; due -= 1) {
+        steward.OnRequest(now, next_key);
+        next_key = (next_key + kStride) % first_of_b;
+      }
       const std::vector<range_candidate> candidates = {
-          {"a", life, true, true, true, demand_a, 0.01},
-          {"b", {"tb", 1}, true, true, true, demand_b, 0.01}};
+          {"a", life, true, true, true, demand_a, kCost},
+          {"b", {"tb", 1}, true, true, true, demand_b, kCost}};
       steward.Next(now, candidates, true);
       if (steward.Releasing()) return true;
     }
@@ -49,6 +59,9 @@
   }
 
   instant now{std::chrono::hours{1}};
+  uint32_t first_of_b = 0;
+  uint32_t next_key = 0;
+  double due = 0;
   target_life life{"ta", 1};
   range_steward steward;
 };
