--- a/src/ctl_fleet.cpp
+++ b/src/ctl_fleet.cpp
@@ -1,10 +1,7 @@
 // Verbs that ask the nodes: status, owner, events, metrics, quarantine. Each asks every node that
 // is known and reports those that do not answer.
-#include <event2/http.h>
-
 #include <algorithm>
 #include <cstdio>
-#include <cstdlib>
 #include <map>
 #include <nlohmann/json.hpp>
 
@@ -17,13 +14,6 @@
 
 using json = nlohmann::json;
 
-std::string Encoded(const std::string& text) {
-  char* encoded = evhttp_uriencode(text.c_str(), static_cast<ev_ssize_t>(text.size()), 0);
-  std::string copy = encoded;
-  std::free(encoded);
-  return copy;
-}
-
 std::string Padded(std::string text, size_t width) {
   text.resize(std::max(text.size() + 1, width), ' ');
   return text;
@@ -132,7 +122,7 @@
 ctl_exit ReleaseQuarantine(ctl_session& session, const std::string& fingerprint) {
   std::vector<std::string> released;
   const ctl_exit outcome =
-      AskFleet(session, {"POST", "/-/quarantine?release=" + Encoded(fingerprint), {}, {}},
+      AskFleet(session, {"POST", "/-/quarantine?release=" + EncodeComponent(fingerprint), {}, {}},
                [&](const node_status& node, const http_answer& answer) {
                  if (answer.status == 200) released.push_back(node.node);
                });
@@ -165,9 +155,9 @@
 }
 
 ctl_exit CtlOwner(ctl_session& session, const ctl_arguments& arguments) {
-  const std::string query = "/-/owner?service=" + Encoded(arguments[0]) +
-                            "&key=" + Encoded(arguments[1]) +
-                            "&tenant=" + Encoded(session.options().tenant);
+  const std::string query = "/-/owner?service=" + EncodeComponent(arguments[0]) +
+                            "&key=" + EncodeComponent(arguments[1]) +
+                            "&tenant=" + EncodeComponent(session.options().tenant);
   std::map<std::string, std::vector<std::string>> told;
   std::string refusal;
   const ctl_exit outcome = AskFleet(
--- a/src/http_message.cpp
+++ b/src/http_message.cpp
@@ -4,6 +4,8 @@
 #include <event2/keyvalq_struct.h>
 #include <strings.h>
 
+#include <cctype>
+
 namespace bulrushway {
 
 std::string FindHeader(const header_list& headers, const std::string& name) {
@@ -15,6 +17,21 @@
 
 std::string PathOf(const std::string& target) { return target.substr(0, target.find('?')); }
 
+std::string EncodeComponent(const std::string& text) {
+  static constexpr char kHex[] = "0123456789ABCDEF";
+  std::string encoded;
+  for (const unsigned char c : text) {
+    if (std::isalnum(c) != 0 || c == '-' || c == '_' || c == '.' || c == '~') {
+      encoded += static_cast<char>(c);
+      continue;
+    }
+    encoded += '%';
+    encoded += kHex[c >> 4];
+    encoded += kHex[c & 0xf];
+  }
+  return encoded;
+}
+
 std::string QueryValue(const std::string& target, const std::string& name) {
   const size_t mark = target.find('?');
   if (mark == std::string::npos) return {};
--- a/src/http_table_service.cpp
+++ b/src/http_table_service.cpp
@@ -1,8 +1,5 @@
 #include "http_table_service.h"
 
-#include <event2/http.h>
-
-#include <cstdlib>
 #include <nlohmann/json.hpp>
 
 namespace bulrushway {
@@ -14,13 +11,6 @@
 // Nothing listens there.
 const socket_address kNowhere{"127.0.0.1", 1};
 
-std::string EncodeComponent(const std::string& text) {
-  char* encoded = evhttp_uriencode(text.c_str(), static_cast<ev_ssize_t>(text.size()), 0);
-  std::string copy = encoded;
-  std::free(encoded);
-  return copy;
-}
-
 json ToJson(const transaction& txn) {
   json conditions = json::array();
   for (const auto& condition : txn.conditions) {
