One question whether home regions allow a region

Cause: the same test for a request without or with home regions stood in six files. Change: AllowsRegion in home_regions.h; behaviour is the same.

--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -7,6 +7,8 @@
 #include <random>
 #include <utility>
 
+#include "home_regions.h"
+
 namespace bulrushway {
 namespace {
 
@@ -179,8 +181,7 @@
   if (request.service != settings_.node.service) {
     return gate_refusal{refusal_reason::kUnknownService, {}};
   }
-  const auto homes = rules_.HomeRegions(request);
-  if (!homes.empty() && std::ranges::find(homes, settings_.node.region) == homes.end()) {
+  if (!AllowsRegion(rules_.HomeRegions(request), settings_.node.region)) {
     return gate_refusal{refusal_reason::kHomeRegion, {}};
   }
   // A keyed process that leaves still serves the slices that it has not yet given away.
--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "home_regions.h"
+
 namespace bulrushway {
 namespace {
 
@@ -175,8 +177,7 @@
   }
   if (ports_.idempotent_route(request)) request.idempotent = true;
   subject->home_regions = ports_.home_regions(request);
-  const auto& homes = subject->home_regions;
-  if (!homes.empty() && std::ranges::find(homes, settings_.place.region) == homes.end()) {
+  if (!AllowsRegion(subject->home_regions, settings_.place.region)) {
     return refuse(refusal_reason::kHomeRegion,
                   "The request is bound to other regions; send it there.");
   }
--- a/src/poison_registry.cpp
+++ b/src/poison_registry.cpp
@@ -5,6 +5,8 @@
 
 #include <algorithm>
 
+#include "home_regions.h"
+
 namespace bulrushway {
 namespace {
 
@@ -12,11 +14,6 @@
   return XXH3_64bits_withSeed(part.data(), part.size(), seed + part.size());
 }
 
-bool MayKnow(const std::vector<std::string>& home_regions, std::string_view region) {
-  if (home_regions.empty()) return true;
-  return std::find(home_regions.begin(), home_regions.end(), region) != home_regions.end();
-}
-
 }  // namespace
 
 request_fingerprint MakeRequestFingerprint(std::string_view service, std::string_view route,
@@ -100,7 +97,7 @@
   Expire(now);
   std::vector<poison_entry> entries;
   for (const auto& [fingerprint, known] : records_) {
-    if (!MayKnow(known.home_regions, region)) continue;
+    if (!AllowsRegion(known.home_regions, region)) continue;
     entries.push_back(
         {fingerprint, known.crashes, known.release, known.expires - now, known.home_regions});
   }
--- a/src/request_router.cpp
+++ b/src/request_router.cpp
@@ -5,6 +5,7 @@
 #include <cmath>
 #include <utility>
 
+#include "home_regions.h"
 #include "request_flight.h"
 #include "target_choice.h"
 
@@ -154,8 +155,7 @@
   const node_state* node = fleet_.Find(owner);
   why_none = refusal_reason::kOwnerUnreachable;
   if (node == nullptr || !node->reachable || !node->reported) return nullptr;
-  const auto& homes = subject.matched->home_regions;
-  if (!homes.empty() && std::find(homes.begin(), homes.end(), node->member.region) == homes.end()) {
+  if (!AllowsRegion(subject.matched->home_regions, node->member.region)) {
     why_none = refusal_reason::kHomeRegion;
     return nullptr;
   }
--- a/src/target_choice.cpp
+++ b/src/target_choice.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "home_regions.h"
+
 namespace bulrushway {
 namespace {
 
@@ -28,10 +30,7 @@
 
 bool Allowed(instant now, const node_state& node, const choice_request& request) {
   if (!node.Usable() || now < node.avoid_until) return false;
-  const auto& homes = request.home_regions;
-  if (!homes.empty() && std::find(homes.begin(), homes.end(), node.member.region) == homes.end()) {
-    return false;
-  }
+  if (!AllowsRegion(request.home_regions, node.member.region)) return false;
   const auto& tried = request.tried;
   return std::find(tried.begin(), tried.end(), node.member.node) == tried.end();
 }
--- a/src/target_gate.cpp
+++ b/src/target_gate.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "home_regions.h"
 #include "http_parser.h"
 
 namespace bulrushway {
@@ -66,8 +67,7 @@
     instant now, const dispatch_request& request) const {
   using refused = std::pair<refusal_reason, milliseconds>;
   if (request.service != settings_.service) return refused{refusal_reason::kNoTarget, 0};
-  const auto& homes = request.home_regions;
-  if (!homes.empty() && std::find(homes.begin(), homes.end(), settings_.region) == homes.end()) {
+  if (!AllowsRegion(request.home_regions, settings_.region)) {
     return refused{refusal_reason::kHomeRegion, 0};
   }
   if (ports_.evacuated(now)) return refused{refusal_reason::kDataCentreOut, 0};
