One map of peers' requests under way

Cause: node (twice) and daemon kept tickets by connection and number, each with its own search, removal and loop over a lost connection. Change: peer_request_map serves all three; behaviour is the same.

--- a/src/daemon.h
+++ b/src/daemon.h
@@ -25,6 +25,7 @@
 #include "membership.h"
 #include "metrics.h"
 #include "peer_mesh.h"
+#include "peer_request_map.h"
 #include "rules_view.h"
 #include "slice_owner.h"
 #include "table_row_store.h"
@@ -120,8 +121,8 @@
   callers_service callers_{this};
   peers_service peers_{this};
   timer tick_;
-  // Requests of peers at the gate: by connection and the peer's number.
-  std::map<std::pair<connection_id, uint64_t>, gate::ticket> incoming_;
+  // Requests of peers at the gate.
+  peer_request_map<gate::ticket> incoming_;
   std::set<std::string> dropped_;
   bool faults_allowed_ = false;
   http_client probe_client_;
--- a/src/daemon_peers.cpp
+++ b/src/daemon_peers.cpp
@@ -34,30 +34,20 @@
   const gate::ticket ticket =
       gate_.Handle(now, std::move(request), [this, from, id, answered](dispatch_answer answer) {
         *answered = true;
-        incoming_.erase({from, id});
+        incoming_.Remove({from, id});
         answer.id = id;
         mesh_.Answer(from, answer);
       });
-  if (!*answered) incoming_[{from, id}] = ticket;
+  if (!*answered) incoming_.Add({from, id}, ticket);
 }
 
 void daemon::OnPeerCancelled(instant now, connection_id from, uint64_t id) {
-  const auto found = incoming_.find({from, id});
-  if (found == incoming_.end()) return;
-  const gate::ticket ticket = found->second;
-  incoming_.erase(found);
-  gate_.Cancel(now, ticket);
+  if (const auto ticket = incoming_.Take({from, id})) gate_.Cancel(now, *ticket);
 }
 
 void daemon::OnPeerGone(instant now, connection_id from) {
   // Nobody is left to take the answers of these requests.
-  std::vector<gate::ticket> orphans;
-  for (auto it = incoming_.lower_bound({from, 0});
-       it != incoming_.end() && it->first.first == from;) {
-    orphans.push_back(it->second);
-    it = incoming_.erase(it);
-  }
-  for (const gate::ticket ticket : orphans) gate_.Cancel(now, ticket);
+  for (const gate::ticket each : incoming_.TakeAll(from)) gate_.Cancel(now, each);
 }
 
 void daemon::OnPeerMessage(instant now, connection_id from, const peer_message& message) {
--- a/src/node.h
+++ b/src/node.h
@@ -23,6 +23,7 @@
 #include "metrics.h"
 #include "own_target.h"
 #include "peer_mesh.h"
+#include "peer_request_map.h"
 #include "request_router.h"
 #include "route_table.h"
 #include "row_store.h"
@@ -111,7 +112,7 @@
   void FollowTarget(instant now);
   node_report OwnReport(instant now);
   void OnPeerRequest(instant now, connection_id from, dispatch_request request);
-  void Relay(const std::pair<connection_id, uint64_t>& key, dispatch_request request);
+  void Relay(const peer_request_key& key, dispatch_request request);
   void OnPeerCancelled(instant now, connection_id from, uint64_t id);
   void OnPeerGone(instant now, connection_id from);
   void OnPeerReport(instant now, const node_report& report);
@@ -147,10 +148,10 @@
   table_follower operator_rows_;
   std::shared_ptr<const route_table> table_;
   std::set<std::string> evacuated_;
-  // Requests of peers at the gate: by connection and the peer's number.
-  std::map<std::pair<connection_id, uint64_t>, target_gate::ticket> peer_requests_;
+  // Requests of peers at the gate.
+  peer_request_map<target_gate::ticket> peer_requests_;
   // Requests that peers have this process pass on.
-  std::map<std::pair<connection_id, uint64_t>, peer_mesh::ticket> relayed_;
+  peer_request_map<peer_mesh::ticket> relayed_;
   uint64_t own_reports_ = 0;
   uint64_t newest_version_heard_ = 0;
   std::optional<instant> behind_since_;
--- a/src/node_peers.cpp
+++ b/src/node_peers.cpp
@@ -81,17 +81,17 @@
 
 void node::OnPeerRequest(instant now, connection_id from, dispatch_request request) {
   const uint64_t id = request.id;
-  const auto key = std::make_pair(from, id);
+  const peer_request_key key{from, id};
   if (!request.relay_to.empty()) return Relay(key, std::move(request));
   const target_gate::ticket ticket =
       gate_.Handle(now, std::move(request), [this, key](instant, const dispatch_answer& answer) {
-        peer_requests_.erase(key);
+        peer_requests_.Remove(key);
         mesh_.Answer(key.first, answer);
       });
-  if (gate_.Knows(ticket)) peer_requests_[key] = ticket;
+  if (gate_.Knows(ticket)) peer_requests_.Add(key, ticket);
 }
 
-void node::Relay(const std::pair<connection_id, uint64_t>& key, dispatch_request request) {
+void node::Relay(const peer_request_key& key, dispatch_request request) {
   const std::string to = std::exchange(request.relay_to, {});
   const bool large = request.large_answer;
   const node_state* known = fleet_.Find(to);
@@ -99,13 +99,13 @@
   if (known != nullptr && known->reachable) {
     ticket =
         mesh_.Send(to, std::move(request), large, [this, key](instant, dispatch_answer answer) {
-          relayed_.erase(key);
+          relayed_.Remove(key);
           answer.id = key.second;
           mesh_.Answer(key.first, answer);
         });
   }
   if (ticket != 0) {
-    relayed_[key] = ticket;
+    relayed_.Add(key, ticket);
     return;
   }
   log_.Write("relay_refused", {{"to", to}, {"reachable", known == nullptr ? "unknown" : "no"}});
@@ -116,31 +116,13 @@
 }
 
 void node::OnPeerCancelled(instant now, connection_id from, uint64_t id) {
-  if (const auto relayed = relayed_.find({from, id}); relayed != relayed_.end()) {
-    mesh_.Cancel(relayed->second);
-    relayed_.erase(relayed);
-    return;
-  }
-  const auto found = peer_requests_.find({from, id});
-  if (found == peer_requests_.end()) return;
-  const target_gate::ticket ticket = found->second;
-  peer_requests_.erase(found);
-  gate_.Cancel(now, ticket);
+  if (const auto relayed = relayed_.Take({from, id})) return mesh_.Cancel(*relayed);
+  if (const auto ticket = peer_requests_.Take({from, id})) gate_.Cancel(now, *ticket);
 }
 
 void node::OnPeerGone(instant now, connection_id from) {
-  std::vector<target_gate::ticket> tickets;
-  for (auto it = peer_requests_.lower_bound({from, 0});
-       it != peer_requests_.end() && it->first.first == from;) {
-    tickets.push_back(it->second);
-    it = peer_requests_.erase(it);
-  }
-  for (const target_gate::ticket ticket : tickets) gate_.Cancel(now, ticket);
-  for (auto it = relayed_.lower_bound({from, 0});
-       it != relayed_.end() && it->first.first == from;) {
-    mesh_.Cancel(it->second);
-    it = relayed_.erase(it);
-  }
+  for (const target_gate::ticket each : peer_requests_.TakeAll(from)) gate_.Cancel(now, each);
+  for (const peer_mesh::ticket each : relayed_.TakeAll(from)) mesh_.Cancel(each);
 }
 
 void node::OnPeerReport(instant now, const node_report& report) {
--- /dev/null
+++ b/src/peer_request_map.h
@@ -0,0 +1,54 @@
+#ifndef BULRUSHWAY_PEER_REQUEST_MAP_H
+#define BULRUSHWAY_PEER_REQUEST_MAP_H
+
+// Requests that peers have this process work on, under the connection that each came on and the
+// number that the peer gave it there.
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include "peer_transport.h"
+
+namespace bulrushway {
+
+/// A request of a peer: its connection and its number there.
+using peer_request_key = std::pair<connection_id, uint64_t>;
+
+/// Tickets of requests under way.
+template <class Ticket>
+class peer_request_map {
+ public:
+  void Add(const peer_request_key& key, Ticket ticket) { tickets_[key] = ticket; }
+  void Remove(const peer_request_key& key) { tickets_.erase(key); }
+
+  /// Removes the request and returns its ticket; none when it is not under way.
+  std::optional<Ticket> Take(const peer_request_key& key) {
+    const auto found = tickets_.find(key);
+    if (found == tickets_.end()) return std::nullopt;
+    const Ticket ticket = found->second;
+    tickets_.erase(found);
+    return ticket;
+  }
+
+  /// Removes all requests of a connection and returns their tickets.
+  std::vector<Ticket> TakeAll(connection_id from) {
+    std::vector<Ticket> taken;
+    const auto first = tickets_.lower_bound({from, 0});
+    auto last = first;
+    for (; last != tickets_.end() && last->first.first == from; ++last) {
+      taken.push_back(last->second);
+    }
+    tickets_.erase(first, last);
+    return taken;
+  }
+
+ private:
+  std::map<peer_request_key, Ticket> tickets_;
+};
+
+}  // namespace bulrushway
+
+#endif  // BULRUSHWAY_PEER_REQUEST_MAP_H
