Shorter mesh and slice owner: no state and no work that is not used

Cause: peer_mesh tested in four places whether a connection stands, and told of a lost one in two; dropped peers were kept in the mesh and in the daemon. slice_owner built the name of each space again at each renewal and asked for the busy slices once a partition; each request of bulrushd noted heat twice, at its arrival and its hand-over, which nothing reads there, since its targets report no cost. What is served, sent and granted is the same.

--- a/src/daemon_admin.cpp
+++ b/src/daemon_admin.cpp
@@ -156,12 +156,12 @@
     if (node.empty()) return;
     if (dropped) dropped_.insert(node);
     if (!dropped) dropped_.erase(node);
-    // The platform is named like a peer.
-    if (node == "platform") table_.SetCut(dropped);
-    mesh_.SetDropped(node, dropped);
   };
   set(QueryValue(request.target, "drop_from"), true);
   set(QueryValue(request.target, "pass_from"), false);
+  // The platform is named like a peer.
+  table_.SetCut(dropped_.contains("platform"));
+  mesh_.SetDropped(dropped_);
   json nodes = dropped_;
   return JsonAnswer({{"dropped", nodes}});
 }
--- a/src/daemon_ports.cpp
+++ b/src/daemon_ports.cpp
@@ -50,7 +50,6 @@
     return facts != nullptr && facts->keyed;
   };
   ports.serves = [&self](instant now, slice_number slice) {
-    self.slices_.OnRequest(now, slice);
     return self.slices_.Serves(now, slice);
   };
   ports.lease_expiry = [&self](instant now) { return self.slices_.LeaseEnd(now); };
--- a/src/peer_mesh.cpp
+++ b/src/peer_mesh.cpp
@@ -79,7 +79,7 @@
   const auto found = peers_.find(node);
   if (found == peers_.end()) return 0;
   const link& which = found->second.links[large_answer ? 1 : 0];
-  if (which.connection == 0 || !transport_.Established(which.connection)) return 0;
+  if (!Stands(which)) return 0;
   const ticket id = next_ticket_++;
   request.id = id;
   if (!transport_.Send(which.connection, request)) return 0;
@@ -90,16 +90,8 @@
 bool peer_mesh::Post(const std::string& node, const peer_message& message) {
   const auto found = peers_.find(node);
   if (found == peers_.end()) return false;
-  const connection_id to = found->second.links[0].connection;
-  return to != 0 && transport_.Established(to) && transport_.Send(to, message);
-}
-
-void peer_mesh::SetDropped(const std::string& node, bool dropped) {
-  if (dropped) {
-    dropped_.insert(node);
-  } else {
-    dropped_.erase(node);
-  }
+  const link& which = found->second.links[0];
+  return Stands(which) && transport_.Send(which.connection, message);
 }
 
 bool peer_mesh::IsDropped(connection_id from, const peer_message& message) {
@@ -120,7 +112,7 @@
 
 void peer_mesh::SendReport(instant now, peer& to) {
   const link& which = to.links[0];
-  if (which.connection == 0 || !transport_.Established(which.connection)) return;
+  if (!Stands(which)) return;
   node_report report = events_.own_report(now);
   report.sequence = ++report_sequence_;
   transport_.Send(which.connection, report);
@@ -139,10 +131,8 @@
 void peer_mesh::SendToAll(const std::function<peer_message(const node_state&)>& make) {
   for (const auto& [node, each] : peers_) {
     const node_state* known = fleet_.Find(node);
-    const connection_id to = each.links[0].connection;
-    if (known != nullptr && to != 0 && transport_.Established(to)) {
-      transport_.Send(to, make(*known));
-    }
+    const link& which = each.links[0];
+    if (known != nullptr && Stands(which)) transport_.Send(which.connection, make(*known));
   }
 }
 
@@ -181,12 +171,17 @@
   which.retry_at = now + kReconnectPause;
   outgoing_.erase(gone);
   transport_.Close(gone);
+  OnLost(now, node, gone, stood, why);
+}
+
+void peer_mesh::OnLost(instant now, const std::string& node, connection_id connection, bool stood,
+                       const std::string& why) {
   const node_state* known = fleet_.Find(node);
   if (known != nullptr && known->reachable) {
     log_.Write("peer_lost", {{"peer", node}, {"reason", why}}, log_weight::kNotable);
   }
   fleet_.OnReachable(now, node, false);
-  FailPending(now, gone, stood);
+  FailPending(now, connection, stood);
 }
 
 void peer_mesh::FailPending(instant now, connection_id connection, bool stood) {
@@ -268,12 +263,7 @@
     }
     found->second.receipted = true;
   }
-  const node_state* known = fleet_.Find(node);
-  if (known != nullptr && known->reachable) {
-    log_.Write("peer_lost", {{"peer", node}, {"reason", reason.message}}, log_weight::kNotable);
-  }
-  fleet_.OnReachable(now, node, false);
-  FailPending(now, from, stood);
+  OnLost(now, node, from, stood, reason.message);
 }
 
 }  // namespace bulrushway
--- a/src/peer_mesh.h
+++ b/src/peer_mesh.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <utility>
 
 #include "decision_log.h"
 #include "fleet_view.h"
@@ -64,8 +65,8 @@
   void Reply(connection_id to, const peer_message& message) { transport_.Send(to, message); }
   /// Address at the other end of a connection; empty when it is gone.
   std::string AddressOf(connection_id id) const { return transport_.PeerAddress(id); }
-  /// Ignores all that the peer sends, as if its packets were lost. For failure tests.
-  void SetDropped(const std::string& node, bool dropped);
+  /// Ignores all that these peers send, as if their packets were lost. For failure tests.
+  void SetDropped(std::set<std::string> nodes) { dropped_ = std::move(nodes); }
   /// Bytes sent to and received from peers since the start.
   uint64_t BytesSent() const { return transport_.BytesSent(); }
   uint64_t BytesReceived() const { return transport_.BytesReceived(); }
@@ -101,6 +102,12 @@
     callback done;
   };
 
+  bool Stands(const link& which) const {
+    return which.connection != 0 && transport_.Established(which.connection);
+  }
+  // What follows from the loss of a connection that this process opened.
+  void OnLost(instant now, const std::string& node, connection_id connection, bool stood,
+              const std::string& why);
   void Open(instant now, peer& to, link& which);
   void SendReport(instant now, peer& to);
   void OnMessage(instant now, connection_id from, peer_message message);
--- a/src/slice_owner.cpp
+++ b/src/slice_owner.cpp
@@ -28,9 +28,9 @@
   std::vector<key_space> spaces;
   for (uint32_t partition = 0; partition < PartitionCount(layout); ++partition) {
     if (!PartitionAllowed(layout, partition, region_)) continue;
-    partitions_.push_back(partition);
-    spaces.push_back({SpaceName(service_, layout, partition),
-                      partition == 0 ? std::string{} : layout.regions[partition - 1]});
+    partitions_.push_back({partition, SpaceName(service_, layout, partition)});
+    spaces.push_back(
+        {partitions_.back().space, partition == 0 ? std::string{} : layout.regions[partition - 1]});
   }
   members_.HoldKeysOf(now, spaces);
 }
@@ -42,37 +42,36 @@
   if (now < next_renewal_ && leased == leased_) return;
   next_renewal_ = now + kRenewal;
   leased_ = leased;
-  ++sequence_;
-  for (const uint32_t partition : partitions_) {
-    if (range_service* keys = members_.Find(SpaceName(service_, *layout_, partition))) {
-      Renew(now, *keys, partition);
-    }
-  }
+  Renew(now);
   TellChanges(now);
 }
 
-void slice_owner::Renew(instant now, range_service& keys, uint32_t partition) {
-  target_heartbeat own;
-  own.life = life_;
-  own.service = service_;
-  own.sequence = sequence_;
-  for (const slice_number slice : ports_.busy()) {
-    if (PartitionOf(*layout_, slice) != partition) continue;
-    const uint32_t key = PlaceOf(service_, *layout_, slice).key;
-    own.held.push_back({{key, key}, 0});
+void slice_owner::Renew(instant now) {
+  ++sequence_;
+  const std::vector<slice_number> busy = ports_.busy();
+  for (const own_partition& partition : partitions_) {
+    target_heartbeat own;
+    own.life = life_;
+    own.service = service_;
+    own.sequence = sequence_;
+    for (const slice_number slice : busy) {
+      if (PartitionOf(*layout_, slice) != partition.number) continue;
+      const uint32_t key = PlaceOf(service_, *layout_, slice).key;
+      own.held.push_back({{key, key}, 0});
+    }
+    // All that is not busy can be given up at once.
+    own.released.push_back({{0, kLastKey}, {}});
+    members_.Find(partition.space)->OnHeartbeat(now, own);
   }
-  // All that is not busy can be given up at once.
-  own.released.push_back({{0, kLastKey}, {}});
-  keys.OnHeartbeat(now, own);
 }
 
 void slice_owner::TellChanges(instant now) {
   std::map<slice_number, uint64_t> held;
   std::vector<gained_slice> gained;
-  for (const uint32_t partition : partitions_) {
-    const range_service* keys = members_.Find(SpaceName(service_, *layout_, partition));
-    if (keys == nullptr || !keys->Leased(now)) continue;
-    const uint32_t first = partition * layout_->slices_per_partition;
+  for (const own_partition& partition : partitions_) {
+    const range_service* keys = members_.Find(partition.space);
+    if (!keys->Leased(now)) continue;
+    const uint32_t first = partition.number * layout_->slices_per_partition;
     for (uint32_t i = 0; i < layout_->slices_per_partition; ++i) {
       const slice_number slice = first + i;
       const uint32_t key = PlaceOf(service_, *layout_, slice).key;
@@ -95,12 +94,6 @@
   if (!gained.empty()) ports_.gained(now, gained);
 }
 
-void slice_owner::OnRequest(instant now, slice_number slice) {
-  if (!layout_) return;
-  const slice_place place = PlaceOf(service_, *layout_, slice);
-  if (range_service* keys = members_.Find(place.space)) keys->OnRequest(now, place.key);
-}
-
 std::optional<uint64_t> slice_owner::Serves(instant now, slice_number slice) const {
   // What was gained and not told yet is not served: its memory of requests has not been asked for.
   const auto held = held_.find(slice);
@@ -114,9 +107,8 @@
 
 instant slice_owner::LeaseEnd(instant now) const {
   instant end = instant::max();
-  for (const uint32_t partition : partitions_) {
-    const range_service* keys = members_.Find(SpaceName(service_, *layout_, partition));
-    if (keys != nullptr) end = std::min(end, keys->LeaseEnd(now));
+  for (const own_partition& partition : partitions_) {
+    end = std::min(end, members_.Find(partition.space)->LeaseEnd(now));
   }
   return end;
 }
--- a/src/slice_owner.h
+++ b/src/slice_owner.h
@@ -57,8 +57,6 @@
   /// Renews what this process holds. Slices that are to go to others are given up once no request
   /// of them is in flight.
   void Tick(instant now, target_condition condition);
-  /// A request for the slice came.
-  void OnRequest(instant now, slice_number slice);
 
   /// The fencing token under which this node may serve the slice right now.
   std::optional<uint64_t> Serves(instant now, slice_number slice) const;
@@ -71,7 +69,13 @@
   const target_life& life() const { return life_; }
 
  private:
-  void Renew(instant now, range_service& keys, uint32_t partition);
+  // A partition whose slices this node may hold, and its space of keys.
+  struct own_partition {
+    uint32_t number = 0;
+    std::string space;
+  };
+
+  void Renew(instant now);
   void TellChanges(instant now);
 
   membership& members_;
@@ -80,8 +84,7 @@
   target_life life_;
   slice_owner_ports ports_;
   std::optional<slice_layout> layout_;
-  // Partitions whose slices this node may hold.
-  std::vector<uint32_t> partitions_;
+  std::vector<own_partition> partitions_;
   uint64_t sequence_ = 0;
   instant next_renewal_{};
   // With their fences, as last told.
