Refuse large answers at once that the link cannot carry in time

Cause: the gate admits by slots. Twelve slots make 63 packs a second, a link of 13 Mbit/s carries 15. Ruled out: slots (running stayed below 12 while requests waited). Change: link_queue, a pure module, estimates when the answer would have left, from the bytes that wait in bulk_pacer and the large answers under way. What would be late for that alone is refused at once as not run, with the time until the link has room as Retry-After.

--- a/src/bulk_pacer.cpp
+++ b/src/bulk_pacer.cpp
@@ -21,11 +21,11 @@
 
 }  // namespace
 
-bulk_pacer::bulk_pacer(event_loop& loop, double link_bytes_per_second) {
-  if (link_bytes_per_second <= 0) return;
+bulk_pacer::bulk_pacer(event_loop& loop, double link_bytes_per_second)
+    : bytes_per_second_(std::max(0.0, link_bytes_per_second * kBulkShare)) {
+  if (bytes_per_second_ == 0) return;
   const std::chrono::duration<double> interval = kInterval;
-  const auto bytes = std::max<size_t>(
-      1, static_cast<size_t>(link_bytes_per_second * kBulkShare * interval.count()));
+  const auto bytes = std::max<size_t>(1, static_cast<size_t>(bytes_per_second_ * interval.count()));
   const timeval tick{0, std::chrono::microseconds(kInterval).count()};
   rate_ = ev_token_bucket_cfg_new(EV_RATE_LIMIT_MAX, EV_RATE_LIMIT_MAX, bytes, bytes, &tick);
   group_ = bufferevent_rate_limit_group_new(loop.Base(), rate_);
@@ -41,14 +41,22 @@
 void bulk_pacer::BeforeWrite(bufferevent* connection, size_t bytes) {
   if (group_ == nullptr) return;
   if (bytes > kLargeBytes) {
-    bufferevent_add_to_rate_limit_group(connection, group_);
+    if (paced_.insert(connection).second) bufferevent_add_to_rate_limit_group(connection, group_);
   } else if (evbuffer_get_length(bufferevent_get_output(connection)) == 0) {
-    bufferevent_remove_from_rate_limit_group(connection);
+    BeforeFree(connection);
   }
 }
 
 void bulk_pacer::BeforeFree(bufferevent* connection) {
-  bufferevent_remove_from_rate_limit_group(connection);
+  if (paced_.erase(connection) > 0) bufferevent_remove_from_rate_limit_group(connection);
+}
+
+size_t bulk_pacer::Unsent() const {
+  size_t bytes = 0;
+  for (bufferevent* connection : paced_) {
+    bytes += evbuffer_get_length(bufferevent_get_output(connection));
+  }
+  return bytes;
 }
 
 }  // namespace bulrushway
--- a/src/bulk_pacer.h
+++ b/src/bulk_pacer.h
@@ -7,6 +7,7 @@
 // the large answers wait inside this process, and the small ones pass them.
 
 #include <cstddef>
+#include <set>
 
 #include "event_loop.h"
 
@@ -31,9 +32,15 @@
   void BeforeWrite(bufferevent* connection, size_t bytes);
   /// To be called before a connection that may be paced is freed: libevent would go on waking it
   /// until its loop finalizes it, and write from freed memory.
-  static void BeforeFree(bufferevent* connection);
+  void BeforeFree(bufferevent* connection);
+  /// Bytes that wait on the paced connections.
+  size_t Unsent() const;
+  /// Bytes per second that all of them may send; 0 when nothing is paced.
+  double BytesPerSecond() const { return bytes_per_second_; }
 
  private:
+  double bytes_per_second_;
+  std::set<bufferevent*> paced_;
   ev_token_bucket_cfg* rate_ = nullptr;
   bufferevent_rate_limit_group* group_ = nullptr;
 };
--- a/src/http_server_connection.cpp
+++ b/src/http_server_connection.cpp
@@ -30,7 +30,7 @@
   if (const auto exchange = exchange_.lock()) {
     if (exchange->connection_ == this) exchange->CallerLeft();
   }
-  bulk_pacer::BeforeFree(raw_);
+  if (server_.pacer_ != nullptr) server_.pacer_->BeforeFree(raw_);
   bufferevent_free(raw_);
 }
 
--- /dev/null
+++ b/src/link_queue.cpp
@@ -0,0 +1,45 @@
+#include "link_queue.h"
+
+#include <algorithm>
+
+namespace bulrushway {
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+// Weight of a new answer in the usual size: sizes differ by a factor of two, so that the last
+// twenty count.
+constexpr double kBytesWeight = 0.05;
+// An answer that is late in any case waits for the link for this share of the time that is left
+// after its work: under lasting overload more would make the others late too.
+constexpr double kLatePatience = 0.25;
+
+}  // namespace
+
+void link_queue::OnAnswer(size_t bytes) {
+  const auto size = static_cast<double>(bytes);
+  if (usual_bytes_ == 0) usual_bytes_ = size;
+  usual_bytes_ += kBytesWeight * (size - usual_bytes_);
+}
+
+milliseconds link_queue::Wait(milliseconds expected_work, size_t unsent, size_t under_way) const {
+  if (bytes_per_second_ <= 0) return milliseconds{0};
+  const double ahead =
+      static_cast<double>(unsent) + static_cast<double>(under_way + 1) * usual_bytes_;
+  const std::chrono::duration<double> busy(ahead / bytes_per_second_);
+  // The link sends what is ahead while this request runs.
+  return std::max(duration_cast<milliseconds>(busy) - expected_work, milliseconds{0});
+}
+
+std::optional<milliseconds> link_queue::RefuseFor(instant now, const large_answer_request& request,
+                                                  size_t unsent, size_t under_way) const {
+  const milliseconds wait = Wait(request.expected_work, unsent, under_way);
+  const auto on_time = duration_cast<milliseconds>(request.target - now) - request.expected_work;
+  const auto spare = duration_cast<milliseconds>(request.deadline - now) - request.expected_work;
+  const auto late = duration_cast<milliseconds>(spare * kLatePatience);
+  if (wait <= std::max({on_time, late, milliseconds{0}})) return std::nullopt;
+  return wait;
+}
+
+}  // namespace bulrushway
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -52,7 +52,7 @@
       target_({settings_.service, settings_.target, settings_.heartbeat, settings_.drain_limit}),
       gate_(loop, metrics_, log_, target_,
             {settings_.target, settings_.service, settings_.region, settings_.headers,
-             settings_.link_bytes_per_second},
+             settings_.link_bytes_per_second, pacer_.BytesPerSecond()},
             GatePorts(*this), process),
       mesh_(loop, log_, fleet_, MeshEvents(*this), &pacer_),
       router_(log_, metrics_,
--- a/src/node_peers.cpp
+++ b/src/node_peers.cpp
@@ -40,6 +40,7 @@
           [&self](uint32_t key) { return self.OtherOwner(key); },
           [&self](instant) { return self.DataCentreOut(); },
           [&self](instant now) { self.TellSuspects(now); },
+          [&self] { return self.pacer_.Unsent(); },
           self.ports_.parse_load};
 }
 
--- a/src/peer_transport.cpp
+++ b/src/peer_transport.cpp
@@ -21,7 +21,7 @@
   bool established;
 
   ~connection() {
-    bulk_pacer::BeforeFree(raw);
+    if (transport->pacer_ != nullptr) transport->pacer_->BeforeFree(raw);
     bufferevent_free(raw);
   }
 };
--- a/src/target_gate.cpp
+++ b/src/target_gate.cpp
@@ -50,6 +50,7 @@
       settings_(std::move(settings)),
       ports_(std::move(ports)),
       client_(loop, http_client_settings{.echo_header = settings_.headers.request_id}),
+      link_(settings_.large_bytes_per_second),
       next_crash_(seed),
       work_latency_(metrics_.Latency("bulrushway_target_work_seconds")),
       wait_latency_(metrics_.Latency("bulrushway_gate_wait_seconds")) {}
@@ -91,6 +92,7 @@
   subject->done = std::move(done);
   const ticket id = subject->id;
   jobs_.emplace(id, subject);
+  if (subject->request.large_answer) ++large_jobs_;
   const dispatch_request& came = subject->request;
   subject->fingerprint =
       MakeRequestFingerprint(came.service, came.request.method + " " + came.request.target,
@@ -106,6 +108,10 @@
   }
   const dispatch_request& asked = subject->request;
   if (asked.key) ports_.asked(now, *asked.key);
+  if (const auto refused = CheckLink(now, *subject)) {
+    Refuse(now, subject, refused->first, run_state::kNotRun, refused->second, "link full");
+    return id;
+  }
   const slot_verdict verdict =
       queue_.Arrive(now, {id, asked.rank, subject->deadline, now + asked.target_left,
                           asked.patience, asked.expected_work});
@@ -122,6 +128,21 @@
   return id;
 }
 
+std::optional<std::pair<refusal_reason, milliseconds>> target_gate::CheckLink(
+    instant now, const job& subject) const {
+  const dispatch_request& request = subject.request;
+  if (!request.large_answer) return std::nullopt;
+  const instant target = subject.arrived + request.target_left;
+  const auto wait = link_.RefuseFor(now, {subject.deadline, target, request.expected_work},
+                                    ports_.unsent(), large_jobs_ - 1);
+  if (!wait) return std::nullopt;
+  return std::pair{refusal_reason::kQueueFull, *wait};
+}
+
+void target_gate::Forget(const job& subject) {
+  if (jobs_.erase(subject.id) > 0 && subject.request.large_answer) --large_jobs_;
+}
+
 http_request target_gate::TargetRequest(instant now, job& subject) const {
   const header_names& names = settings_.headers;
   http_request request = std::move(subject.request.request);
@@ -202,6 +223,7 @@
   poison_.OnAnswered(subject->fingerprint, now);
   work_latency_.Add(work);
   answer_bytes_ += kBytesWeight * (static_cast<double>(answer.body.size()) - answer_bytes_);
+  if (subject->request.large_answer && IsSuccess(answer.status)) link_.OnAnswer(answer.body.size());
   // A success without the target's signature, or with an encoding that nobody asked for, is not
   // what the target made.
   const bool damaged =
@@ -298,14 +320,11 @@
   if (found == jobs_.end()) return;
   const job_ptr subject = found->second;
   subject->abandoned = true;
-  if (queue_.Withdraw(id)) {
-    jobs_.erase(id);
-    return;
-  }
+  if (queue_.Withdraw(id)) return Forget(*subject);
   if (!subject->request.idempotent) return;
   client_.Cancel(subject->http);
   EndWork(now, subject, std::chrono::nanoseconds{0});
-  jobs_.erase(id);
+  Forget(*subject);
   PopQueue(now);
 }
 
@@ -335,7 +354,7 @@
 }
 
 void target_gate::Finish(instant now, const job_ptr& subject, dispatch_answer answer) {
-  jobs_.erase(subject->id);
+  Forget(*subject);
   if (subject->abandoned) return;
   answer.id = subject->request.id;
   answer.target = Report(now);
--- a/src/target_gate.h
+++ b/src/target_gate.h
@@ -18,6 +18,7 @@
 #include "decision_log.h"
 #include "header_names.h"
 #include "http_client.h"
+#include "link_queue.h"
 #include "metrics.h"
 #include "own_target.h"
 #include "peer_messages.h"
@@ -53,6 +54,8 @@
   std::function<bool(instant)> evacuated;
   /// The target crashed while requests were at it: peers should know which.
   std::function<void(instant)> suspects_changed;
+  /// Bytes of large answers that wait for the machine's link.
+  std::function<size_t()> unsent;
   /// Reads the load header.
   std::function<std::optional<told_load>(const std::string&)> parse_load;
 };
@@ -65,6 +68,8 @@
   header_names headers;
   /// What the machine's link carries each way; 0: unknown, taken for ample.
   double link_bytes_per_second = 0;
+  /// What it carries of large answers.
+  double large_bytes_per_second = 0;
 };
 
 /// Hands requests to one target.
@@ -103,6 +108,10 @@
 
   std::optional<std::pair<refusal_reason, std::chrono::milliseconds>> Check(
       instant now, const dispatch_request& request) const;
+  // Why a large answer would leave too late, and when the link has room.
+  std::optional<std::pair<refusal_reason, std::chrono::milliseconds>> CheckLink(
+      instant now, const job& subject) const;
+  void Forget(const job& subject);
   void HandOver(instant now, const job_ptr& subject);
   void PopQueue(instant now);
   void OnAnswer(instant now, const job_ptr& subject, http_answer answer);
@@ -124,6 +133,9 @@
   target_gate_ports ports_;
   http_client client_;
   slot_queue queue_;
+  link_queue link_;
+  // Requests with large answers that wait or run.
+  size_t large_jobs_ = 0;
   crash_watch crash_watch_;
   poison_registry poison_{poison_settings{}};
   // Numbers of crashes, unique across processes.
--- a/test/correctness/bulk_pacer_test.cpp
+++ b/test/correctness/bulk_pacer_test.cpp
@@ -18,7 +18,7 @@
 // One end of a connection that is paced, the other end read at once.
 class paced_connection {
  public:
-  explicit paced_connection(event_loop& loop) {
+  paced_connection(event_loop& loop, bulk_pacer& pacer) : pacer_(pacer) {
     int ends[2];
     BOOST_REQUIRE_EQUAL(socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, ends), 0);
     writer_ = bufferevent_socket_new(loop.Base(), ends[0], BEV_OPT_CLOSE_ON_FREE);
@@ -33,21 +33,22 @@
     bufferevent_enable(writer_, EV_WRITE);
   }
   ~paced_connection() {
-    bulk_pacer::BeforeFree(writer_);
+    pacer_.BeforeFree(writer_);
     bufferevent_free(writer_);
     bufferevent_free(reader_);
   }
   paced_connection(const paced_connection&) = delete;
   paced_connection& operator=(const paced_connection&) = delete;
 
-  void Send(bulk_pacer& pacer, size_t bytes) {
-    pacer.BeforeWrite(writer_, bytes);
+  void Send(size_t bytes) {
+    pacer_.BeforeWrite(writer_, bytes);
     const std::string body(bytes, 'x');
     bufferevent_write(writer_, body.data(), body.size());
   }
   size_t Received() const { return received_; }
 
  private:
+  bulk_pacer& pacer_;
   bufferevent* writer_;
   bufferevent* reader_;
   size_t received_ = 0;
@@ -71,11 +72,13 @@
 BOOST_AUTO_TEST_CASE(stay_below_what_the_link_carries_all_together) {
   event_loop loop;
   bulk_pacer pacer(loop, kLink);
-  paced_connection first(loop);
-  paced_connection second(loop);
-  first.Send(pacer, kMegabyte);
-  second.Send(pacer, kMegabyte);
+  paced_connection first(loop, pacer);
+  paced_connection second(loop, pacer);
+  first.Send(kMegabyte);
+  second.Send(kMegabyte);
+  BOOST_CHECK_EQUAL(pacer.Unsent(), 2 * kMegabyte);
   RunFor(loop, milliseconds{400});
+  BOOST_CHECK_GE(pacer.Unsent(), kMegabyte);
   const size_t sent = first.Received() + second.Received();
   BOOST_CHECK_LE(sent, kMegabyte * 4 / 10);
   BOOST_CHECK_GE(sent, kMegabyte * 2 / 10);
@@ -84,11 +87,11 @@
 BOOST_AUTO_TEST_CASE(let_small_answers_of_other_connections_pass) {
   event_loop loop;
   bulk_pacer pacer(loop, kLink);
-  paced_connection large(loop);
-  paced_connection small(loop);
-  large.Send(pacer, kMegabyte);
+  paced_connection large(loop, pacer);
+  paced_connection small(loop, pacer);
+  large.Send(kMegabyte);
   RunFor(loop, milliseconds{50});
-  small.Send(pacer, kSmall);
+  small.Send(kSmall);
   RunFor(loop, milliseconds{10});
   BOOST_CHECK_EQUAL(small.Received(), kSmall);
 }
@@ -96,14 +99,14 @@
 BOOST_AUTO_TEST_CASE(no_longer_hold_up_the_small_ones_after_them) {
   event_loop loop;
   bulk_pacer pacer(loop, kLink);
-  paced_connection connection(loop);
-  paced_connection large(loop);
-  connection.Send(pacer, kMegabyte / 20);
+  paced_connection connection(loop, pacer);
+  paced_connection large(loop, pacer);
+  connection.Send(kMegabyte / 20);
   RunFor(loop, milliseconds{150});
   BOOST_REQUIRE_EQUAL(connection.Received(), kMegabyte / 20);
-  large.Send(pacer, kMegabyte);
+  large.Send(kMegabyte);
   RunFor(loop, milliseconds{50});
-  connection.Send(pacer, kSmall);
+  connection.Send(kSmall);
   RunFor(loop, milliseconds{10});
   BOOST_CHECK_EQUAL(connection.Received(), kMegabyte / 20 + kSmall);
 }
@@ -115,8 +118,8 @@
   // Each connection is freed while its answer waits and others fill the allowance.
   for (int turn = 0; turn < 200; ++turn) {
     auto& connection = open[static_cast<size_t>(turn) % open.size()];
-    connection = std::make_unique<paced_connection>(loop);
-    connection->Send(pacer, kMegabyte / 10);
+    connection = std::make_unique<paced_connection>(loop, pacer);
+    connection->Send(kMegabyte / 10);
     RunFor(loop, milliseconds{3});
   }
   size_t sent = 0;
@@ -131,8 +134,8 @@
 BOOST_AUTO_TEST_CASE(are_not_paced) {
   event_loop loop;
   bulk_pacer pacer(loop, 0);
-  paced_connection connection(loop);
-  connection.Send(pacer, kMegabyte);
+  paced_connection connection(loop, pacer);
+  connection.Send(kMegabyte);
   RunFor(loop, milliseconds{400});
   BOOST_CHECK_EQUAL(connection.Received(), kMegabyte);
 }
