Grant no keys that a change under way gives away

What callers saw: nothing yet; two targets could hold a key at once. Cause: the steward took it that a change of the map under way, or one whose answer was lost, concerns no key that is granted. A target that comes back between 'target down' and the store's answer was granted keys that the change was giving to another. The answer to an own change could also put the map back behind a later one that the feed had brought. Change: keys that a change gives away are left out of grants until the map has another version; if the target is ready then, a change that keeps them makes that version. The map never goes back.

--- a/src/range_steward.cpp
+++ b/src/range_steward.cpp
@@ -65,6 +65,8 @@
     stale_since_ = now;
     return;
   }
+  // The feed may have brought a later change before the answer to this one.
+  if (*outcome < map_version_) return;
   map_ = change_.map;
   map_version_ = *outcome;
   DropFinishedReleases();
@@ -91,6 +93,24 @@
                      [&keys](const release& one) { return one.keys.Overlaps(keys); });
 }
 
+void range_steward::NoteGivenAway() {
+  if (given_away_version_ != map_version_) given_away_.clear();
+  given_away_version_ = map_version_;
+  for (const owned_range& range : change_.map.ranges) {
+    if (range.fence < map_.next_fence || range.owner.node == settings_.node) continue;
+    const owned_range* before = map_.Find(range.keys.first);
+    if (before != nullptr && before->owner.node == settings_.node) {
+      given_away_.push_back(range.keys);
+    }
+  }
+}
+
+bool range_steward::MayBeGivenAway(const key_range& keys) const {
+  return given_away_version_ == map_version_ &&
+         std::any_of(given_away_.begin(), given_away_.end(),
+                     [&keys](const key_range& one) { return one.Overlaps(keys); });
+}
+
 void range_steward::NoteReleased(const target_heartbeat& heartbeat) {
   for (release& waiting : releasing_) {
     for (const released_range& released : heartbeat.released) {
@@ -111,7 +131,6 @@
                                                        milliseconds lease_left) {
   if (heartbeat.life != life_) return std::nullopt;
   NoteReleased(heartbeat);
-  // A change under way, or one with an unknown outcome, concerns no keys that are granted now.
   const bool map_counts = map_known_ && map_read_at_ >= map_needed_since_;
   if (lease_left <= kGrantMargin || !map_counts) return std::nullopt;
   target_grant grant;
@@ -130,6 +149,11 @@
     for (const release& one : releasing_) {
       if (one.keys.Overlaps(range.keys)) left_out.push_back(one.keys);
     }
+    if (MayBeGivenAway(range.keys)) {
+      for (const key_range& keys : given_away_) {
+        if (keys.Overlaps(range.keys)) left_out.push_back(keys);
+      }
+    }
     std::sort(left_out.begin(), left_out.end());
     for (const key_range& gap : left_out) {
       if (gap.first > first) grant_part(first, gap.first - 1);
@@ -220,6 +244,7 @@
     return steward_wish::kReadLeases;
   }
   if (!changed) return steward_wish::kNothing;
+  NoteGivenAway();
   changing_ = true;
   return steward_wish::kChange;
 }
--- a/src/range_steward.h
+++ b/src/range_steward.h
@@ -7,8 +7,8 @@
 //     once the target has given them up or their grant has run out;
 //   - a process changes the owner of another node's keys only in a transaction that shows that
 //     node's lease as ended, and deletes it;
-//   - a target is granted keys only from a map that was read after the lease was acquired, and
-//     never beyond the end of the lease.
+//   - a target is granted keys only from a map that was read after the lease was acquired, never
+//     beyond the end of the lease, and not while a change that gives them away may take effect.
 
 #include <chrono>
 #include <cstdint>
@@ -157,6 +157,10 @@
   };
 
   bool IsReleasing(const key_range& keys) const;
+  // Notes which keys of the target the change gives away.
+  void NoteGivenAway();
+  // Whether a change that gives the keys away may still take effect.
+  bool MayBeGivenAway(const key_range& keys) const;
   void NoteReleased(const target_heartbeat& heartbeat);
   const granted_range* FindGranted(uint32_t key) const;
   void DropFinishedReleases();
@@ -198,6 +202,10 @@
   std::map<uint64_t, instant> not_held_until_;
   std::map<uint64_t, instant> grant_ends_;
   std::vector<release> releasing_;
+  // Keys of the target that changes of this version of the map give away. Such a change may take
+  // effect, also after its answer was lost, until the map has another version.
+  std::vector<key_range> given_away_;
+  uint64_t given_away_version_ = 0;
 
   std::vector<std::string> last_candidates_;
   instant candidates_changed_{};
--- a/src/range_steward_moves.cpp
+++ b/src/range_steward_moves.cpp
@@ -57,6 +57,11 @@
       Reassign(map, range.keys, Self(), {});
       change_.reason = "target restarted";
       changed = true;
+    } else if (condition_ == target_condition::kReady && MayBeGivenAway(range.keys)) {
+      // Under a new version of the map the change of unknown outcome cannot take effect any more.
+      Reassign(map, range.keys, Self(), {});
+      change_.reason = "kept";
+      changed = true;
     } else if ((former_life || condition_ == target_condition::kDown) && !others.empty() &&
                condition_ != target_condition::kUnknown) {
       SpreadOver(map, range.keys, {}, others);
