Tell new owners at once that they have been given keys

Cause: a new owner hears of its keys from the store's feed, which it follows in steps of 15 ms for each process of the fleet (1.2 s at 79), so that the calls of all stay bounded. Nobody serves the keys until then, and its target's next heartbeat comes on top. Ruled out: the former owner's hint; it names the new owner, which then refuses. Change: whoever gives keys away tells the new owners the version of the map (keys_given_notice); they read it at once. One call of the store for each new owner; nothing grows with the fleet. Test: range_interleaving_test, a draining target in a fleet whose feeds are 30 s late: 85% of the keys held after 3 s before, all now.

--- a/src/daemon_peers.cpp
+++ b/src/daemon_peers.cpp
@@ -55,6 +55,8 @@
     OnMemoryRequest(from, *wanted);
   } else if (const auto* memory = std::get_if<memory_answer>(&message)) {
     OnMemoryAnswer(now, *memory);
+  } else if (const auto* given = std::get_if<keys_given_notice>(&message)) {
+    members_.OnKeysGiven(now, *given);
   } else {
     configuration_.OnMessage(now, from, message);
   }
--- a/src/daemon_ports.cpp
+++ b/src/daemon_ports.cpp
@@ -92,7 +92,11 @@
 }
 
 membership_events daemon::MakeMemberEvents(daemon& self) {
-  return {[&self](instant now) { self.mesh_.FollowMembers(now); }, [](instant) {}};
+  return {[&self](instant now) { self.mesh_.FollowMembers(now); }, [](instant) {},
+          [&self](instant, const std::string& node, const keys_given_notice& notice) {
+            // A peer that cannot be told hears it from the store.
+            self.mesh_.Post(node, notice);
+          }};
 }
 
 slice_owner_ports daemon::MakeSlicePorts(daemon& self) {
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -78,7 +78,12 @@
                                   settings_.self.process, {},           {}};
     ranges.steward.node = settings_.self.node;
     ranges.steward.longest_hold = std::min(ranges.steward.longest_hold, settings_.longest_grant);
-    held_.push_back({space, std::make_unique<range_service>(log_, metrics_, store_, ranges, now)});
+    const auto keys_given = [this, name = space.name](instant given, const std::string& node,
+                                                      uint64_t version) {
+      events_.keys_given(given, node, {name, version});
+    };
+    held_.push_back(
+        {space, std::make_unique<range_service>(log_, metrics_, store_, ranges, now, keys_given)});
   }
 }
 
@@ -107,6 +112,11 @@
   });
 }
 
+void membership::OnKeysGiven(instant now, const keys_given_notice& notice) {
+  const range_service* ranges = Find(notice.service);
+  if (ranges != nullptr && ranges->steward().map_version() < notice.version) RefreshOwners(now);
+}
+
 double membership::RequestRate(instant now) const {
   double rate = 0;
   for (const held_space& held : held_) rate += held.ranges->steward().RequestRate(now);
--- a/src/membership.h
+++ b/src/membership.h
@@ -47,6 +47,8 @@
   std::function<void(instant)> members_changed;
   /// Keys have changed owners.
   std::function<void(instant)> owners_changed;
+  /// This process has given keys to the node: it should be told.
+  std::function<void(instant, const std::string& node, const keys_given_notice&)> keys_given;
 };
 
 /// This process among the others.
@@ -79,6 +81,8 @@
   /// What peers know is read at once, in case that the feeds have gone silent.
   void RefreshMembers(instant now) { member_rows_.Refresh(now); }
   void RefreshOwners(instant now) { key_map_rows_.Refresh(now); }
+  /// Another process has given keys to this one.
+  void OnKeysGiven(instant now, const keys_given_notice& notice);
 
  private:
   struct held_space {
--- a/src/node_peers.cpp
+++ b/src/node_peers.cpp
@@ -57,7 +57,10 @@
           [&self](instant now, const poison_notice& notice) {
             for (const poison_entry& entry : notice.entries) self.gate_.poison().Merge(entry, now);
           },
-          [&self](instant, connection_id from, const peer_message& message) {
+          [&self](instant now, connection_id from, const peer_message& message) {
+            if (const auto* given = std::get_if<keys_given_notice>(&message)) {
+              return self.members_.OnKeysGiven(now, *given);
+            }
             self.log_.Write("message_ignored", {{"from", self.mesh_.AddressOf(from)},
                                                 {"type", std::to_string(message.index())}});
           }};
@@ -65,7 +68,11 @@
 
 membership_events node::MemberEvents(node& self) {
   return {[&self](instant now) { self.mesh_.FollowMembers(now); },
-          [&self](instant now) { self.router_.OnOwnersChanged(now); }};
+          [&self](instant now) { self.router_.OnOwnersChanged(now); },
+          [&self](instant, const std::string& node, const keys_given_notice& notice) {
+            // A peer that cannot be told hears it from the store.
+            self.mesh_.Post(node, notice);
+          }};
 }
 
 request_router_ports node::RouterPorts(node& self) {
--- a/src/peer_codec.cpp
+++ b/src/peer_codec.cpp
@@ -70,6 +70,8 @@
 
 static auto Fields(auto& m, const poison_notice&) { return std::tie(m.entries); }
 
+static auto Fields(auto& m, const keys_given_notice&) { return std::tie(m.service, m.version); }
+
 static constexpr auto HighestOf(remembered_state) { return remembered_state::kUnknown; }
 
 static constexpr auto HighestOf(refusal_reason) {
--- a/src/peer_messages.h
+++ b/src/peer_messages.h
@@ -177,11 +177,20 @@
   std::vector<poison_entry> entries;
 };
 
+/// The map of owners has changed, and the receiver owns keys that it did not own before. Told to
+/// new owners only; everybody else hears it from the store.
+struct keys_given_notice {
+  std::string service;
+  /// Version of the map.
+  uint64_t version = 0;
+};
+
 /// Any message between processes. The order is part of the protocol: append only.
 using peer_message =
     std::variant<cancel_request, configuration_notice, document_request, document_answer,
                  freshness_request, freshness_answer, memory_request, memory_answer, node_report,
-                 node_report_receipt, dispatch_request, dispatch_answer, poison_notice>;
+                 node_report_receipt, dispatch_request, dispatch_answer, poison_notice,
+                 keys_given_notice>;
 
 }  // namespace bulrushway
 
--- a/src/range_service.cpp
+++ b/src/range_service.cpp
@@ -5,11 +5,13 @@
 namespace bulrushway {
 
 range_service::range_service(decision_log& log, metrics& counters, const row_store& store,
-                             const range_service_settings& settings, instant now)
+                             const range_service_settings& settings, instant now,
+                             keys_given_function keys_given)
     : log_(log),
       metrics_(counters),
       store_(store),
       settings_(settings),
+      keys_given_(std::move(keys_given)),
       lease_(settings_.node, settings_.ip, settings_.process, settings_.lease),
       steward_(settings_.steward, now) {}
 
@@ -108,6 +110,17 @@
   });
 }
 
+std::set<std::string> range_service::NewOwners(const ownership_change& change) const {
+  const uint64_t first_new_fence = steward_.map().next_fence;
+  std::set<std::string> owners;
+  for (const owned_range& range : change.map.ranges) {
+    if (range.fence >= first_new_fence && range.owner.node != settings_.node) {
+      owners.insert(range.owner.node);
+    }
+  }
+  return owners;
+}
+
 void range_service::CommitChange(instant now) {
   const ownership_change& change = steward_.change();
   const row_key map_row{kKeyMapTable, settings_.service};
@@ -123,9 +136,10 @@
   }
   const std::string reason = change.reason;
   const uint64_t before = change.map_version;
-  store_.commit(std::move(transaction), [this, now, reason, before](instant answered,
-                                                                    result<row_receipt> outcome) {
+  store_.commit(std::move(transaction), [this, now, reason, before, owners = NewOwners(change)](
+                                            instant answered, result<row_receipt> outcome) {
     if (outcome) {
+      for (const std::string& node : owners) keys_given_(answered, node, outcome->version);
       clock_.Note(now, answered, outcome->now);
       metrics_.Counter("bulrushway_ownership_changes", {{"reason", reason}})++;
     }
--- a/src/range_service.h
+++ b/src/range_service.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -33,11 +34,17 @@
   steward_settings steward;
 };
 
+/// Tells a node that it owns keys which it did not own before, by the map of this version. It would
+/// hear it from the store too, but later the larger the fleet is, and nobody serves the keys until
+/// then.
+using keys_given_function = std::function<void(instant, const std::string& node, uint64_t version)>;
+
 /// The steward of one target's keys with its store.
 class range_service {
  public:
   range_service(decision_log& log, metrics& counters, const row_store& store,
-                const range_service_settings& settings, instant now);
+                const range_service_settings& settings, instant now,
+                keys_given_function keys_given);
 
   /// Renews the lease and carries out the next step of the steward.
   void Tick(instant now, const std::vector<range_candidate>& candidates);
@@ -67,11 +74,14 @@
   void ReadMap(instant now);
   void ReadLeases(instant now);
   void CommitChange(instant now);
+  // Other nodes that the change gives keys to.
+  std::set<std::string> NewOwners(const ownership_change& change) const;
 
   decision_log& log_;
   metrics& metrics_;
   const row_store& store_;
   range_service_settings settings_;
+  keys_given_function keys_given_;
   store_clock clock_;
   process_lease lease_;
   range_steward steward_;
--- a/test/correctness/range_interleaving_test.cpp
+++ b/test/correctness/range_interleaving_test.cpp
@@ -87,6 +87,20 @@
   BOOST_TEST(fleet.nodes()[4]->target.holds.empty());
 }
 
+BOOST_AUTO_TEST_CASE(asked_to_drain_hand_them_over_as_fast_in_a_fleet_whose_feeds_are_late) {
+  key_fleet fleet(5, 6);
+  fleet.Play(seconds(6));
+  fleet.longest_feed_lag = seconds(30);
+  // Feeds that were due before the change of the lag.
+  fleet.nodes()[2]->target.draining = true;
+  fleet.Play(seconds(3));
+  fleet.nodes()[4]->target.draining = true;
+  fleet.Play(seconds(3));
+  BOOST_TEST(fleet.Report().violation == "");
+  BOOST_TEST(fleet.Report().held_at_end == 1.0);
+  BOOST_TEST(fleet.nodes()[4]->target.holds.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_CASE(keep_their_keys_through_an_outage_of_the_store_shorter_than_the_lease) {
--- a/test/support/key_fleet.cpp
+++ b/test/support/key_fleet.cpp
@@ -15,7 +15,6 @@
 // Keys that are looked at: every range is wider than their distance.
 constexpr uint32_t kProbe = 499;
 // A feed may be behind by this much.
-constexpr milliseconds kLongestFeedLag{1500};
 const std::string kService = "cronometraje";
 
 int NullDevice() {
@@ -86,7 +85,19 @@
       store_.Rows([&node] { return node.reaches_store; }, [alive = node.alive] { return *alive; });
   range_service_settings settings{node.name, node.ip, kService, node.process, {}, {}};
   settings.steward.node = node.name;
-  node.ranges = std::make_unique<range_service>(log_, metrics_, node.rows, settings, now_);
+  const auto keys_given = [this](instant, const std::string& to, uint64_t version) {
+    OnKeysGiven(to, version);
+  };
+  node.ranges =
+      std::make_unique<range_service>(log_, metrics_, node.rows, settings, now_, keys_given);
+}
+
+void key_fleet::OnKeysGiven(const std::string& name, uint64_t version) {
+  for (auto& node : nodes_) {
+    const bool runs = node->process_up && now_ >= node->paused_until;
+    if (node->name != name || !runs || node->ranges->steward().map_version() >= version) continue;
+    node->next_feed = now_;
+  }
 }
 
 void key_fleet::StopProcess(simulated_node& node) {
@@ -167,7 +178,7 @@
   const bool behind = row != nullptr && row->version > node.ranges->steward().map_version();
   if (!behind || !node.reaches_store || store_.faults.down || now_ < node.next_feed) return;
   node.ranges->OnMapRow(now_, *row);
-  std::uniform_int_distribution<int> lag(0, static_cast<int>(kLongestFeedLag.count()));
+  std::uniform_int_distribution<int> lag(0, static_cast<int>(longest_feed_lag.count()));
   node.next_feed = now_ + milliseconds(lag(rng_));
 }
 
--- a/test/support/key_fleet.h
+++ b/test/support/key_fleet.h
@@ -96,8 +96,13 @@
   void StopProcess(simulated_node& node);
   void StartTarget(simulated_node& node);
 
+  /// A feed brings a change of the map this late at most; it grows with the fleet.
+  std::chrono::milliseconds longest_feed_lag{1500};
+
  private:
   void Step();
+  // A notice that a node has been given keys reaches it, unless its process does not run.
+  void OnKeysGiven(const std::string& name, uint64_t version);
   void Heartbeat(simulated_node& node);
   void Check();
   // The feed of the store brings a new map.
