--- a/test/correctness/peer_codec_test.cpp
+++ b/test/correctness/peer_codec_test.cpp
@@ -52,6 +52,15 @@
   BOOST_TEST((std::get<dispatch_answer>(*message).state == run_state::kUnknown));
 }
 
+BOOST_AUTO_TEST_CASE(a_notice_of_keys_names_the_service_and_the_map) {
+  const auto heard = DecodeFrame(Body(keys_given_notice{"druck", 77}), "peer");
+  BOOST_REQUIRE(heard.has_value());
+  const auto* notice = std::get_if<keys_given_notice>(&*heard);
+  BOOST_REQUIRE(notice != nullptr);
+  BOOST_TEST(notice->service == "druck");
+  BOOST_TEST(notice->version == 77U);
+}
+
 BOOST_AUTO_TEST_CASE(a_member_keeps_every_field) {
   const member_record sent{"lima1-a", {"127.0.0.1", 2},  "lima-a",        "lima",
                            "s",       uint64_t{1} << 60, {"127.0.0.1", 3}};
