--- a/src/peer_mesh.cpp
+++ b/src/peer_mesh.cpp
@@ -39,12 +39,13 @@
     : log_(log),
       fleet_(fleet),
       events_(std::move(events)),
-      transport_(loop, {[this](connection_id from, peer_message message) {
-                          OnMessage(boot_clock::now(), from, std::move(message));
-                        },
-                        [this](connection_id from, bool stood, const error& reason) {
-                          OnClosed(boot_clock::now(), from, stood, reason);
-                        }},
+      transport_(loop,
+                 {[this](connection_id from, peer_message message) {
+                    OnMessage(boot_clock::now(), from, std::move(message));
+                  },
+                  [this](connection_id from, bool stood, const error& reason) {
+                    OnClosed(boot_clock::now(), from, stood, reason);
+                  }},
                  pacer) {}
 
 void peer_mesh::FollowMembers(instant now) {
