--- a/test/correctness/platform_messages_test.cpp
+++ b/test/correctness/platform_messages_test.cpp
@@ -203,10 +203,10 @@
     }
     BOOST_TEST_CONTEXT("and refuse a speed that is none") {
       for (const char* wrong : {"fast", "13 Mbit/s", "-1", "0"}) {
-        const auto read = ParseProcessSettings(
+        const auto rejected = ParseProcessSettings(
             "node.ini", right + "[machine]\nlink_mbit_per_second = " + wrong + "\n");
-        BOOST_REQUIRE(!read.has_value());
-        BOOST_TEST(ToString(read.error()[0]).find(wrong) != std::string::npos);
+        BOOST_REQUIRE(!rejected.has_value());
+        BOOST_TEST(ToString(rejected.error()[0]).find(wrong) != std::string::npos);
       }
     }
   }
