Answer all callers before a stopping process is gone

Cause: a request taken before the stop keeps its deadline, which there is 8 s, beyond the 5.6 s after which the process ends. Only requests that come during a stop had their deadline cut. Test: platform_path_test, a request that runs longer than the grace time: its connection was closed before, it is answered now.

--- a/src/request_router.cpp
+++ b/src/request_router.cpp
@@ -352,7 +352,16 @@
   }
 }
 
+void request_router::EndAll(instant now) {
+  const std::map<uint64_t, flight_ptr> last = flights_;
+  for (const auto& [id, subject] : last) {
+    if (subject->outstanding) subject->may_have_run = true;
+    GiveUp(now, subject, refusal_reason::kStopping);
+  }
+}
+
 void request_router::Tick(instant now) {
+  if (now >= ports_.latest_deadline()) EndAll(now);
   while (!parked_.empty() && parked_.begin()->first <= now) {
     const uint64_t id = parked_.begin()->second;
     parked_.erase(parked_.begin());
--- a/src/request_router.h
+++ b/src/request_router.h
@@ -94,6 +94,8 @@
   void Complete(instant now, const flight_ptr& subject, http_answer answer,
                 const std::string& outcome);
   void CancelAttempt(instant now, flight& subject);
+  // Answers all requests under way: the process ends in a moment.
+  void EndAll(instant now);
   void OnCallerLeft(uint64_t id);
   std::chrono::milliseconds ExpectedWork(const std::string& route) const;
   std::string RetryAfterText(std::chrono::milliseconds wait);
--- a/standins/common/sealing_target.h
+++ b/standins/common/sealing_target.h
@@ -39,6 +39,8 @@
   result<void> Listen();
   /// Says from now on that it is leaving.
   void Drain() { draining_ = true; }
+  /// Requests that come from now on take this long.
+  void SetWork(std::chrono::milliseconds work) { settings_.work = work; }
   /// Requests that ran, by the caller's id.
   const std::map<std::string, int>& Runs() const { return runs_; }
   /// Requests refused for another instance or a key not held.
--- a/test/process/platform_path_test.cpp
+++ b/test/process/platform_path_test.cpp
@@ -81,15 +81,17 @@
 
   // Sends a request to the process of machine `at`; the result comes later.
   std::shared_ptr<std::optional<outcome>> Send(size_t at, const std::string& path,
-                                               const std::string& id, int key = -1) {
+                                               const std::string& id, int key = -1,
+                                               milliseconds time = seconds(2)) {
     http_request request;
     request.method = path.starts_with("/pay/") ? "POST" : "GET";
     request.target = path;
-    request.headers = {
-        {"Host", "h"}, {"X-Bulrushway-Request-Id", id}, {"X-Bulrushway-Request-Timeout", "2000"}};
+    request.headers = {{"Host", "h"},
+                       {"X-Bulrushway-Request-Id", id},
+                       {"X-Bulrushway-Request-Timeout", std::to_string(time.count())}};
     if (key >= 0) request.headers.emplace_back("X-Bulrushway-Shard-Key", std::to_string(key));
     auto result = std::make_shared<std::optional<outcome>>();
-    client_.Send(machines_[at].At(kCallers), std::move(request), seconds(3),
+    client_.Send(machines_[at].At(kCallers), std::move(request), time + seconds(1),
                  [result](outcome came) { *result = std::move(came); });
     return result;
   }
@@ -244,6 +246,26 @@
   BOOST_TEST(fleet.machines()[0].process->ExitStatus() == 0);
 }
 
+BOOST_AUTO_TEST_CASE(answer_what_is_under_way_before_one_that_stops_is_gone) {
+  deployment fleet;
+  // Work, and the time that callers give it, last longer than a process may take to stop.
+  std::string patient = kConfiguration;
+  const std::string limit = R"("timeout_s":2)";
+  patient.replace(patient.find(limit), limit.size(), R"("timeout_s":20)");
+  fleet.store().Put("op", "config", patient);
+  BOOST_REQUIRE(fleet.Settled());
+  for (machine& each : fleet.machines()) each.target->SetWork(seconds(15));
+  const auto result = fleet.Send(0, "/look/x", "slow", -1, seconds(12));
+  fleet.Wait(milliseconds(200));
+  fleet.machines()[0].process->Signal(SIGTERM);
+  BOOST_TEST(fleet.Until([&] { return result->has_value(); }, seconds(7)));
+  BOOST_REQUIRE(result->has_value());
+  BOOST_REQUIRE((*result)->has_value());
+  BOOST_TEST((**result)->status == 502);
+  BOOST_TEST(fleet.machines()[0].process->WaitForEnd(seconds(2)));
+  BOOST_TEST(fleet.machines()[0].process->ExitStatus() == 0);
+}
+
 BOOST_AUTO_TEST_CASE(move_the_keys_of_a_draining_target_and_take_a_restart_in_their_stride) {
   deployment fleet;
   fleet.store().Put("op", "config", kConfiguration);
