--- a/test/support/key_fleet.cpp
+++ b/test/support/key_fleet.cpp
@@ -14,7 +14,6 @@
 constexpr milliseconds kReleaseHeartbeat{100};
 // Keys that are looked at: every range is wider than their distance.
 constexpr uint32_t kProbe = 499;
-// A feed may be behind by this much.
 const std::string kService = "cronometraje";
 
 int NullDevice() {
