Do not take a caller for idle while its answer is on its way

Cause: a connection counts as idle from the moment at which its answer was handed to it. A stop shortens the idle time to 1.5 s, and an answer that waits for a narrow link takes longer; paced answers wait in the process, where such a close loses them. Ruled out: the peer's side (the target had answered three seconds before). Change: each check of timeouts that finds fewer bytes unsent counts as activity. Test: slow_answers_test, an answer of 2.4 s on a server that begins to stop: cut off before, whole now.

--- a/src/http_server_connection.cpp
+++ b/src/http_server_connection.cpp
@@ -153,6 +153,10 @@
 }
 
 void http_server_connection::CheckTimeouts(instant now) {
+  // A caller that reads its answer is not idle, however long the answer takes on its way.
+  const size_t unsent = evbuffer_get_length(bufferevent_get_output(raw_));
+  if (unsent < unsent_seen_) last_activity_ = now;
+  unsent_seen_ = unsent;
   switch (progress_) {
     case progress::kHandling:
       return;
--- a/src/http_server_connection.h
+++ b/src/http_server_connection.h
@@ -57,6 +57,8 @@
   bool keep_alive_ = true;
   bool continue_sent_ = false;
   bool peer_closed_ = false;
+  // Bytes of answers that waited to be sent when timeouts were checked last.
+  size_t unsent_seen_ = 0;
   instant last_activity_;
   instant request_started_;
 };
