Grant keys to targets by calls where the platform says so

What is granted is decided as before; how it reaches the target is a delivery of its own, either the answer to a heartbeat or a call. A call that is not answered may be carried out late, so that its keys do not move before its hold has ended. A change of owners is now written together with the lease row: until now the change of a process that was killed could take effect after its successor had read the map and granted the same keys.

--- /dev/null
+++ b/src/call_grants.h
@@ -0,0 +1,89 @@
+#ifndef BULRUSHWAY_CALL_GRANTS_H
+#define BULRUSHWAY_CALL_GRANTS_H
+
+// Grants by calls to a target: when to grant and renew which range, what the target holds for
+// certain, and what it may still come to hold. Answers the loads at which targets are slow to
+// answer, leave calls unanswered and carry them out seconds later, or restart in between.
+//
+// A key is relied on only after the target has answered its grant, and for no longer than the hold
+// measured from the sending of the call. The target may hold it for as long as the hold measured
+// from the latest possible arrival: the answer, or the time limit of a call without an answer.
+
+#include <chrono>
+#include <cstdint>
+#include <vector>
+
+#include "grant_delivery.h"
+
+namespace bulrushway {
+
+class call_grants {
+ public:
+  /// `started`: start of the process. Grants of the node's previous process may still run, or take
+  /// effect.
+  call_grants(const grant_limits& limits, instant started) : limits_(limits), started_(started) {}
+
+  /// Returns the grants to send now. Keys outside `permitted` are not relied on from now on. The
+  /// outcome of each call must be reported.
+  std::vector<grant_call> DueGrants(instant now, const target_incarnation& target,
+                                    const std::vector<granted_range>& permitted,
+                                    std::chrono::milliseconds lease_left);
+  /// Returns the release to send. Its outcome need not be reported here.
+  grant_call Release(const target_incarnation& target, const key_range& keys, uint64_t fence);
+  void OnOutcome(instant now, const grant_call& call, const grant_call_outcome& outcome);
+  /// The target identified itself: the address belongs to the known incarnation.
+  void OnHeartbeat() { identified_ = true; }
+  /// The address may belong to another incarnation, which must not receive the fencing tokens of
+  /// this one. Nothing is granted until the next heartbeat.
+  void OnConnectionLost() { identified_ = false; }
+
+  /// Whether the target may be sent calls.
+  bool Identified() const { return identified_; }
+  /// Whether a grant of some of the keys awaits its answer.
+  bool InFlight(const key_range& keys) const;
+  /// Whether the target refused a grant under this fence, since it has seen a higher one.
+  bool HigherFenceSeen(uint64_t fence) const;
+
+  const granted_range* Find(instant now, uint32_t key) const;
+  instant LatestEnd(const key_range& keys, uint64_t fence) const;
+  instant LatestLateEnd(const key_range& keys) const;
+  void OnNotHeld(instant now, uint32_t key);
+  void OnIncarnationEnded();
+  void OnTargetDown() { parts_.clear(); }
+
+ private:
+  // A range that the target may be granted.
+  struct part {
+    granted_range range;
+    instant relied_until{};
+    instant not_held_until{};
+    instant next_attempt{};
+    bool in_flight = false;
+    bool higher_fence_seen = false;
+  };
+  // A call that may give keys to the target until an instant.
+  struct possible_hold {
+    uint64_t call = 0;
+    key_range keys;
+    uint64_t fence = 0;
+    instant until{};
+    bool answered = false;
+    bool in_flight = true;
+  };
+
+  void SetPermitted(const std::vector<granted_range>& permitted);
+  part* FindPart(const granted_range& range);
+
+  grant_limits limits_;
+  instant started_;
+  bool identified_ = false;
+  uint64_t next_call_ = 1;
+  std::vector<part> parts_;
+  std::vector<possible_hold> possible_;
+};
+
+static_assert(grant_delivery<call_grants>);
+
+}  // namespace bulrushway
+
+#endif  // BULRUSHWAY_CALL_GRANTS_H
--- /dev/null
+++ b/src/heartbeat_grants.cpp
@@ -0,0 +1,58 @@
+#include "heartbeat_grants.h"
+
+#include <algorithm>
+
+namespace bulrushway {
+namespace {
+
+using std::chrono::milliseconds;
+
+// A grant starts for the target when it sends its heartbeat, and for this process when it receives
+// it. The process stops relying on a grant this long before the end by its own clock.
+constexpr milliseconds kGrantMargin{250};
+// Delay after a target refused a key as not held, typically because its grant was still in transit.
+constexpr milliseconds kNotHeldBackoff{100};
+
+}  // namespace
+
+void heartbeat_grants::OnGranted(instant now, const target_grant& grant) {
+  const instant end = now + LongestHold(limits_, grant.hold);
+  for (const granted_range& range : grant.ranges) {
+    instant& known_end = ends_[range.fence];
+    known_end = std::max(known_end, end);
+  }
+  granted_ = grant.ranges;
+  not_held_until_.clear();
+  granted_until_ = now + grant.hold - kGrantMargin;
+}
+
+const granted_range* heartbeat_grants::Find(instant now, uint32_t key) const {
+  if (now >= granted_until_) return nullptr;
+  const auto found =
+      std::find_if(granted_.begin(), granted_.end(),
+                   [key](const granted_range& range) { return range.keys.Contains(key); });
+  if (found == granted_.end()) return nullptr;
+  const auto not_held = not_held_until_.find(found->fence);
+  if (not_held != not_held_until_.end() && now < not_held->second) return nullptr;
+  return &*found;
+}
+
+instant heartbeat_grants::LatestEnd(const key_range&, uint64_t fence) const {
+  const auto end = ends_.find(fence);
+  if (end != ends_.end()) return end->second;
+  return started_ + LongestHold(limits_, limits_.max_hold);
+}
+
+void heartbeat_grants::OnNotHeld(instant now, uint32_t key) {
+  if (const granted_range* range = Find(now, key)) {
+    not_held_until_[range->fence] = now + kNotHeldBackoff;
+  }
+}
+
+void heartbeat_grants::OnIncarnationEnded() {
+  granted_.clear();
+  ends_.clear();
+  granted_until_ = {};
+}
+
+}  // namespace bulrushway
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -53,6 +53,9 @@
   /// Header whose value the server copies from the request to the answer. An answer with another
   /// value belongs to an earlier request and is skipped. Empty disables the check.
   std::string echo_header = {};
+  /// Called when a server closes an idle connection that it had not announced to close. May be
+  /// empty.
+  std::function<void()> on_idle_closed = {};
 };
 
 /// Sends requests over a pool of persistent connections per address.
--- a/src/http_client_connection.cpp
+++ b/src/http_client_connection.cpp
@@ -140,6 +140,7 @@
   if (!current_) {
     closed_ = true;
     client_.OnConnectionClosed(this);
+    if (client_.settings_.on_idle_closed) client_.settings_.on_idle_closed();
     return;
   }
   if (orderly && parser_->Started() && !client_.settings_.require_length) {
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -6,18 +6,23 @@
 namespace bulrushway {
 namespace {
 
+using std::chrono::milliseconds;
+
 // Member table: one row per node, with the address of its process.
 constexpr const char* kMemberTable = "members";
 // Pause between watches after changes. Processes often start together, which changes many rows.
-constexpr std::chrono::milliseconds kMemberPause{700};
+constexpr milliseconds kMemberPause{700};
 // The pause for key maps is short, since the previous owner of a moved key refuses requests for it.
 // Every process follows every change, so the fleet's calls would grow with the square of its size
 // if the pause were constant. A pause proportional to the number of processes limits them to 65
 // calls a second in total.
-constexpr std::chrono::milliseconds kOwnerPause{150};
-constexpr std::chrono::milliseconds kOwnerPausePerMember{15};
+constexpr milliseconds kOwnerPause{150};
+constexpr milliseconds kOwnerPausePerMember{15};
 // Delay before a failed announcement is retried.
-constexpr std::chrono::milliseconds kAnnounceRetry{500};
+constexpr milliseconds kAnnounceRetry{500};
+// Longest hold of a grant by call. A call without an answer delays a handover of its keys for this
+// long, so that it is shorter than a grant that answers a heartbeat.
+constexpr milliseconds kMaxCallHold{4000};
 
 double Seconds(std::chrono::nanoseconds time) {
   return std::chrono::duration<double>(time).count();
@@ -27,13 +32,14 @@
 
 membership::membership(event_loop& loop, decision_log& log, metrics& counters,
                        const row_store& store, fleet_view& fleet, membership_settings settings,
-                       membership_events events)
+                       membership_events events, grant_call_function call_target)
     : log_(log),
       metrics_(counters),
       store_(store),
       fleet_(fleet),
       settings_(std::move(settings)),
       events_(std::move(events)),
+      call_target_(std::move(call_target)),
       member_follower_(
           loop, log, store, kMemberTable, [] { return kMemberPause; },
           [this](instant now, instant, const std::vector<stored_row>& rows) {
@@ -78,13 +84,16 @@
     range_service_settings ranges{settings_.self.node,    settings_.ip, space.name,
                                   settings_.self.process, {},           {}};
     ranges.controller.node = settings_.self.node;
-    ranges.controller.max_grant = std::min(ranges.controller.max_grant, settings_.longest_grant);
+    ranges.controller.delivery = settings_.grants;
+    milliseconds& max_hold = ranges.controller.grants.max_hold;
+    if (settings_.grants == grant_delivery_kind::kCall) max_hold = kMaxCallHold;
+    max_hold = std::min(max_hold, settings_.longest_grant);
     const auto keys_assigned = [this, name = space.name](instant answered, const std::string& node,
                                                          uint64_t version) {
       events_.keys_assigned(answered, node, {name, version});
     };
     managed_.push_back({space, std::make_unique<range_service>(log_, metrics_, store_, ranges, now,
-                                                               keys_assigned)});
+                                                               keys_assigned, call_target_)});
   }
 }
 
@@ -97,6 +106,10 @@
   for (managed_space& managed : managed_) managed.ranges->SetTarget(now, condition, incarnation);
 }
 
+void membership::OnTargetDisconnected() {
+  for (managed_space& managed : managed_) managed.ranges->OnTargetDisconnected();
+}
+
 range_service* membership::Find(const std::string& space) {
   return const_cast<range_service*>(std::as_const(*this).Find(space));
 }
--- a/src/membership.h
+++ b/src/membership.h
@@ -40,6 +40,8 @@
   std::string ip;
   /// Longest grant that the target accepts.
   std::chrono::milliseconds longest_grant{5000};
+  /// How grants reach the target.
+  grant_delivery_kind grants = grant_delivery_kind::kHeartbeat;
 };
 
 /// Callbacks of membership.
@@ -56,7 +58,8 @@
 class membership {
  public:
   membership(event_loop& loop, decision_log& log, metrics& counters, const row_store& store,
-             fleet_view& fleet, membership_settings settings, membership_events events);
+             fleet_view& fleet, membership_settings settings, membership_events events,
+             grant_call_function call_target = {});
 
   /// Writes this process's row and starts to follow the tables.
   void Start(instant now);
@@ -68,6 +71,8 @@
   /// Sets the state of this process's target.
   void SetTarget(instant now, target_condition condition, const target_incarnation& incarnation);
 
+  /// An idle connection to the target was closed.
+  void OnTargetDisconnected();
   /// Returns the range service of the space; null if the target may not own its keys.
   range_service* Find(const std::string& space);
   const range_service* Find(const std::string& space) const;
@@ -106,6 +111,7 @@
   fleet_view& fleet_;
   membership_settings settings_;
   membership_events events_;
+  grant_call_function call_target_;
   table_follower member_follower_;
   table_follower key_map_follower_;
   std::map<std::string, key_map> key_maps_;
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -36,6 +36,8 @@
 constexpr milliseconds kMinIdle{150};
 // Idle connections of callers are closed this long after a stop began.
 constexpr milliseconds kStopIdleTimeout{1500};
+// Typical time until a target has answered the call that grants it a key.
+constexpr milliseconds kGrantCallTime{50};
 // Maximum bytes of the headers of a metrics request.
 constexpr size_t kMaxMetricsHeaderBytes = 8 << 10;
 
@@ -82,8 +84,9 @@
                  process_,
                  {}},
                 settings_.ip,
-                settings_.longest_grant},
-               MemberEvents(*this)),
+                settings_.longest_grant,
+                settings_.grants},
+               MemberEvents(*this), ports_.call_target),
       operator_rows_(
           loop, log_, ports_.store, ports_.operator_table, [] { return kOperatorRowInterval; },
           [this](instant now, instant, const std::vector<stored_row>& rows) {
@@ -119,6 +122,9 @@
     return {refusal_reason::kNotOwner, milliseconds{0}};
   }
   if (!keys->Leased(now)) return {refusal_reason::kLeaseLapsed, milliseconds{0}};
+  if (settings_.grants == grant_delivery_kind::kCall) {
+    return {refusal_reason::kMoving, kGrantCallTime};
+  }
   // The target receives its keys with the answer to its next heartbeat.
   const auto wait = std::chrono::duration_cast<milliseconds>(target_.NextHeartbeat() - now);
   return {refusal_reason::kMoving, std::max(wait, milliseconds{10})};
--- a/src/node.h
+++ b/src/node.h
@@ -54,6 +54,8 @@
   std::chrono::milliseconds stop_limit{6000};
   /// Maximum duration of a grant of keys.
   std::chrono::milliseconds longest_grant{10'000};
+  /// How grants of keys reach the target.
+  grant_delivery_kind grants = grant_delivery_kind::kHeartbeat;
   /// Extra arrivals at targets that all processes together may cause, as a share of requests.
   double retry_share = 0.2;
   /// Rate of the machine's link in each direction; zero means unknown, and the link is not limited.
@@ -73,6 +75,8 @@
   std::string operator_table;
   std::function<void(instant, const stored_row&)> operator_row;
   std::function<std::optional<reported_load>(const std::string&)> parse_load;
+  /// Sends a grant or a release to the target; used only where the settings ask for calls.
+  grant_call_function call_target;
 };
 
 /// A running process.
@@ -94,6 +98,8 @@
   heartbeat_answer OnHeartbeat(instant now, const target_heartbeat& heartbeat);
   /// The target reports that it has left. False when `id` is not the current incarnation.
   bool OnTargetLeft(instant now, const std::string& id);
+  /// An idle connection over which grants reach the target was closed.
+  void OnTargetDisconnected() { members_.OnTargetDisconnected(); }
   /// Takes over a configuration; ignored unless it is newer than the one in force.
   void OnConfiguration(instant now, std::shared_ptr<const route_table> table);
   /// Operators have taken a data centre out of service, or put it back.
--- a/src/process_lease.cpp
+++ b/src/process_lease.cpp
@@ -40,9 +40,23 @@
   // of this machine has exited, and its target reports to this process instead.
   const bool other_machine = row_ && row_->ip != ip_;
   if (other_machine && !HasEnded(*row_, clock.Earliest(now))) return std::nullopt;
+  return StartWrite(now, clock);
+}
+
+bool process_lease::ReadyForChange(instant now, const store_clock& clock) const {
+  const bool own_row = row_known_ && row_ && row_->process == process_;
+  return own_row && !writing_ && !reading_ && Valid(now, clock);
+}
+
+process_lease::pending_write process_lease::RenewalForChange(instant now,
+                                                             const store_clock& clock) {
+  return StartWrite(now, clock);
+}
+
+process_lease::pending_write process_lease::StartWrite(instant now, const store_clock& clock) {
   writing_ = true;
   written_until_ = clock.Earliest(now) + settings_.duration;
-  return pending_write{version_, {node_, ip_, process_, written_until_}};
+  return {version_, {node_, ip_, process_, written_until_}};
 }
 
 void process_lease::OnWritten(instant now, uint64_t version) {
--- a/src/process_lease.h
+++ b/src/process_lease.h
@@ -56,6 +56,13 @@
   /// Returns the row to write now in order to acquire or renew the lease; nullopt if no write is
   /// due. At most one write is in flight.
   std::optional<pending_write> NextWrite(instant now, const store_clock& clock);
+  /// Whether the lease can be renewed together with a change of ownership: the row is known and no
+  /// other call for it is in flight.
+  bool ReadyForChange(instant now, const store_clock& clock) const;
+  /// Returns the renewal to write together with a change; requires ReadyForChange(). Its condition
+  /// on the row's version keeps the change of a process that has ended from taking effect after its
+  /// successor has acquired the lease.
+  pending_write RenewalForChange(instant now, const store_clock& clock);
   /// Reports that the write took effect; `version` is the new version of the row.
   void OnWritten(instant now, uint64_t version);
   /// Reports that the write failed or that its outcome is unknown. The row is read again before the
@@ -77,6 +84,8 @@
   uint64_t AcquisitionCount() const { return acquisition_count_; }
 
  private:
+  pending_write StartWrite(instant now, const store_clock& clock);
+
   std::string node_;
   std::string ip_;
   uint64_t process_;
--- a/src/range_controller.cpp
+++ b/src/range_controller.cpp
@@ -9,14 +9,24 @@
 using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 
-// A grant starts for the target when it sends its heartbeat, and for this process when it receives
-// it. The process stops relying on a grant this long before the end by its own clock.
-constexpr milliseconds kGrantMargin{250};
-// Delay after a target refused a key as not held, typically because its grant was still in transit.
-constexpr milliseconds kNotHeldBackoff{100};
+// The lease must last this long beyond the start of a grant that answers a heartbeat.
+constexpr milliseconds kMinLeaseLeft{250};
+// Delay before a release that was not answered is sent again.
+constexpr milliseconds kReleaseRetryDelay{100};
+
+std::variant<heartbeat_grants, call_grants> MakeGrants(const range_controller_settings& settings,
+                                                       instant started) {
+  if (settings.delivery == grant_delivery_kind::kCall) {
+    return call_grants(settings.grants, started);
+  }
+  return heartbeat_grants(settings.grants, started);
+}
 
 }  // namespace
 
+range_controller::range_controller(const range_controller_settings& settings, instant started)
+    : settings_(settings), grants_(MakeGrants(settings, started)) {}
+
 void range_controller::OnMap(instant read_started, std::optional<key_map> map, uint64_t version) {
   reading_ = false;
   if (map_known_ && version < map_version_) return;
@@ -35,13 +45,6 @@
   });
 }
 
-instant range_controller::GrantEnd(const owned_range& range) const {
-  const auto end = grant_ends_.find(range.fence);
-  if (end != grant_ends_.end()) return end->second;
-  return started_ +
-         duration_cast<milliseconds>(settings_.max_grant * (1 + settings_.max_clock_slowness));
-}
-
 void range_controller::OnLeaseAcquired(instant now) { map_required_since_ = now; }
 
 void range_controller::OnLeases(instant now, std::vector<observed_lease> leases,
@@ -72,19 +75,16 @@
   DropFinishedReleases();
 }
 
-void range_controller::SetTarget(instant now, target_condition condition,
+void range_controller::SetTarget(instant, target_condition condition,
                                  const target_incarnation& incarnation) {
   if (incarnation != incarnation_) {
-    // The grants of the previous incarnation ended with it.
-    granted_.clear();
-    grant_ends_.clear();
+    WithGrants([](auto& grants) { grants.OnIncarnationEnded(); });
     pending_releases_.clear();
-    granted_until_ = now;
     incarnation_ = incarnation;
   }
   condition_ = condition;
   if (condition == target_condition::kDown) {
-    granted_.clear();
+    WithGrants([](auto& grants) { grants.OnTargetDown(); });
     pending_releases_.clear();
   }
 }
@@ -128,25 +128,13 @@
   }
 }
 
-std::optional<target_grant> range_controller::OnHeartbeat(instant now,
-                                                          const target_heartbeat& heartbeat,
-                                                          milliseconds lease_left) {
-  if (heartbeat.incarnation != incarnation_) return std::nullopt;
-  RecordReleased(heartbeat);
-  const bool map_is_fresh = map_known_ && map_read_at_ >= map_required_since_;
-  if (lease_left <= kGrantMargin || !map_is_fresh) return std::nullopt;
-  target_grant grant;
-  const auto lease_hold =
-      duration_cast<milliseconds>(lease_left / (1 + settings_.max_clock_slowness));
-  grant.hold = std::min(settings_.max_grant, lease_hold);
-  const instant end =
-      now + duration_cast<milliseconds>(grant.hold * (1 + settings_.max_clock_slowness));
+std::vector<granted_range> range_controller::PermittedRanges() const {
+  std::vector<granted_range> permitted;
   for (const owned_range& range : map_.ranges) {
     if (range.owner != Self()) continue;
-    // Parts that are being released or reassigned are excluded; the rest keeps its fence.
     uint32_t first = range.keys.first;
-    const auto grant_part = [&](uint32_t from, uint32_t to) {
-      grant.ranges.push_back({{from, to}, range.fence, range.handover});
+    const auto permit_part = [&](uint32_t from, uint32_t to) {
+      permitted.push_back({{from, to}, range.fence, range.handover});
     };
     std::vector<key_range> excluded;
     for (const pending_release& pending : pending_releases_) {
@@ -159,41 +147,90 @@
     }
     std::sort(excluded.begin(), excluded.end());
     for (const key_range& hole : excluded) {
-      if (hole.first > first) grant_part(first, hole.first - 1);
+      if (hole.first > first) permit_part(first, hole.first - 1);
       first = std::max(first, hole.last + 1);
     }
-    if (first <= range.keys.last) grant_part(first, range.keys.last);
-    instant& grant_end = grant_ends_[range.fence];
-    grant_end = std::max(grant_end, end);
+    if (first <= range.keys.last) permit_part(first, range.keys.last);
+  }
+  return permitted;
+}
+
+std::optional<target_grant> range_controller::OnHeartbeat(instant now,
+                                                          const target_heartbeat& heartbeat,
+                                                          milliseconds lease_left) {
+  if (heartbeat.incarnation != incarnation_) return std::nullopt;
+  if (call_grants* calls = ByCall()) {
+    calls->OnHeartbeat();
+    return std::nullopt;
   }
-  granted_ = grant.ranges;
-  not_held_until_.clear();
-  granted_until_ = now + grant.hold - kGrantMargin;
+  RecordReleased(heartbeat);
+  if (lease_left <= kMinLeaseLeft || !MapIsFresh()) return std::nullopt;
+  target_grant grant;
+  const auto lease_hold =
+      duration_cast<milliseconds>(lease_left / (1 + settings_.grants.max_clock_slowness));
+  grant.hold = std::min(settings_.grants.max_hold, lease_hold);
+  grant.ranges = PermittedRanges();
+  std::get<heartbeat_grants>(grants_).OnGranted(now, grant);
   return grant;
 }
 
-const granted_range* range_controller::FindGranted(uint32_t key) const {
-  const auto found =
-      std::find_if(granted_.begin(), granted_.end(),
-                   [key](const granted_range& range) { return range.keys.Contains(key); });
-  return found == granted_.end() ? nullptr : &*found;
+std::vector<grant_call> range_controller::NextCalls(instant now, milliseconds lease_left) {
+  call_grants* calls = ByCall();
+  const bool reachable =
+      condition_ == target_condition::kReady || condition_ == target_condition::kLeaving;
+  if (calls == nullptr || !reachable) return {};
+  std::vector<granted_range> permitted;
+  if (MapIsFresh()) permitted = PermittedRanges();
+  std::vector<grant_call> due = calls->DueGrants(now, incarnation_, permitted, lease_left);
+  if (!calls->Identified()) return due;
+  for (pending_release& pending : pending_releases_) {
+    // A grant in flight might reach the target after the release.
+    const bool wait = pending.released || pending.call_in_flight || now < pending.next_call ||
+                      calls->InFlight(pending.keys);
+    if (wait) continue;
+    pending.call_in_flight = true;
+    due.push_back(calls->Release(incarnation_, pending.keys, pending.fence));
+  }
+  return due;
 }
 
-void range_controller::OnNotHeld(instant now, uint32_t key) {
-  if (const granted_range* range = FindGranted(key)) {
-    not_held_until_[range->fence] = now + kNotHeldBackoff;
+void range_controller::OnCallOutcome(instant now, const grant_call& call,
+                                     const grant_call_outcome& outcome) {
+  call_grants* calls = ByCall();
+  if (calls == nullptr || call.target != incarnation_) return;
+  calls->OnOutcome(now, call, outcome);
+  if (call.type != grant_call::kind::kRelease) return;
+  for (pending_release& pending : pending_releases_) {
+    if (pending.keys != call.range.keys || pending.fence != call.range.fence) continue;
+    pending.call_in_flight = false;
+    pending.next_call = now + kReleaseRetryDelay;
+    pending.released = pending.released || outcome.result == grant_call_result::kDone;
+    if (pending.handover.empty()) pending.handover = outcome.handover;
   }
 }
 
+void range_controller::OnTargetDisconnected() {
+  if (call_grants* calls = ByCall()) calls->OnConnectionLost();
+}
+
+void range_controller::OnNotHeld(instant now, uint32_t key) {
+  WithGrants([now, key](auto& grants) { grants.OnNotHeld(now, key); });
+}
+
 std::optional<uint64_t> range_controller::Fence(instant now, uint32_t key) const {
-  if (now >= granted_until_) return std::nullopt;
-  const granted_range* range = FindGranted(key);
+  const granted_range* range =
+      WithGrants([now, key](const auto& grants) { return grants.Find(now, key); });
   if (range == nullptr) return std::nullopt;
-  const auto not_held = not_held_until_.find(range->fence);
-  if (not_held != not_held_until_.end() && now < not_held->second) return std::nullopt;
   return range->fence;
 }
 
+bool range_controller::IsFinished(instant now, const pending_release& pending) const {
+  if (now >= pending.grant_end) return true;
+  if (!pending.released) return false;
+  return now >=
+         WithGrants([&pending](const auto& grants) { return grants.LatestLateEnd(pending.keys); });
+}
+
 bool range_controller::Owns(uint32_t key) const {
   const owned_range* range = map_.Find(key);
   return range != nullptr && range->owner == Self();
--- a/src/range_controller.h
+++ b/src/range_controller.h
@@ -16,9 +16,13 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
+#include <variant>
 #include <vector>
 
+#include "call_grants.h"
 #include "clock.h"
+#include "heartbeat_grants.h"
 #include "key_map.h"
 #include "key_rates.h"
 #include "process_lease.h"
@@ -81,10 +85,10 @@
 /// Limits of grants and moves.
 struct range_controller_settings {
   std::string node;
-  /// Longest grant; membership also limits it by the platform's rules.
-  std::chrono::milliseconds max_grant{5000};
-  /// A target's clock may run slow by at most this share.
-  double max_clock_slowness = 0.02;
+  /// How grants reach the target.
+  grant_delivery_kind delivery = grant_delivery_kind::kHeartbeat;
+  /// Limits of grants; membership also limits them by the platform's rules.
+  grant_limits grants;
   /// The initial assignment waits until the candidates have not changed for this long, so that it
   /// happens only once.
   std::chrono::milliseconds settle_time{1500};
@@ -103,8 +107,7 @@
 class range_controller {
  public:
   /// `started`: start of the process. Grants of the node's previous process may still run.
-  range_controller(const range_controller_settings& settings, instant started)
-      : settings_(settings), started_(started) {}
+  range_controller(const range_controller_settings& settings, instant started);
 
   /// Reports the map as read from the store; nullopt if there is no row.
   void OnMap(instant read_started, std::optional<key_map> map, uint64_t version);
@@ -117,9 +120,17 @@
   void OnReadFailed() { reading_ = false; }
 
   /// Processes a heartbeat of the target and returns the grant to answer with; nullopt if the lease
-  /// is not valid, the map is not current, or the heartbeat is of another incarnation.
+  /// is not valid, the map is not current, the heartbeat is of another incarnation, or grants reach
+  /// the target by calls.
   std::optional<target_grant> OnHeartbeat(instant now, const target_heartbeat& heartbeat,
                                           std::chrono::milliseconds lease_left);
+  /// Returns the grants and releases to send to the target now, if it receives them by calls. The
+  /// outcome of each must be reported.
+  std::vector<grant_call> NextCalls(instant now, std::chrono::milliseconds lease_left);
+  /// Reports the outcome of a call.
+  void OnCallOutcome(instant now, const grant_call& call, const grant_call_outcome& outcome);
+  /// An idle connection to the target was closed: another incarnation may use its address.
+  void OnTargetDisconnected();
   /// Sets the target's state, as derived from heartbeats, failures and rules.
   void SetTarget(instant now, target_condition condition, const target_incarnation& incarnation);
 
@@ -148,11 +159,14 @@
   uint64_t map_version() const { return map_version_; }
   bool MapKnown() const { return map_known_; }
   bool HasPendingReleases() const { return !pending_releases_.empty(); }
+  grant_delivery_kind delivery() const { return settings_.delivery; }
 
  private:
   // Keys that are not granted to the target any more and will be reassigned.
   struct pending_release {
     key_range keys;
+    // Fencing token under which the target holds the keys.
+    uint64_t fence;
     // The target's last grant of the keys ends by this instant.
     instant grant_end;
     // The target has confirmed that it does not hold the keys.
@@ -160,6 +174,9 @@
     std::string handover = {};
     // Node that is to own the keys if its target accepts them then; empty: any node.
     std::string new_node = {};
+    // Delivery by calls: whether a release awaits its answer, and when the next may be sent.
+    bool call_in_flight = false;
+    instant next_call = {};
   };
 
   bool IsReleasing(const key_range& keys) const;
@@ -168,10 +185,27 @@
   // Whether a change that assigns the keys to another node may still take effect.
   bool MayBeReassigned(const key_range& keys) const;
   void RecordReleased(const target_heartbeat& heartbeat);
-  const granted_range* FindGranted(uint32_t key) const;
+  // Applies `use` to the delivery of grants.
+  template <class Use>
+  auto WithGrants(Use use) const {
+    return std::visit([&use](const grant_delivery auto& grants) { return use(grants); }, grants_);
+  }
+  template <class Use>
+  auto WithGrants(Use use) {
+    return std::visit([&use](grant_delivery auto& grants) { return use(grants); }, grants_);
+  }
+  call_grants* ByCall() { return std::get_if<call_grants>(&grants_); }
+  // Whether the target has refused a grant under this fence for a higher one.
+  bool HigherFenceSeen(uint64_t fence) const {
+    const auto* calls = std::get_if<call_grants>(&grants_);
+    return calls != nullptr && calls->HigherFenceSeen(fence);
+  }
+  // Ranges that the target may be granted; parts that are being released or reassigned are
+  // excluded, and the rest keeps its fence.
+  std::vector<granted_range> PermittedRanges() const;
+  bool MapIsFresh() const { return map_known_ && map_read_at_ >= map_required_since_; }
+  bool IsFinished(instant now, const pending_release& pending) const;
   void DropFinishedReleases();
-  // Latest instant at which the target's last grant of the range ends.
-  instant GrantEnd(const owned_range& range) const;
   void AssignInitialOwners(const std::vector<range_candidate>& candidates);
   bool MoveOwnKeys(instant now, const std::vector<range_candidate>& candidates);
   bool ReassignOrphans(instant now, const std::vector<range_candidate>& candidates,
@@ -186,7 +220,7 @@
   range_owner Self() const { return {settings_.node, incarnation_}; }
 
   range_controller_settings settings_;
-  instant started_;
+  std::variant<heartbeat_grants, call_grants> grants_;
   key_map map_;
   bool map_known_ = false;
   // When a change failed. The map must be read again after that.
@@ -201,13 +235,6 @@
 
   target_condition condition_ = target_condition::kUnknown;
   target_incarnation incarnation_;
-  std::vector<granted_range> granted_;
-  instant granted_until_{};
-  // By fence: ranges for which the target refused a request as not held. Fence treats them as not
-  // held until this instant.
-  std::map<uint64_t, instant> not_held_until_;
-  // By fence: when the target's last grant of the range ends.
-  std::map<uint64_t, instant> grant_ends_;
   std::vector<pending_release> pending_releases_;
   // Keys of the target that changes based on this version of the map assign to other nodes. Such a
   // change may take effect, even after its answer was lost, until the map has another version.
--- a/src/range_controller_moves.cpp
+++ b/src/range_controller_moves.cpp
@@ -63,6 +63,10 @@
       Reassign(map, range.keys, Self(), {});
       change_.reason = "kept";
       changed = true;
+    } else if (condition_ == target_condition::kReady && HigherFenceSeen(range.fence)) {
+      Reassign(map, range.keys, Self(), {});
+      change_.reason = "higher fence seen";
+      changed = true;
     } else if ((former_incarnation || condition_ == target_condition::kDown) && !others.empty() &&
                condition_ != target_condition::kUnknown) {
       SpreadOver(map, range.keys, {}, others);
@@ -71,8 +75,7 @@
     }
   }
   for (const pending_release& pending : pending_releases_) {
-    const bool finished = pending.released || now >= pending.grant_end;
-    if (!finished) continue;
+    if (!IsFinished(now, pending)) continue;
     std::vector<range_owner> new_owners = others;
     if (!pending.new_node.empty()) {
       std::erase_if(new_owners, [&pending](const range_owner& other) {
@@ -150,6 +153,11 @@
 
 void range_controller::StartBalancing(instant now, const std::vector<range_candidate>& candidates) {
   if (condition_ != target_condition::kReady || !pending_releases_.empty()) return;
+  // Released keys could not be handed over before a late grant of them has ended.
+  const bool late_grants = WithGrants([now](const auto& grants) {
+    return now < grants.LatestLateEnd({0, kLastKey});
+  });
+  if (late_grants) return;
   if (StartRelief(now, candidates)) return;
   if (now - last_balance_at_ < settings_.balance_interval) return;
   const auto move = ChooseBalancingMove(map_, Self(), AcceptingOwners(candidates));
@@ -174,7 +182,10 @@
                                     const std::string& new_node) {
   const owned_range* range = map_.Find(keys.first);
   if (range == nullptr) return;
-  pending_releases_.push_back({keys, std::max(now, GrantEnd(*range)), false, {}, new_node});
+  const uint64_t fence = range->fence;
+  const instant grant_end =
+      WithGrants([&keys, fence](const auto& grants) { return grants.LatestEnd(keys, fence); });
+  pending_releases_.push_back({keys, fence, std::max(now, grant_end), false, {}, new_node});
 }
 
 bool range_controller::StartRelief(instant now, const std::vector<range_candidate>& candidates) {
--- a/src/range_service.cpp
+++ b/src/range_service.cpp
@@ -6,12 +6,13 @@
 
 range_service::range_service(decision_log& log, metrics& counters, const row_store& store,
                              const range_service_settings& settings, instant now,
-                             keys_assigned_function keys_assigned)
+                             keys_assigned_function keys_assigned, grant_call_function call_target)
     : log_(log),
       metrics_(counters),
       store_(store),
       settings_(settings),
       keys_assigned_(std::move(keys_assigned)),
+      call_target_(std::move(call_target)),
       lease_(settings_.node, settings_.ip, settings_.process, settings_.lease),
       controller_(settings_.controller, now) {}
 
@@ -25,16 +26,22 @@
                 {"map_version", std::to_string(controller_.map_version())}},
                log_priority::kNotable);
   }
-  switch (controller_.NextAction(now, candidates, leased)) {
+  // A change is written together with the lease.
+  const bool may_change = lease_.ReadyForChange(now, clock_);
+  switch (controller_.NextAction(now, candidates, may_change)) {
     case range_action::kNone:
-      return;
+      break;
     case range_action::kReadMap:
-      return ReadMap(now);
+      ReadMap(now);
+      break;
     case range_action::kReadLeases:
-      return ReadLeases(now);
+      ReadLeases(now);
+      break;
     case range_action::kCommitChange:
-      return CommitChange(now);
+      CommitChange(now);
+      break;
   }
+  SendCalls(now);
 }
 
 void range_service::MaintainLease(instant now) {
@@ -134,26 +141,67 @@
   for (const std::string& node : change.absent_leases) {
     transaction.conditions.push_back({LeaseRowKey(node), 0});
   }
-  const std::string reason = change.reason;
-  const uint64_t previous_version = change.map_version;
-  store_.commit(
-      std::move(transaction), [this, now, reason, previous_version, owners = NewOwners(change)](
-                                  instant answered, result<row_receipt> outcome) {
-        if (outcome) {
-          for (const std::string& node : owners) keys_assigned_(answered, node, outcome->version);
-          clock_.AddSample(now, answered, outcome->now);
-          metrics_.Counter("bulrushway_ownership_changes", {{"reason", reason}})++;
-        }
-        log_.Write("ownership_change",
-                   {{"service", settings_.service},
-                    {"reason", reason},
-                    {"from_version", std::to_string(previous_version)},
-                    {"to_version", outcome ? std::to_string(outcome->version) : "-"},
-                    {"outcome", outcome ? "committed" : outcome.error().message}},
-                   log_priority::kNotable);
-        controller_.OnChanged(
-            answered, outcome.map([](const row_receipt& receipt) { return receipt.version; }));
-      });
+  const row_key lease_row = LeaseRowKey(settings_.node);
+  const process_lease::pending_write renewal = lease_.RenewalForChange(now, clock_);
+  transaction.conditions.push_back({lease_row, renewal.version});
+  transaction.writes.push_back({lease_row, EncodeLease(renewal.record)});
+  store_.commit(std::move(transaction),
+                [this, now, reason = change.reason, owners = NewOwners(change)](
+                    instant answered, result<row_receipt> outcome) {
+                  OnCommitted(answered, now, reason, owners, outcome);
+                });
+}
+
+void range_service::OnCommitted(instant now, instant sent, const std::string& reason,
+                                const std::set<std::string>& new_owners,
+                                const result<row_receipt>& outcome) {
+  log_.Write("ownership_change",
+             {{"service", settings_.service},
+              {"reason", reason},
+              {"from_version", std::to_string(controller_.change().map_version)},
+              {"to_version", outcome ? std::to_string(outcome->version) : "-"},
+              {"outcome", outcome ? "committed" : outcome.error().message}},
+             log_priority::kNotable);
+  if (outcome) {
+    for (const std::string& node : new_owners) keys_assigned_(now, node, outcome->version);
+    clock_.AddSample(sent, now, outcome->now);
+    lease_.OnWritten(now, outcome->version);
+    metrics_.Counter("bulrushway_ownership_changes", {{"reason", reason}})++;
+  } else {
+    lease_.OnWriteFailed(now, outcome.error().kind == error_kind::kConflict);
+  }
+  controller_.OnChanged(now,
+                        outcome.map([](const row_receipt& receipt) { return receipt.version; }));
+}
+
+void range_service::SendCalls(instant now) {
+  if (!call_target_) return;
+  for (const grant_call& call : controller_.NextCalls(now, lease_.Remaining(now, clock_))) {
+    call_target_(call, [this, call](instant answered, const grant_call_outcome& outcome) {
+      OnCallOutcome(answered, call, outcome);
+    });
+  }
+}
+
+void range_service::OnCallOutcome(instant now, const grant_call& call,
+                                  const grant_call_outcome& outcome) {
+  const bool grant = call.type == grant_call::kind::kGrant;
+  const std::string_view result = Name(outcome.result);
+  metrics_.Counter("bulrushway_target_orders",
+                   {{"order", grant ? "grant" : "release"}, {"result", std::string(result)}})++;
+  // Renewals that succeed are too many for the log.
+  if (!grant || outcome.result != grant_call_result::kDone) {
+    log_.Write(grant ? "grant_failed" : "keys_released",
+               {{"service", settings_.service},
+                {"target", call.target.id},
+                {"first_key", std::to_string(call.range.keys.first)},
+                {"last_key", std::to_string(call.range.keys.last)},
+                {"fence", std::to_string(call.range.fence)},
+                {"result", std::string(result)},
+                {"detail", outcome.detail}},
+               log_priority::kNotable);
+  }
+  controller_.OnCallOutcome(now, call, outcome);
 }
 
 std::optional<target_grant> range_service::OnHeartbeat(instant now,
--- a/src/range_service.h
+++ b/src/range_service.h
@@ -41,12 +41,13 @@
 using keys_assigned_function =
     std::function<void(instant, const std::string& node, uint64_t version)>;
 
-/// Runs the range controller of one target against the store.
+/// Runs the range controller of one target against the store. `call_target` delivers grants by
+/// calls, where the settings ask for it.
 class range_service {
  public:
   range_service(decision_log& log, metrics& counters, const row_store& store,
                 const range_service_settings& settings, instant now,
-                keys_assigned_function keys_assigned);
+                keys_assigned_function keys_assigned, grant_call_function call_target = {});
 
   /// Maintains the lease and carries out the controller's next action.
   void Tick(instant now, const std::vector<range_candidate>& candidates);
@@ -56,6 +57,8 @@
   void SetTarget(instant now, target_condition condition, const target_incarnation& incarnation) {
     controller_.SetTarget(now, condition, incarnation);
   }
+  /// An idle connection to the target was closed.
+  void OnTargetDisconnected() { controller_.OnTargetDisconnected(); }
   bool Leased(instant now) const { return lease_.Valid(now, clock_); }
   bool Holds(instant now, uint32_t key) const { return Leased(now) && controller_.Holds(now, key); }
   /// Earliest instant at which the lease may end.
@@ -77,6 +80,10 @@
   void ReadMap(instant now);
   void ReadLeases(instant now);
   void CommitChange(instant now);
+  void OnCommitted(instant now, instant sent, const std::string& reason,
+                   const std::set<std::string>& new_owners, const result<row_receipt>& outcome);
+  void SendCalls(instant now);
+  void OnCallOutcome(instant now, const grant_call& call, const grant_call_outcome& outcome);
   // Returns the other nodes that the change assigns keys to.
   std::set<std::string> NewOwners(const ownership_change& change) const;
 
@@ -85,6 +92,7 @@
   const row_store& store_;
   range_service_settings settings_;
   keys_assigned_function keys_assigned_;
+  grant_call_function call_target_;
   store_clock clock_;
   process_lease lease_;
   range_controller controller_;
