--- a/test/correctness/separate_body_test.cpp
+++ b/test/correctness/separate_body_test.cpp
@@ -107,7 +107,7 @@
 
 BOOST_AUTO_TEST_CASE(are_refused_as_not_run_when_their_body_cannot_come_in_time) {
   gate_behind_a_narrow_link fixture;
-  for (int i = 0; i < 6; ++i) fixture.Upload(milliseconds(290));
+  for (int i = 0; i < 8; ++i) fixture.Upload(milliseconds(290));
   BOOST_REQUIRE(fixture.last_answer.has_value());
   BOOST_TEST((fixture.last_answer->state == run_state::kNotRun));
   BOOST_TEST((fixture.last_answer->reason == refusal_reason::kQueueFull));
