Follow the store's tables in one process of a data centre

Now the first process of a data centre whose calls to the store succeed follows them and passes changes on; the others check its versions with each report, and follow by themselves as soon as it says that it lost contact. A lease, renewed each second, is what shows contact, so that only processes with one do this.

--- a/src/fleet_view.cpp
+++ b/src/fleet_view.cpp
@@ -75,6 +75,7 @@
   }
   state.report = report;
   state.reported = true;
+  state.report_received = now;
   state.load_received = now;
   state.sent_since_load = 0;
 }
--- a/src/fleet_view.h
+++ b/src/fleet_view.h
@@ -49,6 +49,7 @@
   instant reachable_since{};
   bool reported = false;
   node_report report;
+  instant report_received{};
   /// Time at which the target's load was last received, in a report or an answer.
   instant load_received{};
   /// Requests that this process has sent since `load_received`.
--- a/src/membership.h
+++ b/src/membership.h
@@ -89,6 +89,9 @@
   void RefreshMembers(instant now) { member_follower_.Refresh(now); }
   /// Reads the key maps at once, in case the change feed has stalled.
   void RefreshOwners(instant now) { key_map_follower_.Refresh(now); }
+  /// Followers of the tables of members and key maps.
+  table_follower& member_follower() { return member_follower_; }
+  table_follower& key_map_follower() { return key_map_follower_; }
   /// Handles a notice that another process has assigned keys to this node.
   void OnKeysAssigned(instant now, const keys_assigned_notice& notice);
 
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -51,6 +51,7 @@
     : loop_(loop),
       settings_(settings),
       ports_(std::move(ports)),
+      store_(ObserveStore(ports_.store, contact_, metrics_)),
       process_(process),
       log_(loop, settings_.name, STDOUT_FILENO),
       fleet_(settings_.name, settings_.data_centre, settings_.region),
@@ -75,7 +76,7 @@
                       [this](const std::shared_ptr<http_exchange>& exchange) {
                         exchange->Reply({200, {{"Content-Type", "text/plain"}}, metrics_.Expose()});
                       }),
-      members_(loop, log_, metrics_, ports_.store, fleet_,
+      members_(loop, log_, metrics_, store_, fleet_,
                {{settings_.name,
                  settings_.peers,
                  settings_.data_centre,
@@ -88,7 +89,7 @@
                 settings_.grants},
                MemberEvents(*this), ports_.call_target),
       operator_rows_(
-          loop, log_, ports_.store, ports_.operator_table, [] { return kOperatorRowInterval; },
+          loop, log_, store_, ports_.operator_table, [] { return kOperatorRowInterval; },
           [this](instant now, instant, const std::vector<stored_row>& rows) {
             for (const stored_row& row : rows) ports_.operator_row(now, row);
           }),
@@ -106,6 +107,12 @@
               {"region", settings_.region},
               {"process", std::to_string(process_)}},
              log_priority::kNotable);
+  for (table_follower* followed : FollowedTables()) {
+    followed->RelayTo([this, table = followed->table()](uint64_t after, uint64_t version,
+                                                        const std::vector<stored_row>& rows) {
+      PassOn(table, after, version, rows);
+    });
+  }
   members_.Start(now);
   operator_rows_.Start(now);
   tick_.Every(kTickInterval);
@@ -219,6 +226,10 @@
   report.stopping = stopping_since_.has_value();
   report.leased = members_.Leased(now);
   report.configuration_version = table_ ? table_->version() : 0;
+  report.follows_store = follows_store_;
+  for (const table_follower* followed : FollowedTables()) {
+    report.table_changes.push_back(followed->LatestChange());
+  }
   report.target = gate_.Report(now);
   constexpr double kThousandths = 1000;
   report.target.key_request_millirate =
@@ -233,6 +244,7 @@
   report.sequence = ++report_sequence_;
   fleet_.OnReport(now, report);
   mesh_.Tick(now);
+  UpdateRelay(now);
   RefreshIfBehind(now);
   router_.Tick(now);
   if (stopping_since_) FinishStop(now);
--- a/src/node.h
+++ b/src/node.h
@@ -5,6 +5,7 @@
 // the peers, key ownership and the configuration. It accesses the platform only through the ports
 // that the adapter provides.
 
+#include <array>
 #include <chrono>
 #include <cstdint>
 #include <functional>
@@ -27,6 +28,7 @@
 #include "request_router.h"
 #include "route_table.h"
 #include "row_store.h"
+#include "store_relay.h"
 #include "table_follower.h"
 #include "target_gate.h"
 
@@ -124,6 +126,15 @@
   void OnPeerCancelled(instant now, connection_id from, uint64_t id);
   void OnPeerDisconnected(instant now, connection_id from);
   void OnPeerReport(instant now, const node_report& report);
+  // Tables that a process of the data centre may follow for all.
+  std::array<table_follower*, 3> FollowedTables() {
+    return {&operator_rows_, &members_.member_follower(), &members_.key_map_follower()};
+  }
+  // Decides whether to follow the store, and reads changes that were not passed on.
+  void UpdateRelay(instant now);
+  void OnTableChanges(instant now, const table_changes_notice& notice);
+  void PassOn(const std::string& table, uint64_t after, uint64_t version,
+              const std::vector<stored_row>& rows);
   void BroadcastSuspects(instant now);
   void RefreshIfBehind(instant now);
   range_service* OwnKeys() { return members_.Find(settings_.service); }
@@ -142,6 +153,8 @@
   event_loop& loop_;
   node_settings settings_;
   node_ports ports_;
+  store_contact contact_;
+  row_store store_;
   uint64_t process_;
   decision_log log_;
   metrics metrics_;
@@ -164,6 +177,8 @@
   uint64_t report_sequence_ = 0;
   uint64_t newest_peer_version_ = 0;
   std::optional<instant> behind_since_;
+  relay_gap relay_gap_;
+  bool follows_store_ = false;
   std::string unknown_peer_;
   std::optional<instant> unknown_peer_since_;
   std::optional<instant> stopping_since_;
--- a/src/node_peers.cpp
+++ b/src/node_peers.cpp
@@ -13,6 +13,9 @@
 // Requests are refused this long before the process is killed, so that these last answers still
 // reach their callers.
 constexpr milliseconds kLastAnswerTime{600};
+// Larger changes of a table are read from the store by each process: passed on, they would fill the
+// link of one machine.
+constexpr size_t kMaxRelayedBytes = 16 << 10;
 // When peers report data that the feeds have not delivered after this time, it is read from the
 // store.
 constexpr milliseconds kFeedDelay{300};
@@ -63,6 +66,9 @@
             if (const auto* notice = std::get_if<keys_assigned_notice>(&message)) {
               return self.members_.OnKeysAssigned(now, *notice);
             }
+            if (const auto* changes = std::get_if<table_changes_notice>(&message)) {
+              return self.OnTableChanges(now, *changes);
+            }
             if (const auto* body = std::get_if<request_body>(&message)) {
               return self.OnPeerBody(now, from, *body);
             }
@@ -157,6 +163,48 @@
   if (!unknown_peer_since_) unknown_peer_since_ = now;
 }
 
+void node::UpdateRelay(instant now) {
+  const node_state* follower = ChooseFollower(now, fleet_);
+  for (table_follower* followed : FollowedTables()) followed->SetRelayed(now, follower != nullptr);
+  const bool follows = follower == nullptr && !stopping_since_ && members_.Leased(now) &&
+                       contact_.Working(now);
+  if (follows != follows_store_) {
+    follows_store_ = follows;
+    log_.Write(follows ? "follows_store" : "follows_store_no_more",
+               {{"leased", members_.Leased(now) ? "yes" : "no"},
+                {"store", contact_.Working(now) ? "answers" : "does not answer"},
+                {"follower", follower == nullptr ? "-" : follower->member.node}},
+               log_priority::kNotable);
+    mesh_.ReportNow(now);
+  }
+  if (follower == nullptr) return;
+  std::vector<uint64_t> own;
+  for (const table_follower* followed : FollowedTables()) own.push_back(followed->LatestChange());
+  for (const size_t table : relay_gap_.Overdue(now, follower->report.table_changes, own)) {
+    FollowedTables()[table]->Refresh(now);
+  }
+}
+
+void node::PassOn(const std::string& table, uint64_t after, uint64_t version,
+                  const std::vector<stored_row>& rows) {
+  if (!follows_store_) return;
+  table_changes_notice notice{table, after, version, rows};
+  size_t bytes = 0;
+  for (const stored_row& row : rows) bytes += row.value.size();
+  if (bytes > kMaxRelayedBytes) notice.rows.clear();
+  for (const auto& [name, peer] : fleet_.nodes()) {
+    // One that this does not reach compares its versions with those of the next report.
+    if (peer.locality == node_locality::kDataCentre) mesh_.SendMessage(name, notice);
+  }
+}
+
+void node::OnTableChanges(instant now, const table_changes_notice& notice) {
+  for (table_follower* followed : FollowedTables()) {
+    if (followed->table() != notice.table) continue;
+    followed->OnRelayed(now, notice.after, notice.version, notice.rows);
+  }
+}
+
 void node::BroadcastSuspects(instant now) {
   mesh_.SendToAll([this, now](const node_state& peer) {
     return poison_notice{gate_.poison().Export(peer.member.region, now)};
--- a/src/peer_codec.cpp
+++ b/src/peer_codec.cpp
@@ -46,7 +46,7 @@
 
 static auto Fields(auto& m, const node_report&) {
   return std::tie(m.node, m.data_centre, m.region, m.process, m.sequence, m.stopping, m.leased,
-                  m.configuration_version, m.target);
+                  m.configuration_version, m.follows_store, m.table_changes, m.target);
 }
 
 static auto Fields(auto& m, const node_report_ack&) { return std::tie(m.sequence); }
@@ -76,6 +76,16 @@
 
 static auto Fields(auto& m, const body_permit&) { return std::tie(m.id); }
 
+static auto Fields(auto& m, const row_key&) { return std::tie(m.table, m.key); }
+
+static auto Fields(auto& m, const stored_row&) {
+  return std::tie(m.id, m.value, m.version, m.deleted);
+}
+
+static auto Fields(auto& m, const table_changes_notice&) {
+  return std::tie(m.table, m.after, m.version, m.rows);
+}
+
 static auto Fields(auto& m, const request_body&) { return std::tie(m.id, m.bytes); }
 
 static constexpr auto HighestOf(remembered_state) { return remembered_state::kUnknown; }
--- a/src/peer_messages.h
+++ b/src/peer_messages.h
@@ -14,6 +14,7 @@
 #include "idempotency_memory.h"
 #include "poison_registry.h"
 #include "refusal.h"
+#include "row_store.h"
 #include "target_heartbeat.h"
 
 namespace bulrushway {
@@ -118,6 +119,10 @@
   /// The process holds a valid lease.
   bool leased = false;
   uint64_t configuration_version = 0;
+  /// The process follows the store's tables and passes changes on to its data centre.
+  bool follows_store = false;
+  /// Versions of the latest changes that it knows, by table, in the order of followed_tables.
+  std::vector<uint64_t> table_changes;
   target_report target;
 };
 
@@ -221,12 +226,22 @@
   uint64_t version = 0;
 };
 
+/// Changes of a table of the store, passed on within a data centre.
+struct table_changes_notice {
+  std::string table;
+  /// The rows are all changes after this version of the store, up to `version`.
+  uint64_t after = 0;
+  uint64_t version = 0;
+  /// Empty when they are too large to be passed on: the receiver reads the table.
+  std::vector<stored_row> rows;
+};
+
 /// Any message between processes. A type's index is its number on the wire: append only.
 using peer_message =
     std::variant<cancel_request, configuration_notice, document_request, document_answer,
                  freshness_request, freshness_answer, slice_memory_request, slice_memory_answer,
                  node_report, node_report_ack, dispatch_request, dispatch_answer, poison_notice,
-                 keys_assigned_notice, body_permit, request_body>;
+                 keys_assigned_notice, body_permit, request_body, table_changes_notice>;
 
 }  // namespace bulrushway
 
--- /dev/null
+++ b/src/store_relay.h
@@ -0,0 +1,57 @@
+#ifndef BULRUSHWAY_STORE_RELAY_H
+#define BULRUSHWAY_STORE_RELAY_H
+
+// Decides which process of a data centre follows the tables of the store, and passes their changes
+// on to its neighbours. If each process followed them itself, a change would cost as many calls as
+// there are processes, and a fleet whose members and owners change often would mostly pay for them.
+//
+// A process may follow for others while its calls to the store succeed; a lease, which is renewed
+// each second, shows that. Where no process of a data centre holds a lease, each follows by itself.
+// Two processes that both follow cost calls, not correctness.
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "clock.h"
+#include "fleet_view.h"
+#include "metrics.h"
+#include "row_store.h"
+
+namespace bulrushway {
+
+/// Outcomes of this process's calls to the store.
+class store_contact {
+ public:
+  void OnAnswer(instant now) { answered_ = now; }
+  void OnFailure(instant now) { failed_ = now; }
+  /// Whether calls succeed at present.
+  bool Working(instant now) const;
+
+ private:
+  instant answered_{};
+  instant failed_{};
+};
+
+/// Counts all calls by purpose, and records the outcomes of those that are answered at once.
+row_store ObserveStore(const row_store& store, store_contact& contact, metrics& counters);
+
+/// The neighbour whose reports this process relies on for changes of the tables; null when it
+/// follows the store itself.
+const node_state* ChooseFollower(instant now, const fleet_view& fleet);
+
+/// Detects that changes which the follower has passed on did not arrive.
+class relay_gap {
+ public:
+  /// `follower`: latest changes that the follower reports, by table; `own`: the same here. Returns
+  /// the tables to read again.
+  std::vector<size_t> Overdue(instant now, const std::vector<uint64_t>& follower,
+                              const std::vector<uint64_t>& own);
+
+ private:
+  std::vector<instant> behind_since_;
+};
+
+}  // namespace bulrushway
+
+#endif  // BULRUSHWAY_STORE_RELAY_H
--- a/src/table_follower.cpp
+++ b/src/table_follower.cpp
@@ -29,6 +29,7 @@
   if (reading_) return;
   reading_ = true;
   next_watch_.Cancel();
+  watching_ = false;
   ++epoch_;
   store_.read(table_, [this, now](instant answered, result<row_snapshot> outcome) {
     OnRead(answered, now, std::move(outcome));
@@ -52,19 +53,53 @@
   }
   RecordHealth(true, {});
   has_read_ = true;
+  const uint64_t after = latest_change_;
   version_ = std::max(version_, outcome->version);
   std::set<std::string> present;
-  for (const stored_row& row : outcome->rows) present.insert(row.id.key);
+  for (const stored_row& row : outcome->rows) {
+    present.insert(row.id.key);
+    latest_change_ = std::max(latest_change_, row.version);
+  }
   std::vector<stored_row> changes = std::move(outcome->rows);
   for (const auto& [key, version] : versions_) {
     if (present.contains(key)) continue;
     changes.push_back({{table_, key}, {}, outcome->version, true});
   }
-  Apply(now, sent, std::move(changes));
-  next_watch_.Once(pause_());
+  Apply(now, sent, after, std::move(changes));
+  ScheduleWatch();
+}
+
+void table_follower::ScheduleWatch() {
+  if (!relayed_) next_watch_.Once(pause_());
+}
+
+void table_follower::SetRelayed(instant now, bool relayed) {
+  if (relayed == relayed_) return;
+  relayed_ = relayed;
+  log_.Write(relayed ? "table_relayed" : "table_followed",
+             {{"table", table_}, {"version", std::to_string(version_)}}, log_priority::kNotable);
+  if (relayed) {
+    next_watch_.Cancel();
+  } else if (has_read_ && !watching_ && !reading_) {
+    Watch(now);
+  }
+}
+
+void table_follower::OnRelayed(instant now, uint64_t after, uint64_t version,
+                               std::vector<stored_row> rows) {
+  if (!has_read_) return;
+  // Changes are missing, or are too large to be passed on.
+  if (after > version_ || rows.empty()) return Refresh(now);
+  const uint64_t known = latest_change_;
+  version_ = std::max(version_, version);
+  for (const stored_row& row : rows) latest_change_ = std::max(latest_change_, row.version);
+  // Nothing says when these rows were read.
+  constexpr instant kSent{};
+  Apply(now, kSent, known, std::move(rows));
 }
 
 void table_follower::Watch(instant now) {
+  watching_ = true;
   const uint64_t epoch = ++epoch_;
   store_.watch(table_, version_,
                [this, now, epoch](instant answered, result<row_snapshot> outcome) {
@@ -75,6 +110,7 @@
 void table_follower::OnWatched(instant now, instant sent, uint64_t epoch,
                                result<row_snapshot> outcome) {
   if (epoch != epoch_) return;
+  watching_ = false;
   if (!outcome) {
     RecordHealth(false, outcome.error().message);
     // After a lost history or a failed call, a read recovers the missed changes.
@@ -83,14 +119,19 @@
     return;
   }
   RecordHealth(true, {});
+  const uint64_t after = latest_change_;
   version_ = std::max(version_, outcome->version);
   const bool changed = !outcome->rows.empty();
-  Apply(now, sent, std::move(outcome->rows));
-  if (!changed) return Watch(now);
-  next_watch_.Once(pause_());
+  for (const stored_row& row : outcome->rows) {
+    latest_change_ = std::max(latest_change_, row.version);
+  }
+  Apply(now, sent, after, std::move(outcome->rows));
+  if (!changed && !relayed_) return Watch(now);
+  ScheduleWatch();
 }
 
-void table_follower::Apply(instant now, instant sent, std::vector<stored_row> changes) {
+void table_follower::Apply(instant now, instant sent, uint64_t after,
+                           std::vector<stored_row> changes) {
   // A read may return rows that are older than those that a watch has already delivered.
   std::erase_if(changes, [this](const stored_row& row) {
     const auto last_seen = versions_.find(row.id.key);
@@ -104,6 +145,7 @@
       versions_[row.id.key] = row.version;
     }
   }
+  if (relay_ && sent != instant{} && !changes.empty()) relay_(after, version_, changes);
   changed_(now, sent, changes);
 }
 
--- a/src/table_follower.h
+++ b/src/table_follower.h
@@ -23,6 +23,10 @@
   using change_handler =
       std::function<void(instant now, instant sent, const std::vector<stored_row>& changes)>;
 
+  /// Called with the rows that changed after version `after` of the store, up to `version`.
+  using relay_function = std::function<void(uint64_t after, uint64_t version,
+                                            const std::vector<stored_row>& changes)>;
+
   /// Returns the pause before the next watch.
   using pause_function = std::function<std::chrono::milliseconds()>;
 
@@ -37,6 +41,16 @@
   /// Reads the table at once, unless a read is in flight. For callers that have evidence of a newer
   /// state than the watch has delivered.
   void Refresh(instant now);
+  /// While relayed, a neighbour passes changes on, and the store is not watched. Otherwise the watch
+  /// continues where the relay ended.
+  void SetRelayed(instant now, bool relayed);
+  /// Takes over changes that a neighbour passed on: all those after version `after`.
+  void OnRelayed(instant now, uint64_t after, uint64_t version, std::vector<stored_row> rows);
+  /// Calls `relay` with all changes that the store delivers.
+  void RelayTo(relay_function relay) { relay_ = std::move(relay); }
+  const std::string& table() const { return table_; }
+  /// Version of the latest change of a row.
+  uint64_t LatestChange() const { return latest_change_; }
   /// Whether the table has been read successfully at least once.
   bool HasRead() const { return has_read_; }
   /// Whether the last call to the store succeeded.
@@ -48,7 +62,10 @@
   void Watch(instant now);
   void OnRead(instant now, instant sent, result<row_snapshot> outcome);
   void OnWatched(instant now, instant sent, uint64_t epoch, result<row_snapshot> outcome);
-  void Apply(instant now, instant sent, std::vector<stored_row> changes);
+  // `after`: the latest change that was known before.
+  void Apply(instant now, instant sent, uint64_t after, std::vector<stored_row> changes);
+  // Starts the next watch after the pause, unless a neighbour passes changes on.
+  void ScheduleWatch();
   void RecordHealth(bool healthy, const std::string& reason);
 
   decision_log& log_;
@@ -61,6 +78,10 @@
   // Row versions as last reported, to find what a read has changed.
   std::map<std::string, uint64_t> versions_;
   uint64_t version_ = 0;
+  uint64_t latest_change_ = 0;
+  relay_function relay_;
+  bool relayed_ = false;
+  bool watching_ = false;
   // Incremented with each read and watch, so that the outcome of an abandoned watch is ignored.
   uint64_t epoch_ = 0;
   bool has_read_ = false;
