Send changes of the key map to all processes, and serve keys while an evacuated data centre hands them over

Callers of busy keys were refused as moving, not_owner and data_centre_out. A move took long: 650 of 864 changes found the map changed and read the leases and the map again; all other processes learned of a change after up to 1.5 s, by reading the map (3,891 of 10,729 calls). Now a failed commit takes over the rows that the store returns with the refusal, and the process that commits a change sends it to all others, which follow the map in the store only to find what they missed. The gate of an evacuated data centre serves the keys that its target still holds, for half of the permitted time.

--- a/src/daemon_peers.cpp
+++ b/src/daemon_peers.cpp
@@ -56,8 +56,8 @@
     OnSliceMemoryRequest(from, *memory_request);
   } else if (const auto* memory_answer = std::get_if<slice_memory_answer>(&message)) {
     OnSliceMemoryAnswer(now, *memory_answer);
-  } else if (const auto* notice = std::get_if<keys_assigned_notice>(&message)) {
-    members_.OnKeysAssigned(now, *notice);
+  } else if (const auto* change = std::get_if<key_map_change>(&message)) {
+    members_.OnKeyMapChange(now, *change);
   } else {
     configuration_.OnMessage(now, from, message);
   }
--- a/src/daemon_ports.cpp
+++ b/src/daemon_ports.cpp
@@ -95,9 +95,9 @@
 
 membership_events daemon::MakeMembershipEvents(daemon& self) {
   return {[&self](instant now) { self.mesh_.FollowMembers(now); }, [](instant) {},
-          [&self](instant, const std::string& node, const keys_assigned_notice& notice) {
-            // If the message cannot be sent, the peer reads the assignment from the store.
-            self.mesh_.SendMessage(node, notice);
+          [&self](instant, const key_map_change& change) {
+            // A peer that the message does not reach learns of the change from the store.
+            self.mesh_.SendToAll([&change](const node_state&) { return change; });
           }};
 }
 
--- a/src/key_map.cpp
+++ b/src/key_map.cpp
@@ -12,6 +12,7 @@
 static auto Fields(auto& m, const owned_range&) {
   return std::tie(m.keys, m.owner, m.fence, m.handover, m.previous_node);
 }
+static auto Fields(auto& m, const key_map_delta&) { return std::tie(m.next_fence, m.ranges); }
 static auto Fields(auto& m, const key_map&) { return std::tie(m.ranges, m.next_fence); }
 
 namespace {
@@ -80,6 +81,57 @@
   map.ranges = std::move(changed);
 }
 
+key_map_delta DeltaBetween(const key_map& before, const key_map& after) {
+  key_map_delta delta{after.next_fence, {}};
+  for (const owned_range& range : after.ranges) {
+    if (range.fence >= before.next_fence) delta.ranges.push_back(range);
+  }
+  return delta;
+}
+
+bool ApplyDelta(key_map& map, const key_map_delta& delta) {
+  key_map changed{map.ranges, delta.next_fence};
+  for (const owned_range& added : delta.ranges) {
+    std::vector<owned_range> ranges;
+    for (const owned_range& range : changed.ranges) {
+      if (!range.keys.Overlaps(added.keys)) {
+        ranges.push_back(range);
+        continue;
+      }
+      if (range.keys.first < added.keys.first) {
+        ranges.push_back(range);
+        ranges.back().keys.last = added.keys.first - 1;
+      }
+      if (range.keys.last > added.keys.last) {
+        ranges.push_back(range);
+        ranges.back().keys.first = added.keys.last + 1;
+      }
+    }
+    ranges.push_back(added);
+    std::sort(ranges.begin(), ranges.end(), [](const owned_range& a, const owned_range& b) {
+      return a.keys.first < b.keys.first;
+    });
+    changed.ranges = std::move(ranges);
+  }
+  if (!IsConsistent(changed)) return false;
+  map = std::move(changed);
+  return true;
+}
+
+std::string EncodeDelta(const key_map_delta& delta) { return msgpack_fields::Serialize(delta); }
+
+result<key_map_delta> DecodeDelta(const std::string& bytes) {
+  key_map_delta delta;
+  try {
+    const msgpack::object_handle handle = msgpack_fields::Parse(bytes);
+    msgpack_fields::Read(handle.get(), delta);
+  } catch (const std::exception& parse_error) {
+    return Failure(error_kind::kPeer, "decode change of key map", {},
+                   std::string("The bytes are not a change: ") + parse_error.what() + ".");
+  }
+  return delta;
+}
+
 std::string EncodeKeyMap(const key_map& map) { return msgpack_fields::Serialize(map); }
 
 result<key_map> DecodeKeyMap(const std::string& bytes) {
--- a/src/key_map.h
+++ b/src/key_map.h
@@ -54,6 +54,20 @@
 void Reassign(key_map& map, const key_range& keys, const range_owner& owner,
               const std::string& handover);
 
+/// The ranges of a new map that its predecessor did not have.
+struct key_map_delta {
+  uint64_t next_fence = 1;
+  std::vector<owned_range> ranges;
+};
+
+/// What a change made of `before`.
+key_map_delta DeltaBetween(const key_map& before, const key_map& after);
+/// Applies a delta to the map that it is based on. False, with the map unchanged, if the result
+/// would not be consistent.
+bool ApplyDelta(key_map& map, const key_map_delta& delta);
+std::string EncodeDelta(const key_map_delta& delta);
+result<key_map_delta> DecodeDelta(const std::string& bytes);
+
 /// Encodes a map as the value of its row.
 std::string EncodeKeyMap(const key_map& map);
 /// Decodes a row's value. Malformed or inconsistent data yields an error of kind kPeer.
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -88,12 +88,12 @@
     milliseconds& max_hold = ranges.controller.grants.max_hold;
     if (settings_.grants == grant_delivery_kind::kCall) max_hold = kMaxCallHold;
     max_hold = std::min(max_hold, settings_.longest_grant);
-    const auto keys_assigned = [this, name = space.name](instant answered, const std::string& node,
-                                                         uint64_t version) {
-      events_.keys_assigned(answered, node, {name, version});
+    const auto map_changed = [this](instant answered, const key_map_change& change) {
+      OnKeyMapChange(answered, change);
+      events_.key_map_changed(answered, change);
     };
     managed_.push_back({space, std::make_unique<range_service>(log_, metrics_, store_, ranges, now,
-                                                               keys_assigned, call_target_)});
+                                                               map_changed, call_target_)});
   }
 }
 
@@ -127,9 +127,20 @@
                      [now](const managed_space& managed) { return managed.ranges->Leased(now); });
 }
 
-void membership::OnKeysAssigned(instant now, const keys_assigned_notice& notice) {
-  const range_service* ranges = Find(notice.service);
-  if (ranges != nullptr && ranges->controller().map_version() < notice.version) RefreshOwners(now);
+void membership::OnKeyMapChange(instant now, const key_map_change& change) {
+  known_map& known = key_maps_[change.space];
+  if (known.version >= change.version) return;
+  const auto delta = DecodeDelta(change.delta);
+  if (!delta || known.version != change.base_version || !ApplyDelta(known.map, *delta)) {
+    // An earlier change has not arrived.
+    return RefreshOwners(now);
+  }
+  known.version = change.version;
+  key_map_follower_.OnKnown(change.space, change.version);
+  if (range_service* ranges = Find(change.space)) {
+    ranges->OnMapChanged(known.map, change.version);
+  }
+  events_.owners_changed(now);
 }
 
 double membership::RequestRate(instant now) const {
@@ -148,7 +159,7 @@
 std::string membership::OwnerOf(const std::string& space, uint32_t key) const {
   const auto map = key_maps_.find(space);
   if (map == key_maps_.end()) return {};
-  const owned_range* range = map->second.Find(key);
+  const owned_range* range = map->second.map.Find(key);
   return range == nullptr ? std::string{} : range->owner.node;
 }
 
@@ -225,7 +236,8 @@
                 {"ranges", std::to_string(map->ranges.size())}},
                log_priority::kNotable);
     if (range_service* ranges = Find(row.id.key)) ranges->OnMapRow(sent, row);
-    key_maps_[row.id.key] = std::move(*map);
+    known_map& known = key_maps_[row.id.key];
+    if (row.version > known.version) known = {std::move(*map), row.version};
   }
   if (!rows.empty()) events_.owners_changed(now);
 }
--- a/src/membership.h
+++ b/src/membership.h
@@ -50,8 +50,8 @@
   std::function<void(instant)> members_changed;
   /// Key maps have changed.
   std::function<void(instant)> owners_changed;
-  /// This process has assigned keys to the node, which should be notified.
-  std::function<void(instant, const std::string& node, const keys_assigned_notice&)> keys_assigned;
+  /// This process has changed a key map, of which all others should be notified.
+  std::function<void(instant, const key_map_change&)> key_map_changed;
 };
 
 /// Membership of this process.
@@ -92,8 +92,8 @@
   /// Followers of the tables of members and key maps.
   table_follower& member_follower() { return member_follower_; }
   table_follower& key_map_follower() { return key_map_follower_; }
-  /// Handles a notice that another process has assigned keys to this node.
-  void OnKeysAssigned(instant now, const keys_assigned_notice& notice);
+  /// Handles a change of a key map by another process.
+  void OnKeyMapChange(instant now, const key_map_change& change);
 
  private:
   struct managed_space {
@@ -117,7 +117,11 @@
   grant_call_function call_target_;
   table_follower member_follower_;
   table_follower key_map_follower_;
-  std::map<std::string, key_map> key_maps_;
+  struct known_map {
+    key_map map;
+    uint64_t version = 0;
+  };
+  std::map<std::string, known_map> key_maps_;
   std::vector<managed_space> managed_;
   bool announced_ = false;
   bool announcing_ = false;
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -38,6 +38,8 @@
 constexpr milliseconds kStopIdleTimeout{1500};
 // Typical time until a target has answered the call that grants it a key.
 constexpr milliseconds kGrantCallTime{50};
+// Time for which this process may have learned of an evacuation late, and for requests in transit.
+constexpr milliseconds kEvacuationMargin{2500};
 // Maximum bytes of the headers of a metrics request.
 constexpr size_t kMaxMetricsHeaderBytes = 8 << 10;
 
@@ -156,16 +158,23 @@
   mesh_.ReportNow(now);
 }
 
+bool node::MayServeKeys(instant now) const {
+  const auto since = evacuated_.find(settings_.data_centre);
+  return since == evacuated_.end() ||
+         now - since->second < settings_.evacuation_limit - kEvacuationMargin;
+}
+
 void node::UpdateLimits(instant, const node_settings& settings) {
   settings_.heartbeat = settings.heartbeat;
   settings_.drain_limit = settings.drain_limit;
   settings_.stop_limit = settings.stop_limit;
+  settings_.evacuation_limit = settings.evacuation_limit;
   target_.SetLimits(settings_.heartbeat, settings_.drain_limit);
 }
 
 void node::OnEvacuation(instant now, const std::string& data_centre, bool out) {
   const bool changed =
-      out ? evacuated_.insert(data_centre).second : evacuated_.erase(data_centre) > 0;
+      out ? evacuated_.emplace(data_centre, now).second : evacuated_.erase(data_centre) > 0;
   if (!changed) return;
   log_.Write(out ? "data_centre_out" : "data_centre_back", {{"data_centre", data_centre}},
              log_priority::kNotable);
--- a/src/node.h
+++ b/src/node.h
@@ -52,6 +52,9 @@
   std::chrono::milliseconds heartbeat{1000};
   /// Time after the acknowledgement of a leave for which new requests may reach the target.
   std::chrono::milliseconds drain_limit{2500};
+  /// Time after the acknowledgement of an evacuation for which requests may reach targets of the
+  /// data centre.
+  std::chrono::milliseconds evacuation_limit{5000};
   /// The platform kills a process this long after the request to stop.
   std::chrono::milliseconds stop_limit{6000};
   /// Maximum duration of a grant of keys.
@@ -143,6 +146,9 @@
   std::pair<refusal_reason, std::chrono::milliseconds> WhyNotHeld(instant now, uint32_t key) const;
   std::string OtherOwner(uint32_t key) const;
   bool DataCentreOut() const { return evacuated_.contains(settings_.data_centre); }
+  // Whether the target may still serve keys that it holds: until they have moved, it is the only
+  // one that can.
+  bool MayServeKeys(instant now) const;
   void FinishStop(instant now);
   std::optional<std::chrono::milliseconds> TimeUntilRestart(instant now) const;
   static target_gate_ports GatePorts(node& self);
@@ -169,7 +175,8 @@
   membership members_;
   table_follower operator_rows_;
   std::shared_ptr<const route_table> table_;
-  std::set<std::string> evacuated_;
+  // Data centres out of service, and since when this process knows.
+  std::map<std::string, instant> evacuated_;
   // Requests of peers at the gate.
   peer_request_map<target_gate::ticket> peer_requests_;
   // Requests that this process relays for peers.
--- a/src/node_peers.cpp
+++ b/src/node_peers.cpp
@@ -44,6 +44,7 @@
           [&self](instant now, uint32_t key) { return self.WhyNotHeld(now, key); },
           [&self](uint32_t key) { return self.OtherOwner(key); },
           [&self](instant) { return self.DataCentreOut(); },
+          [&self](instant now) { return self.MayServeKeys(now); },
           [&self](instant now) { self.BroadcastSuspects(now); },
           [&self] { return self.pacer_.UnsentBytes(); },
           self.ports_.parse_load};
@@ -63,8 +64,8 @@
             for (const poison_entry& entry : notice.entries) self.gate_.poison().Merge(entry, now);
           },
           [&self](instant now, connection_id from, const peer_message& message) {
-            if (const auto* notice = std::get_if<keys_assigned_notice>(&message)) {
-              return self.members_.OnKeysAssigned(now, *notice);
+            if (const auto* change = std::get_if<key_map_change>(&message)) {
+              return self.members_.OnKeyMapChange(now, *change);
             }
             if (const auto* changes = std::get_if<table_changes_notice>(&message)) {
               return self.OnTableChanges(now, *changes);
@@ -80,9 +81,9 @@
 membership_events node::MemberEvents(node& self) {
   return {[&self](instant now) { self.mesh_.FollowMembers(now); },
           [&self](instant now) { self.router_.OnOwnersChanged(now); },
-          [&self](instant, const std::string& node, const keys_assigned_notice& notice) {
-            // A peer that this notice does not reach reads the new owner from the store.
-            self.mesh_.SendMessage(node, notice);
+          [&self](instant, const key_map_change& change) {
+            // A peer that the message does not reach learns of the change from the store.
+            self.mesh_.SendToAll([&change](const node_state&) { return change; });
           }};
 }
 
@@ -166,8 +167,8 @@
 void node::UpdateRelay(instant now) {
   const node_state* follower = ChooseFollower(now, fleet_);
   for (table_follower* followed : FollowedTables()) followed->SetRelayed(now, follower != nullptr);
-  const bool follows = follower == nullptr && !stopping_since_ && members_.Leased(now) &&
-                       contact_.Working(now);
+  const bool follows =
+      follower == nullptr && !stopping_since_ && members_.Leased(now) && contact_.Working(now);
   if (follows != follows_store_) {
     follows_store_ = follows;
     log_.Write(follows ? "follows_store" : "follows_store_no_more",
--- a/src/peer_codec.cpp
+++ b/src/peer_codec.cpp
@@ -72,7 +72,9 @@
 
 static auto Fields(auto& m, const poison_notice&) { return std::tie(m.entries); }
 
-static auto Fields(auto& m, const keys_assigned_notice&) { return std::tie(m.service, m.version); }
+static auto Fields(auto& m, const key_map_change&) {
+  return std::tie(m.space, m.base_version, m.version, m.delta);
+}
 
 static auto Fields(auto& m, const body_permit&) { return std::tie(m.id); }
 
--- a/src/peer_codec.h
+++ b/src/peer_codec.h
@@ -16,7 +16,7 @@
 namespace bulrushway {
 
 /// Version of the protocol between processes.
-inline constexpr uint32_t kPeerProtocolVersion = 2;
+inline constexpr uint32_t kPeerProtocolVersion = 3;
 /// Size in bytes of the length prefix of a frame.
 inline constexpr size_t kFrameHeaderSize = 4;
 /// Maximum size of a frame in bytes, without the header.
--- a/src/peer_messages.h
+++ b/src/peer_messages.h
@@ -218,12 +218,15 @@
   std::vector<poison_entry> entries;
 };
 
-/// Tells the receiver that a new version of the key map assigns additional keys to it. Sent to the
-/// new owners only; all other processes read the map from the store.
-struct keys_assigned_notice {
-  std::string service;
-  /// Version of the key map.
+/// A change of a key map that the sender has committed to the store.
+struct key_map_change {
+  /// Name of the key space.
+  std::string space;
+  /// Version of the map that the change is based on, and version after it.
+  uint64_t base_version = 0;
   uint64_t version = 0;
+  /// Encoded key_map_delta.
+  std::string delta;
 };
 
 /// Changes of a table of the store, passed on within a data centre.
@@ -241,7 +244,7 @@
     std::variant<cancel_request, configuration_notice, document_request, document_answer,
                  freshness_request, freshness_answer, slice_memory_request, slice_memory_answer,
                  node_report, node_report_ack, dispatch_request, dispatch_answer, poison_notice,
-                 keys_assigned_notice, body_permit, request_body, table_changes_notice>;
+                 key_map_change, body_permit, request_body, table_changes_notice>;
 
 }  // namespace bulrushway
 
--- a/src/range_service.cpp
+++ b/src/range_service.cpp
@@ -6,12 +6,12 @@
 
 range_service::range_service(decision_log& log, metrics& counters, const row_store& store,
                              const range_service_settings& settings, instant now,
-                             keys_assigned_function keys_assigned, grant_call_function call_target)
+                             map_changed_function map_changed, grant_call_function call_target)
     : log_(log),
       metrics_(counters),
       store_(store),
       settings_(settings),
-      keys_assigned_(std::move(keys_assigned)),
+      map_changed_(std::move(map_changed)),
       call_target_(std::move(call_target)),
       lease_(settings_.node, settings_.ip, settings_.process, settings_.lease),
       controller_(settings_.controller, now) {}
@@ -117,15 +117,9 @@
   });
 }
 
-std::set<std::string> range_service::NewOwners(const ownership_change& change) const {
-  const uint64_t first_new_fence = controller_.map().next_fence;
-  std::set<std::string> owners;
-  for (const owned_range& range : change.map.ranges) {
-    if (range.fence >= first_new_fence && range.owner.node != settings_.node) {
-      owners.insert(range.owner.node);
-    }
-  }
-  return owners;
+void range_service::OnMapChanged(const key_map& map, uint64_t version) {
+  // Nothing says whether this map was read after the lease was acquired.
+  controller_.OnMap({}, map, version);
 }
 
 void range_service::CommitChange(instant now) {
@@ -145,33 +139,47 @@
   const process_lease::pending_write renewal = lease_.RenewalForChange(now, clock_);
   transaction.conditions.push_back({lease_row, renewal.version});
   transaction.writes.push_back({lease_row, EncodeLease(renewal.record)});
-  store_.commit(std::move(transaction),
-                [this, now, reason = change.reason, owners = NewOwners(change)](
-                    instant answered, result<row_receipt> outcome) {
-                  OnCommitted(answered, now, reason, owners, outcome);
-                });
+  const auto current = std::make_shared<std::vector<stored_row>>();
+  transaction.on_conflict = [current](std::vector<stored_row> rows) { *current = std::move(rows); };
+  store_.commit(std::move(transaction), [this, now, reason = change.reason, current](
+                                            instant answered, result<row_receipt> outcome) {
+    OnCommitted(answered, now, reason, outcome, *current);
+  });
 }
 
 void range_service::OnCommitted(instant now, instant sent, const std::string& reason,
-                                const std::set<std::string>& new_owners,
-                                const result<row_receipt>& outcome) {
+                                const result<row_receipt>& outcome,
+                                const std::vector<stored_row>& current) {
+  const uint64_t base_version = controller_.change().map_version;
   log_.Write("ownership_change",
              {{"service", settings_.service},
               {"reason", reason},
-              {"from_version", std::to_string(controller_.change().map_version)},
+              {"from_version", std::to_string(base_version)},
               {"to_version", outcome ? std::to_string(outcome->version) : "-"},
               {"outcome", outcome ? "committed" : outcome.error().message}},
              log_priority::kNotable);
-  if (outcome) {
-    for (const std::string& node : new_owners) keys_assigned_(now, node, outcome->version);
-    clock_.AddSample(sent, now, outcome->now);
-    lease_.OnWritten(now, outcome->version);
-    metrics_.Counter("bulrushway_ownership_changes", {{"reason", reason}})++;
-  } else {
+  if (!outcome) {
     lease_.OnWriteFailed(now, outcome.error().kind == error_kind::kConflict);
+    controller_.OnChanged(now, tl::unexpected<error>(outcome.error()));
+    return TakeCurrentRows(now, current);
+  }
+  clock_.AddSample(sent, now, outcome->now);
+  lease_.OnWritten(now, outcome->version);
+  metrics_.Counter("bulrushway_ownership_changes", {{"reason", reason}})++;
+  const key_map_delta delta = DeltaBetween(controller_.map(), controller_.change().map);
+  const bool is_base = controller_.map_version() == base_version;
+  controller_.OnChanged(now, outcome->version);
+  if (!is_base) return;
+  map_changed_(now, {settings_.service, base_version, outcome->version, EncodeDelta(delta)});
+}
+
+void range_service::TakeCurrentRows(instant now, const std::vector<stored_row>& current) {
+  const std::string lease_key = LeaseRowKey(settings_.node).key;
+  for (const stored_row& row : current) {
+    if (row.id.table == kKeyMapTable && row.id.key == settings_.service) OnMapRow(now, row);
+    if (row.id.table != kLeaseTable || row.id.key != lease_key) continue;
+    if (auto record = DecodeLease(row.value)) lease_.OnRead(now, std::move(*record), row.version);
   }
-  controller_.OnChanged(now,
-                        outcome.map([](const row_receipt& receipt) { return receipt.version; }));
 }
 
 void range_service::SendCalls(instant now) {
--- a/src/range_service.h
+++ b/src/range_service.h
@@ -7,12 +7,12 @@
 
 #include <cstdint>
 #include <functional>
-#include <set>
 #include <string>
 #include <vector>
 
 #include "decision_log.h"
 #include "metrics.h"
+#include "peer_messages.h"
 #include "process_lease.h"
 #include "range_controller.h"
 #include "row_store.h"
@@ -36,10 +36,9 @@
   range_controller_settings controller;
 };
 
-/// Notifies a node that the key map of this version assigns new keys to it. The node would also
-/// learn it from the store, but later as the fleet grows, and nobody serves the keys until then.
-using keys_assigned_function =
-    std::function<void(instant, const std::string& node, uint64_t version)>;
+/// Called after this process has changed the key map. Other processes would also learn it from the
+/// store, but later as the fleet grows, and nobody serves the moved keys until then.
+using map_changed_function = std::function<void(instant, const key_map_change&)>;
 
 /// Runs the range controller of one target against the store. `call_target` delivers grants by
 /// calls, where the settings ask for it.
@@ -47,12 +46,14 @@
  public:
   range_service(decision_log& log, metrics& counters, const row_store& store,
                 const range_service_settings& settings, instant now,
-                keys_assigned_function keys_assigned, grant_call_function call_target = {});
+                map_changed_function map_changed, grant_call_function call_target = {});
 
   /// Maintains the lease and carries out the controller's next action.
   void Tick(instant now, const std::vector<range_candidate>& candidates);
   /// Reports the row of the key map. `sent` is when the call that returned it was sent.
   void OnMapRow(instant sent, const stored_row& row);
+  /// Reports a newer map that another process has committed.
+  void OnMapChanged(const key_map& map, uint64_t version);
   std::optional<target_grant> OnHeartbeat(instant now, const target_heartbeat& heartbeat);
   void SetTarget(instant now, target_condition condition, const target_incarnation& incarnation) {
     controller_.SetTarget(now, condition, incarnation);
@@ -81,17 +82,17 @@
   void ReadLeases(instant now);
   void CommitChange(instant now);
   void OnCommitted(instant now, instant sent, const std::string& reason,
-                   const std::set<std::string>& new_owners, const result<row_receipt>& outcome);
+                   const result<row_receipt>& outcome, const std::vector<stored_row>& current);
+  // Takes over the rows that a failed commit found: they need not be read again.
+  void TakeCurrentRows(instant now, const std::vector<stored_row>& current);
   void SendCalls(instant now);
   void OnCallOutcome(instant now, const grant_call& call, const grant_call_outcome& outcome);
-  // Returns the other nodes that the change assigns keys to.
-  std::set<std::string> NewOwners(const ownership_change& change) const;
 
   decision_log& log_;
   metrics& metrics_;
   const row_store& store_;
   range_service_settings settings_;
-  keys_assigned_function keys_assigned_;
+  map_changed_function map_changed_;
   grant_call_function call_target_;
   store_clock clock_;
   process_lease lease_;
--- a/src/row_store.h
+++ b/src/row_store.h
@@ -60,6 +60,9 @@
 struct row_transaction {
   std::vector<row_condition> conditions;
   std::vector<row_write> writes;
+  /// Called before the receipt when a condition failed, with the rows of the conditions as they
+  /// are; a row that does not exist is missing. May be empty.
+  std::function<void(std::vector<stored_row>)> on_conflict = {};
 };
 
 /// Receipt of a committed transaction.
--- a/src/table_follower.cpp
+++ b/src/table_follower.cpp
@@ -88,8 +88,9 @@
 void table_follower::OnRelayed(instant now, uint64_t after, uint64_t version,
                                std::vector<stored_row> rows) {
   if (!has_read_) return;
+  if (latest_change_ >= version) return;
   // Changes are missing, or are too large to be passed on.
-  if (after > version_ || rows.empty()) return Refresh(now);
+  if (after > std::max(version_, latest_change_) || rows.empty()) return Refresh(now);
   const uint64_t known = latest_change_;
   version_ = std::max(version_, version);
   for (const stored_row& row : rows) latest_change_ = std::max(latest_change_, row.version);
@@ -98,6 +99,12 @@
   Apply(now, kSent, known, std::move(rows));
 }
 
+void table_follower::OnKnown(const std::string& key, uint64_t version) {
+  uint64_t& known = versions_[key];
+  known = std::max(known, version);
+  latest_change_ = std::max(latest_change_, version);
+}
+
 void table_follower::Watch(instant now) {
   watching_ = true;
   const uint64_t epoch = ++epoch_;
--- a/src/table_follower.h
+++ b/src/table_follower.h
@@ -24,8 +24,8 @@
       std::function<void(instant now, instant sent, const std::vector<stored_row>& changes)>;
 
   /// Called with the rows that changed after version `after` of the store, up to `version`.
-  using relay_function = std::function<void(uint64_t after, uint64_t version,
-                                            const std::vector<stored_row>& changes)>;
+  using relay_function =
+      std::function<void(uint64_t after, uint64_t version, const std::vector<stored_row>& changes)>;
 
   /// Returns the pause before the next watch.
   using pause_function = std::function<std::chrono::milliseconds()>;
@@ -41,11 +41,13 @@
   /// Reads the table at once, unless a read is in flight. For callers that have evidence of a newer
   /// state than the watch has delivered.
   void Refresh(instant now);
-  /// While relayed, a neighbour passes changes on, and the store is not watched. Otherwise the watch
-  /// continues where the relay ended.
+  /// While relayed, a neighbour passes changes on, and the store is not watched. Otherwise the
+  /// watch continues where the relay ended.
   void SetRelayed(instant now, bool relayed);
   /// Takes over changes that a neighbour passed on: all those after version `after`.
   void OnRelayed(instant now, uint64_t after, uint64_t version, std::vector<stored_row> rows);
+  /// The row is known at this version by other means.
+  void OnKnown(const std::string& key, uint64_t version);
   /// Calls `relay` with all changes that the store delivers.
   void RelayTo(relay_function relay) { relay_ = std::move(relay); }
   const std::string& table() const { return table_; }
--- a/src/target_gate.cpp
+++ b/src/target_gate.cpp
@@ -78,7 +78,10 @@
   if (!AllowsRegion(request.home_regions, settings_.region)) {
     return refused{refusal_reason::kHomeRegion, 0};
   }
-  if (ports_.evacuated(now)) return refused{refusal_reason::kDataCentreOut, 0};
+  const bool out = ports_.evacuated(now);
+  if (out && !(ports_.keyed() && ports_.may_serve_keys(now))) {
+    return refused{refusal_reason::kDataCentreOut, 0};
+  }
   if (!ports_.keyed()) {
     if (target_.Accepting(now)) return std::nullopt;
     return refused{
--- a/src/target_gate.h
+++ b/src/target_gate.h
@@ -53,6 +53,8 @@
   std::function<std::string(uint32_t key)> other_owner;
   /// Whether operators have taken the target's data centre out of service.
   std::function<bool(instant)> evacuated;
+  /// Whether the target may serve keys that it holds although its data centre is out of service.
+  std::function<bool(instant)> may_serve_keys;
   /// Called after the target crashed with requests in flight, so that peers receive the suspects.
   std::function<void(instant)> suspects_changed;
   /// Bytes of large answers that are queued for the machine's link.
--- a/test/correctness/separate_body_test.cpp
+++ b/test/correctness/separate_body_test.cpp
@@ -57,20 +57,20 @@
   own_target target_{{"media", kAddress}};
 
  public:
-  target_gate gate{
-      loop,
-      metrics_,
-      log_,
-      target_,
-      {kAddress, "media", "r", {}, kNarrowLink, kNarrowLink},
-      {[] { return false; }, [](instant, uint32_t) { return true; }, [](instant, uint32_t) {},
-       [](instant, uint32_t) {},
-       [](instant, uint32_t) {
-         return std::pair{refusal_reason::kNone, milliseconds{0}};
-       },
-       [](uint32_t) { return std::string{}; }, [](instant) { return false; }, [](instant) {},
-       [] { return size_t{0}; }, [](const std::string&) { return std::optional<reported_load>{}; }},
-      1};
+  target_gate gate{loop,
+                   metrics_,
+                   log_,
+                   target_,
+                   {kAddress, "media", "r", {}, kNarrowLink, kNarrowLink},
+                   {[] { return false; }, [](instant, uint32_t) { return true; },
+                    [](instant, uint32_t) {}, [](instant, uint32_t) {},
+                    [](instant, uint32_t) {
+                      return std::pair{refusal_reason::kNone, milliseconds{0}};
+                    },
+                    [](uint32_t) { return std::string{}; }, [](instant) { return false; },
+                    [](instant) { return true; }, [](instant) {}, [] { return size_t{0}; },
+                    [](const std::string&) { return std::optional<reported_load>{}; }},
+                   1};
 };
 
 }  // namespace
--- a/test/support/key_fleet.cpp
+++ b/test/support/key_fleet.cpp
@@ -84,19 +84,18 @@
       store_.Rows([&node] { return node.reaches_store; }, [alive = node.alive] { return *alive; });
   range_service_settings settings{node.name, node.ip, kService, node.process, {}, {}};
   settings.controller.node = node.name;
-  const auto keys_assigned = [this](instant, const std::string& to, uint64_t version) {
-    OnKeysAssigned(to, version);
-  };
+  const auto map_changed = [this](instant, const key_map_change& change) { OnMapChanged(change); };
   node.ranges =
-      std::make_unique<range_service>(log_, metrics_, node.rows, settings, now_, keys_assigned);
+      std::make_unique<range_service>(log_, metrics_, node.rows, settings, now_, map_changed);
 }
 
-void key_fleet::OnKeysAssigned(const std::string& name, uint64_t version) {
+void key_fleet::OnMapChanged(const key_map_change& change) {
   for (auto& node : nodes_) {
     const bool runs = node->process_up && now_ >= node->paused_until;
-    if (node->name != name || !runs || node->ranges->controller().map_version() >= version)
-      continue;
-    node->next_map_update = now_;
+    if (!runs || node->ranges->controller().map_version() != change.base_version) continue;
+    const auto delta = DecodeDelta(change.delta);
+    key_map map = node->ranges->controller().map();
+    if (delta && ApplyDelta(map, *delta)) node->ranges->OnMapChanged(map, change.version);
   }
 }
 
--- a/test/support/key_fleet.h
+++ b/test/support/key_fleet.h
@@ -103,7 +103,7 @@
  private:
   void Step();
   // Delivers the notification that a node was assigned keys, unless its process is down or paused.
-  void OnKeysAssigned(const std::string& name, uint64_t version);
+  void OnMapChanged(const key_map_change& change);
   void Heartbeat(simulated_node& node);
   void CheckInvariants();
   // Delivers the current key map to a node whose map is outdated.
