Report to peers in other regions every two seconds

Reports were the larger part of the bytes between regions: each of 69 processes sent 80 a second, two thirds of them to other regions. What is 40 ms away is used when nothing nearer has room, and its answers carry its load. A peer that has requests of a process and is silent for 0.6 s is now sent a report at once, so that a lost one is noticed as early as before.

--- a/src/node_peers.cpp
+++ b/src/node_peers.cpp
@@ -13,6 +13,10 @@
 // Requests are refused this long before the process is killed, so that these last answers still
 // reach their callers.
 constexpr milliseconds kLastAnswerTime{600};
+// A neighbour is not relied on for changes of the store's tables after this many reports of it are
+// missing, or after this time.
+constexpr int kMissedReports = 3;
+constexpr milliseconds kMinReportAge{1500};
 // Larger changes of a table are read from the store by each process: passed on, they would fill the
 // link of one machine.
 constexpr size_t kMaxRelayedBytes = 16 << 10;
@@ -165,7 +169,10 @@
 }
 
 void node::UpdateRelay(instant now) {
-  const node_state* follower = ChooseFollower(now, fleet_);
+  const milliseconds report_interval =
+      ReportInterval(node_locality::kDataCentre, fleet_.nodes().size());
+  const node_state* follower =
+      ChooseFollower(now, fleet_, std::max(kMinReportAge, kMissedReports * report_interval));
   for (table_follower* followed : FollowedTables()) followed->SetRelayed(now, follower != nullptr);
   const bool follows =
       follower == nullptr && !stopping_since_ && members_.Leased(now) && contact_.Working(now);
--- a/src/peer_mesh.cpp
+++ b/src/peer_mesh.cpp
@@ -18,21 +18,27 @@
 constexpr milliseconds kAckTimeout{1300};
 // Reports between regions are less frequent, since they cost inter-region traffic.
 constexpr milliseconds kReportIntervalWithinRegion{200};
-constexpr milliseconds kReportIntervalBetweenRegions{500};
+constexpr milliseconds kReportIntervalBetweenRegions{2000};
+// A peer that has requests of this process and has sent nothing for this long is sent a report at
+// once, so that rare reports do not delay the detection of a lost one.
+constexpr milliseconds kSilenceBeforeReport{600};
 // Limits the reports per second of a process in a fleet of any size: a report and its
 // acknowledgement take about 400 bytes on the wire, so this is 2% of a 13 Mbit/s link. Answers
 // carry the load as well, so processes that exchange many requests do not depend on frequent
 // reports.
 constexpr double kMaxReportsPerSecond = 80;
+// In a large fleet, reports between regions are less frequent than others by this factor.
+constexpr double kRemoteIntervalFactor = 3;
 
 }  // namespace
 
 milliseconds ReportInterval(node_locality locality, size_t peers) {
-  const milliseconds base_interval = locality == node_locality::kRemote
-                                         ? kReportIntervalBetweenRegions
-                                         : kReportIntervalWithinRegion;
+  const bool remote = locality == node_locality::kRemote;
+  const milliseconds base_interval =
+      remote ? kReportIntervalBetweenRegions : kReportIntervalWithinRegion;
   constexpr double kMsPerSecond = 1000;
-  const double min_interval_ms = static_cast<double>(peers) / kMaxReportsPerSecond * kMsPerSecond;
+  const double min_interval_ms = static_cast<double>(peers) / kMaxReportsPerSecond * kMsPerSecond *
+                                 (remote ? kRemoteIntervalFactor : 1);
   return std::max(base_interval, milliseconds(static_cast<int64_t>(min_interval_ms)));
 }
 
@@ -150,6 +156,12 @@
   remote.next_report = now + ReportInterval(remote.locality, peers_.size());
 }
 
+bool peer_mesh::IsSuspect(instant now, const std::string& node, const peer& remote) const {
+  const node_state* state = fleet_.Find(node);
+  return state != nullptr && state->in_flight > 0 && remote.acknowledged &&
+         now - remote.last_received > kSilenceBeforeReport;
+}
+
 void peer_mesh::ReportNow(instant now) {
   for (auto& [node, remote] : peers_) SendReport(now, remote);
 }
@@ -184,7 +196,7 @@
       }
       remote.acknowledged = true;
     }
-    if (now >= remote.next_report) SendReport(now, remote);
+    if (now >= remote.next_report || IsSuspect(now, node, remote)) SendReport(now, remote);
   }
 }
 
@@ -237,6 +249,7 @@
   const auto found = peers_.find(outgoing->second);
   if (found == peers_.end()) return;
   peer& remote = found->second;
+  remote.last_received = now;
   if (ack.sequence >= remote.unacked_sequence && !remote.acknowledged) {
     remote.acknowledged = true;
     fleet_.OnRoundTrip(found->first, now - remote.unacked_since);
@@ -260,6 +273,8 @@
   } else if (auto* answer = std::get_if<dispatch_answer>(&message)) {
     const auto found = pending_.find(answer->id);
     if (found == pending_.end()) return;
+    const auto sender = peers_.find(found->second.node);
+    if (sender != peers_.end()) sender->second.last_received = now;
     const callback done = std::move(found->second.done);
     pending_.erase(found);
     done(now, std::move(*answer));
--- a/src/peer_mesh.h
+++ b/src/peer_mesh.h
@@ -107,6 +107,8 @@
     uint64_t unacked_sequence = 0;
     instant unacked_since;
     bool acknowledged = true;
+    // When the peer last answered a request or a report.
+    instant last_received{};
   };
   struct pending {
     std::string node;
@@ -124,6 +126,8 @@
                   bool was_established, const std::string& why);
   void Open(instant now, peer& remote, link& peer_link);
   void SendReport(instant now, peer& remote);
+  // Whether the peer has been silent for too long although it has requests of this process.
+  bool IsSuspect(instant now, const std::string& node, const peer& remote) const;
   void OnMessage(instant now, connection_id from, peer_message message);
   bool IsDropped(connection_id from, const peer_message& message);
   void OnClosed(instant now, connection_id from, bool was_established, const error& reason);
--- a/src/store_relay.cpp
+++ b/src/store_relay.cpp
@@ -9,8 +9,6 @@
 
 // A lease is renewed each second, so that a process whose calls hang is noticed after this time.
 constexpr milliseconds kMaxContactAge{2000};
-// A follower whose last report is older may have lost its contact to the store.
-constexpr milliseconds kMaxReportAge{2500};
 // Changes that have not arrived this long after the follower reported them are read from the store.
 constexpr milliseconds kRelayDelay{300};
 
@@ -54,12 +52,13 @@
   return recording;
 }
 
-const node_state* ChooseFollower(instant now, const fleet_view& fleet) {
+const node_state* ChooseFollower(instant now, const fleet_view& fleet,
+                                 milliseconds max_report_age) {
   for (const auto& [name, node] : fleet.nodes()) {
     if (name >= fleet.self()) break;
     const bool follows = node.locality == node_locality::kDataCentre && node.reachable &&
                          node.reported && !node.report.stopping && node.report.follows_store &&
-                         now - node.report_received < kMaxReportAge;
+                         now - node.report_received < max_report_age;
     if (follows) return &node;
   }
   return nullptr;
--- a/src/store_relay.h
+++ b/src/store_relay.h
@@ -37,8 +37,10 @@
 row_store ObserveStore(const row_store& store, store_contact& contact, metrics& counters);
 
 /// The neighbour whose reports this process relies on for changes of the tables; null when it
-/// follows the store itself.
-const node_state* ChooseFollower(instant now, const fleet_view& fleet);
+/// follows the store itself. A neighbour whose last report is older than `max_report_age` may not
+/// reach this process.
+const node_state* ChooseFollower(instant now, const fleet_view& fleet,
+                                 std::chrono::milliseconds max_report_age);
 
 /// Detects that changes which the follower has passed on did not arrive.
 class relay_gap {
