--- a/test/correctness/range_interleaving_test.cpp
+++ b/test/correctness/range_interleaving_test.cpp
@@ -143,6 +143,58 @@
   }
 }
 
+// As above, with grants by calls, of which a fifth are not answered and carried out late.
+BOOST_AUTO_TEST_CASE(that_are_granted_by_calls_are_unique_under_random_faults_and_late_calls) {
+  const char* seed_override = std::getenv("BULRUSHWAY_RANGE_SEED");
+  const uint64_t first_seed =
+      seed_override == nullptr ? 1 : std::strtoull(seed_override, nullptr, 10);
+  const uint64_t last_seed = seed_override == nullptr ? kSeeds : first_seed;
+  for (uint64_t seed = first_seed; seed <= last_seed; ++seed) {
+    BOOST_TEST_CONTEXT("seed " << seed) {
+      key_fleet fleet(seed, 3 + seed % 4, grant_delivery_kind::kCall);
+      std::mt19937_64 rng(seed);
+      std::uniform_int_distribution<int> pause_ms(50, 4000);
+      fleet.RunFor(seconds(5));
+      for (int i = 0; i < kFaultsPerSeed; ++i) {
+        fleet.late_calls = i % 2 == 0 ? 0.2 : 0;
+        fleet.InjectFault();
+        fleet.RunFor(milliseconds(pause_ms(rng)));
+      }
+      fleet.late_calls = 0;
+      fleet.Heal();
+      fleet.RunFor(kRecovery);
+      BOOST_TEST(fleet.Report().violation == "");
+      BOOST_TEST(fleet.ShareHeldWithin(kLongestMove) == 1.0);
+    }
+  }
+}
+
+// A process that reassigns its keys is killed while the change is on its way to the store. Its
+// successor reads the map and grants the keys again before the change would take effect.
+BOOST_AUTO_TEST_CASE(are_not_moved_by_a_late_change_of_a_process_that_was_restarted) {
+  for (uint64_t seed = 1; seed <= 20; ++seed) {
+    BOOST_TEST_CONTEXT("seed " << seed) {
+      key_fleet fleet(seed, 3);
+      fleet.RunFor(seconds(6));
+      simulated_node& node = *fleet.nodes()[1];
+      node.target.draining = true;
+      while (!node.target.held_ranges.empty()) fleet.RunFor(milliseconds(10));
+      // The next heartbeat reports the keys as released, and the change is sent.
+      fleet.RunFor(milliseconds(50));
+      fleet.store().faults.lost_answers = 1;
+      fleet.store().faults.late_commits = 1;
+      fleet.RunFor(milliseconds(150));
+      fleet.StopProcess(node);
+      node.target.draining = false;
+      fleet.store().faults = {};
+      node.restart_at = fleet.now() + milliseconds(100);
+      fleet.RunFor(seconds(10));
+      BOOST_TEST(fleet.Report().violation == "");
+      BOOST_TEST(fleet.Report().share_held == 1.0);
+    }
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace bulrushway
--- a/test/support/key_fleet.cpp
+++ b/test/support/key_fleet.cpp
@@ -11,6 +11,7 @@
 
 constexpr milliseconds kStep{10};
 constexpr milliseconds kHeartbeatInterval{870};
+constexpr milliseconds kCallHold{4000};
 constexpr milliseconds kReleaseHeartbeatDelay{100};
 // Distance between the keys that are checked; every range is wider.
 constexpr uint32_t kProbeDistance = 499;
@@ -57,9 +58,49 @@
   held_ranges = std::move(granted);
 }
 
-key_fleet::key_fleet(uint64_t seed, size_t nodes)
+void simulated_target::Drop(const key_range& keys) {
+  std::vector<held_range> kept;
+  for (const held_range& range : held_ranges) {
+    if (!range.keys.Overlaps(keys)) {
+      kept.push_back(range);
+      continue;
+    }
+    if (range.keys.first < keys.first) {
+      kept.push_back(range);
+      kept.back().keys.last = keys.first - 1;
+    }
+    if (range.keys.last > keys.last) {
+      kept.push_back(range);
+      kept.back().keys.first = keys.last + 1;
+    }
+  }
+  held_ranges = std::move(kept);
+}
+
+grant_call_result simulated_target::Apply(instant now, instant arrived, const grant_call& call) {
+  if (!up || call.target != incarnation) return grant_call_result::kNotDone;
+  if (call.type == grant_call::kind::kRelease) {
+    Drop(call.range.keys);
+    return grant_call_result::kDone;
+  }
+  for (const ::bulrushway::held_range& seen : seen_fences) {
+    if (seen.keys.Overlaps(call.range.keys) && seen.fence > call.range.fence) {
+      return grant_call_result::kHigherFence;
+    }
+  }
+  const instant until =
+      arrived + std::chrono::duration_cast<std::chrono::nanoseconds>(call.hold / clock_rate);
+  if (now >= until) return grant_call_result::kDone;
+  seen_fences.push_back({call.range.keys, call.range.fence});
+  Drop(call.range.keys);
+  held_ranges.push_back({call.range.keys, call.range.fence, until});
+  return grant_call_result::kDone;
+}
+
+key_fleet::key_fleet(uint64_t seed, size_t nodes, grant_delivery_kind delivery)
     : log_(loop_, "test", NullDevice()),
       rng_(seed),
+      delivery_(delivery),
       store_(seed + 1),
       now_(instant{} + std::chrono::hours(1)) {
   store_.Advance(now_);
@@ -84,9 +125,17 @@
       store_.Rows([&node] { return node.reaches_store; }, [alive = node.alive] { return *alive; });
   range_service_settings settings{node.name, node.ip, kService, node.process, {}, {}};
   settings.controller.node = node.name;
+  settings.controller.delivery = delivery_;
+  grant_call_function call_target;
+  if (delivery_ == grant_delivery_kind::kCall) {
+    settings.controller.grants.max_hold = kCallHold;
+    call_target = [this, &node](const grant_call& call, auto done) {
+      CallTarget(node, call, std::move(done));
+    };
+  }
   const auto map_changed = [this](instant, const key_map_change& change) { OnMapChanged(change); };
-  node.ranges =
-      std::make_unique<range_service>(log_, metrics_, node.rows, settings, now_, map_changed);
+  node.ranges = std::make_unique<range_service>(log_, metrics_, node.rows, settings, now_,
+                                                map_changed, call_target);
 }
 
 void key_fleet::OnMapChanged(const key_map_change& change) {
@@ -155,9 +204,48 @@
   if (!target.released.empty()) target.next_heartbeat = now_ + kReleaseHeartbeatDelay;
 }
 
+void key_fleet::RunEvents() {
+  while (!events_.empty() && events_.begin()->first <= now_) {
+    const auto event = events_.begin()->second;
+    events_.erase(events_.begin());
+    event();
+  }
+}
+
+void key_fleet::CallTarget(simulated_node& node, const grant_call& call,
+                           std::function<void(instant, const grant_call_outcome&)> done) {
+  std::uniform_int_distribution<int> transit(0, 20);
+  std::uniform_int_distribution<int> work(0, 300);
+  std::uniform_int_distribution<int> lateness(500, 3000);
+  const bool late = std::bernoulli_distribution(late_calls)(rng_);
+  const instant arrives = now_ + milliseconds(transit(rng_));
+  const auto deliver = [this, &node, alive = node.alive, done](const grant_call_outcome& outcome) {
+    if (!*alive) return;
+    if (now_ >= node.paused_until) return done(now_, outcome);
+    events_.emplace(node.paused_until, [this, alive, done, outcome] {
+      if (*alive) done(now_, outcome);
+    });
+  };
+  if (late) {
+    events_.emplace(arrives + milliseconds(lateness(rng_)),
+                    [this, &node, arrives, call] { node.target.Apply(now_, arrives, call); });
+    events_.emplace(now_ + call.timeout, [deliver] { deliver({}); });
+    return;
+  }
+  events_.emplace(arrives, [this, &node, call, deliver, delay = milliseconds(work(rng_))] {
+    const grant_call_result result = node.target.Apply(now_, now_, call);
+    grant_call_outcome outcome{.result = result};
+    outcome.connection_lost = result == grant_call_result::kNotDone;
+    if (call.type == grant_call::kind::kGrant) return deliver(outcome);
+    outcome.handover = "handover";
+    events_.emplace(now_ + delay, [deliver, outcome] { deliver(outcome); });
+  });
+}
+
 void key_fleet::Step() {
   now_ += kStep;
   store_.Advance(now_);
+  RunEvents();
   for (auto& node : nodes_) {
     if (node->lost) continue;
     if (!node->process_up && now_ >= node->restart_at) StartProcess(*node);
--- a/test/support/key_fleet.h
+++ b/test/support/key_fleet.h
@@ -37,9 +37,15 @@
   instant next_heartbeat{};
   std::vector<held_range> held_ranges;
   std::vector<released_range> released;
+  // Highest fencing tokens that it has seen, by keys.
+  std::vector<::bulrushway::held_range> seen_fences;
 
   bool Holds(instant now, uint32_t key) const;
   void ApplyGrant(instant sent, instant now, const target_grant& grant);
+  /// Carries out a call that arrived at `arrived`. Never refuses a release.
+  grant_call_result Apply(instant now, instant arrived, const grant_call& call);
+  /// Stops holding the keys.
+  void Drop(const key_range& keys);
   void DropExpired(instant now);
 };
 
@@ -74,7 +80,8 @@
 /// The simulated fleet and its store.
 class key_fleet {
  public:
-  key_fleet(uint64_t seed, size_t nodes);
+  key_fleet(uint64_t seed, size_t nodes,
+            grant_delivery_kind delivery = grant_delivery_kind::kHeartbeat);
   ~key_fleet();
 
   /// Runs the simulation for `span`. Report returns violations.
@@ -99,12 +106,18 @@
   /// Longest delay before the store's feed delivers a change of the key map. In production it grows
   /// with the fleet.
   std::chrono::milliseconds max_map_delay{1500};
+  /// Share of the calls to targets that are not answered, and are carried out up to 3 s later.
+  double late_calls = 0;
 
  private:
   void Step();
   // Delivers the notification that a node was assigned keys, unless its process is down or paused.
   void OnMapChanged(const key_map_change& change);
   void Heartbeat(simulated_node& node);
+  // Delivers a call to the node's target, and its outcome to the process that sent it.
+  void CallTarget(simulated_node& node, const grant_call& call,
+                  std::function<void(instant, const grant_call_outcome&)> done);
+  void RunEvents();
   void CheckInvariants();
   // Delivers the current key map to a node whose map is outdated.
   void DeliverMap(simulated_node& node);
@@ -114,6 +127,8 @@
   decision_log log_;
   metrics metrics_;
   std::mt19937_64 rng_;
+  grant_delivery_kind delivery_;
+  std::multimap<instant, std::function<void()>> events_;
   fake_row_store store_;
   instant now_;
   int64_t wall_ms_ = 1'000'000;
