Let the stand-in target take grants by calls, and play them with real processes

The new process test kills a process beside a running target and drains a target while every fourth grant is carried out 1.5 s late without an answer: each request runs once, and no key belongs to two targets.

--- a/src/target_gate.cpp
+++ b/src/target_gate.cpp
@@ -1,9 +1,7 @@
-#include "target_gate.h"
-
 #include <algorithm>
 #include <utility>
 
-#include "home_regions.h"
+#include "gate_request.h"
 #include "http_parser.h"
 
 namespace bulrushway {
@@ -32,22 +30,6 @@
 
 }  // namespace
 
-struct target_gate::pending_request {
-  ticket id = 0;
-  dispatch_request request;
-  reply done;
-  permit ask_for_body;
-  instant arrived;
-  instant deadline;
-  instant sent_at;
-  target_incarnation incarnation;
-  http_client::request_id http = 0;
-  bool abandoned = false;
-  request_fingerprint fingerprint = 0;
-  // Bytes of the request were written to a connection of the target.
-  bool reached_target = false;
-};
-
 target_gate::target_gate(event_loop& loop, metrics& counters, decision_log& log, own_target& target,
                          target_gate_settings settings, target_gate_ports ports, uint64_t seed)
     : metrics_(counters),
@@ -71,140 +53,6 @@
   queue_.bucket().Configure(cold_rate, cold_burst);
 }
 
-std::optional<std::pair<refusal_reason, milliseconds>> target_gate::CheckAdmission(
-    instant now, const dispatch_request& request) const {
-  using refused = std::pair<refusal_reason, milliseconds>;
-  if (request.service != settings_.service) return refused{refusal_reason::kNoTarget, 0};
-  if (!AllowsRegion(request.home_regions, settings_.region)) {
-    return refused{refusal_reason::kHomeRegion, 0};
-  }
-  const bool out = ports_.evacuated(now);
-  if (out && !(ports_.keyed() && ports_.may_serve_keys(now))) {
-    return refused{refusal_reason::kDataCentreOut, 0};
-  }
-  if (!ports_.keyed()) {
-    if (target_.Accepting(now)) return std::nullopt;
-    return refused{
-        target_.Leaving() ? refusal_reason::kStopping : refusal_reason::kTargetUnreachable, 0};
-  }
-  if (!request.key) return refused{refusal_reason::kBadRequest, 0};
-  if (!target_.Serving(now)) return refused{refusal_reason::kTargetUnreachable, 0};
-  if (ports_.holds(now, *request.key)) return std::nullopt;
-  return ports_.why_not_held(now, *request.key);
-}
-
-target_gate::ticket target_gate::Handle(instant now, dispatch_request request, reply done,
-                                        permit ask_for_body) {
-  auto pending = std::make_shared<pending_request>();
-  pending->id = next_ticket_++;
-  pending->deadline = now + request.time_left;
-  pending->arrived = now;
-  pending->request = std::move(request);
-  pending->done = std::move(done);
-  pending->ask_for_body = std::move(ask_for_body);
-  const ticket id = pending->id;
-  pending_requests_.emplace(id, pending);
-  if (pending->request.large_answer) ++large_requests_;
-  if (pending->request.separate_body_bytes > 0) {
-    AwaitBody(now, pending);
-  } else {
-    Admit(now, pending);
-  }
-  return id;
-}
-
-void target_gate::AwaitBody(instant now, const pending_request_ptr& pending) {
-  const dispatch_request& request = pending->request;
-  if (const auto refused = CheckAdmission(now, request)) {
-    return Refuse(now, pending, refused->first, run_state::kNotRun, refused->second,
-                  "not admitted");
-  }
-  const auto wait =
-      bodies_.Arrive(now, {pending->id, request.separate_body_bytes, pending->deadline,
-                           pending->arrived + request.latency_target_left, ExpectedWork(request)});
-  if (wait) {
-    return Refuse(now, pending, refusal_reason::kQueueFull, run_state::kNotRun, *wait,
-                  "the body would arrive too late");
-  }
-  PermitBodies(now);
-}
-
-void target_gate::PermitBodies(instant now) {
-  while (const auto id = bodies_.PermitNext(now)) {
-    const auto found = pending_requests_.find(*id);
-    if (found == pending_requests_.end() || !found->second->ask_for_body) {
-      bodies_.Remove(*id);
-      continue;
-    }
-    found->second->ask_for_body();
-  }
-}
-
-void target_gate::OnBody(instant now, ticket id, std::string body) {
-  const auto found = pending_requests_.find(id);
-  if (found == pending_requests_.end() || found->second->request.separate_body_bytes == 0) return;
-  const pending_request_ptr pending = found->second;
-  bodies_.Remove(id);
-  pending->request.separate_body_bytes = 0;
-  pending->request.request.body = std::move(body);
-  Admit(now, pending);
-  PermitBodies(now);
-}
-
-void target_gate::Admit(instant now, const pending_request_ptr& pending) {
-  const ticket id = pending->id;
-  const dispatch_request& incoming = pending->request;
-  pending->fingerprint = MakeRequestFingerprint(
-      incoming.service, incoming.request.method + " " + incoming.request.target, incoming.caller,
-      incoming.request.body);
-  if (poison_.Quarantined(pending->fingerprint, now)) {
-    Refuse(now, pending, refusal_reason::kQuarantined, run_state::kNotRun, milliseconds{0},
-           "the request was running at several targets when they crashed");
-    return;
-  }
-  if (const auto refused = CheckAdmission(now, pending->request)) {
-    Refuse(now, pending, refused->first, run_state::kNotRun, refused->second, "not admitted");
-    return;
-  }
-  const dispatch_request& admitted = pending->request;
-  if (admitted.key) ports_.on_request(now, *admitted.key);
-  if (const auto refused = CheckLink(now, *pending)) {
-    Refuse(now, pending, refused->first, run_state::kNotRun, refused->second,
-           "the answer would leave the link too late");
-    return;
-  }
-  const slot_verdict verdict =
-      queue_.Arrive(now, {id, admitted.rank, pending->deadline, now + admitted.latency_target_left,
-                          admitted.max_queue_wait, ExpectedWork(admitted)});
-  switch (verdict.action) {
-    case slot_verdict::kind::kRun:
-      SendToTarget(now, pending);
-      break;
-    case slot_verdict::kind::kWait:
-      break;
-    case slot_verdict::kind::kRefuse:
-      Refuse(now, pending, verdict.reason, run_state::kNotRun, verdict.expected_wait,
-             "no free slot");
-      break;
-  }
-}
-
-std::optional<std::pair<refusal_reason, milliseconds>> target_gate::CheckLink(
-    instant now, const pending_request& pending) const {
-  const dispatch_request& request = pending.request;
-  if (!request.large_answer) return std::nullopt;
-  const instant target = pending.arrived + request.latency_target_left;
-  const auto wait = link_.RefusalWait(now, {pending.deadline, target, ExpectedWork(request)},
-                                      ports_.unsent_bytes(), large_requests_ - 1);
-  if (!wait) return std::nullopt;
-  return std::pair{refusal_reason::kQueueFull, *wait};
-}
-
-void target_gate::RemoveRequest(const pending_request& pending) {
-  if (pending_requests_.erase(pending.id) > 0 && pending.request.large_answer) --large_requests_;
-  bodies_.Remove(pending.id);
-}
-
 http_request target_gate::MakeTargetRequest(instant now, pending_request& pending) const {
   const header_names& names = settings_.headers;
   http_request request = std::move(pending.request.request);
--- a/standins/common/sealing_target.cpp
+++ b/standins/common/sealing_target.cpp
@@ -12,7 +12,11 @@
 
 constexpr http_limits kLimits{2 << 20, 16 << 10, std::chrono::seconds{10}};
 constexpr milliseconds kHeartbeatTimeout{1000};
+// How long after its arrival a grant without an answer is carried out.
+constexpr milliseconds kLateGrantDelay{1500};
 constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
+constexpr int kConflict = 409;
 constexpr int kMisdirected = 421;
 constexpr int kUnavailable = 503;
 
@@ -45,6 +49,10 @@
 
 void sealing_target::Handle(const exchange_pointer& call) {
   const http_request& request = call->request();
+  if (settings_.granted_by_calls && request.target == "/bulrushway/grant") return HandleGrant(call);
+  if (settings_.granted_by_calls && request.target == "/bulrushway/release") {
+    return HandleRelease(call);
+  }
   const std::string id = FindHeader(request.headers, "X-Bulrushway-Request-Id");
   const header_list common_headers = {{"X-Bulrushway-Request-Id", id},
                                       {"X-Bulrushway-Instance-Id", settings_.id}};
@@ -75,6 +83,66 @@
   });
 }
 
+void sealing_target::DropKeys(const key_range& keys) {
+  std::vector<key_grant> kept;
+  for (const key_grant& grant : grants_) {
+    if (!grant.keys.Overlaps(keys)) {
+      kept.push_back(grant);
+      continue;
+    }
+    if (grant.keys.first < keys.first) {
+      kept.push_back(grant);
+      kept.back().keys.last = keys.first - 1;
+    }
+    if (grant.keys.last > keys.last) {
+      kept.push_back(grant);
+      kept.back().keys.first = keys.last + 1;
+    }
+  }
+  grants_ = std::move(kept);
+}
+
+void sealing_target::HandleGrant(const exchange_pointer& call) {
+  const json body = json::parse(call->request().body, nullptr, false);
+  if (!body.is_object() || !body.contains("hold_s")) return call->Reply({kBadRequest, {}, {}});
+  // "target" names the last key.
+  const key_range keys{body.at("from").get<uint32_t>(), body.at("target").get<uint32_t>()};
+  const auto fence = body.at("fence").get<uint64_t>();
+  const bool outdated =
+      std::any_of(seen_fences_.begin(), seen_fences_.end(), [&keys, fence](const held_range& seen) {
+        return seen.keys.Overlaps(keys) && seen.fence > fence;
+      });
+  if (outdated) return call->Reply({kConflict, {}, {}});
+  const instant arrived = boot_clock::now();
+  const auto hold = std::chrono::duration_cast<std::chrono::nanoseconds>(
+      std::chrono::duration<double>(body.at("hold_s").get<double>()));
+  const auto apply = [this, keys, fence, expires = arrived + hold](instant now) {
+    if (now >= expires) return;
+    seen_fences_.push_back({keys, fence});
+    DropKeys(keys);
+    grants_.push_back({keys, fence, expires});
+  };
+  ++grants_received_;
+  const bool late =
+      settings_.late_grant_every > 0 && grants_received_ % settings_.late_grant_every == 0;
+  if (!late) {
+    apply(arrived);
+    return call->Reply({kOk, {}, {}});
+  }
+  // Keeps the exchange, so that its connection stays open without an answer.
+  delayed_.CallAt(arrived + kLateGrantDelay, [call, apply](instant now) { apply(now); });
+}
+
+void sealing_target::HandleRelease(const exchange_pointer& call) {
+  const json body = json::parse(call->request().body, nullptr, false);
+  if (!body.is_object() || !body.contains("from")) return call->Reply({kBadRequest, {}, {}});
+  DropKeys({body.at("from").get<uint32_t>(), body.at("target").get<uint32_t>()});
+  // The work that runs ends within the work time.
+  delayed_.CallAt(boot_clock::now() + settings_.work_time, [call](instant) {
+    call->Reply({kOk, {{"X-Bulrushway-Handover", "handover"}}, {}});
+  });
+}
+
 void sealing_target::SendHeartbeat() {
   json body = {{"service", settings_.service},
                {"address", ToString(settings_.address)},
@@ -84,12 +152,15 @@
                {"state", draining_ ? "draining" : "ready"},
                {"cold_left_s", 0},
                {"seq", ++sequence_},
-               {"born", started_ms_},
-               {"holds", json::array()},
-               {"freed", json::array()}};
+               {"born", started_ms_}};
+  if (!settings_.granted_by_calls) {
+    body["holds"] = json::array();
+    body["freed"] = json::array();
+  }
   const instant now = boot_clock::now();
   std::erase_if(grants_, [now](const key_grant& grant) { return now >= grant.expires_at; });
   for (const key_grant& grant : grants_) {
+    if (settings_.granted_by_calls) break;
     body["holds"].push_back({grant.keys.first, grant.keys.last, grant.fence});
   }
   for (const released_range& range : released_) {
--- a/standins/common/sealing_target.h
+++ b/standins/common/sealing_target.h
@@ -26,6 +26,10 @@
   /// Address that heartbeats are sent to.
   socket_address control;
   bool keyed = false;
+  /// Keys are granted by calls to the target, not in the answers to its heartbeats.
+  bool granted_by_calls = false;
+  /// Every n-th grant is not answered, and carried out late; 0: none.
+  uint64_t late_grant_every = 0;
   uint32_t slots = 12;
   std::chrono::milliseconds work_time{20};
   std::chrono::milliseconds heartbeat_interval{300};
@@ -60,6 +64,10 @@
   void Handle(const exchange_pointer& call);
   void SendHeartbeat();
   void ApplyGrants(instant sent, const std::string& text);
+  void HandleGrant(const exchange_pointer& call);
+  void HandleRelease(const exchange_pointer& call);
+  // Removes the keys from all grants.
+  void DropKeys(const key_range& keys);
 
   event_loop& loop_;
   sealing_target_settings settings_;
@@ -75,6 +83,8 @@
   uint64_t misdirected_ = 0;
   std::vector<key_grant> grants_;
   std::vector<released_range> released_;
+  std::vector<held_range> seen_fences_;
+  uint64_t grants_received_ = 0;
   std::map<std::string, int> runs_;
 };
 
--- a/test/process/platform_path_test.cpp
+++ b/test/process/platform_path_test.cpp
@@ -54,7 +54,8 @@
 
 class deployment {
  public:
-  deployment() : store_(loop_, kStoreAddress) {
+  /// With `by_calls`, keys are granted by calls, of which every fourth is carried out late.
+  explicit deployment(bool by_calls = false) : by_calls_(by_calls), store_(loop_, kStoreAddress) {
     BOOST_REQUIRE(store_.Listen());
     for (const char* service : {"plain", "plain", "keyed", "keyed"}) AddMachine(service);
   }
@@ -145,13 +146,16 @@
     target.address = added.Address(kTargetPort);
     target.control = added.Address(kControlPort);
     target.keyed = service == "keyed";
+    target.granted_by_calls = by_calls_;
+    target.late_grant_every = by_calls_ ? 4 : 0;
     added.target = std::make_unique<standin::sealing_target>(loop_, target);
     BOOST_REQUIRE(added.target->Listen());
     std::ofstream(added.settings_file)
         << "[node]\nname = n" << number << "\nip = " << added.ip
         << "\ndata_centre = a\nregion = r\n"
         << "service = " << service << "\ntarget = " << ToString(added.Address(kTargetPort))
-        << "\nheartbeat = 300 ms\n[listen]\ncallers = " << ToString(added.Address(kCallersPort))
+        << "\nheartbeat = 300 ms\ngrants = " << (by_calls_ ? "call" : "heartbeat")
+        << "\n[listen]\ncallers = " << ToString(added.Address(kCallersPort))
         << "\nready = " << ToString(added.Address(kReadyPort))
         << "\nheartbeats = " << ToString(added.Address(kControlPort))
         << "\nfirst_and_last_port = 7380,7395\n[store]\naddress = " << ToString(kStoreAddress)
@@ -161,6 +165,7 @@
   }
 
   const socket_address kStoreAddress{"127.0.7.100", 7142};
+  bool by_calls_;
   event_loop loop_;
   standin::row_server store_;
   http_client client_{loop_, http_client_settings{.max_connections = 64}};
@@ -296,6 +301,51 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(grant_keys_by_calls_that_are_carried_out_late_or_not_answered) {
+  deployment fleet(true);
+  fleet.store().Put("op", "config", kConfiguration);
+  BOOST_REQUIRE(fleet.WaitUntilSettled());
+  const auto runs_once = [&fleet](const std::string& id) {
+    int runs = 0;
+    for (const machine& each : fleet.machines()) {
+      const auto found = each.target->Runs().find(id);
+      if (found != each.target->Runs().end()) runs += found->second;
+    }
+    return runs == 1;
+  };
+  BOOST_TEST_CONTEXT("keyed requests run once each, at the one owner of their key") {
+    for (int key = 0; key < 65536; key += 5000) {
+      const std::string id = "pay" + std::to_string(key);
+      BOOST_TEST(fleet.StatusOf(static_cast<size_t>(key) % 4, "/pay/x", id, key) == 200);
+      BOOST_TEST(runs_once(id));
+      BOOST_TEST(fleet.CountHolders(static_cast<uint32_t>(key)) == 1);
+    }
+  }
+  BOOST_TEST_CONTEXT("a killed process that restarts serves the keys that its target holds") {
+    machine& restarted = fleet.machines()[2];
+    restarted.process->Kill();
+    fleet.StartProcess(restarted);
+    BOOST_REQUIRE(fleet.WaitUntilSettled());
+    BOOST_TEST(fleet.Until(
+        [&] { return fleet.StatusOf(0, "/pay/x", "again" + std::to_string(rand()), 3) == 200; },
+        seconds(6)));
+  }
+  BOOST_TEST_CONTEXT("a draining target's keys go to the other, and never belong to both") {
+    fleet.machines()[2].target->Drain();
+    bool held_twice = false;
+    BOOST_TEST(fleet.Until(
+        [&] {
+          const auto& other = *fleet.machines()[3].target;
+          held_twice = held_twice || fleet.CountHolders(0) > 1 || fleet.CountHolders(40000) > 1;
+          return other.Holds(0) && other.Holds(40000) && other.Holds(65535);
+        },
+        seconds(8)));
+    BOOST_TEST(!held_twice);
+    BOOST_TEST(fleet.StatusOf(2, "/pay/x", "moved", 3) == 200);
+    BOOST_TEST(runs_once("moved"));
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace bulrushway::testing
