--- a/src/node.h
+++ b/src/node.h
@@ -135,6 +135,9 @@
   }
   // Decides whether to follow the store, and reads changes that were not passed on.
   void UpdateRelay(instant now);
+  // Sends the change to the processes of this data centre, and to one process of each other one,
+  // which passes it on: the cost must not grow with the fleet.
+  void SendKeyMapChange(key_map_change change, bool to_other_data_centres);
   void OnTableChanges(instant now, const table_changes_notice& notice);
   void PassOn(const std::string& table, uint64_t after, uint64_t version,
               const std::vector<stored_row>& rows);
--- a/src/node_peers.cpp
+++ b/src/node_peers.cpp
@@ -69,6 +69,7 @@
           },
           [&self](instant now, connection_id from, const peer_message& message) {
             if (const auto* change = std::get_if<key_map_change>(&message)) {
+              if (change->pass_on) self.SendKeyMapChange(*change, false);
               return self.members_.OnKeyMapChange(now, *change);
             }
             if (const auto* changes = std::get_if<table_changes_notice>(&message)) {
@@ -85,10 +86,7 @@
 membership_events node::MemberEvents(node& self) {
   return {[&self](instant now) { self.mesh_.FollowMembers(now); },
           [&self](instant now) { self.router_.OnOwnersChanged(now); },
-          [&self](instant, const key_map_change& change) {
-            // A peer that the message does not reach learns of the change from the store.
-            self.mesh_.SendToAll([&change](const node_state&) { return change; });
-          }};
+          [&self](instant, const key_map_change& change) { self.SendKeyMapChange(change, true); }};
 }
 
 request_router_ports node::RouterPorts(node& self) {
@@ -206,6 +204,23 @@
   }
 }
 
+void node::SendKeyMapChange(key_map_change change, bool to_other_data_centres) {
+  std::map<std::string, std::string> receivers;
+  change.pass_on = false;
+  // A peer that the message does not reach learns of the change from the store.
+  for (const auto& [name, peer] : fleet_.nodes()) {
+    if (peer.locality == node_locality::kDataCentre) mesh_.SendMessage(name, change);
+    const bool other =
+        peer.locality == node_locality::kRegion || peer.locality == node_locality::kRemote;
+    if (!other || !peer.reachable || !peer.reported) continue;
+    std::string& receiver = receivers[peer.member.data_centre];
+    if (receiver.empty() || peer.report.follows_store) receiver = name;
+  }
+  if (!to_other_data_centres) return;
+  change.pass_on = true;
+  for (const auto& [data_centre, name] : receivers) mesh_.SendMessage(name, change);
+}
+
 void node::OnTableChanges(instant now, const table_changes_notice& notice) {
   for (table_follower* followed : FollowedTables()) {
     if (followed->table() != notice.table) continue;
--- a/src/peer_codec.cpp
+++ b/src/peer_codec.cpp
@@ -73,7 +73,7 @@
 static auto Fields(auto& m, const poison_notice&) { return std::tie(m.entries); }
 
 static auto Fields(auto& m, const key_map_change&) {
-  return std::tie(m.space, m.base_version, m.version, m.delta);
+  return std::tie(m.space, m.base_version, m.version, m.delta, m.pass_on);
 }
 
 static auto Fields(auto& m, const body_permit&) { return std::tie(m.id); }
--- a/src/peer_messages.h
+++ b/src/peer_messages.h
@@ -227,6 +227,8 @@
   uint64_t version = 0;
   /// Encoded key_map_delta.
   std::string delta;
+  /// The receiver passes the change on to its data centre.
+  bool pass_on = false;
 };
 
 /// Changes of a table of the store, passed on within a data centre.
--- a/src/range_service.cpp
+++ b/src/range_service.cpp
@@ -170,7 +170,7 @@
   const bool is_base = controller_.map_version() == base_version;
   controller_.OnChanged(now, outcome->version);
   if (!is_base) return;
-  map_changed_(now, {settings_.service, base_version, outcome->version, EncodeDelta(delta)});
+  map_changed_(now, {settings_.service, base_version, outcome->version, EncodeDelta(delta), false});
 }
 
 void range_service::TakeCurrentRows(instant now, const std::vector<stored_row>& current) {
--- a/test/correctness/peer_codec_test.cpp
+++ b/test/correctness/peer_codec_test.cpp
@@ -53,7 +53,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(a_notice_of_keys_names_the_service_and_the_map) {
-  const auto decoded = DecodeFrame(Body(key_map_change{"druck", 70, 77, "delta"}), "peer");
+  const auto decoded = DecodeFrame(Body(key_map_change{"druck", 70, 77, "delta", true}), "peer");
   BOOST_REQUIRE(decoded.has_value());
   const auto* notice = std::get_if<key_map_change>(&*decoded);
   BOOST_REQUIRE(notice != nullptr);
