--- a/src/range_service.cpp
+++ b/src/range_service.cpp
@@ -142,7 +142,7 @@
   const auto current = std::make_shared<std::vector<stored_row>>();
   transaction.on_conflict = [current](std::vector<stored_row> rows) { *current = std::move(rows); };
   store_.commit(std::move(transaction), [this, now, reason = change.reason, current](
-                                            instant answered, result<row_receipt> outcome) {
+                                            instant answered, const result<row_receipt>& outcome) {
     OnCommitted(answered, now, reason, outcome, *current);
   });
 }
