Take a peer for alive only if the node at its address is it

A receipt now names the node that sends it. Ruled out: overload, and the relay of the tables (the key map was current everywhere).

--- a/src/peer_codec.cpp
+++ b/src/peer_codec.cpp
@@ -49,7 +49,7 @@
                   m.configuration_version, m.follows_store, m.table_changes, m.target);
 }
 
-static auto Fields(auto& m, const node_report_ack&) { return std::tie(m.sequence); }
+static auto Fields(auto& m, const node_report_ack&) { return std::tie(m.sequence, m.node); }
 
 static auto Fields(auto& m, const dispatch_request&) {
   return std::tie(m.id, m.request_id, m.caller, m.service, m.route, m.relay_to, m.key, m.key_name,
--- a/src/peer_mesh.cpp
+++ b/src/peer_mesh.cpp
@@ -14,6 +14,8 @@
 constexpr milliseconds kConnectTimeout{900};
 // Delay before a failed connection is reopened.
 constexpr milliseconds kReconnectDelay{250};
+// The same for a connection that reached another node.
+constexpr milliseconds kForeignRetryDelay{2000};
 // A peer that does not acknowledge a report for this long is treated as unreachable.
 constexpr milliseconds kAckTimeout{1300};
 // Reports between regions are less frequent, since they cost inter-region traffic.
@@ -249,6 +251,15 @@
   const auto found = peers_.find(outgoing->second);
   if (found == peers_.end()) return;
   peer& remote = found->second;
+  if (ack.node != found->first) {
+    // The node has left, and its address belongs to another one.
+    for (link& peer_link : remote.links) {
+      CloseLink(now, found->first, peer_link, "its address is used by " + ack.node);
+      peer_link.retry_at = now + kForeignRetryDelay;
+    }
+    remote.acknowledged = true;
+    return;
+  }
   remote.last_received = now;
   if (ack.sequence >= remote.unacked_sequence && !remote.acknowledged) {
     remote.acknowledged = true;
@@ -264,7 +275,7 @@
 void peer_mesh::OnMessage(instant now, connection_id from, peer_message message) {
   if (IsDropped(from, message)) return;
   if (auto* report = std::get_if<node_report>(&message)) {
-    transport_.Send(from, node_report_ack{report->sequence});
+    transport_.Send(from, node_report_ack{report->sequence, fleet_.self()});
     events_.report(now, *report);
   } else if (const auto* ack = std::get_if<node_report_ack>(&message)) {
     OnAck(now, from, *ack);
--- a/src/peer_messages.h
+++ b/src/peer_messages.h
@@ -130,6 +130,8 @@
 struct node_report_ack {
   /// Sequence of the acknowledged report.
   uint64_t sequence = 0;
+  /// Node that received the report: an address may be used again by another one.
+  std::string node;
 };
 
 /// A caller's request, forwarded to the gate of the selected target.
