Log the limits that targets name and count what gates send them

The logs could not tell whether a limit was not read, forgotten by a restarted gate, or bypassed. The gate now reads both headers and logs changes; it does not act on them yet.

--- a/src/header_names.h
+++ b/src/header_names.h
@@ -27,6 +27,10 @@
   std::string not_run;
   /// Load of a target at the time of its answer.
   std::string load;
+  /// Requests per second that a target in need takes from all processes together.
+  std::string limit;
+  /// Present while a target is leaving.
+  std::string leaving;
   /// Milliseconds for which a target remains cold.
   std::string cold_left;
   /// Seconds after which a refused caller may retry.
--- a/src/target_gate.cpp
+++ b/src/target_gate.cpp
@@ -23,6 +23,8 @@
 // Share of the machine's link that answers of its target may use. The rest is for answers to local
 // callers, for reports and for bursts.
 constexpr double kLinkShare = 0.75;
+// Value of the metric of the target's limit while it names none.
+constexpr double kNoLimit = -1;
 // Extra time for an answer to arrive after the deadline of the caller.
 constexpr milliseconds kAnswerSlack{5};
 
@@ -72,6 +74,7 @@
   pending->sent_at = now;
   pending->incarnation = target_.incarnation();
   running_.emplace(pending->id, pending);
+  metrics_.Counter("bulrushway_target_requests")++;
   wait_latency_.Add(now - pending->arrived);
   const auto left = duration_cast<milliseconds>(pending->deadline - now) + kAnswerSlack;
   pending->http = client_.Send(settings_.address, MakeTargetRequest(now, *pending),
@@ -92,6 +95,29 @@
   if (const auto load = ports_.parse_load(text)) pace_percent_ = std::max(1U, load->pace_percent);
 }
 
+void target_gate::RecordNotices(instant now, const pending_request& pending,
+                                const http_answer& answer) {
+  const header_names& names = settings_.headers;
+  const std::string answering_id = FindHeader(answer.headers, names.answering_instance);
+  const bool other_target = !answering_id.empty() && answering_id != pending.incarnation.id;
+  if (other_target || pending.incarnation != target_.incarnation()) return;
+  const std::string text = FindHeader(answer.headers, names.limit);
+  const std::optional<double> rate = ParseRequestLimit(text);
+  if (!text.empty() && !rate) {
+    log_.Write("target_limit_unreadable", {{"target", pending.incarnation.id}, {"limit", text}});
+  } else if (limit_.OnAnswer(now, pending.sent_at, rate)) {
+    log_.Write("target_limit",
+               {{"target", pending.incarnation.id},
+                {"per_second", rate ? text : "none"},
+                {"status", std::to_string(answer.status)}},
+               log_priority::kNotable);
+    metrics_.Gauge("bulrushway_target_limit") = rate.value_or(kNoLimit);
+  }
+  if (!FindHeader(answer.headers, names.leaving).empty() && !target_.Leaving()) {
+    log_.Write("target_says_leaving", {{"target", pending.incarnation.id}}, log_priority::kNotable);
+  }
+}
+
 void target_gate::RecordSlowness(const pending_request& pending, std::chrono::nanoseconds work) {
   const std::chrono::duration<double> expected = pending.request.expected_work;
   if (expected.count() <= 0) return;
@@ -133,6 +159,7 @@
   pending->reached_target = true;
   target_.OnAnswer(now);
   RecordLoad(answer);
+  RecordNotices(now, *pending, answer);
   const header_names& names = settings_.headers;
   const bool not_run =
       !FindHeader(answer.headers, names.not_run).empty() || answer.status == kMisdirected;
@@ -229,6 +256,7 @@
   if (last_incarnation_ != target_.incarnation()) {
     if (!last_incarnation_.id.empty()) OnCrash(now);
     last_incarnation_ = target_.incarnation();
+    limit_.Reset();
   }
   queue_.SetSlots(target_.slots());
   queue_.SetCold(now, cold_rate_ > 0 && target_.Cold(now));
--- a/src/target_gate.h
+++ b/src/target_gate.h
@@ -24,6 +24,7 @@
 #include "own_target.h"
 #include "peer_messages.h"
 #include "slot_queue.h"
+#include "target_limit.h"
 
 namespace bulrushway {
 
@@ -138,6 +139,8 @@
   refusal_reason HandleNotRun(instant now, const pending_request& pending,
                               const http_answer& answer);
   void RecordLoad(const http_answer& answer);
+  // Takes over the limit that the target names, and whether it says that it is leaving.
+  void RecordNotices(instant now, const pending_request& pending, const http_answer& answer);
   void RecordSlowness(const pending_request& pending, std::chrono::nanoseconds work);
   uint32_t SlownessPercent() const;
   std::chrono::milliseconds ExpectedWork(const dispatch_request& request) const {
@@ -167,6 +170,7 @@
   uint64_t next_crash_;
   target_incarnation last_incarnation_;
   double cold_rate_ = 0;
+  target_limit limit_;
   uint32_t pace_percent_ = 100;
   // EWMA of the time that requests took, relative to what they take at a typical target. Senders
   // divide the times that they measure by it, which separates the work of a route from the speed
