Keep the limits that targets name at their gates

Targets in need name in their answers how many requests a second they take from all processes together.

Class of fault: a load signal of a target that no decision uses. All requests to a target pass its gate, so the gate keeps the limit by a token bucket in front of the slots: the sum over all processes is exact, whatever kind of request or retry it is. What does not fit waits in the queue by rank, goes elsewhere (the choice of targets counts the wait for a token), or is refused at once as not run with the time until its token. A limit counts as capacity of an owner, so that its keys move.

A restarted gate does not know the limit: until the first answer it lets two requests run. An answer to a request that was sent before the limit was last named does not end it, as it may be older.

Ruled out: a forgotten limit alone (all limited gates had exceeded it), and ways around the gate (the arrivals are those that the gates forwarded).

--- a/src/fleet_view.cpp
+++ b/src/fleet_view.cpp
@@ -118,7 +118,8 @@
     state.failure_share += kFailureWeight * ((failed ? 1.0 : 0.0) - state.failure_share);
   }
   if (answer.reason == refusal_reason::kQueueFull || answer.reason == refusal_reason::kColdStart ||
-      answer.reason == refusal_reason::kTargetShed) {
+      answer.reason == refusal_reason::kTargetShed ||
+      answer.reason == refusal_reason::kTargetLimited) {
     state.avoid_until = now + kFullBackoff;
   }
   // An answer that was relayed describes the target of another node.
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -174,10 +174,15 @@
     candidate.leased = node->report.leased;
     candidate.accepting = node->Usable() && node->report.leased;
     const target_report& target = node->report.target;
-    // A request needs a slot, and its answer the link; the scarcer of the two limits the target.
+    // A request needs a slot, its answer the link, and a target may limit the rate of requests; the
+    // scarcest of these limits the target.
     candidate.cost = std::max(Seconds(target.usual_work) / std::max(1U, target.slots),
                               Seconds(target.link_time));
     constexpr double kMilliPerUnit = 1000;
+    if (target.limit_millirate) {
+      candidate.cost =
+          std::max(candidate.cost, kMilliPerUnit / std::max(1U, *target.limit_millirate));
+    }
     candidate.demand = target.key_request_millirate / kMilliPerUnit * candidate.cost;
     candidates.push_back(std::move(candidate));
   }
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -151,7 +151,7 @@
   table_ = std::move(table);
   callers_.SetLimits(CallerLimits(table_->limits()));
   if (const service_policy* policy = table_->FindService(settings_.service)) {
-    gate_.SetPolicy(policy->max_connections, policy->cold_requests_per_second,
+    gate_.SetPolicy(now, policy->max_connections, policy->cold_requests_per_second,
                     std::max(1.0, settings_.cold_slack * kColdBurstUsed));
   }
   if (OwnServiceKeyed()) members_.AddKeySpaces(now, {{settings_.service, {}}});
--- a/src/peer_messages.h
+++ b/src/peer_messages.h
@@ -102,6 +102,10 @@
   uint32_t key_request_millirate = 0;
   /// Maximum rate while the target is cold, in requests per second.
   uint32_t cold_rate = 0;
+  /// Limit that the target names, in thousandths of a request per second; empty without a limit.
+  std::optional<uint32_t> limit_millirate;
+  /// Expected time until the limit admits a new request.
+  std::chrono::milliseconds limit_wait{0};
 };
 
 /// Periodic report of a process to its peers. The receiver acknowledges it with a node_report_ack,
--- a/src/refusal.cpp
+++ b/src/refusal.cpp
@@ -37,6 +37,7 @@
     "target_crashed",
     "internal",
     "stale_rules",
+    "target_limited",
 };
 
 }  // namespace
--- a/src/refusal.h
+++ b/src/refusal.h
@@ -41,6 +41,7 @@
   kTargetCrashed,
   kInternal,
   kStaleRules,
+  kTargetLimited,
   kCount,
 };
 
--- a/src/retry_rules.cpp
+++ b/src/retry_rules.cpp
@@ -55,6 +55,7 @@
     case refusal_reason::kDataCentreOut:
     case refusal_reason::kNoTarget:
     case refusal_reason::kTargetShed:
+    case refusal_reason::kTargetLimited:
     case refusal_reason::kTargetUnreachable:
     case refusal_reason::kStopping:
     case refusal_reason::kAnswerLost:
@@ -114,6 +115,7 @@
   switch (reason) {
     case refusal_reason::kTenantShare:
     case refusal_reason::kDeadlineTooShort:
+    case refusal_reason::kTargetLimited:
       return false;
     case refusal_reason::kDeadlinePassed:
     case refusal_reason::kInternal:
--- a/src/slot_queue.cpp
+++ b/src/slot_queue.cpp
@@ -18,6 +18,10 @@
 constexpr double kMinShareOfWork = 0.5;
 // Time for which a target that reported itself full is offered no additional requests.
 constexpr milliseconds kFullBackoff{20};
+// Requests for which a limited target has saved up tokens may be sent at once: those of this time.
+constexpr milliseconds kLimitBurst{200};
+// Rate of requests to a target with a lower limit, which tell when the limit has ended.
+constexpr double kMinLimit = 0.2;
 
 milliseconds ToMs(double ms) { return milliseconds(static_cast<int64_t>(std::ceil(ms))); }
 
@@ -34,42 +38,22 @@
 
 }  // namespace
 
-void cold_bucket::Configure(double rate, double burst) {
-  rate_ = rate;
-  burst_ = std::max(1.0, burst);
-  tokens_ = std::min(tokens_, burst_);
-}
-
-double cold_bucket::Tokens(instant now) const {
-  const double elapsed = std::chrono::duration<double>(now - refilled_at_).count();
-  return std::min(burst_, tokens_ + std::max(0.0, elapsed) * rate_);
-}
-
-bool cold_bucket::Take(instant now) {
-  tokens_ = Tokens(now);
-  refilled_at_ = now;
-  if (tokens_ < 1) return false;
-  tokens_ -= 1;
-  return true;
-}
-
-milliseconds cold_bucket::Wait(instant now) const {
-  const double missing = 1 - Tokens(now);
-  constexpr double kMsPerSecond = 1000;
-  if (missing <= 0) return milliseconds{0};
-  return rate_ <= 0 ? milliseconds{1000} : ToMs(missing / rate_ * kMsPerSecond);
-}
-
-void cold_bucket::Reset(instant now) {
-  tokens_ = burst_;
-  refilled_at_ = now;
-}
-
 void slot_queue::SetCold(instant now, bool cold) {
-  if (cold && !cold_) bucket_.Reset(now);
+  if (cold && !cold_) cold_bucket_.Fill(now);
   cold_ = cold;
 }
 
+void slot_queue::SetLimit(instant now, std::optional<double> per_second) {
+  if (per_second == limit_) return;
+  // The target names a limit because it has more requests than it can take.
+  if (!limit_) limit_bucket_.Empty(now);
+  limit_ = per_second;
+  if (!limit_) return;
+  const double rate = std::max(*limit_, kMinLimit);
+  const std::chrono::duration<double> burst_time = kLimitBurst;
+  limit_bucket_.Configure(now, rate, rate * burst_time.count());
+}
+
 slot_queue::queue_position slot_queue::PositionOf(const slot_request& request, bool late) {
   return {request.rank, late, request.deadline, request.id};
 }
@@ -81,9 +65,22 @@
 }
 
 bool slot_queue::HasFreeSlot(instant now) const {
-  const uint32_t limit = now < full_until_ ? std::min(slots_, full_slots_) : slots_;
-  if (running_ >= limit) return false;
-  return !cold_ || bucket_.CanTake(now);
+  uint32_t slots = now < full_until_ ? std::min(slots_, full_slots_) : slots_;
+  if (probing_) slots = std::min(slots, kProbeSlots);
+  if (running_ >= slots) return false;
+  if (limit_ && !limit_bucket_.CanTake(now)) return false;
+  return !cold_ || cold_bucket_.CanTake(now);
+}
+
+void slot_queue::TakeSlot(instant now) {
+  if (cold_) cold_bucket_.Take(now);
+  if (limit_) limit_bucket_.Take(now);
+  ++running_;
+}
+
+milliseconds slot_queue::LimitWait(instant now, size_t ahead) const {
+  if (!limit_) return milliseconds{0};
+  return limit_bucket_.Wait(now, static_cast<double>(ahead + 1));
 }
 
 milliseconds slot_queue::UsualWork() const {
@@ -93,12 +90,19 @@
 milliseconds slot_queue::ExpectedWait(instant now, const slot_request& request) const {
   const queue_position position = PositionOf(request, IsLate(now, request));
   const auto ahead =
-      static_cast<double>(std::distance(waiting_.begin(), waiting_.upper_bound(position)));
+      static_cast<size_t>(std::distance(waiting_.begin(), waiting_.upper_bound(position)));
   if (HasFreeSlot(now) && ahead == 0) return milliseconds{0};
   const double work = usual_work_ms_ > 0 ? usual_work_ms_ : kAssumedWorkMs;
-  const double slot_wait = (ahead + 1) * work / std::max(1U, slots_);
-  const double token_wait = cold_ ? static_cast<double>(bucket_.Wait(now).count()) : 0;
-  return ToMs(std::max(slot_wait, token_wait));
+  double slot_wait = static_cast<double>(ahead + 1) * work / std::max(1U, slots_);
+  // All slots become available with the first answer.
+  if (probing_) slot_wait += work;
+  const milliseconds cold_wait = cold_ ? cold_bucket_.Wait(now) : milliseconds{0};
+  return std::max({ToMs(slot_wait), cold_wait, LimitWait(now, ahead)});
+}
+
+refusal_reason slot_queue::ReasonForWait() const {
+  if (limit_) return refusal_reason::kTargetLimited;
+  return cold_ ? refusal_reason::kColdStart : refusal_reason::kQueueFull;
 }
 
 slot_verdict slot_queue::Arrive(instant now, const slot_request& request) {
@@ -108,14 +112,12 @@
     if (!LeavesTimeForWork(now, request)) {
       return {slot_verdict::kind::kRefuse, refusal_reason::kDeadlineTooShort, milliseconds{0}};
     }
-    if (cold_) bucket_.Take(now);
-    ++running_;
+    TakeSlot(now);
     return {};
   }
   const milliseconds wait = ExpectedWait(now, request);
   if (wait > request.max_wait) {
-    const auto reason = cold_ ? refusal_reason::kColdStart : refusal_reason::kQueueFull;
-    return {slot_verdict::kind::kRefuse, reason, wait};
+    return {slot_verdict::kind::kRefuse, ReasonForWait(), wait};
   }
   if (!LeavesTimeForWork(now + wait, request)) {
     return {slot_verdict::kind::kRefuse, refusal_reason::kDeadlineTooShort, wait};
@@ -136,8 +138,7 @@
   const uint64_t id = waiting_.begin()->second.request.id;
   waiting_.erase(waiting_.begin());
   positions_.erase(id);
-  if (cold_) bucket_.Take(now);
-  ++running_;
+  TakeSlot(now);
   return id;
 }
 
@@ -167,8 +168,9 @@
       ++it;
       continue;
     }
-    const auto reason = too_late ? refusal_reason::kDeadlineTooShort : refusal_reason::kQueueFull;
-    expired.push_back({entry.request.id, reason, UsualWork()});
+    const auto reason = too_late ? refusal_reason::kDeadlineTooShort : ReasonForWait();
+    expired.push_back(
+        {entry.request.id, reason, std::max(UsualWork(), LimitWait(now, waiting_.size()))});
     positions_.erase(entry.request.id);
     it = waiting_.erase(it);
   }
--- a/src/slot_queue.h
+++ b/src/slot_queue.h
@@ -22,6 +22,7 @@
 
 #include "clock.h"
 #include "refusal.h"
+#include "token_bucket.h"
 
 namespace bulrushway {
 
@@ -54,28 +55,6 @@
   std::chrono::milliseconds expected_wait{0};
 };
 
-/// Token bucket that limits the rate of requests while a target is cold.
-class cold_bucket {
- public:
-  /// Sets the rate in requests per second and the size of the bucket.
-  void Configure(double rate, double burst);
-  /// Takes a token; false when there is none.
-  bool Take(instant now);
-  bool CanTake(instant now) const { return Tokens(now) >= 1; }
-  /// Time until the next token.
-  std::chrono::milliseconds Wait(instant now) const;
-  /// Fills the bucket.
-  void Reset(instant now);
-
- private:
-  double Tokens(instant now) const;
-
-  double rate_ = 0;
-  double burst_ = 1;
-  double tokens_ = 1;
-  instant refilled_at_{};
-};
-
 /// The queue in front of one target.
 class slot_queue {
  public:
@@ -83,7 +62,13 @@
   void SetSlots(uint32_t slots) { slots_ = slots; }
   /// While cold, each request also needs a token of the bucket.
   void SetCold(instant now, bool cold);
-  cold_bucket& bucket() { return bucket_; }
+  token_bucket& cold_bucket() { return cold_bucket_; }
+  /// While there is a limit in requests per second, each request also needs a token of its bucket.
+  void SetLimit(instant now, std::optional<double> per_second);
+  /// While probing, at most kProbeSlots requests run: the target may have a limit that it has not
+  /// told this process yet.
+  void SetProbing(bool probing) { probing_ = probing; }
+  static constexpr uint32_t kProbeSlots = 2;
 
   /// Decides about an arriving request. After kRun it holds a slot.
   slot_verdict Arrive(instant now, const slot_request& request);
@@ -108,6 +93,9 @@
   std::chrono::milliseconds UsualWork() const;
   /// Expected time until a request that arrives at `now` gets a slot.
   std::chrono::milliseconds ExpectedWait(instant now, const slot_request& request) const;
+  /// Expected time until the limit admits a request with `ahead` others before it; zero without a
+  /// limit.
+  std::chrono::milliseconds LimitWait(instant now, size_t ahead) const;
 
  private:
   using queue_position = std::tuple<uint32_t, bool, instant, uint64_t>;
@@ -121,11 +109,17 @@
   void Insert(const waiting_request& entry);
   void DemoteLate(instant now);
   bool HasFreeSlot(instant now) const;
+  // Reason for the refusal of a request that would wait too long.
+  refusal_reason ReasonForWait() const;
+  void TakeSlot(instant now);
 
   uint32_t slots_ = 0;
   uint32_t running_ = 0;
   bool cold_ = false;
-  cold_bucket bucket_;
+  token_bucket cold_bucket_;
+  std::optional<double> limit_;
+  token_bucket limit_bucket_;
+  bool probing_ = false;
   double usual_work_ms_ = 0;
   instant full_until_{};
   uint32_t full_slots_ = 0;
--- a/src/target_gate.cpp
+++ b/src/target_gate.cpp
@@ -48,11 +48,12 @@
 
 target_gate::~target_gate() = default;
 
-void target_gate::SetPolicy(uint32_t connections, double cold_rate, double cold_burst) {
+void target_gate::SetPolicy(instant now, uint32_t connections, double cold_rate,
+                            double cold_burst) {
   client_.SetMaxConnections(connections > 2 * kSpareConnections ? connections - kSpareConnections
                                                                 : std::max(1U, connections / 2));
   cold_rate_ = cold_rate;
-  queue_.bucket().Configure(cold_rate, cold_burst);
+  queue_.cold_bucket().Configure(now, cold_rate, cold_burst);
 }
 
 http_request target_gate::MakeTargetRequest(instant now, pending_request& pending) const {
@@ -101,6 +102,7 @@
   const std::string answering_id = FindHeader(answer.headers, names.answering_instance);
   const bool other_target = !answering_id.empty() && answering_id != pending.incarnation.id;
   if (other_target || pending.incarnation != target_.incarnation()) return;
+  queue_.SetProbing(false);
   const std::string text = FindHeader(answer.headers, names.limit);
   const std::optional<double> rate = ParseRequestLimit(text);
   if (!text.empty() && !rate) {
@@ -112,6 +114,7 @@
                 {"status", std::to_string(answer.status)}},
                log_priority::kNotable);
     metrics_.Gauge("bulrushway_target_limit") = rate.value_or(kNoLimit);
+    queue_.SetLimit(now, rate);
   }
   if (!FindHeader(answer.headers, names.leaving).empty() && !target_.Leaving()) {
     log_.Write("target_says_leaving", {{"target", pending.incarnation.id}}, log_priority::kNotable);
@@ -254,9 +257,13 @@
 
 void target_gate::Tick(instant now) {
   if (last_incarnation_ != target_.incarnation()) {
-    if (!last_incarnation_.id.empty()) OnCrash(now);
+    const bool first = last_incarnation_.id.empty();
+    if (!first) OnCrash(now);
+    // The target may have run before this process started.
+    queue_.SetProbing(first);
     last_incarnation_ = target_.incarnation();
     limit_.Reset();
+    queue_.SetLimit(now, std::nullopt);
   }
   queue_.SetSlots(target_.slots());
   queue_.SetCold(now, cold_rate_ > 0 && target_.Cold(now));
@@ -347,6 +354,11 @@
   }
   report.pace_percent = pace_percent_;
   report.cold_rate = static_cast<uint32_t>(cold_rate_);
+  constexpr double kThousandths = 1000;
+  if (const auto limit = limit_.rate()) {
+    report.limit_millirate = static_cast<uint32_t>(*limit * kThousandths);
+    report.limit_wait = queue_.LimitWait(now, queue_.Waiting());
+  }
   return report;
 }
 
--- a/src/target_gate.h
+++ b/src/target_gate.h
@@ -100,7 +100,7 @@
   /// Refuses requests that waited too long, and takes over changes of the state of the target.
   void Tick(instant now);
   /// Applies the policy of the service from a new configuration.
-  void SetPolicy(uint32_t connections, double cold_rate, double cold_burst);
+  void SetPolicy(instant now, uint32_t connections, double cold_rate, double cold_burst);
 
   /// Requests that crash targets, observed here or reported by peers.
   poison_registry& poison() { return poison_; }
--- a/src/target_gate_admission.cpp
+++ b/src/target_gate_admission.cpp
@@ -58,6 +58,12 @@
     return Refuse(now, pending, refused->first, run_state::kNotRun, refused->second,
                   "not admitted");
   }
+  const milliseconds limit_wait =
+      queue_.LimitWait(now, queue_.Waiting() + bodies_.Waiting() + bodies_.UnderWay());
+  if (limit_wait > request.max_queue_wait) {
+    return Refuse(now, pending, refusal_reason::kTargetLimited, run_state::kNotRun, limit_wait,
+                  "the target's limit does not admit it in time");
+  }
   const auto wait =
       bodies_.Arrive(now, {pending->id, request.separate_body_bytes, pending->deadline,
                            pending->arrived + request.latency_target_left, ExpectedWork(request)});
--- a/test/correctness/separate_body_test.cpp
+++ b/test/correctness/separate_body_test.cpp
@@ -28,7 +28,7 @@
     heartbeat.slots = 12;
     heartbeat.sequence = 1;
     target_.OnHeartbeat(now, heartbeat);
-    gate.SetPolicy(130, 0, 1);
+    gate.SetPolicy(now, 130, 0, 1);
     gate.Tick(now);
   }
 
--- a/test/correctness/slot_queue_test.cpp
+++ b/test/correctness/slot_queue_test.cpp
@@ -109,7 +109,7 @@
 BOOST_AUTO_TEST_CASE(of_a_cold_target_is_given_at_its_configured_rate) {
   slot_queue queue;
   queue.SetSlots(12);
-  queue.bucket().Configure(22, 3);
+  queue.cold_bucket().Configure(kStart, 22, 3);
   queue.SetCold(kStart, true);
   int started = 0;
   uint64_t id = 0;
--- /dev/null
+++ b/test/correctness/target_limit_test.cpp
@@ -0,0 +1,183 @@
+// A target in need names the requests a second that it takes from all processes together. Its gate
+// keeps that limit, whoever sends the requests and whenever the gate's process has started.
+
+#include "target_limit.h"
+
+#include <fcntl.h>
+
+#include <boost/test/unit_test.hpp>
+#include <vector>
+
+#include "http_server.h"
+#include "target_gate.h"
+
+namespace bulrushway {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr instant kStart = instant{} + std::chrono::hours(1);
+
+// A target that answers each request after some time, and the gate in front of it.
+class limited_target {
+ public:
+  explicit limited_target(milliseconds work) : work_(work) {
+    BOOST_REQUIRE(server_.Listen(kAddress).has_value());
+    target_heartbeat heartbeat;
+    heartbeat.incarnation = {"t1", 1000};
+    heartbeat.service = "lookup";
+    heartbeat.address = kAddress;
+    heartbeat.slots = 12;
+    heartbeat.sequence = 1;
+    target_.OnHeartbeat(boot_clock::now(), heartbeat);
+    gate_.SetPolicy(boot_clock::now(), 130, 0, 1);
+    gate_.Tick(boot_clock::now());
+    tick_.Every(milliseconds(10));
+  }
+
+  // Sends requests at a constant interval, as all processes together would.
+  void OfferFor(milliseconds time, milliseconds interval) {
+    timer offer(loop_, [this](instant now) { Offer(now); });
+    offer.Every(interval);
+    RunFor(time);
+  }
+  void RunFor(milliseconds time) {
+    timer stop(loop_, [this](instant) { loop_.Stop(); });
+    stop.Once(time);
+    loop_.Run();
+  }
+  void Offer(instant now) {
+    dispatch_request request;
+    request.service = "lookup";
+    request.request_id = std::to_string(++offered);
+    request.time_left = milliseconds(900);
+    request.latency_target_left = milliseconds(900);
+    request.max_queue_wait = milliseconds(100);
+    request.request = {"GET", "/", {{"Host", "a"}}, {}};
+    gate_.Handle(now, std::move(request), [this](instant, const dispatch_answer& answer) {
+      if (answer.reason != refusal_reason::kNone) refusals.push_back(answer);
+    });
+  }
+  target_report Report() { return gate_.Report(boot_clock::now()); }
+  size_t Running() const { return gate_.Running(); }
+
+  std::string limit;
+  int offered = 0;
+  int arrived = 0;
+  std::vector<dispatch_answer> refusals;
+
+ private:
+  static header_names Names() {
+    header_names names;
+    names.time_left = "Time-Left";
+    names.caller = "Caller";
+    names.target_instance = "Target";
+    names.limit = "Server-Limit";
+    names.leaving = "Server-Leaving";
+    names.signature = "Seal";
+    names.not_run = "Not-Run";
+    return names;
+  }
+  void OnRequest(const std::shared_ptr<http_exchange>& exchange) {
+    ++arrived;
+    http_answer answer{200, {{"Seal", "s"}}, "ok"};
+    if (!limit.empty()) answer.headers.emplace_back("Server-Limit", limit);
+    auto reply =
+        std::make_shared<timer>(loop_, [exchange, answer](instant) { exchange->Reply(answer); });
+    reply->Once(work_);
+    replies_.push_back(reply);
+  }
+
+  const socket_address kAddress{"127.0.0.1", 7391};
+  milliseconds work_;
+  event_loop loop_;
+  std::vector<std::shared_ptr<timer>> replies_;
+  http_server server_{
+      loop_, {}, [this](const std::shared_ptr<http_exchange>& exchange) { OnRequest(exchange); }};
+  decision_log log_{loop_, "test", open("/dev/null", O_WRONLY | O_CLOEXEC)};
+  metrics metrics_;
+  own_target target_{{"lookup", kAddress}};
+  target_gate gate_{loop_,
+                    metrics_,
+                    log_,
+                    target_,
+                    {kAddress, "lookup", "r", Names()},
+                    {[] { return false; }, [](instant, uint32_t) { return true; },
+                     [](instant, uint32_t) {}, [](instant, uint32_t) {},
+                     [](instant, uint32_t) {
+                       return std::pair{refusal_reason::kNone, milliseconds{0}};
+                     },
+                     [](uint32_t) { return std::string{}; }, [](instant) { return false; },
+                     [](instant) { return true; }, [](instant) {}, [] { return size_t{0}; },
+                     [](const std::string&) { return std::optional<reported_load>{}; }},
+                    1};
+  timer tick_{loop_, [this](instant now) { gate_.Tick(now); }};
+};
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(a_target_that_names_a_limit)
+
+BOOST_AUTO_TEST_CASE(gets_no_more_requests_than_that) {
+  limited_target fixture(milliseconds(5));
+  fixture.limit = "10";
+  fixture.Offer(boot_clock::now());
+  fixture.RunFor(milliseconds(50));
+  const int before = fixture.arrived;
+  fixture.OfferFor(milliseconds(2000), milliseconds(5));
+  BOOST_TEST(fixture.offered > 200);
+  // 10 a second, and those that may be sent at once.
+  BOOST_TEST(fixture.arrived - before <= 20 + 3);
+  BOOST_TEST(fixture.arrived - before >= 15);
+
+  BOOST_TEST_CONTEXT("and the others are refused as not run, with the time until it takes one") {
+    BOOST_REQUIRE(!fixture.refusals.empty());
+    for (const dispatch_answer& refusal : fixture.refusals) {
+      BOOST_TEST((refusal.state == run_state::kNotRun));
+      BOOST_TEST((refusal.reason == refusal_reason::kTargetLimited));
+      BOOST_TEST(refusal.retry_after > milliseconds(0));
+      BOOST_TEST(!refusal.sent_to_target);
+    }
+    BOOST_TEST(fixture.Report().limit_millirate.value_or(0) == 10'000U);
+  }
+  BOOST_TEST_CONTEXT("until an answer does not name it") {
+    fixture.limit.clear();
+    fixture.OfferFor(milliseconds(400), milliseconds(5));
+    fixture.RunFor(milliseconds(50));
+    BOOST_TEST(!fixture.Report().limit_millirate.has_value());
+    const int unlimited_before = fixture.arrived;
+    fixture.OfferFor(milliseconds(500), milliseconds(5));
+    BOOST_TEST(fixture.arrived - unlimited_before > 50);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(is_probed_by_few_requests_of_a_restarted_gate_until_its_first_answer) {
+  limited_target fixture(milliseconds(100));
+  fixture.limit = "1";
+  for (int i = 0; i < 12; ++i) fixture.Offer(boot_clock::now());
+  BOOST_TEST(fixture.Running() <= 2U);
+  fixture.OfferFor(milliseconds(900), milliseconds(10));
+  BOOST_TEST(fixture.arrived <= 3);
+}
+
+BOOST_AUTO_TEST_CASE(keeps_it_although_an_older_answer_that_does_not_name_it_arrives_late) {
+  target_limit limit;
+  BOOST_TEST(limit.OnAnswer(kStart + seconds(2), kStart + seconds(1), 40.5));
+  BOOST_TEST(!limit.OnAnswer(kStart + seconds(3), kStart, std::nullopt));
+  BOOST_TEST(limit.rate().value() == 40.5);
+  BOOST_TEST(limit.OnAnswer(kStart + seconds(4), kStart + seconds(3), std::nullopt));
+  BOOST_TEST(!limit.rate().has_value());
+}
+
+BOOST_AUTO_TEST_CASE(is_understood_only_if_it_is_a_number) {
+  BOOST_TEST(ParseRequestLimit("40.5").value() == 40.5);
+  BOOST_TEST(ParseRequestLimit("0").value() == 0.0);
+  for (const char* text : {"", "-1", "many", "3 a second", "inf", "nan", "1e999"}) {
+    BOOST_TEST(!ParseRequestLimit(text).has_value(), text);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace bulrushway
