Stop sending to targets that say in their answers that they are leaving

A target that leaves says so in all its answers. Only its heartbeats were read: where they come late or not at all, requests went on.

The gate takes the header as the start of a leave, so that lookups stop at once and keys move. Each process remembers which incarnation it has heard is leaving, also when the process beside it is restarted and does not know: it sends no lookups there, and no keyed requests after the drain limit.

gets_no_more_requests_although_its_heartbeats_do_not_say_so failed before (20 arrivals instead of 1). is_not_chosen_after_a_restart_of_its_gate guards the memory of the senders.

--- a/src/fleet_view.cpp
+++ b/src/fleet_view.cpp
@@ -51,8 +51,11 @@
   const bool moved = state.member.address != member.address;
   if (moved || state.member.process != member.process) {
     const bool self = member.node == self_;
-    state = node_state{};
-    state.reachable = self;
+    node_state fresh;
+    fresh.reachable = self;
+    fresh.leaving_target = std::move(state.leaving_target);
+    fresh.leaving_since = state.leaving_since;
+    state = std::move(fresh);
   }
   state.member = member;
   state.locality = LocalityOf(member);
@@ -78,6 +81,14 @@
   state.report_received = now;
   state.load_received = now;
   state.sent_since_load = 0;
+  RecordLeaving(now, state);
+}
+
+void fleet_view::RecordLeaving(instant now, node_state& state) {
+  const target_report& target = state.report.target;
+  if (!target.leaving || target.incarnation == state.leaving_target) return;
+  state.leaving_target = target.incarnation;
+  state.leaving_since = now;
 }
 
 void fleet_view::OnReachable(instant now, const std::string& node, bool reachable) {
@@ -134,6 +145,7 @@
   state.report.target.key_request_millirate = key_rate;
   state.load_received = now;
   state.sent_since_load = 0;
+  RecordLeaving(now, state);
 }
 
 const node_state* fleet_view::Find(const std::string& node) const {
--- a/src/fleet_view.h
+++ b/src/fleet_view.h
@@ -63,10 +63,22 @@
   /// Not chosen before this time, after a refusal because of load.
   instant avoid_until{};
 
+  /// The incarnation of the target that has said that it is leaving, and when this process learned
+  /// of it. Survives a restart of the node's process, which does not know it any more.
+  target_incarnation leaving_target;
+  instant leaving_since{};
+
+  bool TargetLeaving() const {
+    return !leaving_target.id.empty() && report.target.incarnation == leaving_target;
+  }
+  /// Whether the target has been leaving for longer than `drain_limit`.
+  bool TargetLeft(instant now, std::chrono::milliseconds drain_limit) const {
+    return TargetLeaving() && now - leaving_since > drain_limit;
+  }
   /// Whether new requests may be sent to its target.
   bool Usable() const {
     return reachable && reported && !report.stopping && report.target.accepting &&
-           !report.target.evacuated;
+           !TargetLeaving() && !report.target.evacuated;
   }
 };
 
@@ -96,6 +108,7 @@
 
  private:
   node_locality LocalityOf(const member_record& member) const;
+  static void RecordLeaving(instant now, node_state& state);
 
   std::string self_;
   std::string data_centre_;
--- a/src/peer_codec.cpp
+++ b/src/peer_codec.cpp
@@ -39,8 +39,8 @@
 static auto Fields(auto& m, const target_incarnation&) { return std::tie(m.id, m.started_ms); }
 
 static auto Fields(auto& m, const target_report&) {
-  return std::tie(m.incarnation, m.service, m.accepting, m.evacuated, m.cold, m.slots, m.running,
-                  m.waiting, m.usual_work, m.slowness_percent, m.body_wait, m.link_time,
+  return std::tie(m.incarnation, m.service, m.accepting, m.leaving, m.evacuated, m.cold, m.slots,
+                  m.running, m.waiting, m.usual_work, m.slowness_percent, m.body_wait, m.link_time,
                   m.pace_percent, m.key_request_millirate, m.cold_rate, m.limit_millirate,
                   m.limit_wait);
 }
--- a/src/peer_messages.h
+++ b/src/peer_messages.h
@@ -80,6 +80,8 @@
   std::string service;
   /// Whether the target accepts new requests.
   bool accepting = false;
+  /// The target has said that it is leaving.
+  bool leaving = false;
   /// Operators have taken its data centre out of service.
   bool evacuated = false;
   /// The target has started recently and takes requests at a reduced rate.
@@ -103,7 +105,7 @@
   /// Maximum rate while the target is cold, in requests per second.
   uint32_t cold_rate = 0;
   /// Limit that the target names, in thousandths of a request per second; empty without a limit.
-  std::optional<uint32_t> limit_millirate;
+  std::optional<uint32_t> limit_millirate = {};
   /// Expected time until the limit admits a new request.
   std::chrono::milliseconds limit_wait{0};
 };
--- a/src/request_router.cpp
+++ b/src/request_router.cpp
@@ -164,6 +164,10 @@
   const node_state* node = fleet_.Find(owner);
   reason = refusal_reason::kOwnerUnreachable;
   if (node == nullptr || !node->reachable || !node->reported) return nullptr;
+  if (node->TargetLeft(now, settings_.drain_limit)) {
+    reason = refusal_reason::kMoving;
+    return nullptr;
+  }
   if (!AllowsRegion(pending.matched->home_regions, node->member.region)) {
     reason = refusal_reason::kHomeRegion;
     return nullptr;
--- a/src/request_router.h
+++ b/src/request_router.h
@@ -46,6 +46,8 @@
   /// Service of the target beside this process. Sent as the caller of all requests from here.
   std::string service;
   header_names headers;
+  /// Time after which a target that is leaving receives no more requests, keyed ones included.
+  std::chrono::milliseconds drain_limit{2500};
   /// Retry budget: extra arrivals at targets that this process may cause, as a share of the
   /// requests it accepts, and the largest number of them it may save up. The limit applies to all
   /// processes together, and each sees only a part of the traffic.
--- a/src/target_gate.cpp
+++ b/src/target_gate.cpp
@@ -118,6 +118,7 @@
   }
   if (!FindHeader(answer.headers, names.leaving).empty() && !target_.Leaving()) {
     log_.Write("target_says_leaving", {{"target", pending.incarnation.id}}, log_priority::kNotable);
+    target_.OnLeave(now, pending.incarnation.id);
   }
 }
 
@@ -339,6 +340,7 @@
   report.incarnation = target_.incarnation();
   report.service = settings_.service;
   report.accepting = target_.Accepting(now);
+  report.leaving = target_.Leaving();
   report.evacuated = ports_.evacuated(now);
   report.cold = target_.Cold(now);
   report.slots = target_.slots();
--- a/test/correctness/target_choice_test.cpp
+++ b/test/correctness/target_choice_test.cpp
@@ -35,7 +35,7 @@
     report.node = node;
     report.process = 1;
     report.sequence = ++sequence;
-    report.target = {{"t-" + node, 1}, "s", accepting,        false, false, 12,
+    report.target = {{"t-" + node, 1}, "s", accepting,        false, false, false, 12,
                      running,          0,   milliseconds(100)};
     fleet.OnReport(kStart, report);
   }
@@ -96,7 +96,7 @@
     report.node = node;
     report.process = 1;
     report.sequence = 1;
-    report.target = {{"t-" + node, 1}, "s", true, false, false, 12, 6};
+    report.target = {{"t-" + node, 1}, "s", true, false, false, false, 12, 6};
     report.target.usual_work = milliseconds(i == 0 ? 44 : 200);
     fleet.OnReport(kStart, report);
   }
@@ -112,7 +112,7 @@
     slow.node = "t1";
     slow.process = 1;
     slow.sequence = 2;
-    slow.target = {{"t-t1", 1}, "s", true, false, false, 12, 6};
+    slow.target = {{"t-t1", 1}, "s", true, false, false, false, 12, 6};
     slow.target.slowness_percent = 160;
     fleet.OnReport(kStart, slow);
     for (int i = 0; i < 100; ++i) {
--- a/test/correctness/target_limit_test.cpp
+++ b/test/correctness/target_notices_test.cpp
@@ -1,15 +1,15 @@
-// A target in need names the requests a second that it takes from all processes together. Its gate
-// keeps that limit, whoever sends the requests and whenever the gate's process has started.
-
-#include "target_limit.h"
+// What a target says of itself in its answers: how many requests a second it takes from all
+// processes together, and that it is leaving. Its gate acts on both, whoever sends the requests.
 
 #include <fcntl.h>
 
 #include <boost/test/unit_test.hpp>
 #include <vector>
 
+#include "fleet_view.h"
 #include "http_server.h"
 #include "target_gate.h"
+#include "target_limit.h"
 
 namespace bulrushway {
 namespace {
@@ -20,9 +20,9 @@
 constexpr instant kStart = instant{} + std::chrono::hours(1);
 
 // A target that answers each request after some time, and the gate in front of it.
-class limited_target {
+class outspoken_target {
  public:
-  explicit limited_target(milliseconds work) : work_(work) {
+  explicit outspoken_target(milliseconds work) : work_(work) {
     BOOST_REQUIRE(server_.Listen(kAddress).has_value());
     target_heartbeat heartbeat;
     heartbeat.incarnation = {"t1", 1000};
@@ -63,6 +63,7 @@
   size_t Running() const { return gate_.Running(); }
 
   std::string limit;
+  bool leaving = false;
   int offered = 0;
   int arrived = 0;
   std::vector<dispatch_answer> refusals;
@@ -83,6 +84,7 @@
     ++arrived;
     http_answer answer{200, {{"Seal", "s"}}, "ok"};
     if (!limit.empty()) answer.headers.emplace_back("Server-Limit", limit);
+    if (leaving) answer.headers.emplace_back("Server-Leaving", "1");
     auto reply =
         std::make_shared<timer>(loop_, [exchange, answer](instant) { exchange->Reply(answer); });
     reply->Once(work_);
@@ -120,7 +122,7 @@
 BOOST_AUTO_TEST_SUITE(a_target_that_names_a_limit)
 
 BOOST_AUTO_TEST_CASE(gets_no_more_requests_than_that) {
-  limited_target fixture(milliseconds(5));
+  outspoken_target fixture(milliseconds(5));
   fixture.limit = "10";
   fixture.Offer(boot_clock::now());
   fixture.RunFor(milliseconds(50));
@@ -153,7 +155,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(is_probed_by_few_requests_of_a_restarted_gate_until_its_first_answer) {
-  limited_target fixture(milliseconds(100));
+  outspoken_target fixture(milliseconds(100));
   fixture.limit = "1";
   for (int i = 0; i < 12; ++i) fixture.Offer(boot_clock::now());
   BOOST_TEST(fixture.Running() <= 2U);
@@ -180,4 +182,51 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(a_target_that_says_in_an_answer_that_it_is_leaving)
+
+BOOST_AUTO_TEST_CASE(gets_no_more_requests_although_its_heartbeats_do_not_say_so) {
+  outspoken_target fixture(milliseconds(5));
+  fixture.leaving = true;
+  fixture.Offer(boot_clock::now());
+  fixture.RunFor(milliseconds(50));
+  BOOST_TEST(fixture.Report().leaving);
+  fixture.OfferFor(milliseconds(200), milliseconds(10));
+  BOOST_TEST(fixture.arrived == 1);
+  BOOST_REQUIRE(!fixture.refusals.empty());
+  BOOST_TEST((fixture.refusals.back().state == run_state::kNotRun));
+}
+
+BOOST_AUTO_TEST_CASE(is_not_chosen_after_a_restart_of_its_gate_which_does_not_know) {
+  fleet_view fleet("a", "dc", "r");
+  node_report report;
+  report.node = "b";
+  report.process = 1;
+  report.sequence = 1;
+  report.target.incarnation = {"t", 1};
+  report.target.service = "lookup";
+  report.target.leaving = true;
+  fleet.OnMember({"b", {"10.0.0.2", 1}, "dc", "r", "lookup", 1});
+  fleet.OnReachable(kStart, "b", true);
+  fleet.OnReport(kStart, report);
+
+  fleet.OnMember({"b", {"10.0.0.2", 1}, "dc", "r", "lookup", 2});
+  fleet.OnReachable(kStart, "b", true);
+  report.process = 2;
+  report.target.accepting = true;
+  report.target.leaving = false;
+  fleet.OnReport(kStart + seconds(1), report);
+  BOOST_TEST(!fleet.Find("b")->Usable());
+  BOOST_TEST(!fleet.Find("b")->TargetLeft(kStart + seconds(2), milliseconds(2500)));
+  BOOST_TEST(fleet.Find("b")->TargetLeft(kStart + seconds(3), milliseconds(2500)));
+
+  BOOST_TEST_CONTEXT("but its next incarnation is") {
+    report.sequence = 2;
+    report.target.incarnation = {"t2", 2};
+    fleet.OnReport(kStart + seconds(3), report);
+    BOOST_TEST(fleet.Find("b")->Usable());
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 }  // namespace bulrushway
