--- a/src/table_follower.cpp
+++ b/src/table_follower.cpp
@@ -8,6 +8,9 @@
 
 // Delay before a retry. Each call is charged, and more calls would add load to a store in trouble.
 constexpr std::chrono::milliseconds kRetryPause{400};
+// A row that is missing after the store has returned from a copy counts as deleted only after this
+// time: its writer may be about to write it again.
+constexpr std::chrono::milliseconds kRewriteTime{5000};
 
 }  // namespace
 
@@ -19,7 +22,8 @@
       pause_(std::move(pause)),
       changed_(std::move(changed)),
       retry_(loop, [this](instant now) { Read(now); }),
-      next_watch_(loop, [this](instant now) { Watch(now); }) {}
+      next_watch_(loop, [this](instant now) { Watch(now); }),
+      check_rewritten_(loop, [this](instant now) { Refresh(now); }) {}
 
 void table_follower::Start(instant now) { Read(now); }
 
@@ -54,6 +58,15 @@
   RecordHealth(true, {});
   has_read_ = true;
   const uint64_t after = latest_change_;
+  if (version_ != 0 && EraOf(outcome->version) > EraOf(version_)) {
+    log_.Write("table_returned",
+               {{"table", table_},
+                {"version", std::to_string(version_)},
+                {"returned_to", std::to_string(outcome->version)}},
+               log_priority::kNotable);
+    rewritten_until_ = now + kRewriteTime;
+    check_rewritten_.Once(kRewriteTime);
+  }
   version_ = std::max(version_, outcome->version);
   std::set<std::string> present;
   for (const stored_row& row : outcome->rows) {
@@ -62,7 +75,7 @@
   }
   std::vector<stored_row> changes = std::move(outcome->rows);
   for (const auto& [key, version] : versions_) {
-    if (present.contains(key)) continue;
+    if (present.contains(key) || now < rewritten_until_) continue;
     changes.push_back({{table_, key}, {}, outcome->version, true});
   }
   Apply(now, sent, after, std::move(changes));
--- a/src/table_follower.h
+++ b/src/table_follower.h
@@ -2,7 +2,9 @@
 #define BULRUSHWAY_TABLE_FOLLOWER_H
 
 // Follows one table of the platform's store: reads it once, then watches for changes. Reads it
-// again after a failed call, or when the store does not have the history of changes any more.
+// again after a failed call, or when the store does not have the history of changes any more. When
+// the store returns from a copy, the rows of the copy are reported, and those that it lacks are
+// kept for some time, since their writers write them again.
 
 #include <chrono>
 #include <cstdint>
@@ -77,6 +79,8 @@
   change_handler changed_;
   timer retry_;
   timer next_watch_;
+  timer check_rewritten_;
+  instant rewritten_until_{};
   // Row versions as last reported, to find what a read has changed.
   std::map<std::string, uint64_t> versions_;
   uint64_t version_ = 0;
