Wait for the end of a grant whatever fence the keys have got since

An owner raised the fence of its keys and then released them; the end of its target's grant was looked up under the new fence, under which nothing had been granted, so that the keys went to another target while the first still held them. The same could happen without a return, when a change of unknown outcome made an owner keep its keys under new fences.

The end of a grant now is looked up by keys. are_held_until_the_grant_ends_although_their_fence_was_raised_since guards it; by the fence, the old code found the start of the process plus one hold.

--- a/src/call_grants.cpp
+++ b/src/call_grants.cpp
@@ -149,7 +149,7 @@
   return nullptr;
 }
 
-instant call_grants::LatestEnd(const key_range& keys, uint64_t) const {
+instant call_grants::LatestEnd(const key_range& keys) const {
   instant latest = started_ + LongestHold(limits_, limits_.max_hold);
   for (const possible_hold& hold : possible_) {
     if (hold.keys.Overlaps(keys)) latest = std::max(latest, hold.until);
--- a/src/call_grants.h
+++ b/src/call_grants.h
@@ -45,7 +45,7 @@
   bool HigherFenceSeen(uint64_t fence) const;
 
   const granted_range* Find(instant now, uint32_t key) const;
-  instant LatestEnd(const key_range& keys, uint64_t fence) const;
+  instant LatestEnd(const key_range& keys) const;
   instant LatestLateEnd(const key_range& keys) const;
   void OnNotHeld(instant now, uint32_t key);
   void OnIncarnationEnded();
--- a/src/grant_delivery.h
+++ b/src/grant_delivery.h
@@ -44,11 +44,11 @@
 /// Knowledge of what one incarnation of a target holds.
 template <class Delivery>
 concept grant_delivery = requires(Delivery& delivery, const Delivery& view, instant now,
-                                  uint32_t key, uint64_t fence, const key_range& keys) {
+                                  uint32_t key, const key_range& keys) {
   // The range under which the target certainly holds the key; null when there is none.
   { view.Find(now, key) } -> std::same_as<const granted_range*>;
-  // Latest end of all grants of the keys made so far under the fence.
-  { view.LatestEnd(keys, fence) } -> std::same_as<instant>;
+  // Latest end of all grants of the keys made so far, under whatever fence.
+  { view.LatestEnd(keys) } -> std::same_as<instant>;
   // Latest end of the grants that may take effect even after the target has released the keys.
   { view.LatestLateEnd(keys) } -> std::same_as<instant>;
   // The target refused a request for the key as not held.
--- a/src/heartbeat_grants.cpp
+++ b/src/heartbeat_grants.cpp
@@ -1,6 +1,7 @@
 #include "heartbeat_grants.h"
 
 #include <algorithm>
+#include <optional>
 
 namespace bulrushway {
 namespace {
@@ -18,8 +19,12 @@
 void heartbeat_grants::OnGranted(instant now, const target_grant& grant) {
   const instant end = now + LongestHold(limits_, grant.hold);
   for (const granted_range& range : grant.ranges) {
-    instant& known_end = ends_[range.fence];
-    known_end = std::max(known_end, end);
+    const auto [known, added] = ends_.try_emplace(range.fence, range_end{range.keys, end});
+    if (added) continue;
+    range_end& granted = known->second;
+    granted.keys = {std::min(granted.keys.first, range.keys.first),
+                    std::max(granted.keys.last, range.keys.last)};
+    granted.end = std::max(granted.end, end);
   }
   granted_ = grant.ranges;
   not_held_until_.clear();
@@ -37,10 +42,14 @@
   return &*found;
 }
 
-instant heartbeat_grants::LatestEnd(const key_range&, uint64_t fence) const {
-  const auto end = ends_.find(fence);
-  if (end != ends_.end()) return end->second;
-  return started_ + LongestHold(limits_, limits_.max_hold);
+instant heartbeat_grants::LatestEnd(const key_range& keys) const {
+  std::optional<instant> latest;
+  // The keys may have been granted under an earlier fence.
+  for (const auto& [fence, granted] : ends_) {
+    if (!granted.keys.Overlaps(keys)) continue;
+    latest = std::max(latest.value_or(granted.end), granted.end);
+  }
+  return latest.value_or(started_ + LongestHold(limits_, limits_.max_hold));
 }
 
 void heartbeat_grants::OnNotHeld(instant now, uint32_t key) {
--- a/src/heartbeat_grants.h
+++ b/src/heartbeat_grants.h
@@ -21,7 +21,7 @@
   void OnGranted(instant now, const target_grant& grant);
 
   const granted_range* Find(instant now, uint32_t key) const;
-  instant LatestEnd(const key_range& keys, uint64_t fence) const;
+  instant LatestEnd(const key_range& keys) const;
   instant LatestLateEnd(const key_range&) const { return {}; }
   void OnNotHeld(instant now, uint32_t key);
   void OnIncarnationEnded();
@@ -35,8 +35,12 @@
   // By fence: ranges for which the target refused a request as not held. Find skips them until this
   // instant.
   std::map<uint64_t, instant> not_held_until_;
-  // By fence: when the target's last grant of the range ends.
-  std::map<uint64_t, instant> ends_;
+  struct range_end {
+    key_range keys;
+    instant end;
+  };
+  // By fence: keys that were granted, and when the target's last grant of them ends.
+  std::map<uint64_t, range_end> ends_;
 };
 
 static_assert(grant_delivery<heartbeat_grants>);
--- a/src/range_controller_moves.cpp
+++ b/src/range_controller_moves.cpp
@@ -184,7 +184,7 @@
   if (range == nullptr) return;
   const uint64_t fence = range->fence;
   const instant grant_end =
-      WithGrants([&keys, fence](const auto& grants) { return grants.LatestEnd(keys, fence); });
+      WithGrants([&keys](const auto& grants) { return grants.LatestEnd(keys); });
   pending_releases_.push_back({keys, fence, std::max(now, grant_end), false, {}, new_node});
 }
 
--- a/test/correctness/call_grants_test.cpp
+++ b/test/correctness/call_grants_test.cpp
@@ -65,7 +65,7 @@
   const grant_call call = process.Send(kStart);
   const instant answered = kStart + milliseconds(300);
   process.grants.OnOutcome(answered, call, Outcome(grant_call_result::kDone));
-  BOOST_TEST((process.grants.LatestEnd(kRange.keys, 7) == answered + milliseconds(4080)));
+  BOOST_TEST((process.grants.LatestEnd(kRange.keys) == answered + milliseconds(4080)));
   BOOST_TEST((process.grants.LatestLateEnd(kRange.keys) <= kStart));
 }
 
@@ -73,7 +73,7 @@
   granting_process process;
   const auto due = process.Due(kStart, milliseconds(2000));
   BOOST_REQUIRE_EQUAL(due.size(), 1U);
-  BOOST_TEST((process.grants.LatestEnd(kRange.keys, 7) <= kStart + milliseconds(2000)));
+  BOOST_TEST((process.grants.LatestEnd(kRange.keys) <= kStart + milliseconds(2000)));
   granting_process other;
   BOOST_TEST(other.Due(kStart, milliseconds(400)).empty());
 }
@@ -136,7 +136,7 @@
   granting_process process;
   const grant_call refused = process.Send(kStart);
   process.grants.OnOutcome(kStart, refused, Outcome(grant_call_result::kNotDone));
-  BOOST_TEST((process.grants.LatestEnd(kRange.keys, 7) <= kStart));
+  BOOST_TEST((process.grants.LatestEnd(kRange.keys) <= kStart));
 }
 
 BOOST_AUTO_TEST_CASE(may_be_held_late_by_grants_of_the_previous_process) {
--- a/test/correctness/range_controller_test.cpp
+++ b/test/correctness/range_controller_test.cpp
@@ -92,6 +92,19 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(keys_that_were_granted)
+
+// The keys went to another target while this one held them under the earlier fence.
+BOOST_AUTO_TEST_CASE(are_held_until_the_grant_ends_although_their_fence_was_raised_since) {
+  heartbeat_grants grants({}, kStart);
+  const instant granted = kStart + seconds(60);
+  grants.OnGranted(granted, {{{{0, 99}, 7, {}}}, seconds(4)});
+  BOOST_TEST((grants.LatestEnd({50, 60}) >= granted + seconds(4)));
+  BOOST_TEST((grants.LatestEnd({100, 200}) < granted));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(a_map_of_owners)
 
 BOOST_AUTO_TEST_CASE(does_not_go_back_when_an_answer_comes_after_a_later_change) {
