Keep one owner of each key when the store returns from a copy

Cause: the map and the leases of the copy were believed, though what had been acknowledged since was still relied on. Class of fault: a promise is forgotten while the other side keeps to it.

- Fences begin anew above all earlier ones in each era; a map entry of an earlier era is not granted. - An owner whose lease goes on claims its keys under such fences in one transaction: while the lease was valid, nobody else could have changed their owner.
Its target keeps what it holds meanwhile.
Keys in a change of unknown outcome are not claimed. - A lease that was acknowledged stays valid for its holder until it ends, although its row is gone. - Everybody else waits until all leases from before the return have ended (5.8 s) before keys that nobody has claimed are granted, moved or dealt out, and before a missing or earlier lease row is taken for none.
Lease rows name the era in which they were written, so that fleets whose store has not returned wait no longer than before. - A read of the map or the leases that failed is tried again after 100 ms, not at the next tick.

The simulated fleet has a store that returns from a copy, with late commits that were sent before. hold_their_keys_without_a_gap, do_not_take_back_keys_that_the_copy_does_not_know_they_gave_away and the random faults of the suite after_the_store_returned_from_a_copy failed on the old code.

--- a/src/key_map.h
+++ b/src/key_map.h
@@ -46,6 +46,11 @@
   uint32_t WidthOf(const std::string& node) const;
 };
 
+/// Fencing tokens of an era of the store start here. The store may return from a copy that lacks
+/// the latest assignments; their fences are below those of the new era.
+inline constexpr int kFenceCountBits = 36;
+constexpr uint64_t FirstFenceOf(uint64_t store_era) { return store_era << kFenceCountBits; }
+
 /// Divides all keys evenly among the owners, in the given order. Fences start at `next_fence`.
 key_map AssignEvenly(const std::vector<range_owner>& owners, uint64_t next_fence);
 
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -138,7 +138,7 @@
   known.version = change.version;
   key_map_follower_.OnKnown(change.space, change.version);
   if (range_service* ranges = Find(change.space)) {
-    ranges->OnMapChanged(known.map, change.version);
+    ranges->OnMapChanged(now, known.map, change.version);
   }
   events_.owners_changed(now);
 }
@@ -240,7 +240,7 @@
                 {"version", std::to_string(row.version)},
                 {"ranges", std::to_string(map->ranges.size())}},
                log_priority::kNotable);
-    if (range_service* ranges = Find(row.id.key)) ranges->OnMapRow(sent, row);
+    if (range_service* ranges = Find(row.id.key)) ranges->OnMapRow(now, sent, row);
     known_map& known = key_maps_[row.id.key];
     if (row.version > known.version) known = {std::move(*map), row.version};
   }
--- a/src/process_lease.cpp
+++ b/src/process_lease.cpp
@@ -3,11 +3,12 @@
 #include <utility>
 
 #include "msgpack_fields.h"
+#include "row_store.h"
 
 namespace bulrushway {
 
 static auto Fields(auto& m, const lease_record&) {
-  return std::tie(m.node, m.ip, m.process, m.until);
+  return std::tie(m.node, m.ip, m.process, m.until, m.era);
 }
 
 namespace {
@@ -27,19 +28,26 @@
   version_ = version;
   // A write whose answer was lost may still have taken effect.
   if (row && row->process == process_) valid_until_ = std::max(valid_until_, row->until);
-  if (!row || row->process != process_) valid_until_ = store_time{0};
+  const bool own_row = row && row->process == process_;
+  const bool row_lost = written_era_ < era_;
+  if (!own_row && !row_lost) valid_until_ = store_time{0};
   row_ = std::move(row);
   next_attempt_ = std::min(next_attempt_, now);
 }
 
 std::optional<process_lease::pending_write> process_lease::NextWrite(instant now,
-                                                                     const store_clock& clock) {
+                                                                     const store_clock& clock,
+                                                                     bool settled) {
   if (!row_known_ || writing_ || reading_ || !clock.HasSample() || now < next_attempt_)
     return std::nullopt;
   // Another machine with this node's name may keep serving until its lease ends. An earlier process
   // of this machine has exited, and its target reports to this process instead.
   const bool other_machine = row_ && row_->ip != ip_;
   if (other_machine && !HasEnded(*row_, clock.Earliest(now))) return std::nullopt;
+  // The store may have lost the row, or a renewal, of such a machine.
+  const bool row_may_be_lost = !row_ || (other_machine && row_->era != era_);
+  const bool goes_on = valid_until_ > clock.Latest(now);
+  if (row_may_be_lost && !settled && !goes_on) return std::nullopt;
   return StartWrite(now, clock);
 }
 
@@ -56,13 +64,14 @@
 process_lease::pending_write process_lease::StartWrite(instant now, const store_clock& clock) {
   writing_ = true;
   written_until_ = clock.Earliest(now) + settings_.duration;
-  return {version_, {node_, ip_, process_, written_until_}};
+  return {version_, {node_, ip_, process_, written_until_, era_}};
 }
 
 void process_lease::OnWritten(instant now, uint64_t version) {
   writing_ = false;
   if (!row_ || row_->process != process_) ++acquisition_count_;
-  row_ = lease_record{node_, ip_, process_, written_until_};
+  row_ = lease_record{node_, ip_, process_, written_until_, era_};
+  written_era_ = EraOf(version);
   version_ = version;
   valid_until_ = written_until_;
   next_attempt_ = now + settings_.renewal_interval;
--- a/src/process_lease.h
+++ b/src/process_lease.h
@@ -6,6 +6,7 @@
 // store time. Another process may reassign the keys only after the store's clock has passed that
 // end, in a transaction that also deletes the row.
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <optional>
@@ -26,6 +27,8 @@
   uint64_t process = 0;
   /// End of the lease.
   store_time until{0};
+  /// Era of the store in which the process wrote the row, as far as it knew.
+  uint64_t era = 0;
 };
 
 /// Timing of leases.
@@ -51,11 +54,15 @@
     lease_record record;
   };
 
+  /// The store is in this era. A lease that was acknowledged in an earlier one stays valid until it
+  /// ends, even if the store has lost its row.
+  void OnStoreEra(uint64_t era) { era_ = std::max(era_, era); }
   /// Reports the lease row as read from the store; nullopt if there is none.
   void OnRead(instant now, std::optional<lease_record> row, uint64_t version);
   /// Returns the row to write now in order to acquire or renew the lease; nullopt if no write is
-  /// due. At most one write is in flight.
-  std::optional<pending_write> NextWrite(instant now, const store_clock& clock);
+  /// due. At most one write is in flight. `settled`: all leases that were acknowledged before the
+  /// store last returned from a copy have ended.
+  std::optional<pending_write> NextWrite(instant now, const store_clock& clock, bool settled);
   /// Whether the lease can be renewed together with a change of ownership: the row is known and no
   /// other call for it is in flight.
   bool ReadyForChange(instant now, const store_clock& clock) const;
@@ -97,6 +104,9 @@
   std::optional<lease_record> row_;
   store_time written_until_{0};
   store_time valid_until_{0};
+  uint64_t era_ = 0;
+  // Era in which the latest write was acknowledged.
+  uint64_t written_era_ = 0;
   instant next_attempt_{};
   uint64_t acquisition_count_ = 0;
 };
--- a/src/range_controller.cpp
+++ b/src/range_controller.cpp
@@ -13,6 +13,8 @@
 constexpr milliseconds kMinLeaseLeft{250};
 // Delay before a release that was not answered is sent again.
 constexpr milliseconds kReleaseRetryDelay{100};
+// Delay before a read of the map or the leases that failed is tried again.
+constexpr milliseconds kReadRetryDelay{100};
 
 std::variant<heartbeat_grants, call_grants> MakeGrants(const range_controller_settings& settings,
                                                        instant started) {
@@ -27,12 +29,32 @@
 range_controller::range_controller(const range_controller_settings& settings, instant started)
     : settings_(settings), grants_(MakeGrants(settings, started)) {}
 
-void range_controller::OnMap(instant read_started, std::optional<key_map> map, uint64_t version) {
+void range_controller::OnMap(instant read_started, key_map map, uint64_t version) {
   reading_ = false;
   if (map_known_ && version < map_version_) return;
-  map_known_ = true;
-  map_ = map ? std::move(*map) : key_map{};
+  map_ = std::move(map);
   map_version_ = version;
+  OnMapRead(read_started, EraOf(version));
+}
+
+void range_controller::OnNoMap(instant read_started, uint64_t era) {
+  reading_ = false;
+  if (map_known_ && era < map_era_) return;
+  // The answer was overtaken by a change.
+  if (map_version_ != 0 && era == map_era_) return;
+  map_ = {};
+  map_version_ = 0;
+  OnMapRead(read_started, era);
+}
+
+void range_controller::OnReadFailed(instant now) {
+  reading_ = false;
+  next_read_ = now + kReadRetryDelay;
+}
+
+void range_controller::OnMapRead(instant read_started, uint64_t era) {
+  map_known_ = true;
+  map_era_ = era;
   if (map_stale_since_ && read_started >= *map_stale_since_) map_stale_since_.reset();
   map_read_at_ = std::max(map_read_at_, read_started);
   DropFinishedReleases();
@@ -68,10 +90,12 @@
     map_stale_since_ = now;
     return;
   }
+  if (change_.reason == kClaimReason) claim_.reset();
   // The change feed may deliver a later map before this answer.
   if (*outcome < map_version_) return;
   map_ = change_.map;
   map_version_ = *outcome;
+  map_era_ = EraOf(*outcome);
   DropFinishedReleases();
 }
 
@@ -131,7 +155,7 @@
 std::vector<granted_range> range_controller::PermittedRanges() const {
   std::vector<granted_range> permitted;
   for (const owned_range& range : map_.ranges) {
-    if (range.owner != Self()) continue;
+    if (range.owner != Self() || !IsOfPresentEra(range)) continue;
     uint32_t first = range.keys.first;
     const auto permit_part = [&](uint32_t from, uint32_t to) {
       permitted.push_back({{from, to}, range.fence, range.handover});
@@ -164,7 +188,8 @@
     return std::nullopt;
   }
   RecordReleased(heartbeat);
-  if (lease_left <= kMinLeaseLeft || !MapIsFresh()) return std::nullopt;
+  // Without a grant, the target keeps what it holds until the present grant ends.
+  if (lease_left <= kMinLeaseLeft || !MapIsFresh() || HasClaim(now)) return std::nullopt;
   target_grant grant;
   const auto lease_hold =
       duration_cast<milliseconds>(lease_left / (1 + settings_.grants.max_clock_slowness));
@@ -178,7 +203,7 @@
   call_grants* calls = ByCall();
   const bool reachable =
       condition_ == target_condition::kReady || condition_ == target_condition::kLeaving;
-  if (calls == nullptr || !reachable) return {};
+  if (calls == nullptr || !reachable || map_era_ < era_.era() || HasClaim(now)) return {};
   std::vector<granted_range> permitted;
   if (MapIsFresh()) permitted = PermittedRanges();
   std::vector<grant_call> due = calls->DueGrants(now, incarnation_, permitted, lease_left);
@@ -249,7 +274,8 @@
                                           const std::vector<range_candidate>& candidates,
                                           bool lease_valid) {
   if (reading_ || changing_) return range_action::kNone;
-  if (!map_known_ || map_stale_since_ || map_read_at_ < map_required_since_) {
+  if (map_stale_since_ || !MapIsFresh()) {
+    if (now < next_read_) return range_action::kNone;
     reading_ = true;
     return range_action::kReadMap;
   }
@@ -267,18 +293,27 @@
   change_ = {};
   change_.map_version = map_version_;
   change_.map = map_;
+  uint64_t& next_fence = change_.map.next_fence;
+  next_fence = std::max(next_fence, FirstFenceOf(map_era_));
+  if (HasClaim(now) && ClaimOwnKeys()) {
+    RecordReassignedKeys();
+    changing_ = true;
+    return range_action::kCommitChange;
+  }
+  claim_.reset();
+  const bool settled = era_.Settled(now, settings_.return_settle_time);
   const bool coordinator = IsCoordinator(candidates);
   bool changed = false;
   bool needs_leases = false;
   if (map_.ranges.empty()) {
-    if (!coordinator || last_candidates_.empty()) return range_action::kNone;
+    if (!coordinator || last_candidates_.empty() || !settled) return range_action::kNone;
     if (now - candidates_changed_at_ < settings_.settle_time) return range_action::kNone;
     AssignInitialOwners(candidates);
     changed = true;
   } else {
-    StartReleases(now, candidates);
-    changed = MoveOwnKeys(now, candidates);
-    if (coordinator) changed = ReassignOrphans(now, candidates, needs_leases) || changed;
+    if (MayChangeOwnKeys(settled)) StartReleases(now, candidates);
+    changed = MoveOwnKeys(now, candidates, settled);
+    if (coordinator) changed = ReassignOrphans(now, candidates, settled, needs_leases) || changed;
   }
   if (needs_leases && !changed) {
     reading_ = true;
--- a/src/range_controller.h
+++ b/src/range_controller.h
@@ -26,6 +26,7 @@
 #include "key_map.h"
 #include "key_rates.h"
 #include "process_lease.h"
+#include "store_era.h"
 #include "target_heartbeat.h"
 
 namespace bulrushway {
@@ -101,6 +102,9 @@
   std::chrono::milliseconds relief_delay{1000};
   /// Minimum time between two rounds of moves that relieve an owner of load.
   std::chrono::milliseconds relief_interval{1500};
+  /// Leases that the store acknowledged before it returned from a copy have ended this long after:
+  /// the duration of a lease, and the error of the clocks.
+  std::chrono::milliseconds return_settle_time{5800};
 };
 
 /// Controls the ownership of one target's keys.
@@ -109,15 +113,21 @@
   /// `started`: start of the process. Grants of the node's previous process may still run.
   range_controller(const range_controller_settings& settings, instant started);
 
-  /// Reports the map as read from the store; nullopt if there is no row.
-  void OnMap(instant read_started, std::optional<key_map> map, uint64_t version);
+  /// Reports the map as read from the store, with the version of its row.
+  void OnMap(instant read_started, key_map map, uint64_t version);
+  /// Reports that the store, in this era, has no map.
+  void OnNoMap(instant read_started, uint64_t era);
+  /// Reports that the store's present era has lasted for at least `age`, and how long the lease of
+  /// the process lasts. Must be called before anything that was read in a later era is reported.
+  void OnStoreEra(instant now, uint64_t era, std::chrono::milliseconds age,
+                  std::chrono::milliseconds lease_left);
   /// Reports that the process acquired its lease. Grants then need a map that is read afterwards.
   void OnLeaseAcquired(instant now);
   /// Reports all leases of the service and the store's time when they were read.
   void OnLeases(instant now, std::vector<observed_lease> leases, store_time store_now);
   /// Reports the outcome of the change: the new version of the map, or an error.
   void OnChanged(instant now, result<uint64_t> outcome);
-  void OnReadFailed() { reading_ = false; }
+  void OnReadFailed(instant now);
 
   /// Processes a heartbeat of the target and returns the grant to answer with; nullopt if the lease
   /// is not valid, the map is not current, the heartbeat is of another incarnation, or grants reach
@@ -179,6 +189,7 @@
     instant next_call = {};
   };
 
+  void OnMapRead(instant read_started, uint64_t era);
   bool IsReleasing(const key_range& keys) const;
   // Records which of the target's keys the change assigns to other nodes.
   void RecordReassignedKeys();
@@ -203,12 +214,23 @@
   // Ranges that the target may be granted; parts that are being released or reassigned are
   // excluded, and the rest keeps its fence.
   std::vector<granted_range> PermittedRanges() const;
-  bool MapIsFresh() const { return map_known_ && map_read_at_ >= map_required_since_; }
+  bool MapIsFresh() const {
+    return map_known_ && map_read_at_ >= map_required_since_ && map_era_ >= era_.era();
+  }
+  // Whether the range was assigned since the store last returned from a copy.
+  bool IsOfPresentEra(const owned_range& range) const;
+  // Whether the node's keys may be released: all are of the present era, or all leases from before
+  // have ended.
+  bool MayChangeOwnKeys(bool settled) const;
+  // Assigns the keys of the claim to the target under new fences. Returns whether this changes the
+  // map.
+  bool ClaimOwnKeys();
+  bool HasClaim(instant now) const { return claim_ && now < claim_->until; }
   bool IsFinished(instant now, const pending_release& pending) const;
   void DropFinishedReleases();
   void AssignInitialOwners(const std::vector<range_candidate>& candidates);
-  bool MoveOwnKeys(instant now, const std::vector<range_candidate>& candidates);
-  bool ReassignOrphans(instant now, const std::vector<range_candidate>& candidates,
+  bool MoveOwnKeys(instant now, const std::vector<range_candidate>& candidates, bool settled);
+  bool ReassignOrphans(instant now, const std::vector<range_candidate>& candidates, bool settled,
                        bool& needs_leases);
   void StartReleases(instant now, const std::vector<range_candidate>& candidates);
   void StartBalancing(instant now, const std::vector<range_candidate>& candidates);
@@ -229,8 +251,22 @@
   // Grants need a map whose read was started at this instant or later.
   instant map_required_since_{};
   instant map_read_at_{};
+  // Era of the store when the map was read.
+  uint64_t map_era_ = 0;
   bool reading_ = false;
+  instant next_read_{};
   bool changing_ = false;
+  store_era era_;
+  // What this process knew of its keys when the store returned from a copy, until it has claimed
+  // them.
+  struct key_claim {
+    key_map map;
+    std::vector<key_range> keys;
+    // End of the lease from before the return.
+    instant until;
+  };
+  static constexpr const char* kClaimReason = "store returned from a copy";
+  std::optional<key_claim> claim_;
   ownership_change change_;
 
   target_condition condition_ = target_condition::kUnknown;
--- a/src/range_controller_moves.cpp
+++ b/src/range_controller_moves.cpp
@@ -40,11 +40,12 @@
 }  // namespace
 
 void range_controller::AssignInitialOwners(const std::vector<range_candidate>& candidates) {
-  change_.map = AssignEvenly(AcceptingOwners(candidates), map_.next_fence);
+  change_.map = AssignEvenly(AcceptingOwners(candidates), change_.map.next_fence);
   change_.reason = "first deal";
 }
 
-bool range_controller::MoveOwnKeys(instant now, const std::vector<range_candidate>& candidates) {
+bool range_controller::MoveOwnKeys(instant now, const std::vector<range_candidate>& candidates,
+                                   bool settled) {
   bool changed = false;
   std::vector<range_owner> others = AcceptingOwners(candidates);
   std::erase_if(others, [this](const range_owner& other) { return other.node == settings_.node; });
@@ -52,6 +53,15 @@
   const std::vector<owned_range> ranges = map.ranges;
   for (const owned_range& range : ranges) {
     if (range.owner.node != settings_.node) continue;
+    if (!IsOfPresentEra(range)) {
+      if (!settled) continue;
+      if (condition_ == target_condition::kReady || condition_ == target_condition::kLeaving) {
+        Reassign(map, range.keys, Self(), {});
+        change_.reason = "store returned, nobody claimed the keys";
+        changed = true;
+        continue;
+      }
+    }
     const bool former_incarnation = range.owner.target != incarnation_;
     if (former_incarnation && condition_ == target_condition::kReady) {
       // The target restarted: it gets its keys back under new fences.
@@ -92,7 +102,7 @@
 }
 
 bool range_controller::ReassignOrphans(instant now, const std::vector<range_candidate>& candidates,
-                                       bool& needs_leases) {
+                                       bool settled, bool& needs_leases) {
   const std::vector<range_owner> owners = AcceptingOwners(candidates);
   if (owners.empty()) return false;
   const auto has_lease = [&candidates](const std::string& node) {
@@ -106,12 +116,15 @@
   for (const owned_range& range : ranges) {
     const std::string& node = range.owner.node;
     if (node == settings_.node || has_lease(node)) continue;
+    if (!IsOfPresentEra(range) && !settled) continue;
     if (!leases_known_ || now - leases_read_at_ > kMaxLeaseReadAge) {
       needs_leases = true;
       return false;
     }
     const auto lease = leases_.find(node);
     if (lease != leases_.end() && !HasEnded(lease->second.record, leases_store_time_)) continue;
+    const bool lost = lease == leases_.end() || lease->second.record.era != era_.era();
+    if (lost && !settled) continue;
     if (lease != leases_.end()) {
       change_.ended_leases.emplace_back(node, lease->second.version);
     } else {
--- a/src/range_service.cpp
+++ b/src/range_service.cpp
@@ -16,6 +16,21 @@
       lease_(settings_.node, settings_.ip, settings_.process, settings_.lease),
       controller_(settings_.controller, now) {}
 
+void range_service::OnStoreEra(instant now, uint64_t era, std::chrono::milliseconds age) {
+  if (era == 0) return;
+  const auto lease_left = lease_.Remaining(now, clock_);
+  if (era_.Observe(now, era, age)) {
+    log_.Write("store_era_known",
+               {{"service", settings_.service},
+                {"era", std::to_string(era)},
+                {"age_ms", std::to_string(era_.Age(now).count())},
+                {"lease_left_ms", std::to_string(lease_left.count())}},
+               log_priority::kNotable);
+  }
+  controller_.OnStoreEra(now, era, age, lease_left);
+  lease_.OnStoreEra(era);
+}
+
 void range_service::Tick(instant now, const std::vector<range_candidate>& candidates) {
   MaintainLease(now);
   const bool leased = Leased(now);
@@ -50,6 +65,7 @@
     store_.read(kLeaseTable, [this, now](instant answered, result<row_snapshot> outcome) {
       if (!outcome) return lease_.OnReadFailed(answered);
       clock_.AddSample(now, answered, outcome->now);
+      OnStoreEra(answered, EraOf(outcome->version), {});
       for (const observed_lease& lease : DecodeLeases(*outcome)) {
         if (lease.record.node != settings_.node) continue;
         return lease_.OnRead(answered, lease.record, lease.version);
@@ -58,7 +74,8 @@
     });
     return;
   }
-  const auto write = lease_.NextWrite(now, clock_);
+  const bool settled = era_.Settled(now, settings_.controller.return_settle_time);
+  const auto write = lease_.NextWrite(now, clock_, settled);
   if (!write) return;
   const row_key id = LeaseRowKey(settings_.node);
   row_transaction renewal{{{id, write->version}}, {{id, EncodeLease(write->record)}}};
@@ -68,6 +85,7 @@
       return lease_.OnWriteFailed(answered, outcome.error().kind == error_kind::kConflict);
     }
     clock_.AddSample(now, answered, outcome->now);
+    OnStoreEra(answered, EraOf(outcome->version), {});
     const uint64_t previous_acquisitions = lease_.AcquisitionCount();
     lease_.OnWritten(answered, outcome->version);
     if (lease_.AcquisitionCount() != previous_acquisitions) controller_.OnLeaseAcquired(answered);
@@ -91,33 +109,37 @@
 
 void range_service::ReadMap(instant now) {
   store_.read(kKeyMapTable, [this, now](instant answered, result<row_snapshot> outcome) {
-    if (!outcome) return controller_.OnReadFailed();
+    if (!outcome) return controller_.OnReadFailed(answered);
     clock_.AddSample(now, answered, outcome->now);
+    OnStoreEra(answered, EraOf(outcome->version), {});
     for (const stored_row& row : outcome->rows) {
-      if (row.id.key == settings_.service) return OnMapRow(now, row);
+      if (row.id.key == settings_.service) return OnMapRow(answered, now, row);
     }
-    controller_.OnMap(now, std::nullopt, 0);
+    controller_.OnNoMap(now, EraOf(outcome->version));
   });
 }
 
-void range_service::OnMapRow(instant sent, const stored_row& row) {
+void range_service::OnMapRow(instant now, instant sent, const stored_row& row) {
+  OnStoreEra(now, EraOf(row.version), {});
   auto map = DecodeKeyMap(row.value);
   if (map) return controller_.OnMap(sent, std::move(*map), row.version);
   log_.Write("key_map_unreadable",
              {{"service", settings_.service}, {"reason", map.error().message}},
              log_priority::kNotable);
-  controller_.OnReadFailed();
+  controller_.OnReadFailed(now);
 }
 
 void range_service::ReadLeases(instant now) {
   store_.read(kLeaseTable, [this, now](instant answered, result<row_snapshot> outcome) {
-    if (!outcome) return controller_.OnReadFailed();
+    if (!outcome) return controller_.OnReadFailed(answered);
     clock_.AddSample(now, answered, outcome->now);
+    OnStoreEra(answered, EraOf(outcome->version), {});
     controller_.OnLeases(answered, DecodeLeases(*outcome), outcome->now);
   });
 }
 
-void range_service::OnMapChanged(const key_map& map, uint64_t version) {
+void range_service::OnMapChanged(instant now, const key_map& map, uint64_t version) {
+  OnStoreEra(now, EraOf(version), {});
   // Nothing says whether this map was read after the lease was acquired.
   controller_.OnMap({}, map, version);
 }
@@ -164,6 +186,7 @@
     return TakeCurrentRows(now, current);
   }
   clock_.AddSample(sent, now, outcome->now);
+  OnStoreEra(now, EraOf(outcome->version), {});
   lease_.OnWritten(now, outcome->version);
   metrics_.Counter("bulrushway_ownership_changes", {{"reason", reason}})++;
   const key_map_delta delta = DeltaBetween(controller_.map(), controller_.change().map);
@@ -176,7 +199,8 @@
 void range_service::TakeCurrentRows(instant now, const std::vector<stored_row>& current) {
   const std::string lease_key = LeaseRowKey(settings_.node).key;
   for (const stored_row& row : current) {
-    if (row.id.table == kKeyMapTable && row.id.key == settings_.service) OnMapRow(now, row);
+    OnStoreEra(now, EraOf(row.version), {});
+    if (row.id.table == kKeyMapTable && row.id.key == settings_.service) OnMapRow(now, now, row);
     if (row.id.table != kLeaseTable || row.id.key != lease_key) continue;
     if (auto record = DecodeLease(row.value)) lease_.OnRead(now, std::move(*record), row.version);
   }
--- a/src/range_service.h
+++ b/src/range_service.h
@@ -51,9 +51,11 @@
   /// Maintains the lease and carries out the controller's next action.
   void Tick(instant now, const std::vector<range_candidate>& candidates);
   /// Reports the row of the key map. `sent` is when the call that returned it was sent.
-  void OnMapRow(instant sent, const stored_row& row);
+  void OnMapRow(instant now, instant sent, const stored_row& row);
   /// Reports a newer map that another process has committed.
-  void OnMapChanged(const key_map& map, uint64_t version);
+  void OnMapChanged(instant now, const key_map& map, uint64_t version);
+  /// Reports that the store's present era has lasted for at least `age`.
+  void OnStoreEra(instant now, uint64_t era, std::chrono::milliseconds age);
   std::optional<target_grant> OnHeartbeat(instant now, const target_heartbeat& heartbeat);
   void SetTarget(instant now, target_condition condition, const target_incarnation& incarnation) {
     controller_.SetTarget(now, condition, incarnation);
@@ -97,6 +99,7 @@
   store_clock clock_;
   process_lease lease_;
   range_controller controller_;
+  store_era era_;
   bool leased_ = false;
 };
 
--- a/src/row_store.h
+++ b/src/row_store.h
@@ -15,6 +15,7 @@
 
 #include "error.h"
 #include "store_clock.h"
+#include "store_era.h"
 
 namespace bulrushway {
 
@@ -26,20 +27,6 @@
   auto operator<=>(const row_key&) const = default;
 };
 
-/// Versions order all that the store has ever acknowledged. After a failure the store may return
-/// from a copy that is some seconds old, and gives out the counts since then again. Each return
-/// starts a new era, which the upper bits of a version hold.
-inline constexpr int kVersionCountBits = 40;
-
-/// Version with this count in an era of the store.
-constexpr uint64_t VersionOf(uint64_t era, uint64_t count) {
-  return (era << kVersionCountBits) | count;
-}
-constexpr uint64_t EraOf(uint64_t version) { return version >> kVersionCountBits; }
-constexpr uint64_t CountOf(uint64_t version) {
-  return version & ((uint64_t{1} << kVersionCountBits) - 1);
-}
-
 /// A row, or a tombstone of a deleted row.
 struct stored_row {
   row_key id;
--- a/test/correctness/range_interleaving_test.cpp
+++ b/test/correctness/range_interleaving_test.cpp
@@ -1,7 +1,7 @@
 // Key ownership under random faults: processes are killed and paused, machines are lost and
-// replaced, targets crash and drain, and the store is down, slow, loses answers or executes
-// requests late. No two targets may ever hold a key at once, fences only grow, and soon after the
-// faults every key is held again.
+// replaced, targets crash and drain, and the store is down, slow, loses answers, executes requests
+// late or returns from a copy. No two targets may ever hold a key at once, fences only grow, and
+// soon after the faults every key is held again.
 
 #include <boost/test/unit_test.hpp>
 #include <cstdlib>
@@ -24,9 +24,16 @@
 // Twice the sum of a lease, two renewals of a map and a heartbeat.
 constexpr seconds kRecovery{25};
 
-// Injects faults for each seed, during every other one of which `late_calls` of the calls to
-// targets are late, and checks the owners meanwhile and afterwards.
-void PlayRandomFaults(grant_delivery_kind delivery, double late_calls) {
+// What else happens beside the random faults.
+struct fault_options {
+  // Share of the calls to targets that are late, during every other fault.
+  double late_calls = 0;
+  // The store returns from a copy after every third fault.
+  bool store_returns = false;
+};
+
+// Injects faults for each seed, and checks the owners meanwhile and afterwards.
+void PlayRandomFaults(grant_delivery_kind delivery, const fault_options& options) {
   const char* seed_override = std::getenv("BULRUSHWAY_RANGE_SEED");
   const uint64_t first_seed =
       seed_override == nullptr ? 1 : std::strtoull(seed_override, nullptr, 10);
@@ -38,8 +45,12 @@
       std::uniform_int_distribution<int> pause_ms(50, 4000);
       fleet.RunFor(seconds(5));
       for (int i = 0; i < kFaultsPerSeed; ++i) {
-        fleet.late_calls = i % 2 == 0 ? late_calls : 0;
+        fleet.late_calls = i % 2 == 0 ? options.late_calls : 0;
         fleet.InjectFault();
+        if (options.store_returns && i % 3 == 2) {
+          fleet.RunFor(milliseconds(pause_ms(rng)));
+          fleet.store().ReturnFromCopy(milliseconds(2 * pause_ms(rng)));
+        }
         fleet.RunFor(milliseconds(pause_ms(rng)));
       }
       fleet.late_calls = 0;
@@ -148,12 +159,12 @@
 }
 
 BOOST_AUTO_TEST_CASE(are_unique_under_random_faults_and_complete_after_them) {
-  PlayRandomFaults(grant_delivery_kind::kHeartbeat, 0);
+  PlayRandomFaults(grant_delivery_kind::kHeartbeat, {});
 }
 
 // As above, with grants by calls, of which a fifth are not answered and carried out late.
 BOOST_AUTO_TEST_CASE(that_are_granted_by_calls_are_unique_under_random_faults_and_late_calls) {
-  PlayRandomFaults(grant_delivery_kind::kCall, 0.2);
+  PlayRandomFaults(grant_delivery_kind::kCall, {.late_calls = 0.2});
 }
 
 // A process that reassigns its keys is killed while the change is on its way to the store. Its
@@ -182,6 +193,66 @@
   }
 }
 
+BOOST_AUTO_TEST_SUITE(after_the_store_returned_from_a_copy)
+
+BOOST_AUTO_TEST_CASE(hold_their_keys_without_a_gap) {
+  key_fleet fleet(7, 6);
+  fleet.RunFor(seconds(6));
+  // Two of the changes that the copy lacks.
+  fleet.nodes()[4]->target.draining = true;
+  fleet.nodes()[1]->target.up = false;
+  fleet.RunFor(seconds(3));
+  fleet.store().faults.down = true;
+  fleet.RunFor(seconds(2));
+  fleet.store().ReturnFromCopy(seconds(8));
+  fleet.store().faults.down = false;
+  for (int i = 0; i < 100; ++i) {
+    fleet.RunFor(milliseconds(100));
+    BOOST_TEST(fleet.ShareHeldWithin(milliseconds(100)) == 1.0);
+  }
+  BOOST_TEST(fleet.Report().violation == "");
+}
+
+// The copy assigns the keys of a drained owner to it again, and its restarted process knows no
+// better.
+BOOST_AUTO_TEST_CASE(do_not_take_back_keys_that_the_copy_does_not_know_they_gave_away) {
+  key_fleet fleet(8, 4);
+  fleet.RunFor(seconds(6));
+  simulated_node& node = *fleet.nodes()[0];
+  node.target.draining = true;
+  fleet.RunFor(seconds(3));
+  fleet.StopProcess(node);
+  node.target.draining = false;
+  node.restart_at = fleet.now() + milliseconds(1100);
+  for (size_t i = 1; i < 4; ++i) fleet.nodes()[i]->reaches_store = false;
+  fleet.RunFor(seconds(1));
+  fleet.store().ReturnFromCopy(seconds(6));
+  fleet.RunFor(seconds(3));
+  for (size_t i = 1; i < 4; ++i) fleet.nodes()[i]->reaches_store = true;
+  fleet.RunFor(seconds(20));
+  BOOST_TEST(fleet.Report().violation == "");
+  BOOST_TEST(fleet.Report().share_held == 1.0);
+}
+
+BOOST_AUTO_TEST_CASE(are_dealt_out_again_when_the_copy_is_older_than_the_first_deal) {
+  key_fleet fleet(9, 4);
+  fleet.RunFor(seconds(6));
+  fleet.store().ReturnFromCopy(seconds(20));
+  fleet.RunFor(seconds(10));
+  BOOST_TEST(fleet.Report().violation == "");
+  BOOST_TEST(fleet.Report().share_held == 1.0);
+}
+
+BOOST_AUTO_TEST_CASE(are_unique_under_random_faults_and_complete_after_them) {
+  PlayRandomFaults(grant_delivery_kind::kHeartbeat, {.store_returns = true});
+}
+
+BOOST_AUTO_TEST_CASE(that_are_granted_by_calls_are_unique_under_random_faults_and_late_calls) {
+  PlayRandomFaults(grant_delivery_kind::kCall, {.late_calls = 0.2, .store_returns = true});
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace bulrushway
--- a/test/support/fake_row_store.h
+++ b/test/support/fake_row_store.h
@@ -2,8 +2,11 @@
 #define BULRUSHWAY_TEST_FAKE_ROW_STORE_H
 
 // An in-memory row store with its own clock, for tests on simulated time. Calls and answers take a
-// configurable delay; answers can be lost, and calls can be lost or arrive late.
+// configurable delay; answers can be lost, and calls can be lost or arrive late. The store can
+// return from a copy: it forgets what it acknowledged since, and counts its versions from there.
 
+#include <algorithm>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -38,30 +41,44 @@
   /// store, `alive` whether it still runs; answers to a process that has ended are dropped.
   row_store Rows(std::function<bool()> reaches_store, std::function<bool()> alive) {
     row_store rows;
-    rows.read = [this, reaches_store, alive](const std::string& table, rows_callback done) {
+    // Latest era that an answer has shown to the process.
+    const auto known_era = std::make_shared<uint64_t>(0);
+    rows.read = [this, reaches_store, alive, known_era](const std::string& table,
+                                                        rows_callback done) {
       Call(
           reaches_store, alive,
-          [this, table, alive, done] {
+          [this, table, alive, done, known_era] {
             row_snapshot snapshot{{}, version_, Now()};
             for (const auto& [id, row] : rows_) {
               if (id.table == table) snapshot.rows.push_back(row);
             }
-            SendAnswer(alive, [done, snapshot](instant now) { done(now, snapshot); });
+            SendAnswer(alive, [done, snapshot, known_era](instant now) {
+              *known_era = std::max(*known_era, EraOf(snapshot.version));
+              done(now, snapshot);
+            });
           },
           [done](instant now) { done(now, NoAnswer()); });
     };
-    rows.commit = [this, reaches_store, alive](const row_transaction& change,
-                                               receipt_callback done) {
+    rows.commit = [this, reaches_store, alive, known_era](const row_transaction& change,
+                                                          receipt_callback done) {
+      for (const row_condition& condition : change.conditions) {
+        if (condition.version == 0 || EraOf(condition.version) == *known_era) continue;
+        return Schedule(now_, [this, alive, done] {
+          if (alive()) done(now_, Conflict());
+        });
+      }
       const bool lost = Chance(faults.lost_answers);
       const bool late = lost && Chance(faults.late_commits);
-      const auto apply = [this, change, alive, done, lost] {
+      const auto apply = [this, change, alive, done, lost, known_era, sent_era = *known_era] {
         const bool conditions_hold = ConditionsHold(change);
         if (conditions_hold) Apply(change);
         if (lost) return;
         const row_receipt receipt{version_, Now()};
-        SendAnswer(alive, [done, conditions_hold, receipt](instant now) {
-          if (conditions_hold) return done(now, receipt);
-          done(now, Failure(error_kind::kConflict, "commit", "store", "A condition failed."));
+        SendAnswer(alive, [=](instant now) {
+          *known_era = std::max(*known_era, EraOf(receipt.version));
+          if (!conditions_hold) return done(now, Conflict());
+          if (EraOf(receipt.version) != sent_era && sent_era != 0) return done(now, NoAnswer());
+          done(now, receipt);
         });
       };
       if (lost) {
@@ -95,6 +112,22 @@
     now_ = now;
   }
 
+  /// Forgets all that was acknowledged in the last `age`.
+  void ReturnFromCopy(std::chrono::milliseconds age) {
+    const uint64_t era = EraOf(version_) + 1;
+    version_ = 0;
+    rows_.clear();
+    for (const copy& taken : copies_) {
+      if (taken.at > now_ - age) break;
+      version_ = taken.version;
+      rows_ = taken.rows;
+    }
+    copies_.clear();
+    version_ = VersionOf(era, CountOf(version_));
+    for (auto& [id, row] : rows_) row.version = VersionOf(era, CountOf(row.version));
+    copies_.push_back({now_ - age, version_, rows_});
+  }
+
   store_time Now() const {
     return std::chrono::duration_cast<store_time>(now_.time_since_epoch()) - kClockOffset;
   }
@@ -113,6 +146,10 @@
     return Failure(error_kind::kPeer, "call", "store", "The call timed out.");
   }
 
+  static tl::unexpected<error> Conflict() {
+    return Failure(error_kind::kConflict, "commit", "store", "A condition failed.");
+  }
+
   bool Chance(double share) { return std::uniform_real_distribution<double>(0, 1)(rng_) < share; }
   void Schedule(instant when, std::function<void()> event) {
     scheduled_.emplace(when, std::move(event));
@@ -138,7 +175,8 @@
   bool ConditionsHold(const row_transaction& change) const {
     for (const row_condition& condition : change.conditions) {
       const stored_row* row = Find(condition.id);
-      if ((row == nullptr ? 0 : row->version) != condition.version) return false;
+      // Conditions that arrive state the count alone.
+      if (CountOf(row == nullptr ? 0 : row->version) != CountOf(condition.version)) return false;
     }
     return true;
   }
@@ -153,9 +191,20 @@
         rows_.erase(write.id);
       }
     }
+    copies_.push_back({now_, version_, rows_});
+    while (copies_.size() > 1 && copies_[1].at < now_ - kOldestCopy) copies_.pop_front();
   }
 
+  // State of the store after a commit.
+  struct copy {
+    instant at;
+    uint64_t version = 0;
+    std::map<row_key, stored_row> rows;
+  };
+  static constexpr std::chrono::seconds kOldestCopy{20};
+
   std::mt19937_64 rng_;
+  std::deque<copy> copies_;
   instant now_{};
   uint64_t version_ = 0;
   uint64_t commits_ = 0;
--- a/test/support/key_fleet.cpp
+++ b/test/support/key_fleet.cpp
@@ -144,7 +144,7 @@
     if (!runs || node->ranges->controller().map_version() != change.base_version) continue;
     const auto delta = DecodeDelta(change.delta);
     key_map map = node->ranges->controller().map();
-    if (delta && ApplyDelta(map, *delta)) node->ranges->OnMapChanged(map, change.version);
+    if (delta && ApplyDelta(map, *delta)) node->ranges->OnMapChanged(now_, map, change.version);
   }
 }
 
@@ -266,7 +266,7 @@
   const stored_row* row = store_.Find({kKeyMapTable, kService});
   const bool behind = row != nullptr && row->version > node.ranges->controller().map_version();
   if (!behind || !node.reaches_store || store_.faults.down || now_ < node.next_map_update) return;
-  node.ranges->OnMapRow(now_, *row);
+  node.ranges->OnMapRow(now_, now_, *row);
   std::uniform_int_distribution<int> lag(0, static_cast<int>(max_map_delay.count()));
   node.next_map_update = now_ + milliseconds(lag(rng_));
 }
