Announce members again when the store returns from a copy, and learn of the return from peers

Members that were started within the copy's age were unknown to processes that started later; those that were restarted would be taken for their former process, and live connections to them dropped.

Reports carry the era of the store and how long it has been known, so that processes that cannot reach the store learn of its return, and those that start later know that it is long ago. In a new era each process announces itself again and reads the tables; for five seconds rows about members that are connected are not believed.

of_the_members_that_run_whose_connections_stay_meanwhile fails without the second announcement.

--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -18,6 +18,9 @@
 // calls a second in total.
 constexpr milliseconds kOwnerPause{150};
 constexpr milliseconds kOwnerPausePerMember{15};
+// After a return of the store from a copy, the processes that run write their rows again within
+// this time.
+constexpr milliseconds kRewriteTime{5000};
 // Delay before a failed announcement is retried.
 constexpr milliseconds kAnnounceRetry{500};
 // Longest hold of a grant by call. A call without an answer delays a handover of its keys for this
@@ -70,10 +73,13 @@
       {}, {{{kMemberTable, settings_.self.node}, EncodeMember(settings_.self)}}};
   store_.commit(std::move(announcement), [this](instant, result<row_receipt> outcome) {
     announcing_ = false;
-    announced_ = outcome.has_value();
+    // The store may have returned from a copy that lacks the row, while the answer was on its way.
+    announced_ = outcome && EraOf(outcome->version) >= store_era_;
     if (announced_) return;
-    log_.Write("announcement_failed", {{"reason", outcome.error().message}},
-               log_priority::kNotable);
+    log_.Write(
+        "announcement_failed",
+        {{"reason", outcome ? "The store has returned from a copy." : outcome.error().message}},
+        log_priority::kNotable);
     announce_retry_.Once(kAnnounceRetry);
   });
 }
@@ -101,6 +107,17 @@
   for (managed_space& managed : managed_) managed.ranges->Tick(now, Candidates(managed.space));
 }
 
+void membership::OnStoreEra(instant now, uint64_t era, milliseconds age) {
+  store_era_ = std::max(store_era_, era);
+  for (managed_space& managed : managed_) managed.ranges->OnStoreEra(now, era, age);
+}
+
+void membership::OnStoreReturned(instant now) {
+  rows_outdated_until_ = now + kRewriteTime;
+  announced_ = false;
+  Announce();
+}
+
 void membership::SetTarget(instant now, target_condition condition,
                            const target_incarnation& incarnation) {
   for (managed_space& managed : managed_) managed.ranges->SetTarget(now, condition, incarnation);
@@ -215,6 +232,9 @@
                  log_priority::kNotable);
       continue;
     }
+    const node_state* known = fleet_.Find(member->node);
+    const bool live = known != nullptr && known->reachable && known->reported;
+    if (live && now < rows_outdated_until_) continue;
     if (!fleet_.OnMember(*member)) continue;
     log_.Write("member_known",
                {{"member", member->node},
--- a/src/membership.h
+++ b/src/membership.h
@@ -68,6 +68,10 @@
   void AddKeySpaces(instant now, const std::vector<key_space>& spaces);
   /// Maintains the leases and carries out the next action of each range controller.
   void Tick(instant now);
+  /// Reports that the store's present era has lasted for at least `age`.
+  void OnStoreEra(instant now, uint64_t era, std::chrono::milliseconds age);
+  /// The store has returned from a copy, which may lack this process's row or those of others.
+  void OnStoreReturned(instant now);
   /// Sets the state of this process's target.
   void SetTarget(instant now, target_condition condition, const target_incarnation& incarnation);
 
@@ -123,6 +127,9 @@
   };
   std::map<std::string, known_map> key_maps_;
   std::vector<managed_space> managed_;
+  // Until then, rows of the store may be older than what this process knows of live members.
+  instant rows_outdated_until_{};
+  uint64_t store_era_ = 0;
   bool announced_ = false;
   bool announcing_ = false;
   timer announce_retry_;
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -53,6 +53,7 @@
     : loop_(loop),
       settings_(settings),
       ports_(std::move(ports)),
+      contact_(settings_.first_start),
       store_(ObserveStore(ports_.store, contact_, metrics_)),
       process_(process),
       log_(loop, settings_.name, STDOUT_FILENO),
@@ -236,6 +237,8 @@
   report.leased = members_.Leased(now);
   report.configuration_version = table_ ? table_->version() : 0;
   report.follows_store = follows_store_;
+  report.store_era = contact_.era().era();
+  report.store_era_age = contact_.era().Age(now);
   for (const table_follower* followed : FollowedTables()) {
     report.table_changes.push_back(followed->LatestChange());
   }
@@ -247,6 +250,7 @@
 }
 
 void node::Tick(instant now) {
+  FollowStoreEra(now);
   UpdateTargetState(now);
   members_.Tick(now);
   node_report report = OwnReport(now);
--- a/src/node.h
+++ b/src/node.h
@@ -61,6 +61,9 @@
   std::chrono::milliseconds longest_grant{10'000};
   /// How grants of keys reach the target.
   grant_delivery_kind grants = grant_delivery_kind::kHeartbeat;
+  /// The whole system starts for the first time: nothing was stored before, so that the store
+  /// cannot have lost anything.
+  bool first_start = false;
   /// Extra arrivals at targets that all processes together may cause, as a share of requests.
   double retry_share = 0.2;
   /// Rate of the machine's link in each direction; zero means unknown, and the link is not limited.
@@ -143,6 +146,8 @@
               const std::vector<stored_row>& rows);
   void BroadcastSuspects(instant now);
   void RefreshIfBehind(instant now);
+  // Reacts to a return of the store from a copy, as seen in its answers or reported by peers.
+  void FollowStoreEra(instant now);
   range_service* OwnKeys() { return members_.Find(settings_.service); }
   const range_service* OwnKeys() const { return members_.Find(settings_.service); }
   bool OwnServiceKeyed() const;
@@ -186,6 +191,7 @@
   peer_request_map<peer_mesh::ticket> relayed_;
   uint64_t report_sequence_ = 0;
   uint64_t newest_peer_version_ = 0;
+  uint64_t handled_era_ = 0;
   std::optional<instant> behind_since_;
   relay_gap relay_gap_;
   bool follows_store_ = false;
--- a/src/node_peers.cpp
+++ b/src/node_peers.cpp
@@ -161,6 +161,7 @@
   // A peer with a newer configuration has read it from the store; a peer that is unknown here has
   // registered there. Unless a feed is stuck, both updates are about to arrive.
   newest_peer_version_ = std::max(newest_peer_version_, report.configuration_version);
+  contact_.OnPeerEra(now, report.store_era, report.store_era_age);
   if (fleet_.Find(report.node) != nullptr) return;
   unknown_peer_ = report.node;
   if (!unknown_peer_since_) unknown_peer_since_ = now;
@@ -228,6 +229,26 @@
   }
 }
 
+void node::FollowStoreEra(instant now) {
+  const store_era& era = contact_.era();
+  if (era.era() == 0) return;
+  members_.OnStoreEra(now, era.era(), era.Age(now));
+  if (era.era() == handled_era_) return;
+  const bool first = handled_era_ == 0;
+  log_.Write("store_era_known",
+             {{"era", std::to_string(era.era())},
+              {"before", std::to_string(handled_era_)},
+              {"age_ms", std::to_string(era.Age(now).count())}},
+             log_priority::kNotable);
+  handled_era_ = era.era();
+  if (first) return;
+  members_.OnStoreReturned(now);
+  for (table_follower* followed : FollowedTables()) {
+    if (EraOf(followed->version()) < era.era()) followed->Refresh(now);
+  }
+  mesh_.ReportNow(now);
+}
+
 void node::BroadcastSuspects(instant now) {
   mesh_.SendToAll([this, now](const node_state& peer) {
     return poison_notice{gate_.poison().Export(peer.member.region, now)};
--- a/src/peer_codec.cpp
+++ b/src/peer_codec.cpp
@@ -47,7 +47,8 @@
 
 static auto Fields(auto& m, const node_report&) {
   return std::tie(m.node, m.data_centre, m.region, m.process, m.sequence, m.stopping, m.leased,
-                  m.configuration_version, m.follows_store, m.table_changes, m.target);
+                  m.configuration_version, m.follows_store, m.store_era, m.store_era_age,
+                  m.table_changes, m.target);
 }
 
 static auto Fields(auto& m, const node_report_ack&) { return std::tie(m.sequence, m.node); }
--- a/src/peer_messages.h
+++ b/src/peer_messages.h
@@ -127,6 +127,9 @@
   uint64_t configuration_version = 0;
   /// The process follows the store's tables and passes changes on to its data centre.
   bool follows_store = false;
+  /// Era of the store, and for how long the process has known of it.
+  uint64_t store_era = 0;
+  std::chrono::milliseconds store_era_age{0};
   /// Versions of the latest changes that it knows, by table, in the order of followed_tables.
   std::vector<uint64_t> table_changes;
   target_report target;
--- a/src/range_service.cpp
+++ b/src/range_service.cpp
@@ -20,10 +20,9 @@
   if (era == 0) return;
   const auto lease_left = lease_.Remaining(now, clock_);
   if (era_.Observe(now, era, age)) {
-    log_.Write("store_era_known",
+    log_.Write("store_era_of_keys",
                {{"service", settings_.service},
                 {"era", std::to_string(era)},
-                {"age_ms", std::to_string(era_.Age(now).count())},
                 {"lease_left_ms", std::to_string(lease_left.count())}},
                log_priority::kNotable);
   }
--- a/src/store_relay.h
+++ b/src/store_relay.h
@@ -23,14 +23,32 @@
 /// Outcomes of this process's calls to the store.
 class store_contact {
  public:
+  /// `first_start`: the store cannot have lost anything in the era that this process finds.
+  explicit store_contact(bool first_start) : first_start_(first_start) {}
+
   void OnAnswer(instant now) { answered_ = now; }
   void OnFailure(instant now) { failed_ = now; }
+  /// An answer shows the store in this era.
+  void OnEra(instant now, uint64_t era) {
+    const bool first = first_start_ && era_.era() == 0;
+    era_.Observe(now, era, first ? kFirstEraAge : std::chrono::milliseconds{0});
+  }
+  /// A peer has known the era for `age`.
+  void OnPeerEra(instant now, uint64_t era, std::chrono::milliseconds age) {
+    era_.Observe(now, era, age);
+  }
+  const store_era& era() const { return era_; }
   /// Whether calls succeed at present.
   bool Working(instant now) const;
 
  private:
+  // Longer than anything that the store acknowledges is relied on.
+  static constexpr std::chrono::hours kFirstEraAge{1};
+
+  bool first_start_;
   instant answered_{};
   instant failed_{};
+  store_era era_;
 };
 
 /// Counts all calls by purpose, and records the outcomes of those that are answered at once.
--- a/test/correctness/range_interleaving_test.cpp
+++ b/test/correctness/range_interleaving_test.cpp
@@ -17,6 +17,7 @@
 using std::chrono::seconds;
 
 constexpr uint64_t kSeeds = 60;
+constexpr uint64_t kSeedsWithReturns = 30;
 constexpr int kFaultsPerSeed = 12;
 
 // A handover that balances the load: the release and the grant each wait for a heartbeat.
@@ -37,7 +38,8 @@
   const char* seed_override = std::getenv("BULRUSHWAY_RANGE_SEED");
   const uint64_t first_seed =
       seed_override == nullptr ? 1 : std::strtoull(seed_override, nullptr, 10);
-  const uint64_t last_seed = seed_override == nullptr ? kSeeds : first_seed;
+  const uint64_t seeds = options.store_returns ? kSeedsWithReturns : kSeeds;
+  const uint64_t last_seed = seed_override == nullptr ? seeds : first_seed;
   for (uint64_t seed = first_seed; seed <= last_seed; ++seed) {
     BOOST_TEST_CONTEXT("seed " << seed) {
       key_fleet fleet(seed, 3 + seed % 4, delivery);
--- a/test/correctness/settings_template_test.cpp
+++ b/test/correctness/settings_template_test.cpp
@@ -24,7 +24,7 @@
     "internal_ports": [7380, 7395],
     "limits": {"cpu_share": 0.1, "cpus": 1, "memory_mb": 160, "max_fds": 4100, "link_mbps": 13.0,
                "disk_mb": 0},
-    "data_dir": null, "heartbeat_s": 0.87, "app_addr": "10.1.0.38:8145", "service": "huvo11a",
+    "data_dir": null, "bootstrap": true, "heartbeat_s": 0.87, "app_addr": "10.1.0.38:8145", "service": "huvo11a",
     "bounds": {"drain_s": 3, "grace_s": 6, "retry_budget": 0.2, "cold_slack": 8, "hold_max_s": 10},
     "platform": {"address": "10.200.1.7:8142", "form": "table", "across": false}})");
 }
@@ -67,7 +67,8 @@
 
 BOOST_AUTO_TEST_CASE(tells_a_process_about_its_machine) {
   const auto parsed = ParseProcessSettings("node.ini", FillTemplate(DeployedTemplate(), Fields()));
-  BOOST_REQUIRE(parsed.has_value());
+  BOOST_REQUIRE_MESSAGE(parsed.has_value(), ToString(parsed.error().front()));
+  BOOST_TEST(parsed->node.first_start);
   BOOST_TEST(parsed->node.name == "sidecar-lima-a-1");
   BOOST_TEST(parsed->node.peers.port == 7380);
   BOOST_TEST((parsed->node.drain_limit == milliseconds(3000)));
--- a/test/correctness/store_return_test.cpp
+++ b/test/correctness/store_return_test.cpp
@@ -9,6 +9,7 @@
 
 #include "base64.h"
 #include "http_server.h"
+#include "membership.h"
 #include "store_client.h"
 #include "table_follower.h"
 
@@ -112,6 +113,54 @@
                           }};
 };
 
+// The membership of a node "a" that has announced itself, and a peer "b".
+struct announced_member {
+  announced_member() {
+    store.read = [this](const std::string& table, rows_callback done) {
+      if (table == "members") read_members = std::move(done);
+    };
+    store.watch = [](const std::string&, uint64_t, const rows_callback&) {};
+    store.commit = [this](const row_transaction& change, const receipt_callback& done) {
+      if (change.writes[0].id.table == "members") ++announcements;
+      done(kStart, row_receipt{VersionOf(1, 1), {}});
+    };
+    members.Start(kStart);
+  }
+  static member_record Peer(uint64_t process) {
+    return {"b", {"10.0.0.2", 1}, "dc", "r", "lookup", process};
+  }
+  void KnowPeer(uint64_t process) {
+    fleet.OnMember(Peer(process));
+    fleet.OnReachable(kStart, "b", true);
+    node_report report;
+    report.node = "b";
+    report.process = process;
+    report.sequence = 1;
+    fleet.OnReport(kStart, report);
+  }
+  // Delivers the member table with a row of the peer.
+  void FeedPeer(instant now, uint64_t process) {
+    members.RefreshMembers(now);
+    const stored_row row{{"members", "b"}, EncodeMember(Peer(process)), VersionOf(2, process)};
+    read_members(now, row_snapshot{{row}, VersionOf(2, process), {}});
+  }
+
+  event_loop loop;
+  decision_log log{loop, "test", open("/dev/null", O_WRONLY | O_CLOEXEC)};
+  metrics counters;
+  row_store store;
+  rows_callback read_members;
+  int announcements = 0;
+  fleet_view fleet{"a", "dc", "r"};
+  membership members{loop,
+                     log,
+                     counters,
+                     store,
+                     fleet,
+                     {{"a", {"10.0.0.1", 1}, "dc", "r", "lookup", 1}, "10.0.0.1"},
+                     {[](instant) {}, [](instant) {}, [](instant, const key_map_change&) {}}};
+};
+
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(a_store_that_returns_from_a_copy)
@@ -194,6 +243,27 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(is_told_again)
+
+BOOST_AUTO_TEST_CASE(of_the_members_that_run_whose_connections_stay_meanwhile) {
+  announced_member self;
+  BOOST_TEST(self.announcements == 1);
+  self.members.OnStoreEra(kStart, 2, {});
+  self.members.OnStoreReturned(kStart);
+  BOOST_TEST(self.announcements == 2);
+
+  BOOST_TEST_CONTEXT("and the copy's row of a member that is connected is not believed") {
+    self.KnowPeer(2);
+    self.FeedPeer(kStart + milliseconds(10), 1);
+    BOOST_TEST(self.fleet.Find("b")->member.process == 2U);
+    BOOST_TEST(self.fleet.Find("b")->reachable);
+    self.FeedPeer(kStart + std::chrono::seconds(6), 3);
+    BOOST_TEST(self.fleet.Find("b")->member.process == 3U);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace bulrushway
