--- a/src/request_router.h
+++ b/src/request_router.h
@@ -75,6 +75,8 @@
 
  private:
   struct pending_request;
+  // Maximum number of gates tried for one request: each refusal costs a round trip.
+  static constexpr uint32_t kMaxTries = 4;
   using pending_request_ptr = std::shared_ptr<pending_request>;
 
   bool Accept(instant now, const pending_request_ptr& pending);
--- a/test/correctness/separate_body_test.cpp
+++ b/test/correctness/separate_body_test.cpp
@@ -6,7 +6,7 @@
 #include <boost/test/unit_test.hpp>
 #include <optional>
 
-#include "target_gate.h"
+#include "open_gate.h"
 
 namespace bulrushway {
 namespace {
@@ -62,14 +62,7 @@
                    log_,
                    target_,
                    {kAddress, "media", "r", {}, kNarrowLink, kNarrowLink},
-                   {[] { return false; }, [](instant, uint32_t) { return true; },
-                    [](instant, uint32_t) {}, [](instant, uint32_t) {},
-                    [](instant, uint32_t) {
-                      return std::pair{refusal_reason::kNone, milliseconds{0}};
-                    },
-                    [](uint32_t) { return std::string{}; }, [](instant) { return false; },
-                    [](instant) { return true; }, [](instant) {}, [] { return size_t{0}; },
-                    [](const std::string&) { return std::optional<reported_load>{}; }},
+                   OpenGatePorts(),
                    1};
 };
 
--- a/test/correctness/target_notices_test.cpp
+++ b/test/correctness/target_notices_test.cpp
@@ -8,7 +8,7 @@
 
 #include "fleet_view.h"
 #include "http_server.h"
-#include "target_gate.h"
+#include "open_gate.h"
 #include "target_limit.h"
 
 namespace bulrushway {
@@ -100,20 +100,8 @@
   decision_log log_{loop_, "test", open("/dev/null", O_WRONLY | O_CLOEXEC)};
   metrics metrics_;
   own_target target_{{"lookup", kAddress}};
-  target_gate gate_{loop_,
-                    metrics_,
-                    log_,
-                    target_,
-                    {kAddress, "lookup", "r", Names()},
-                    {[] { return false; }, [](instant, uint32_t) { return true; },
-                     [](instant, uint32_t) {}, [](instant, uint32_t) {},
-                     [](instant, uint32_t) {
-                       return std::pair{refusal_reason::kNone, milliseconds{0}};
-                     },
-                     [](uint32_t) { return std::string{}; }, [](instant) { return false; },
-                     [](instant) { return true; }, [](instant) {}, [] { return size_t{0}; },
-                     [](const std::string&) { return std::optional<reported_load>{}; }},
-                    1};
+  target_gate gate_{loop_,           metrics_, log_, target_, {kAddress, "lookup", "r", Names()},
+                    OpenGatePorts(), 1};
   timer tick_{loop_, [this](instant now) { gate_.Tick(now); }};
 };
 
--- /dev/null
+++ b/test/support/open_gate.h
@@ -0,0 +1,34 @@
+#ifndef BULRUSHWAY_TEST_OPEN_GATE_H
+#define BULRUSHWAY_TEST_OPEN_GATE_H
+
+// The callbacks of a gate in front of a lookup target that no rule keeps from serving.
+
+#include <chrono>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "target_gate.h"
+
+namespace bulrushway {
+
+inline target_gate_ports OpenGatePorts() {
+  using std::chrono::milliseconds;
+  return {[] { return false; },
+          [](instant, uint32_t) { return true; },
+          [](instant, uint32_t) {},
+          [](instant, uint32_t) {},
+          [](instant, uint32_t) {
+            return std::pair{refusal_reason::kNone, milliseconds{0}};
+          },
+          [](uint32_t) { return std::string{}; },
+          [](instant) { return false; },
+          [](instant) { return true; },
+          [](instant) {},
+          [] { return size_t{0}; },
+          [](const std::string&) { return std::optional<reported_load>{}; }};
+}
+
+}  // namespace bulrushway
+
+#endif  // BULRUSHWAY_TEST_OPEN_GATE_H
