--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -18,9 +18,6 @@
 // calls a second in total.
 constexpr milliseconds kOwnerPause{150};
 constexpr milliseconds kOwnerPausePerMember{15};
-// After a return of the store from a copy, the processes that run write their rows again within
-// this time.
-constexpr milliseconds kRewriteTime{5000};
 // Delay before a failed announcement is retried.
 constexpr milliseconds kAnnounceRetry{500};
 // Longest hold of a grant by call. A call without an answer delays a handover of its keys for this
@@ -193,13 +190,9 @@
     const target_report& target = node->report.target;
     // A request needs a slot, its answer the link, and a target may limit the rate of requests; the
     // scarcest of these limits the target.
-    candidate.cost = std::max(Seconds(target.usual_work) / std::max(1U, target.slots),
-                              Seconds(target.link_time));
+    candidate.cost = std::max({Seconds(target.usual_work) / std::max(1U, target.slots),
+                               Seconds(target.link_time), LimitInterval(target).count()});
     constexpr double kMilliPerUnit = 1000;
-    if (target.limit_millirate) {
-      candidate.cost =
-          std::max(candidate.cost, kMilliPerUnit / std::max(1U, *target.limit_millirate));
-    }
     candidate.demand = target.key_request_millirate / kMilliPerUnit * candidate.cost;
     candidates.push_back(std::move(candidate));
   }
--- a/src/peer_messages.h
+++ b/src/peer_messages.h
@@ -110,6 +110,12 @@
   std::chrono::milliseconds limit_wait{0};
 };
 
+/// Mean time between the requests that the target's limit allows; zero without a limit.
+inline std::chrono::duration<double> LimitInterval(const target_report& target) {
+  if (!target.limit_millirate) return {};
+  return std::chrono::duration<double, std::kilo>(1) / std::max(1U, *target.limit_millirate);
+}
+
 /// Periodic report of a process to its peers. The receiver acknowledges it with a node_report_ack,
 /// which shows the sender that the connection works in both directions.
 struct node_report {
--- a/src/range_controller.cpp
+++ b/src/range_controller.cpp
@@ -90,7 +90,6 @@
     map_stale_since_ = now;
     return;
   }
-  if (change_.reason == kClaimReason) claim_.reset();
   // The change feed may deliver a later map before this answer.
   if (*outcome < map_version_) return;
   map_ = change_.map;
@@ -274,11 +273,7 @@
                                           const std::vector<range_candidate>& candidates,
                                           bool lease_valid) {
   if (reading_ || changing_) return range_action::kNone;
-  if (map_stale_since_ || !MapIsFresh()) {
-    if (now < next_read_) return range_action::kNone;
-    reading_ = true;
-    return range_action::kReadMap;
-  }
+  if (map_stale_since_ || !MapIsFresh()) return StartRead(now, range_action::kReadMap);
   if (!lease_valid) return range_action::kNone;
 
   std::vector<std::string> accepting_nodes;
@@ -295,34 +290,42 @@
   change_.map = map_;
   uint64_t& next_fence = change_.map.next_fence;
   next_fence = std::max(next_fence, FirstFenceOf(map_era_));
-  if (HasClaim(now) && ClaimOwnKeys()) {
-    RecordReassignedKeys();
-    changing_ = true;
-    return range_action::kCommitChange;
-  }
-  claim_.reset();
-  const bool settled = era_.Settled(now, settings_.return_settle_time);
-  const bool coordinator = IsCoordinator(candidates);
-  bool changed = false;
+  bool changed = HasClaim(now) && ClaimOwnKeys();
   bool needs_leases = false;
-  if (map_.ranges.empty()) {
-    if (!coordinator || last_candidates_.empty() || !settled) return range_action::kNone;
-    if (now - candidates_changed_at_ < settings_.settle_time) return range_action::kNone;
-    AssignInitialOwners(candidates);
-    changed = true;
-  } else {
-    if (MayChangeOwnKeys(settled)) StartReleases(now, candidates);
-    changed = MoveOwnKeys(now, candidates, settled);
-    if (coordinator) changed = ReassignOrphans(now, candidates, settled, needs_leases) || changed;
+  if (!changed) {
+    claim_.reset();
+    changed = PlanChange(now, candidates, needs_leases);
   }
-  if (needs_leases && !changed) {
+  if (!changed) {
+    if (!needs_leases) return range_action::kNone;
     reading_ = true;
     return range_action::kReadLeases;
   }
-  if (!changed) return range_action::kNone;
   RecordReassignedKeys();
   changing_ = true;
   return range_action::kCommitChange;
 }
 
+range_action range_controller::StartRead(instant now, range_action read) {
+  if (now < next_read_) return range_action::kNone;
+  reading_ = true;
+  return read;
+}
+
+bool range_controller::PlanChange(instant now, const std::vector<range_candidate>& candidates,
+                                  bool& needs_leases) {
+  const bool coordinator = IsCoordinator(candidates);
+  if (map_.ranges.empty()) {
+    const bool candidates_rest =
+        !last_candidates_.empty() && now - candidates_changed_at_ >= settings_.settle_time;
+    if (!coordinator || !candidates_rest || !Settled(now)) return false;
+    AssignInitialOwners(candidates);
+    return true;
+  }
+  if (MayReleaseKeys(now)) StartReleases(now, candidates);
+  bool changed = MoveOwnKeys(now, candidates);
+  if (coordinator) changed = ReassignOrphans(now, candidates, needs_leases) || changed;
+  return changed;
+}
+
 }  // namespace bulrushway
--- a/src/range_controller.h
+++ b/src/range_controller.h
@@ -119,7 +119,8 @@
   void OnNoMap(instant read_started, uint64_t era);
   /// Reports that the store's present era has lasted for at least `age`, and how long the lease of
   /// the process lasts. Must be called before anything that was read in a later era is reported.
-  void OnStoreEra(instant now, uint64_t era, std::chrono::milliseconds age,
+  /// Returns whether the era is later than the one known before.
+  bool OnStoreEra(instant now, uint64_t era, std::chrono::milliseconds age,
                   std::chrono::milliseconds lease_left);
   /// Reports that the process acquired its lease. Grants then need a map that is read afterwards.
   void OnLeaseAcquired(instant now);
@@ -168,6 +169,8 @@
   const key_map& map() const { return map_; }
   uint64_t map_version() const { return map_version_; }
   bool MapKnown() const { return map_known_; }
+  /// Whether all leases that the store acknowledged before it last returned from a copy have ended.
+  bool Settled(instant now) const { return era_.Settled(now, settings_.return_settle_time); }
   bool HasPendingReleases() const { return !pending_releases_.empty(); }
   grant_delivery_kind delivery() const { return settings_.delivery; }
 
@@ -221,16 +224,21 @@
   bool IsOfPresentEra(const owned_range& range) const;
   // Whether the node's keys may be released: all are of the present era, or all leases from before
   // have ended.
-  bool MayChangeOwnKeys(bool settled) const;
+  bool MayReleaseKeys(instant now) const;
   // Assigns the keys of the claim to the target under new fences. Returns whether this changes the
   // map.
   bool ClaimOwnKeys();
   bool HasClaim(instant now) const { return claim_ && now < claim_->until; }
   bool IsFinished(instant now, const pending_release& pending) const;
   void DropFinishedReleases();
+  // Starts the read, unless the last one failed just now.
+  range_action StartRead(instant now, range_action read);
+  // Fills in a change that is not a claim. Returns false if there is nothing to change; sets
+  // `needs_leases` if that cannot be told without the leases.
+  bool PlanChange(instant now, const std::vector<range_candidate>& candidates, bool& needs_leases);
   void AssignInitialOwners(const std::vector<range_candidate>& candidates);
-  bool MoveOwnKeys(instant now, const std::vector<range_candidate>& candidates, bool settled);
-  bool ReassignOrphans(instant now, const std::vector<range_candidate>& candidates, bool settled,
+  bool MoveOwnKeys(instant now, const std::vector<range_candidate>& candidates);
+  bool ReassignOrphans(instant now, const std::vector<range_candidate>& candidates,
                        bool& needs_leases);
   void StartReleases(instant now, const std::vector<range_candidate>& candidates);
   void StartBalancing(instant now, const std::vector<range_candidate>& candidates);
@@ -265,7 +273,6 @@
     // End of the lease from before the return.
     instant until;
   };
-  static constexpr const char* kClaimReason = "store returned from a copy";
   std::optional<key_claim> claim_;
   ownership_change change_;
 
--- a/src/range_controller_moves.cpp
+++ b/src/range_controller_moves.cpp
@@ -44,8 +44,8 @@
   change_.reason = "first deal";
 }
 
-bool range_controller::MoveOwnKeys(instant now, const std::vector<range_candidate>& candidates,
-                                   bool settled) {
+bool range_controller::MoveOwnKeys(instant now, const std::vector<range_candidate>& candidates) {
+  const bool settled = Settled(now);
   bool changed = false;
   std::vector<range_owner> others = AcceptingOwners(candidates);
   std::erase_if(others, [this](const range_owner& other) { return other.node == settings_.node; });
@@ -102,7 +102,8 @@
 }
 
 bool range_controller::ReassignOrphans(instant now, const std::vector<range_candidate>& candidates,
-                                       bool settled, bool& needs_leases) {
+                                       bool& needs_leases) {
+  const bool settled = Settled(now);
   const std::vector<range_owner> owners = AcceptingOwners(candidates);
   if (owners.empty()) return false;
   const auto has_lease = [&candidates](const std::string& node) {
--- a/src/range_service.cpp
+++ b/src/range_service.cpp
@@ -19,14 +19,13 @@
 void range_service::OnStoreEra(instant now, uint64_t era, std::chrono::milliseconds age) {
   if (era == 0) return;
   const auto lease_left = lease_.Remaining(now, clock_);
-  if (era_.Observe(now, era, age)) {
+  if (controller_.OnStoreEra(now, era, age, lease_left)) {
     log_.Write("store_era_of_keys",
                {{"service", settings_.service},
                 {"era", std::to_string(era)},
                 {"lease_left_ms", std::to_string(lease_left.count())}},
                log_priority::kNotable);
   }
-  controller_.OnStoreEra(now, era, age, lease_left);
   lease_.OnStoreEra(era);
 }
 
@@ -63,8 +62,7 @@
     lease_.OnReadStarted();
     store_.read(kLeaseTable, [this, now](instant answered, result<row_snapshot> outcome) {
       if (!outcome) return lease_.OnReadFailed(answered);
-      clock_.AddSample(now, answered, outcome->now);
-      OnStoreEra(answered, EraOf(outcome->version), {});
+      ObserveStore(now, answered, *outcome);
       for (const observed_lease& lease : DecodeLeases(*outcome)) {
         if (lease.record.node != settings_.node) continue;
         return lease_.OnRead(answered, lease.record, lease.version);
@@ -73,8 +71,7 @@
     });
     return;
   }
-  const bool settled = era_.Settled(now, settings_.controller.return_settle_time);
-  const auto write = lease_.NextWrite(now, clock_, settled);
+  const auto write = lease_.NextWrite(now, clock_, controller_.Settled(now));
   if (!write) return;
   const row_key id = LeaseRowKey(settings_.node);
   row_transaction renewal{{{id, write->version}}, {{id, EncodeLease(write->record)}}};
@@ -83,8 +80,7 @@
       metrics_.Counter("bulrushway_lease_renewals_failed")++;
       return lease_.OnWriteFailed(answered, outcome.error().kind == error_kind::kConflict);
     }
-    clock_.AddSample(now, answered, outcome->now);
-    OnStoreEra(answered, EraOf(outcome->version), {});
+    ObserveStore(now, answered, *outcome);
     const uint64_t previous_acquisitions = lease_.AcquisitionCount();
     lease_.OnWritten(answered, outcome->version);
     if (lease_.AcquisitionCount() != previous_acquisitions) controller_.OnLeaseAcquired(answered);
@@ -109,8 +105,7 @@
 void range_service::ReadMap(instant now) {
   store_.read(kKeyMapTable, [this, now](instant answered, result<row_snapshot> outcome) {
     if (!outcome) return controller_.OnReadFailed(answered);
-    clock_.AddSample(now, answered, outcome->now);
-    OnStoreEra(answered, EraOf(outcome->version), {});
+    ObserveStore(now, answered, *outcome);
     for (const stored_row& row : outcome->rows) {
       if (row.id.key == settings_.service) return OnMapRow(answered, now, row);
     }
@@ -131,8 +126,7 @@
 void range_service::ReadLeases(instant now) {
   store_.read(kLeaseTable, [this, now](instant answered, result<row_snapshot> outcome) {
     if (!outcome) return controller_.OnReadFailed(answered);
-    clock_.AddSample(now, answered, outcome->now);
-    OnStoreEra(answered, EraOf(outcome->version), {});
+    ObserveStore(now, answered, *outcome);
     controller_.OnLeases(answered, DecodeLeases(*outcome), outcome->now);
   });
 }
@@ -184,8 +178,7 @@
     controller_.OnChanged(now, tl::unexpected<error>(outcome.error()));
     return TakeCurrentRows(now, current);
   }
-  clock_.AddSample(sent, now, outcome->now);
-  OnStoreEra(now, EraOf(outcome->version), {});
+  ObserveStore(sent, now, *outcome);
   lease_.OnWritten(now, outcome->version);
   metrics_.Counter("bulrushway_ownership_changes", {{"reason", reason}})++;
   const key_map_delta delta = DeltaBetween(controller_.map(), controller_.change().map);
--- a/src/range_service.h
+++ b/src/range_service.h
@@ -79,6 +79,12 @@
   }
   // Decodes the rows of the lease table that belong to this service.
   std::vector<observed_lease> DecodeLeases(const row_snapshot& rows) const;
+  // Takes over the store's time and era from an answer to a call sent at `sent`.
+  template <class Answer>
+  void ObserveStore(instant sent, instant answered, const Answer& answer) {
+    clock_.AddSample(sent, answered, answer.now);
+    OnStoreEra(answered, EraOf(answer.version), {});
+  }
   void MaintainLease(instant now);
   void ReadMap(instant now);
   void ReadLeases(instant now);
@@ -99,7 +105,6 @@
   store_clock clock_;
   process_lease lease_;
   range_controller controller_;
-  store_era era_;
   bool leased_ = false;
 };
 
--- a/src/request_router.cpp
+++ b/src/request_router.cpp
@@ -1,11 +1,11 @@
 #include "request_router.h"
 
 #include <algorithm>
-#include <charconv>
 #include <cmath>
 #include <utility>
 
 #include "home_regions.h"
+#include "parse_number.h"
 #include "pending_request.h"
 #include "target_choice.h"
 
@@ -32,14 +32,6 @@
 // EWMA weight of a new measurement of a route.
 constexpr double kWorkWeight = 0.05;
 
-template <class Number>
-std::optional<Number> ParseNumber(const std::string& text) {
-  Number value{};
-  const auto [end, problem] = std::from_chars(text.data(), text.data() + text.size(), value);
-  if (problem != std::errc{} || end != text.data() + text.size()) return std::nullopt;
-  return value;
-}
-
 std::string HostName(std::string host) {
   host = host.substr(0, host.find(':'));
   std::transform(host.begin(), host.end(), host.begin(),
--- a/src/store_era.h
+++ b/src/store_era.h
@@ -27,6 +27,9 @@
   return version & ((uint64_t{1} << kVersionCountBits) - 1);
 }
 
+/// What the store has lost, those who wrote it write again within this time after its return.
+inline constexpr std::chrono::milliseconds kRewriteTime{5000};
+
 /// The latest era known, and since when it lasts at least.
 class store_era {
  public:
--- a/src/store_relay.cpp
+++ b/src/store_relay.cpp
@@ -22,36 +22,33 @@
   const auto count = [&counters](const char* call, const std::string& table) {
     counters.Counter("bulrushway_store_calls", {{"call", call}, {"table", table}})++;
   };
-  const auto record = [&contact](instant now, bool answered) {
+  const auto record = [&contact](instant now, bool answered, const auto& outcome) {
+    if (outcome) contact.OnEra(now, EraOf(outcome->version));
     if (answered) return contact.OnAnswer(now);
     contact.OnFailure(now);
   };
   row_store recording = store;
-  recording.read = [read = store.read, record, count, &contact](const std::string& table,
-                                                                rows_callback done) {
+  recording.read = [read = store.read, record, count](const std::string& table,
+                                                      rows_callback done) {
     count("read", table);
-    read(table,
-         [record, &contact, done = std::move(done)](instant now, result<row_snapshot> outcome) {
-           record(now, outcome.has_value());
-           if (outcome) contact.OnEra(now, EraOf(outcome->version));
-           done(now, std::move(outcome));
-         });
+    read(table, [record, done = std::move(done)](instant now, result<row_snapshot> outcome) {
+      record(now, outcome.has_value(), outcome);
+      done(now, std::move(outcome));
+    });
   };
   recording.watch = [watch = store.watch, count](const std::string& table, uint64_t after,
                                                  rows_callback done) {
     count("watch", table);
     watch(table, after, std::move(done));
   };
-  recording.commit = [commit = store.commit, record, count, &contact](const row_transaction& change,
-                                                                      receipt_callback done) {
+  recording.commit = [commit = store.commit, record, count](const row_transaction& change,
+                                                            receipt_callback done) {
     count("commit", change.writes.empty() ? "-" : change.writes.front().id.table);
-    commit(change,
-           [record, &contact, done = std::move(done)](instant now, result<row_receipt> outcome) {
-             // A failed condition is an answer too.
-             record(now, outcome.has_value() || outcome.error().kind == error_kind::kConflict);
-             if (outcome) contact.OnEra(now, EraOf(outcome->version));
-             done(now, std::move(outcome));
-           });
+    commit(change, [record, done = std::move(done)](instant now, result<row_receipt> outcome) {
+      // A failed condition is an answer too.
+      record(now, outcome.has_value() || outcome.error().kind == error_kind::kConflict, outcome);
+      done(now, std::move(outcome));
+    });
   };
   return recording;
 }
--- a/src/table_follower.cpp
+++ b/src/table_follower.cpp
@@ -8,9 +8,6 @@
 
 // Delay before a retry. Each call is charged, and more calls would add load to a store in trouble.
 constexpr std::chrono::milliseconds kRetryPause{400};
-// A row that is missing after the store has returned from a copy counts as deleted only after this
-// time: its writer may be about to write it again.
-constexpr std::chrono::milliseconds kRewriteTime{5000};
 
 }  // namespace
 
@@ -75,6 +72,7 @@
   }
   std::vector<stored_row> changes = std::move(outcome->rows);
   for (const auto& [key, version] : versions_) {
+    // The writer of a row that the copy lacks may be about to write it again.
     if (present.contains(key) || now < rewritten_until_) continue;
     changes.push_back({{table_, key}, {}, outcome->version, true});
   }
--- a/src/target_choice.cpp
+++ b/src/target_choice.cpp
@@ -38,16 +38,6 @@
   return std::find(tried.begin(), tried.end(), node.member.node) == tried.end();
 }
 
-// Expected wait at a target that names a limit, after the requests sent since its last report.
-milliseconds_f LimitWait(const node_state& node) {
-  const target_report& target = node.report.target;
-  if (!target.limit_millirate) return milliseconds_f{0};
-  const double millirate = std::max(1U, *target.limit_millirate);
-  constexpr double kMilliPerUnit = 1000;
-  const std::chrono::duration<double> sent(node.sent_since_load * kMilliPerUnit / millirate);
-  return milliseconds_f(target.limit_wait) + milliseconds_f(sent);
-}
-
 }  // namespace
 
 milliseconds_f ExpectedCost(const node_state& node, const choice_request& request) {
@@ -69,7 +59,8 @@
     time += static_cast<double>(target.body_wait.count());
   }
   if (target.cold) time *= kColdFactor;
-  time += LimitWait(node).count();
+  time += static_cast<double>(target.limit_wait.count());
+  time += node.sent_since_load * milliseconds_f(LimitInterval(target)).count();
   const double kilobytes = request.bytes / kBytesPerKilobyte;
   if (node.locality == node_locality::kRemote) time += kilobytes * kRemoteCostPerKilobyte.count();
   if (node.locality == node_locality::kRegion) time += kilobytes * kRegionCostPerKilobyte.count();
--- a/src/target_limit.cpp
+++ b/src/target_limit.cpp
@@ -1,17 +1,14 @@
 #include "target_limit.h"
 
-#include <charconv>
 #include <cmath>
 
+#include "parse_number.h"
+
 namespace bulrushway {
 
 std::optional<double> ParseRequestLimit(const std::string& text) {
-  double rate = 0;
-  const char* last = text.data() + text.size();
-  const auto [end, problem] = std::from_chars(text.data(), last, rate);
-  if (problem != std::errc{} || end != last || !std::isfinite(rate) || rate < 0) {
-    return std::nullopt;
-  }
+  const auto rate = ParseNumber<double>(text);
+  if (!rate || !std::isfinite(*rate) || *rate < 0) return std::nullopt;
   return rate;
 }
 
--- a/test/correctness/separate_body_test.cpp
+++ b/test/correctness/separate_body_test.cpp
@@ -21,13 +21,7 @@
 class gate_behind_a_narrow_link {
  public:
   gate_behind_a_narrow_link() {
-    target_heartbeat heartbeat;
-    heartbeat.incarnation = {"t1", 1000};
-    heartbeat.service = "media";
-    heartbeat.address = kAddress;
-    heartbeat.slots = 12;
-    heartbeat.sequence = 1;
-    target_.OnHeartbeat(now, heartbeat);
+    target_.OnHeartbeat(now, ReadyHeartbeat("media", kAddress));
     gate.SetPolicy(now, 130, 0, 1);
     gate.Tick(now);
   }
--- a/test/correctness/target_notices_test.cpp
+++ b/test/correctness/target_notices_test.cpp
@@ -24,13 +24,7 @@
  public:
   explicit outspoken_target(milliseconds work) : work_(work) {
     BOOST_REQUIRE(server_.Listen(kAddress).has_value());
-    target_heartbeat heartbeat;
-    heartbeat.incarnation = {"t1", 1000};
-    heartbeat.service = "lookup";
-    heartbeat.address = kAddress;
-    heartbeat.slots = 12;
-    heartbeat.sequence = 1;
-    target_.OnHeartbeat(boot_clock::now(), heartbeat);
+    target_.OnHeartbeat(boot_clock::now(), ReadyHeartbeat("lookup", kAddress));
     gate_.SetPolicy(boot_clock::now(), 130, 0, 1);
     gate_.Tick(boot_clock::now());
     tick_.Every(milliseconds(10));
--- a/test/support/open_gate.h
+++ b/test/support/open_gate.h
@@ -29,6 +29,17 @@
           [](const std::string&) { return std::optional<reported_load>{}; }};
 }
 
+/// The first heartbeat of a ready target with 12 slots.
+inline target_heartbeat ReadyHeartbeat(const std::string& service, const socket_address& address) {
+  target_heartbeat heartbeat;
+  heartbeat.incarnation = {"t1", 1000};
+  heartbeat.service = service;
+  heartbeat.address = address;
+  heartbeat.slots = 12;
+  heartbeat.sequence = 1;
+  return heartbeat;
+}
+
 }  // namespace bulrushway
 
 #endif  // BULRUSHWAY_TEST_OPEN_GATE_H
