Pause before the leases are read again after a failure, as before the map

A store that turns a process away was asked for the leases at each tick of 25 ms while an owner seemed to be gone. Cause: the pause was checked where the map is read, not where reads are started. are_read_again_after_a_pause_and_not_at_each_tick failed before (the next tick returned kReadLeases).

--- a/src/range_controller.cpp
+++ b/src/range_controller.cpp
@@ -297,9 +297,7 @@
     changed = PlanChange(now, candidates, needs_leases);
   }
   if (!changed) {
-    if (!needs_leases) return range_action::kNone;
-    reading_ = true;
-    return range_action::kReadLeases;
+    return needs_leases ? StartRead(now, range_action::kReadLeases) : range_action::kNone;
   }
   RecordReassignedKeys();
   changing_ = true;
--- a/test/correctness/range_controller_test.cpp
+++ b/test/correctness/range_controller_test.cpp
@@ -92,6 +92,23 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(leases_that_could_not_be_read)
+
+BOOST_AUTO_TEST_CASE(are_read_again_after_a_pause_and_not_at_each_tick) {
+  range_controller controller(Settings(), kStart);
+  controller.OnMap(kStart, AssignEvenly({{"n2", {"t2", 1000}}}, 1), 10);
+  std::vector<range_candidate> candidates = Candidates();
+  candidates[1].alive = false;
+  BOOST_TEST((controller.NextAction(kStart, candidates, true) == range_action::kReadLeases));
+  controller.OnReadFailed(kStart);
+  const instant next_tick = kStart + milliseconds(25);
+  BOOST_TEST((controller.NextAction(next_tick, candidates, true) == range_action::kNone));
+  const instant later = kStart + milliseconds(100);
+  BOOST_TEST((controller.NextAction(later, candidates, true) == range_action::kReadLeases));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(keys_that_were_granted)
 
 // The keys went to another target while this one held them under the earlier fence.
