Show no limit of a target that has been replaced

bulrushway_target_limit kept the limit of an incarnation that had ended, and read 0 before the first limit where the page says -1. Cause: the gauge was set beside the queue at one of two places. ApplyLimit now does both at both; the gauge is there from the first heartbeat on. leaves_none_to_its_next_incarnation failed before (0 at first, and 10 after the replacement).

--- a/src/target_gate.cpp
+++ b/src/target_gate.cpp
@@ -96,6 +96,11 @@
   if (const auto load = ports_.parse_load(text)) pace_percent_ = std::max(1U, load->pace_percent);
 }
 
+void target_gate::ApplyLimit(instant now) {
+  queue_.SetLimit(now, limit_.rate());
+  metrics_.Gauge("bulrushway_target_limit") = limit_.rate().value_or(kNoLimit);
+}
+
 void target_gate::RecordNotices(instant now, const pending_request& pending,
                                 const http_answer& answer) {
   const header_names& names = settings_.headers;
@@ -113,8 +118,7 @@
                 {"per_second", rate ? text : "none"},
                 {"status", std::to_string(answer.status)}},
                log_priority::kNotable);
-    metrics_.Gauge("bulrushway_target_limit") = rate.value_or(kNoLimit);
-    queue_.SetLimit(now, rate);
+    ApplyLimit(now);
   }
   if (!FindHeader(answer.headers, names.leaving).empty() && !target_.Leaving()) {
     log_.Write("target_says_leaving", {{"target", pending.incarnation.id}}, log_priority::kNotable);
@@ -264,7 +268,7 @@
     queue_.SetProbing(first);
     last_incarnation_ = target_.incarnation();
     limit_.Reset();
-    queue_.SetLimit(now, std::nullopt);
+    ApplyLimit(now);
   }
   queue_.SetSlots(target_.slots());
   queue_.SetCold(now, cold_rate_ > 0 && target_.Cold(now));
--- a/src/target_gate.h
+++ b/src/target_gate.h
@@ -139,6 +139,8 @@
   refusal_reason HandleNotRun(instant now, const pending_request& pending,
                               const http_answer& answer);
   void RecordLoad(const http_answer& answer);
+  // Keeps and shows the limit that the target names at present.
+  void ApplyLimit(instant now);
   // Takes over the limit that the target names, and whether it says that it is leaving.
   void RecordNotices(instant now, const pending_request& pending, const http_answer& answer);
   void RecordSlowness(const pending_request& pending, std::chrono::nanoseconds work);
--- a/test/correctness/target_notices_test.cpp
+++ b/test/correctness/target_notices_test.cpp
@@ -53,6 +53,14 @@
       if (answer.reason != refusal_reason::kNone) refusals.push_back(answer);
     });
   }
+  // Another incarnation of the target takes its place.
+  void Replace() {
+    target_heartbeat heartbeat = ReadyHeartbeat("lookup", kAddress);
+    heartbeat.incarnation = {"t2", 2000};
+    target_.OnHeartbeat(boot_clock::now(), heartbeat);
+    gate_.Tick(boot_clock::now());
+  }
+  double LimitShown() { return metrics_.Gauge("bulrushway_target_limit"); }
   target_report Report() { return gate_.Report(boot_clock::now()); }
   size_t Running() const { return gate_.Running(); }
 
@@ -136,6 +144,18 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(leaves_none_to_its_next_incarnation) {
+  outspoken_target fixture(milliseconds(5));
+  BOOST_TEST(fixture.LimitShown() == -1);
+  fixture.limit = "10";
+  fixture.Offer(boot_clock::now());
+  fixture.RunFor(milliseconds(50));
+  BOOST_TEST(fixture.LimitShown() == 10);
+  fixture.Replace();
+  BOOST_TEST(fixture.LimitShown() == -1);
+  BOOST_TEST(!fixture.Report().limit_millirate.has_value());
+}
+
 BOOST_AUTO_TEST_CASE(is_probed_by_few_requests_of_a_restarted_gate_until_its_first_answer) {
   outspoken_target fixture(milliseconds(100));
   fixture.limit = "1";
