Let the router follow a reloaded drain limit

The gate follows a changed drain limit of the settings file at once; the router kept the one of its start, which it has used since it remembers leaving targets. It now asks for the limit, as for the latest deadline.

--- a/src/node.cpp
+++ b/src/node.cpp
@@ -66,7 +66,7 @@
             GatePorts(*this), process),
       mesh_(loop, log_, fleet_, MeshEvents(*this), &pacer_),
       router_(log_, metrics_,
-              {settings_.name, settings_.service, settings_.headers, settings_.drain_limit,
+              {settings_.name, settings_.service, settings_.headers,
                settings_.retry_share * kRetryShareUsed},
               RouterPorts(*this), fleet_, mesh_, gate_, process),
       callers_(
--- a/src/node_peers.cpp
+++ b/src/node_peers.cpp
@@ -98,7 +98,8 @@
           [&self] {
             if (!self.stopping_since_) return instant::max();
             return *self.stopping_since_ + self.settings_.stop_limit - kLastAnswerTime;
-          }};
+          },
+          [&self] { return self.settings_.drain_limit; }};
 }
 
 void node::OnPeerRequest(instant now, connection_id from, dispatch_request request) {
--- a/src/request_router.cpp
+++ b/src/request_router.cpp
@@ -145,7 +145,7 @@
   const node_state* node = fleet_.Find(owner);
   reason = refusal_reason::kOwnerUnreachable;
   if (node == nullptr || !node->reachable || !node->reported) return nullptr;
-  if (node->TargetLeft(now, settings_.drain_limit)) {
+  if (node->TargetLeft(now, ports_.drain_limit())) {
     reason = refusal_reason::kMoving;
     return nullptr;
   }
--- a/src/request_router.h
+++ b/src/request_router.h
@@ -38,6 +38,8 @@
   std::function<std::optional<std::chrono::milliseconds>(instant)> time_until_restart;
   /// Time by which all requests must be answered, because the process exits then.
   std::function<instant()> latest_deadline;
+  /// Time after which a target that is leaving receives no more requests, keyed ones included.
+  std::function<std::chrono::milliseconds()> drain_limit;
 };
 
 /// Identity of this process and its retry limits.
@@ -46,8 +48,6 @@
   /// Service of the target beside this process. Sent as the caller of all requests from here.
   std::string service;
   header_names headers;
-  /// Time after which a target that is leaving receives no more requests, keyed ones included.
-  std::chrono::milliseconds drain_limit{2500};
   /// Retry budget: extra arrivals at targets that this process may cause, as a share of the
   /// requests it accepts, and the largest number of them it may save up. The limit applies to all
   /// processes together, and each sees only a part of the traffic.
