Log and count each request that ends with a 4xx of this process

Callers that got 400, 408, 413 or 431 from the server for callers left no line and no count, and a 404 did not say when and from whom its configuration came, or that a peer knew a newer one. The hypotheses of the denied requests could not be told apart.

The server reports each request that it rejects by itself, with what was received and the limits under which it was read. The router logs these and its own 400 and 404 as request_rejected, with the configuration, its source and age and the newest version a peer reported, and counts them as bulrushway_rejections{reason,status}. configuration_adopted names its source. No decision changes.

--- a/src/http_parser.cpp
+++ b/src/http_parser.cpp
@@ -100,6 +100,12 @@
 
 bool http_request_parser::HeaderComplete() const { return state_->parser.is_header_done(); }
 
+std::string http_request_parser::Target() const {
+  return std::string(View(state_->parser.get().target()));
+}
+
+header_list http_request_parser::Headers() const { return CopyFields(state_->parser.get().base()); }
+
 bool http_request_parser::Complete() const { return state_->parser.is_done(); }
 
 bool http_request_parser::ExpectsContinue() const {
--- a/src/http_parser.h
+++ b/src/http_parser.h
@@ -38,6 +38,9 @@
   /// Whether any input was received.
   bool Started() const { return started_; }
   bool HeaderComplete() const;
+  /// The target and headers of a request whose header is complete.
+  std::string Target() const;
+  header_list Headers() const;
   bool Complete() const;
   /// Whether the sender waits for "100 Continue" before it sends the body.
   bool ExpectsContinue() const;
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -70,10 +70,27 @@
   std::chrono::milliseconds request_timeout{60'000};
 };
 
+/// A request that the server rejected without passing it to the handler.
+struct rejected_request {
+  int status = 0;
+  socket_address peer;
+  /// The target and headers, once the whole head was received.
+  std::string target;
+  header_list headers;
+  /// Bytes of the request that were received.
+  size_t received = 0;
+  /// Size limits under which the request was read.
+  size_t max_headers = 0;
+  size_t max_body = 0;
+  /// Since its first byte.
+  std::chrono::nanoseconds elapsed{0};
+};
+
 /// Listens on one address and passes each request to the handler.
 class http_server {
  public:
   using handler = std::function<void(std::shared_ptr<http_exchange>)>;
+  using rejection_handler = std::function<void(instant, const rejected_request&)>;
 
   /// `pacer`, if not null, paces large answers.
   http_server(event_loop& loop, const http_limits& limits, handler handle,
@@ -84,6 +101,8 @@
 
   /// Starts to listen. Fails when the address cannot be bound.
   result<void> Listen(const socket_address& address);
+  /// Calls `rejected` for each request that the server rejects by itself.
+  void OnRejected(rejection_handler rejected) { rejected_ = std::move(rejected); }
   /// Applies new limits, to open connections as well.
   void SetLimits(const http_limits& limits) { limits_ = limits; }
   /// Starts draining: connections are closed after their next answer, or when idle for `idle`.
@@ -102,6 +121,7 @@
   event_loop& loop_;
   http_limits limits_;
   handler handle_;
+  rejection_handler rejected_;
   bulk_pacer* pacer_;
   bool draining_ = false;
   evconnlistener* listener_ = nullptr;
--- a/src/http_server_connection.cpp
+++ b/src/http_server_connection.cpp
@@ -65,9 +65,10 @@
   evbuffer* input = bufferevent_get_input(raw_);
   while (progress_ == progress::kReading && evbuffer_get_length(input) > 0) {
     if (!parser_) {
-      parser_ = std::make_unique<http_request_parser>(
-          http_size_limits{server_.limits_.max_headers, server_.limits_.max_body});
+      size_limits_ = {server_.limits_.max_headers, server_.limits_.max_body};
+      parser_ = std::make_unique<http_request_parser>(size_limits_);
       request_started_ = now;
+      request_bytes_ = 0;
       continue_sent_ = false;
     }
     last_activity_ = now;
@@ -77,14 +78,15 @@
     if (!consumed) {
       switch (consumed.error()) {
         case http_parse_problem::kMalformed:
-          return Reject(kBadRequest);
+          return Reject(now, kBadRequest);
         case http_parse_problem::kHeaderTooLarge:
-          return Reject(kHeadersTooLarge);
+          return Reject(now, kHeadersTooLarge);
         case http_parse_problem::kBodyTooLarge:
-          return Reject(kBodyTooLarge);
+          return Reject(now, kBodyTooLarge);
       }
     }
     evbuffer_drain(input, *consumed);
+    request_bytes_ += *consumed;
     if (parser_->Complete()) return DispatchRequest();
     if (parser_->ExpectsContinue() && !continue_sent_) {
       continue_sent_ = true;
@@ -126,7 +128,21 @@
   CloseAfterWriting();
 }
 
-void http_server_connection::Reject(int status) {
+void http_server_connection::Reject(instant now, int status) {
+  if (server_.rejected_) {
+    rejected_request rejected;
+    rejected.status = status;
+    rejected.peer = peer_;
+    rejected.received = request_bytes_ + evbuffer_get_length(bufferevent_get_input(raw_));
+    rejected.max_headers = size_limits_.header_bytes;
+    rejected.max_body = size_limits_.body_bytes;
+    rejected.elapsed = now - request_started_;
+    if (parser_->HeaderComplete() || status == kBodyTooLarge) {
+      rejected.target = parser_->Target();
+      rejected.headers = parser_->Headers();
+    }
+    server_.rejected_(now, rejected);
+  }
   http_answer answer;
   answer.status = status;
   Send(answer, false);
@@ -168,7 +184,7 @@
       break;
   }
   if (parser_ && parser_->Started()) {
-    if (now - request_started_ > server_.limits_.request_timeout) Reject(kRequestTimeout);
+    if (now - request_started_ > server_.limits_.request_timeout) Reject(now, kRequestTimeout);
     return;
   }
   if (now - last_activity_ > server_.limits_.idle_timeout) Abort();
--- a/src/http_server_connection.h
+++ b/src/http_server_connection.h
@@ -44,7 +44,7 @@
 
   void Read(instant now);
   void DispatchRequest();
-  void Reject(int status);
+  void Reject(instant now, int status);
   void Send(const http_answer& answer, bool keep_alive);
   void CloseAfterWriting();
 
@@ -61,6 +61,9 @@
   size_t last_unsent_bytes_ = 0;
   instant last_activity_;
   instant request_started_;
+  // Size limits and received bytes of the request being read.
+  http_size_limits size_limits_;
+  size_t request_bytes_ = 0;
 };
 
 }  // namespace bulrushway
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -93,11 +93,16 @@
                MemberEvents(*this), ports_.call_target),
       operator_rows_(
           loop, log_, store_, ports_.operator_table, [] { return kOperatorRowInterval; },
-          [this](instant now, instant, const std::vector<stored_row>& rows) {
-            for (const stored_row& row : rows) ports_.operator_row(now, row);
+          [this](instant now, instant sent, const std::vector<stored_row>& rows) {
+            // Nothing says when a peer read the rows that it passes on.
+            const bool relayed = sent == instant{};
+            for (const stored_row& row : rows)
+              ports_.operator_row(now, row, {relayed, row.version});
           }),
       tick_(loop, [this](instant now) { Tick(now); }) {
   mesh_.SetMaxInlineBody(kMaxInlineBody);
+  callers_.OnRejected(
+      [this](instant now, const rejected_request& rejected) { router_.OnRejected(now, rejected); });
 }
 
 result<void> node::Start(instant now) {
@@ -142,14 +147,19 @@
   return {refusal_reason::kMoving, std::max(wait, milliseconds{10})};
 }
 
-void node::OnConfiguration(instant now, std::shared_ptr<const route_table> table) {
+void node::OnConfiguration(instant now, std::shared_ptr<const route_table> table,
+                           const operator_row_source& source) {
   if (table_ && table->version() <= table_->version()) return;
   log_.Write("configuration_adopted",
              {{"version", std::to_string(table->version())},
               {"before", table_ ? std::to_string(table_->version()) : "-"},
-              {"routes", std::to_string(table->routes().size())}},
+              {"routes", std::to_string(table->routes().size())},
+              {"source", source.relayed ? "peer" : "store"},
+              {"row_version", std::to_string(source.version)}},
              log_priority::kNotable);
   table_ = std::move(table);
+  table_source_ = source;
+  table_adopted_ = now;
   callers_.SetLimits(CallerLimits(table_->limits()));
   if (const service_policy* policy = table_->FindService(settings_.service)) {
     gate_.SetPolicy(now, policy->max_connections, policy->cold_requests_per_second,
--- a/src/node.h
+++ b/src/node.h
@@ -75,13 +75,21 @@
   bool operator==(const node_settings&) const = default;
 };
 
+/// How a row of the operators' table reached this process.
+struct operator_row_source {
+  /// A peer passed it on; otherwise it was read from the store.
+  bool relayed = false;
+  /// Version of the row in the store.
+  uint64_t version = 0;
+};
+
 /// Functions that the platform adapter provides.
 struct node_ports {
   row_store store;
   /// Table that operators write to, and the function that parses one of its rows and calls one of
   /// the setters of node.
   std::string operator_table;
-  std::function<void(instant, const stored_row&)> operator_row;
+  std::function<void(instant, const stored_row&, const operator_row_source&)> operator_row;
   std::function<std::optional<reported_load>(const std::string&)> parse_load;
   /// Sends a grant or a release to the target; used only where the settings ask for calls.
   grant_call_function call_target;
@@ -109,7 +117,8 @@
   /// An idle connection over which grants reach the target was closed.
   void OnTargetDisconnected() { members_.OnTargetDisconnected(); }
   /// Takes over a configuration; ignored unless it is newer than the one in force.
-  void OnConfiguration(instant now, std::shared_ptr<const route_table> table);
+  void OnConfiguration(instant now, std::shared_ptr<const route_table> table,
+                       const operator_row_source& source);
   /// Operators have taken a data centre out of service, or put it back.
   void OnEvacuation(instant now, const std::string& data_centre, bool out);
   /// Updates limits; names and addresses stay.
@@ -183,6 +192,8 @@
   membership members_;
   table_follower operator_rows_;
   std::shared_ptr<const route_table> table_;
+  operator_row_source table_source_;
+  instant table_adopted_{};
   // Data centres out of service, and since when this process knows.
   std::map<std::string, instant> evacuated_;
   // Requests of peers at the gate.
--- a/src/node_peers.cpp
+++ b/src/node_peers.cpp
@@ -99,7 +99,11 @@
             if (!self.stopping_since_) return instant::max();
             return *self.stopping_since_ + self.settings_.stop_limit - kLastAnswerTime;
           },
-          [&self] { return self.settings_.drain_limit; }};
+          [&self] { return self.settings_.drain_limit; },
+          [&self] {
+            return configuration_origin{self.table_source_.relayed, self.table_source_.version,
+                                        self.table_adopted_, self.newest_peer_version_};
+          }};
 }
 
 void node::OnPeerRequest(instant now, connection_id from, dispatch_request request) {
--- a/src/pending_request.h
+++ b/src/pending_request.h
@@ -41,6 +41,16 @@
   bool finished = false;
 };
 
+// A request that ends with a 4xx status of this process, for what it is or how it arrived.
+struct request_router::rejection {
+  std::string request_id;
+  int status = 0;
+  std::string reason;
+  std::string host;
+  std::string target;
+  std::string detail = {};
+};
+
 }  // namespace bulrushway
 
 #endif  // BULRUSHWAY_PENDING_REQUEST_H
--- a/src/request_router.cpp
+++ b/src/request_router.cpp
@@ -88,6 +88,8 @@
   const http_request& request = pending->exchange->request();
   const header_names& names = settings_.headers;
   const auto answer = [&](int status, const std::string& outcome) {
+    LogRejection(now, {pending->request_id, status, outcome, FindHeader(request.headers, "Host"),
+                       request.target});
     Complete(now, pending, http_answer{status, {}, {}}, outcome);
     return false;
   };
--- a/src/request_router.h
+++ b/src/request_router.h
@@ -14,6 +14,7 @@
 #include <random>
 #include <string>
 
+#include "configuration_origin.h"
 #include "decision_log.h"
 #include "fleet_view.h"
 #include "header_names.h"
@@ -40,6 +41,8 @@
   std::function<instant()> latest_deadline;
   /// Time after which a target that is leaving receives no more requests, keyed ones included.
   std::function<std::chrono::milliseconds()> drain_limit;
+  /// Where the configuration in force came from.
+  std::function<configuration_origin()> origin;
 };
 
 /// Identity of this process and its retry limits.
@@ -66,6 +69,8 @@
   /// Accepts a request. Its exchange is answered exactly once, during the call or later, unless the
   /// caller disconnects.
   void Handle(instant now, std::shared_ptr<http_exchange> exchange);
+  /// Logs and counts a request that the server for callers rejected before it was complete.
+  void OnRejected(instant now, const rejected_request& rejected);
   /// Refuses requests whose deadline has passed, and starts the scheduled attempts that are due.
   void Tick(instant now);
   /// Reports that keys have changed owners: requests that wait for an owner are attempted again.
@@ -75,6 +80,7 @@
 
  private:
   struct pending_request;
+  struct rejection;
   // Maximum number of gates tried for one request: each refusal costs a round trip.
   static constexpr uint32_t kMaxTries = 4;
   using pending_request_ptr = std::shared_ptr<pending_request>;
@@ -101,6 +107,8 @@
   void ScheduleAttempt(instant now, const pending_request_ptr& pending,
                        std::chrono::milliseconds wait);
   void Refuse(instant now, const pending_request_ptr& pending, refusal_reason reason);
+  // Logs and counts a request that ends with a 4xx status of this process.
+  void LogRejection(instant now, const rejection& rejected);
   void Complete(instant now, const pending_request_ptr& pending, http_answer answer,
                 const std::string& outcome);
   void CancelAttempt(instant now, pending_request& pending);
