Rule out that an answer cut at any byte is taken for a whole one

The suspicion was that http_client_connection::OnDisconnect takes a cut head without Content-Length for an answer that ends with its connection.

What can't be told by framing is a cut within a body that ends with its connection; it keeps every header.

The scripted server now also ends a connection whose step has no bytes.

--- a/test/support/scripted_peer.h
+++ b/test/support/scripted_peer.h
@@ -83,6 +83,8 @@
     const step& reply = script_[next_step_++];
     if (reply.then == step::end::kIgnore) ignored_connection_ = connection;
     after_write_ = reply.then;
+    // Nothing to write, so that no callback follows.
+    if (reply.text.empty()) return OnWritten(connection);
     bufferevent_write(connection, reply.text.data(), reply.text.size());
   }
 
