Refuse answers in a transfer coding other than chunked

Cause: Beast's parser ignores a Transfer-Encoding that is not a list ending with its first "chunked", and decodes no other coding. The body then ends with the connection or with Content-Length, and the header that names the coding is dropped as hop-by-hop.

The answer parser now fails once the head is complete, so that the gate refuses the request as possibly run and logs the reason in gate_refused.

--- a/src/http_parser.cpp
+++ b/src/http_parser.cpp
@@ -37,6 +37,17 @@
   return copied;
 }
 
+// Whether a received head has a transfer coding other than chunked. Beast ignores those: the body
+// would be passed on encoded, or end where another server sees it go on.
+template <class Parser>
+bool HasUnknownCoding(const Parser& parser) {
+  if (!parser.is_header_done()) return false;
+  const auto [first, last] = parser.get().equal_range(beast_http::field::transfer_encoding);
+  return std::any_of(first, last, [](const auto& field) {
+    return !EqualIgnoringCase(View(field.value()), "chunked");
+  });
+}
+
 // Parses until the parser needs more input or the message is complete. Returns the bytes consumed.
 template <class Parser>
 size_t FeedParser(Parser& parser, std::string_view bytes, boost::beast::error_code& failure) {
@@ -148,6 +159,10 @@
       return Failure(error_kind::kPeer, "read answer", peer,
                      "The answer is not valid HTTP: " + failure.message() + ".");
     }
+    if (HasUnknownCoding(state_->parser)) {
+      return Failure(error_kind::kPeer, "read answer", peer,
+                     "The answer has a transfer coding other than chunked.");
+    }
     const bool interim = state_->parser.is_done() &&
                          beast_http::to_status_class(state_->parser.get().result_int()) ==
                              beast_http::status_class::informational;
--- a/test/error/cut_answers_at_the_gate_test.cpp
+++ b/test/error/cut_answers_at_the_gate_test.cpp
@@ -208,6 +208,19 @@
   CheckEachRefusedAsUnknown(framings);
 }
 
+// Each hop removes the codings of its connection, so that the caller could not undo them.
+BOOST_AUTO_TEST_CASE(in_a_transfer_coding_other_than_chunked_is_refused_as_possibly_run) {
+  const std::string framings[] = {
+      "Transfer-Encoding: gzip\r\n\r\nbody",
+      "Transfer-Encoding: gzip\r\nContent-Length: 2\r\n\r\nbody",
+      "Transfer-Encoding: gzip, chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+      "Transfer-Encoding: chunked, gzip\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+      "Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+      "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+  };
+  CheckEachRefusedAsUnknown(framings);
+}
+
 BOOST_AUTO_TEST_CASE(with_bytes_behind_its_length_is_as_long_as_its_length_says) {
   const auto answers = Offer({{kHead + "Content-Length: 2\r\n\r\nbody", end::kClose}}, kPatience);
   CheckWhole(answers.front(), "bo");
