Reject requests in a transfer coding other than chunked

With "gzip, chunked" or "gzip" beside Content-Length, the upstream got the body without the header that says how it is coded.

Cause: as for answers, Beast's parser ignores a Transfer-Encoding that is not a list ending with its first "chunked". RFC 9112 (6.1, 6.3) has a server reject such a request and close the connection; the parser now reports it as malformed, which is answered 400 and logged as request_rejected. Callers of the platform send bodies with a length or in chunks.

--- a/src/http_parser.cpp
+++ b/src/http_parser.cpp
@@ -106,6 +106,9 @@
   const size_t consumed = FeedParser(state_->parser, bytes, failure);
   if (!bytes.empty()) started_ = true;
   if (failure) return tl::unexpected<http_parse_problem>(ProblemOf(failure));
+  if (HasUnknownCoding(state_->parser)) {
+    return tl::unexpected<http_parse_problem>(http_parse_problem::kMalformed);
+  }
   return consumed;
 }
 
--- a/test/error/caller_requests_test.cpp
+++ b/test/error/caller_requests_test.cpp
@@ -67,6 +67,23 @@
   }
 }
 
+// Its body would end elsewhere than for a server that knows the coding.
+BOOST_AUTO_TEST_CASE(when_its_transfer_coding_is_not_chunked) {
+  for (const std::string headers :
+       {"Transfer-Encoding: gzip\r\n", "Transfer-Encoding: gzip\r\nContent-Length: 0\r\n",
+        "Transfer-Encoding: chunked, gzip\r\n", "Transfer-Encoding: gzip, chunked\r\n",
+        "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n",
+        "Transfer-Encoding: chunked, chunked\r\n"}) {
+    for (const size_t piece : {1U, 1000U}) {
+      const auto request = Parse("POST / HTTP/1.1\r\nHost: h\r\n" + headers +
+                                     "\r\n18\r\nGET /hidden HTTP/1.1\r\n\r\n\r\n0\r\n\r\n",
+                                 piece);
+      BOOST_TEST(!request.has_value(), headers);
+      if (!request) BOOST_TEST((request.error() == http_parse_problem::kMalformed));
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(when_its_header_or_its_body_is_too_large) {
   const auto header = Parse("GET / HTTP/1.1\r\nX: " + std::string(2000, 'x') + "\r\n\r\n", 1000);
   BOOST_REQUIRE(!header.has_value());
