Keep an oversized header field from ending the process

Beast stores the sizes of a field in 16 bits and throws std::length_error for a name or value above 65,533 bytes. The exception leaves the parser through libevent's callbacks and ends the process. Requests reach this with a header limit above 64 KiB; answers reach it with a long trailer, which no header limit bounds.

FeedParser catches the exception and reports the field as too large: 431 for a caller's request, an invalid answer for a target.

--- a/src/http_parser.cpp
+++ b/src/http_parser.cpp
@@ -8,6 +8,7 @@
 #include <boost/beast/http/string_body.hpp>
 #include <cctype>
 #include <limits>
+#include <stdexcept>
 
 namespace bulrushway {
 namespace {
@@ -52,11 +53,16 @@
 template <class Parser>
 size_t FeedParser(Parser& parser, std::string_view bytes, boost::beast::error_code& failure) {
   size_t consumed = 0;
-  while (consumed < bytes.size() && !parser.is_done()) {
-    failure = {};
-    consumed += parser.put(
-        boost::asio::const_buffer(bytes.data() + consumed, bytes.size() - consumed), failure);
-    if (failure) break;
+  try {
+    while (consumed < bytes.size() && !parser.is_done()) {
+      failure = {};
+      consumed += parser.put(
+          boost::asio::const_buffer(bytes.data() + consumed, bytes.size() - consumed), failure);
+      if (failure) break;
+    }
+  } catch (const std::length_error&) {
+    // Beast stores the sizes of a field in 16 bits, and throws for a longer name or value.
+    failure = beast_http::error::header_limit;
   }
   if (failure == beast_http::error::need_more) failure = {};
   return consumed;
