Count a request's headers alike however its bytes are split

A request whose fields were within max_header_bytes got 431 or passed, depending on how the network split it: Beast's header_limit counts the request line in when the head arrives in pieces, the fields and the empty line when it arrives whole, and starts anew after a partial read, so that a head over the limit could pass. A long line of a chunk or an unfinished trailer was bounded by the input buffer alone, and a head with bare line feeds was detected only in one piece: both ended with 408.

The parser now counts the field lines itself, without the request line and the final empty line; the request line, the line of a chunk and unfinished trailers have the same limit. A caller that counts more than the field lines stays within it in any case. The first line must end with CR LF (400).

--- a/src/http_parser.cpp
+++ b/src/http_parser.cpp
@@ -27,6 +27,8 @@
                                                               "Transfer-Encoding",
                                                               "Upgrade"};
 
+constexpr size_t kLineEndBytes = 2;
+
 std::string_view View(boost::beast::string_view text) { return {text.data(), text.size()}; }
 
 template <class Fields>
@@ -49,17 +51,13 @@
   });
 }
 
-// Parses until the parser needs more input or the message is complete. Returns the bytes consumed.
+// Parses one step, or all that is possible when the parser is eager. Returns the bytes consumed.
 template <class Parser>
-size_t FeedParser(Parser& parser, std::string_view bytes, boost::beast::error_code& failure) {
+size_t PutBytes(Parser& parser, std::string_view bytes, boost::beast::error_code& failure) {
+  failure = {};
   size_t consumed = 0;
   try {
-    while (consumed < bytes.size() && !parser.is_done()) {
-      failure = {};
-      consumed += parser.put(
-          boost::asio::const_buffer(bytes.data() + consumed, bytes.size() - consumed), failure);
-      if (failure) break;
-    }
+    consumed = parser.put(boost::asio::const_buffer(bytes.data(), bytes.size()), failure);
   } catch (const std::length_error&) {
     // Beast stores the sizes of a field in 16 bits, and throws for a longer name or value.
     failure = beast_http::error::header_limit;
@@ -68,6 +66,18 @@
   return consumed;
 }
 
+// Parses until the parser needs more input or the message is complete. Returns the bytes consumed.
+template <class Parser>
+size_t FeedParser(Parser& parser, std::string_view bytes, boost::beast::error_code& failure) {
+  size_t consumed = 0;
+  while (consumed < bytes.size() && !parser.is_done()) {
+    const size_t step = PutBytes(parser, bytes.substr(consumed), failure);
+    consumed += step;
+    if (failure || step == 0) break;
+  }
+  return consumed;
+}
+
 http_parse_problem ProblemOf(const boost::beast::error_code& failure) {
   if (failure == beast_http::error::header_limit) return http_parse_problem::kHeaderTooLarge;
   if (failure == beast_http::error::body_limit) return http_parse_problem::kBodyTooLarge;
@@ -99,21 +109,59 @@
 };
 
 http_request_parser::http_request_parser(const http_size_limits& limits)
-    : state_(std::make_unique<state>()) {
-  state_->parser.eager(true);
-  state_->parser.header_limit(HeaderLimit(limits));
+    : limits_(limits), state_(std::make_unique<state>()) {
+  // Beast's limit counts from where the last read ended, so that the outcome would depend on how
+  // the bytes are split. Feed() counts them instead.
+  state_->parser.header_limit(std::numeric_limits<uint32_t>::max());
   state_->parser.body_limit(limits.body_bytes);
 }
 
 http_request_parser::~http_request_parser() = default;
 
+std::optional<http_parse_problem> http_request_parser::CheckRequestLine(std::string_view bytes) {
+  if (line_bytes_ > 0) return std::nullopt;
+  const size_t end = bytes.find('\n');
+  const size_t length = end == std::string_view::npos ? bytes.size() : end + 1;
+  if (length > limits_.header_bytes + kLineEndBytes) return http_parse_problem::kHeaderTooLarge;
+  if (end == std::string_view::npos) return std::nullopt;
+  // Beast may wait for the end of the head before it detects a bare line feed.
+  if (end == 0 || bytes[end - 1] != '\r') return http_parse_problem::kMalformed;
+  line_bytes_ = length;
+  return std::nullopt;
+}
+
+bool http_request_parser::FieldsTooLarge(size_t unread) const {
+  if (line_bytes_ == 0) return false;
+  const size_t fields = head_bytes_ + unread - line_bytes_;
+  // The line end that concludes the head is not counted; of an incomplete head, a part of it may
+  // have been received.
+  const size_t uncounted = HeaderComplete() ? kLineEndBytes : kLineEndBytes - 1;
+  return fields > limits_.header_bytes + uncounted;
+}
+
 tl::expected<size_t, http_parse_problem> http_request_parser::Feed(std::string_view bytes) {
-  boost::beast::error_code failure;
-  const size_t consumed = FeedParser(state_->parser, bytes, failure);
+  using unexpected = tl::unexpected<http_parse_problem>;
   if (!bytes.empty()) started_ = true;
-  if (failure) return tl::unexpected<http_parse_problem>(ProblemOf(failure));
-  if (HasUnknownCoding(state_->parser)) {
-    return tl::unexpected<http_parse_problem>(http_parse_problem::kMalformed);
+  boost::beast::error_code failure;
+  size_t consumed = 0;
+  if (!HeaderComplete()) {
+    if (const auto problem = CheckRequestLine(bytes)) return unexpected(*problem);
+    // Not eager: stops at the end of the head.
+    state_->parser.eager(false);
+    consumed = PutBytes(state_->parser, bytes, failure);
+    if (failure) return unexpected(ProblemOf(failure));
+    head_bytes_ += consumed;
+    const size_t unread = HeaderComplete() ? 0 : bytes.size() - consumed;
+    if (FieldsTooLarge(unread)) return unexpected(http_parse_problem::kHeaderTooLarge);
+    if (!HeaderComplete()) return consumed;
+    if (HasUnknownCoding(state_->parser)) return unexpected(http_parse_problem::kMalformed);
+    state_->parser.eager(true);
+  }
+  consumed += FeedParser(state_->parser, bytes.substr(consumed), failure);
+  if (failure) return unexpected(ProblemOf(failure));
+  // Only the line of a chunk or the trailers can be left unread.
+  if (!Complete() && bytes.size() - consumed > limits_.header_bytes + kLineEndBytes) {
+    return unexpected(http_parse_problem::kHeaderTooLarge);
   }
   return consumed;
 }
--- a/src/http_parser.h
+++ b/src/http_parser.h
@@ -7,6 +7,7 @@
 
 #include <cstddef>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -17,6 +18,10 @@
 
 /// Limits on the size of a message.
 struct http_size_limits {
+  /// Of a request: counts the field lines with their line ends, but neither the request line nor
+  /// the empty line that ends the head, so that a caller whose own count includes more stays within
+  /// it too. The request line has the same limit for itself, as have the line of a chunk and the
+  /// trailers while they are incomplete.
   size_t header_bytes = 16 << 10;
   size_t body_bytes = 64 << 20;
 };
@@ -51,8 +56,18 @@
 
  private:
   struct state;
+
+  std::optional<http_parse_problem> CheckRequestLine(std::string_view bytes);
+  // Whether the headers exceed the limit, with `unread` bytes received but not consumed.
+  bool FieldsTooLarge(size_t unread) const;
+
+  http_size_limits limits_;
   std::unique_ptr<state> state_;
   bool started_ = false;
+  // Length of the request line; zero until it is complete.
+  size_t line_bytes_ = 0;
+  // Bytes of the head that were consumed.
+  size_t head_bytes_ = 0;
 };
 
 /// Parses one answer. Skips interim answers (1xx).
--- a/test/error/header_limits_test.cpp
+++ b/test/error/header_limits_test.cpp
@@ -9,6 +9,15 @@
 namespace bulrushway {
 namespace {
 
+constexpr size_t kLimit = 500;
+const std::string kRequestLine = "POST /a?b=" + std::string(100, 'c') + " HTTP/1.1\r\n";
+
+// Field lines of `bytes` bytes in total.
+std::string Fields(size_t bytes) {
+  std::string fields = "Host: a\r\nContent-Length: 3\r\nX-Fill: ";
+  return fields + std::string(bytes - fields.size() - 2, 'x') + "\r\n";
+}
+
 enum class outcome { kAccepted, kMalformed, kHeaderTooLarge, kBodyTooLarge, kIncomplete };
 
 // Feeds the bytes to a parser in pieces, as a connection does.
@@ -37,6 +46,39 @@
 
 BOOST_AUTO_TEST_SUITE(the_limit_of_the_headers)
 
+BOOST_AUTO_TEST_CASE(counts_the_field_lines_alone_however_they_are_split) {
+  for (const std::string& tail : {std::string(), std::string("GET /next HTTP/1.1\r\n")}) {
+    for (const size_t piece : {1U, 2U, 7U, 64U, 130U, 499U, 4096U}) {
+      for (const size_t bytes : {kLimit - 1, kLimit, kLimit + 1}) {
+        const std::string text = kRequestLine + Fields(bytes) + "\r\nabc" + tail;
+        const outcome expected = bytes <= kLimit ? outcome::kAccepted : outcome::kHeaderTooLarge;
+        BOOST_TEST((Feed({kLimit, 100}, text, piece) == expected),
+                   bytes << " bytes in pieces of " << piece);
+      }
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(holds_for_headers_that_never_end) {
+  for (const size_t piece : {1U, 7U, 100U, 4096U}) {
+    std::string many_fields = kRequestLine;
+    for (int i = 0; i < 200; ++i) many_fields += "X: 12345678\r\n";
+    BOOST_TEST((Feed({kLimit, 100}, many_fields, piece) == outcome::kHeaderTooLarge));
+    BOOST_TEST((Feed({kLimit, 100}, "GET /" + std::string(2 * kLimit, 'a'), piece) ==
+                outcome::kHeaderTooLarge));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(holds_for_trailers_and_chunk_extensions) {
+  const std::string head = "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::string long_text(2 * kLimit, 'x');
+  for (const size_t piece : {100U, 4096U}) {
+    BOOST_TEST((Feed({kLimit, 100}, head + "3\r\nabc\r\n0\r\nX: " + long_text, piece) ==
+                outcome::kHeaderTooLarge));
+    BOOST_TEST((Feed({kLimit, 100}, head + "3;" + long_text, piece) == outcome::kHeaderTooLarge));
+  }
+}
+
 BOOST_AUTO_TEST_SUITE(above_64_kib)
 
 constexpr size_t kLargeLimit = 200 << 10;
