Buffer as much input as the limits of a head allow

With max_header_bytes above 64 KiB, a proper request whose head is longer stalled until it ended with 408: the parser consumes a head only when it is whole, and the connection stops reading at 64 KiB. The bound now follows the limits of the request being read.

above_64_kib/leaves_room_to_read_headers_up_to_it failed before: no answer within five seconds ("Collections size mismatch: 0 != 1").

--- a/src/http_server_connection.cpp
+++ b/src/http_server_connection.cpp
@@ -13,9 +13,16 @@
 constexpr int kBodyTooLarge = 413;
 constexpr int kBadRequest = 400;
 constexpr int kHeadersTooLarge = 431;
-// Maximum input buffered while a request is being handled.
+// Minimum bound on the input buffered while a request is being handled.
 constexpr size_t kReadAhead = 64 << 10;
 
+// Bound on the buffered input. The parser may consume a head only when it is whole: a request line
+// and fields, each as long as the headers may be.
+size_t InputBound(size_t header_bytes) {
+  constexpr size_t kLineEnds = 16;
+  return std::max(kReadAhead, 2 * header_bytes + kLineEnds);
+}
+
 }  // namespace
 
 http_server_connection::http_server_connection(http_server& server, bufferevent* raw,
@@ -67,6 +74,7 @@
     if (!parser_) {
       size_limits_ = {server_.limits_.max_headers, server_.limits_.max_body};
       parser_ = std::make_unique<http_request_parser>(size_limits_);
+      bufferevent_setwatermark(raw_, EV_READ, 0, InputBound(size_limits_.header_bytes));
       request_started_ = now;
       request_bytes_ = 0;
       continue_sent_ = false;
--- a/test/error/header_limits_test.cpp
+++ b/test/error/header_limits_test.cpp
@@ -4,11 +4,15 @@
 #include <boost/test/unit_test.hpp>
 #include <string>
 
+#include "answering_server.h"
 #include "http_parser.h"
 
 namespace bulrushway {
 namespace {
 
+using testing::answering_server;
+using testing::raw_caller;
+
 constexpr size_t kLimit = 500;
 const std::string kRequestLine = "POST /a?b=" + std::string(100, 'c') + " HTTP/1.1\r\n";
 
@@ -83,6 +87,15 @@
 
 constexpr size_t kLargeLimit = 200 << 10;
 
+BOOST_AUTO_TEST_CASE(leaves_room_to_read_headers_up_to_it) {
+  answering_server fixture({.max_headers = kLargeLimit});
+  raw_caller caller(fixture.address);
+  std::string head = "GET /a HTTP/1.1\r\nHost: a\r\n";
+  while (head.size() < 150 << 10) head += "X-Fill: " + std::string(10'000, 'x') + "\r\n";
+  caller.Send(head + "\r\n");
+  BOOST_TEST(fixture.Statuses(caller) == std::vector<int>{200}, boost::test_tools::per_element());
+}
+
 BOOST_AUTO_TEST_CASE(does_not_end_the_process_for_a_field_that_the_parser_cannot_hold) {
   for (const size_t bytes : {65'533U, 65'534U, 70'000U}) {
     const std::string text =
--- a/test/support/raw_caller.h
+++ b/test/support/raw_caller.h
@@ -7,8 +7,12 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <array>
 #include <boost/test/unit_test.hpp>
+#include <cstdlib>
 #include <string>
+#include <string_view>
+#include <vector>
 
 #include "socket_address.h"
 
@@ -46,6 +50,31 @@
     BOOST_REQUIRE_EQUAL(send(socket_, text.data(), text.size(), 0),
                         static_cast<ssize_t>(text.size()));
   }
+  /// Sends what the kernel takes at once; returns its length. Zero when the server has closed.
+  size_t TrySend(std::string_view text) const {
+    const ssize_t sent = send(socket_, text.data(), text.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+    return sent < 0 ? 0 : static_cast<size_t>(sent);
+  }
+  /// Everything received so far.
+  const std::string& Receive() {
+    std::array<char, 4096> bytes{};
+    ssize_t length = 0;
+    while ((length = recv(socket_, bytes.data(), bytes.size(), MSG_DONTWAIT)) > 0) {
+      received_.append(bytes.data(), static_cast<size_t>(length));
+    }
+    return received_;
+  }
+  /// Status codes of the answers received so far, interim ones included.
+  std::vector<int> Statuses() {
+    static constexpr std::string_view kVersion = "HTTP/1.1 ";
+    std::vector<int> statuses;
+    Receive();
+    for (size_t at = received_.find(kVersion); at != std::string::npos;
+         at = received_.find(kVersion, at + 1)) {
+      statuses.push_back(std::atoi(received_.c_str() + at + kVersion.size()));
+    }
+    return statuses;
+  }
   void Close() {
     if (socket_ >= 0) close(socket_);
     socket_ = -1;
@@ -59,6 +88,7 @@
 
  private:
   int socket_;
+  std::string received_;
 };
 
 }  // namespace bulrushway::testing
