Reject heartbeats with fields out of range

A heartbeat of another writer with a number too large was accepted. Its start time above 2^63 turned negative, one far in the future or a sequence of 2^64 - 1 made every later heartbeat of the target "outdated" for good, and a cold time of 1e9 s kept the target at its cold rate for 31 years; 1e300 s overflowed the conversion to milliseconds, which is undefined. Operators would have seen a target that reports and gets no requests, with heartbeat_ignored for each of its heartbeats.

Cause: ReadHeartbeat checked types, but hardly any range.

An address with a NUL, of which inet_pton reads only the part before, is rejected too.

--- a/src/socket_address.cpp
+++ b/src/socket_address.cpp
@@ -20,7 +20,9 @@
   if (colon == std::string::npos) return fail("has no port");
   const std::string ip = text.substr(0, colon);
   in_addr parsed{};
-  if (inet_pton(AF_INET, ip.c_str(), &parsed) != 1) return fail("is not an IPv4 number");
+  // inet_pton reads up to the first NUL.
+  const bool has_nul = ip.find('\0') != std::string::npos;
+  if (has_nul || inet_pton(AF_INET, ip.c_str(), &parsed) != 1) return fail("is not an IPv4 number");
   unsigned port = 0;
   const char* first = text.data() + colon + 1;
   const char* last = text.data() + text.size();
--- a/test/correctness/platform_messages_test.cpp
+++ b/test/correctness/platform_messages_test.cpp
@@ -15,6 +15,8 @@
 
 using std::chrono::milliseconds;
 
+constexpr std::chrono::system_clock::time_point kWallNow{std::chrono::seconds(1'700'000'600)};
+
 const std::string kHeartbeat =
     R"({"service":"s1","address":"10.0.0.9:8080","zone":"a","version":"v1","slots":12,)"
     R"("state":"ready","cold_left_s":1.5,"seq":4,"born":1700000000123,)"
@@ -50,7 +52,7 @@
 BOOST_AUTO_TEST_SUITE(a_heartbeat)
 
 BOOST_AUTO_TEST_CASE(contains_the_incarnation_the_load_and_the_keys_of_a_target) {
-  const auto heartbeat = ParseHeartbeat("i-1", kHeartbeat);
+  const auto heartbeat = ParseHeartbeat("i-1", kHeartbeat, kWallNow);
   BOOST_REQUIRE(heartbeat.has_value());
   BOOST_TEST(heartbeat->incarnation.id == "i-1");
   BOOST_TEST(heartbeat->incarnation.started_ms == 1700000000123);
@@ -73,8 +75,9 @@
            {R"([[0,4095,7]])", R"([[4095,0,7]])"},
            {R"([[0,4095,7]])", R"([[0,70000,7]])"},
            {R"("slots":12)", R"("slots":12]")"}}) {
-    BOOST_TEST(!ParseHeartbeat("i-1", ReplacePart(kHeartbeat, part, replacement)).has_value(),
-               replacement);
+    BOOST_TEST(
+        !ParseHeartbeat("i-1", ReplacePart(kHeartbeat, part, replacement), kWallNow).has_value(),
+        replacement);
   }
 }
 
