Recover from an accepted heartbeat that was not the target's

A heartbeat of another writer whose start time or sequence is in range, but above that of the target, was accepted; from then on each heartbeat of the target counted as outdated, for good. The target got no requests or grants for as long as the process ran. The same happens when the wall clock of a machine is set back and its target restarts.

own_target now accepts a heartbeat that counts as outdated if it belongs to one incarnation that has reported with rising sequences for four intervals without a gap, while no other heartbeat was accepted. Late heartbeats of an earlier incarnation are still recognised: they come in a burst, in another order, or beside those of the present incarnation. A target that was leaving stays so.

Failed before, with odd_entries/a_heartbeat_that_was_taken_for_true/does_not_hide_the_target_for_good_by_its_start: check target.incarnation().id == "true" has failed [odd != true] odd_entries/a_heartbeat_that_was_taken_for_true/does_not_hide_the_target_for_good_by_its_sequence: check accepted has failed

--- a/src/own_target.cpp
+++ b/src/own_target.cpp
@@ -17,6 +17,10 @@
 // one tries the target.
 constexpr milliseconds kRefusedRetryInterval{250};
 constexpr milliseconds kTimeoutRetryInterval{500};
+// Outdated heartbeats of a live target are accepted after this many intervals without any other.
+// Delayed heartbeats of an earlier incarnation arrive together, or beside those of the present one.
+constexpr int kOutdatedIntervals = 4;
+constexpr int kMaxMissedIntervals = 2;
 
 }  // namespace
 
@@ -24,12 +28,11 @@
   if (heartbeat.service != settings_.service || heartbeat.address != settings_.address) {
     return heartbeat_verdict::kForeign;
   }
-  const bool same_incarnation = heartbeat.incarnation == incarnation_;
-  if (!same_incarnation && heartbeat.incarnation.started_ms <= incarnation_.started_ms &&
-      !incarnation_.id.empty()) {
+  if (Outdated(heartbeat) && !ReplacesLastHeartbeat(now, heartbeat)) {
     return heartbeat_verdict::kOutdated;
   }
-  if (same_incarnation && heartbeat.sequence <= sequence_) return heartbeat_verdict::kOutdated;
+  outdated_run_.reset();
+  const bool same_incarnation = heartbeat.incarnation == incarnation_;
   if (!same_incarnation) {
     incarnation_ = heartbeat.incarnation;
     leaving_since_.reset();
@@ -46,6 +49,25 @@
   return heartbeat_verdict::kAccepted;
 }
 
+bool own_target::Outdated(const target_heartbeat& heartbeat) const {
+  if (heartbeat.incarnation == incarnation_) return heartbeat.sequence <= sequence_;
+  return !incarnation_.id.empty() && heartbeat.incarnation.started_ms <= incarnation_.started_ms;
+}
+
+bool own_target::ReplacesLastHeartbeat(instant now, const target_heartbeat& heartbeat) {
+  const bool continued = outdated_run_ && outdated_run_->first > last_heartbeat_ &&
+                         now - outdated_run_->last <= settings_.heartbeat * kMaxMissedIntervals &&
+                         outdated_run_->incarnation == heartbeat.incarnation &&
+                         outdated_run_->sequence < heartbeat.sequence;
+  if (!continued) {
+    outdated_run_ = {heartbeat.incarnation, heartbeat.sequence, now, now};
+    return false;
+  }
+  outdated_run_->sequence = heartbeat.sequence;
+  outdated_run_->last = now;
+  return now - outdated_run_->first >= settings_.heartbeat * kOutdatedIntervals;
+}
+
 bool own_target::OnLeave(instant now, const std::string& id) {
   if (id != incarnation_.id) return false;
   if (!leaving_since_) leaving_since_ = now;
--- a/src/own_target.h
+++ b/src/own_target.h
@@ -77,11 +77,25 @@
   instant NextHeartbeat() const { return last_heartbeat_ + settings_.heartbeat; }
 
  private:
+  // Heartbeats of one incarnation that count as outdated although each is newer than the one
+  // before.
+  struct outdated_run {
+    target_incarnation incarnation;
+    uint64_t sequence = 0;
+    instant first{};
+    instant last{};
+  };
+
   bool Down(instant now) const;
+  bool Outdated(const target_heartbeat& heartbeat) const;
+  // Whether the target has sent only such heartbeats for so long that the last accepted one cannot
+  // have been its own: another writer sent it, with a later start time or a higher sequence.
+  bool ReplacesLastHeartbeat(instant now, const target_heartbeat& heartbeat);
 
   own_target_settings settings_;
   target_incarnation incarnation_;
   uint64_t sequence_ = 0;
+  std::optional<outdated_run> outdated_run_;
   uint32_t slots_ = 0;
   instant last_heartbeat_{};
   std::optional<instant> leaving_since_;
--- a/test/error/odd_entries_test.cpp
+++ b/test/error/odd_entries_test.cpp
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "heartbeats.h"
+#include "own_target.h"
 
 namespace bulrushway {
 namespace {
@@ -52,6 +53,22 @@
   return std::to_string(std::chrono::duration_cast<milliseconds>(time.time_since_epoch()).count());
 }
 
+constexpr instant kStart = instant{} + hours(1);
+constexpr milliseconds kInterval{1000};
+const socket_address kAddress{"10.0.0.9", 8080};
+
+target_heartbeat Beat(const std::string& id, int64_t started_ms, uint64_t sequence) {
+  target_heartbeat heartbeat;
+  heartbeat.incarnation = {id, started_ms};
+  heartbeat.service = "s1";
+  heartbeat.address = kAddress;
+  heartbeat.slots = 12;
+  heartbeat.sequence = sequence;
+  return heartbeat;
+}
+
+own_target MakeTarget() { return own_target({"s1", kAddress, kInterval, milliseconds(2500)}); }
+
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(odd_entries)
@@ -125,6 +142,75 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(a_heartbeat_that_was_taken_for_true)
+
+BOOST_AUTO_TEST_CASE(does_not_hide_the_target_for_good_by_its_start) {
+  own_target target = MakeTarget();
+  target.OnHeartbeat(kStart, Beat("odd", kBornMs + 1'000'000, 1));
+  bool accepted = false;
+  for (int i = 0; i < 6; ++i) {
+    const instant now = kStart + kInterval * (i + 1);
+    accepted =
+        target.OnHeartbeat(now, Beat("true", kBornMs, 10 + i)) == heartbeat_verdict::kAccepted;
+  }
+  BOOST_TEST(accepted);
+  BOOST_TEST(target.incarnation().id == "true");
+}
+
+BOOST_AUTO_TEST_CASE(does_not_hide_the_target_for_good_by_its_sequence) {
+  own_target target = MakeTarget();
+  target.OnHeartbeat(kStart, Beat("true", kBornMs, 9));
+  target.OnHeartbeat(kStart, Beat("true", kBornMs, 9'007'199'254'740'991));
+  bool accepted = false;
+  for (int i = 0; i < 6; ++i) {
+    const instant now = kStart + kInterval * (i + 1);
+    accepted =
+        target.OnHeartbeat(now, Beat("true", kBornMs, 10 + i)) == heartbeat_verdict::kAccepted;
+  }
+  BOOST_TEST(accepted);
+}
+
+BOOST_AUTO_TEST_CASE(is_still_told_from_late_heartbeats_of_an_earlier_incarnation) {
+  own_target target = MakeTarget();
+  target.OnHeartbeat(kStart, Beat("new", kBornMs + 5000, 1));
+
+  BOOST_TEST_CONTEXT("while the present incarnation reports") {
+    for (int i = 1; i < 10; ++i) {
+      const instant now = kStart + kInterval * i;
+      BOOST_TEST(
+          (target.OnHeartbeat(now, Beat("old", kBornMs, 10 + i)) == heartbeat_verdict::kOutdated));
+      target.OnHeartbeat(now, Beat("new", kBornMs + 5000, 1 + i));
+    }
+  }
+  BOOST_TEST_CONTEXT("when they all arrive at once") {
+    const instant now = kStart + kInterval * 30;
+    for (int i = 0; i < 10; ++i) {
+      BOOST_TEST((target.OnHeartbeat(now + milliseconds(i), Beat("old", kBornMs, 30 + i)) ==
+                  heartbeat_verdict::kOutdated));
+    }
+  }
+  BOOST_TEST_CONTEXT("when they arrive in another order") {
+    for (int i = 0; i < 10; ++i) {
+      const instant now = kStart + kInterval * (40 + i);
+      BOOST_TEST(
+          (target.OnHeartbeat(now, Beat("old", kBornMs, 60 - i)) == heartbeat_verdict::kOutdated));
+    }
+  }
+  BOOST_TEST(target.incarnation().id == "new");
+}
+
+BOOST_AUTO_TEST_CASE(leaves_a_leaving_target_leaving) {
+  own_target target = MakeTarget();
+  target.OnHeartbeat(kStart, Beat("true", kBornMs, 9'007'199'254'740'991));
+  target.OnLeave(kStart, "true");
+  for (int i = 0; i < 6; ++i) {
+    target.OnHeartbeat(kStart + kInterval * (i + 1), Beat("true", kBornMs, 10 + i));
+  }
+  BOOST_TEST(target.Leaving());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace bulrushway
