Believe no answer of a target that does not name its request

Callers were told "not run, try again" for requests that a target had run: a copy of an earlier refusal that came without the request id was taken for the answer to the request in flight. A success without an id was delivered, too, and may belong to any request of the connection.

The cause: only an answer that names another request was skipped. Targets name the request in each answer to one that has an id, so that an answer without it is evidence of nothing. The connection is closed now and the request fails as possibly run: an idempotent one is retried, any other is answered 502. Requests without an id are not affected.

--- a/src/http_client.h
+++ b/src/http_client.h
@@ -56,7 +56,8 @@
   /// closed, so that a truncated one looks like a complete one.
   bool require_length = false;
   /// Header whose value the server copies from the request to the answer. An answer with another
-  /// value belongs to an earlier request and is skipped. Empty disables the check.
+  /// value belongs to an earlier request and is skipped. One without it may belong to any request:
+  /// the request has no answer. Empty disables the check.
   std::string echo_header = {};
   /// Called when a server closes an idle connection that it had not announced to close. May be
   /// empty.
--- a/src/http_client_connection.cpp
+++ b/src/http_client_connection.cpp
@@ -18,8 +18,6 @@
 // or come from the same machine.
 constexpr size_t kReadAhead = 256 << 10;
 
-constexpr const char* kLastAnswerCrossed = "The last answer belonged to another request.";
-
 std::optional<std::chrono::milliseconds> ParseKeepAlive(std::string_view value) {
   constexpr std::string_view kTimeout = "timeout=";
   const size_t position = value.find(kTimeout);
@@ -113,6 +111,19 @@
   connection->OnDisconnect((events & BEV_EVENT_EOF) != 0);
 }
 
+bool http_client_connection::IsCrossed(const http_answer& answer) const {
+  const std::string& echo = client_.settings_.echo_header;
+  if (echo.empty()) return false;
+  const std::string echoed_value = FindHeader(answer.headers, echo);
+  return !echoed_value.empty() && echoed_value != FindHeader(current_->request.headers, echo);
+}
+
+bool http_client_connection::IsAnonymous(const http_answer& answer) const {
+  const std::string& echo = client_.settings_.echo_header;
+  return !echo.empty() && FindHeader(answer.headers, echo).empty() &&
+         !FindHeader(current_->request.headers, echo).empty();
+}
+
 void http_client_connection::Read() {
   if (closed_) return;
   evbuffer* input = bufferevent_get_input(raw_);
@@ -139,15 +150,17 @@
     }
     const bool keep_alive = parser_->KeepAlive();
     http_answer answer = parser_->Take();
-    if (AnswersAnotherRequest(answer)) {
+    if (IsCrossed(answer)) {
       // A late duplicate answer to an earlier request; the answer to this request follows.
       ++client_.crossed_answers_;
       skipped_answer_ = true;
-      if (!keep_alive) return Fail({.message = kLastAnswerCrossed});
+      if (!keep_alive) return Fail({.message = "The last answer belonged to another request."});
       parser_ = std::make_unique<http_answer_parser>(
           http_size_limits{.body_bytes = client_.settings_.max_answer_bytes});
       continue;
     }
+    // It may be a copy of an answer to an earlier request.
+    if (IsAnonymous(answer)) return Fail({.message = "The answer does not name its request."});
     // After an answer that preceded the end of the request, or with extra bytes after the answer,
     // the next answer could not be matched to its request.
     const bool reusable = keep_alive && !skipped_answer_ && evbuffer_get_length(input) == 0 &&
@@ -156,13 +169,6 @@
   }
 }
 
-bool http_client_connection::AnswersAnotherRequest(const http_answer& answer) const {
-  const std::string& echo = client_.settings_.echo_header;
-  if (echo.empty()) return false;
-  const std::string echoed_value = FindHeader(answer.headers, echo);
-  return !echoed_value.empty() && echoed_value != FindHeader(current_->request.headers, echo);
-}
-
 void http_client_connection::OnDisconnect(bool orderly) {
   if (!current_) {
     closed_ = true;
@@ -173,9 +179,10 @@
   if (orderly && parser_->Started() && !client_.settings_.require_length) {
     if (parser_->FeedEnd(ToString(address_))) {
       http_answer answer = parser_->Take();
-      if (!AnswersAnotherRequest(answer)) return Complete(std::move(answer), false);
+      if (IsAnonymous(answer)) return Fail({.message = "The answer does not name its request."});
+      if (!IsCrossed(answer)) return Complete(std::move(answer), false);
       ++client_.crossed_answers_;
-      return Fail({.message = kLastAnswerCrossed});
+      return Fail({.message = "The last answer belonged to another request."});
     }
   }
   http_failure failure;
--- a/src/http_client_connection.h
+++ b/src/http_client_connection.h
@@ -52,8 +52,10 @@
   bool CountReceived(size_t bytes);
   void ForgetReceived();
   void Read();
-  // Whether the answer echoes the value of another request.
-  bool AnswersAnotherRequest(const http_answer& answer) const;
+  // Whether an answer names another request than that in flight.
+  bool IsCrossed(const http_answer& answer) const;
+  // Whether an answer names no request although that in flight has an id.
+  bool IsAnonymous(const http_answer& answer) const;
   void OnDisconnect(bool orderly);
   void Complete(http_answer answer, bool reusable);
   void Fail(http_failure failure);
--- a/test/error/target_answers_test.cpp
+++ b/test/error/target_answers_test.cpp
@@ -156,6 +156,14 @@
   BOOST_TEST(result.error().may_have_run);
 }
 
+BOOST_AUTO_TEST_CASE(that_names_no_request_is_not_delivered_when_its_connection_ends) {
+  client_fixture fixture;
+  scripted_server target(fixture.loop, {{"HTTP/1.1 200 OK\r\n\r\nwhose", end::kClose}});
+  const outcome result = fixture.SendAndWait(target.address(), "1");
+  BOOST_REQUIRE(!result.has_value());
+  BOOST_TEST(result.error().may_have_run);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(that_is_followed_by_more_bytes)
