Read a request under the largest limits in force since its first byte

A request that the newest configuration allows got 413 or 431 (or 408) when that configuration was adopted while the request was being read, the first configuration of a process included: the parser kept the limits of the request's first byte, and the timeout switched to the new one at once.

SetLimits raises the limits of requests that are being read; lower ones hold from the next request on. The parser checks the size of the body itself, since Beast's limit cannot change once chunks are counted against it.

Failed before, each with "mismatch at position 0: [413 == 200]" or 431: let_a_body_pass_that_the_newer_ones_allow, let_chunks_pass_that_the_newer_ones_allow and let_headers_pass_that_the_newer_ones_allow. The other tests passed on the unchanged code: an older, larger limit already held.

--- a/src/http_parser.cpp
+++ b/src/http_parser.cpp
@@ -111,13 +111,18 @@
 http_request_parser::http_request_parser(const http_size_limits& limits)
     : limits_(limits), state_(std::make_unique<state>()) {
   // Beast's limit counts from where the last read ended, so that the outcome would depend on how
-  // the bytes are split. Feed() counts them instead.
+  // the bytes are split, and neither of its limits may change while it reads. Feed() applies them.
   state_->parser.header_limit(std::numeric_limits<uint32_t>::max());
-  state_->parser.body_limit(limits.body_bytes);
+  state_->parser.body_limit(std::numeric_limits<uint64_t>::max());
 }
 
 http_request_parser::~http_request_parser() = default;
 
+void http_request_parser::RaiseLimits(const http_size_limits& limits) {
+  limits_.header_bytes = std::max(limits_.header_bytes, limits.header_bytes);
+  limits_.body_bytes = std::max(limits_.body_bytes, limits.body_bytes);
+}
+
 std::optional<http_parse_problem> http_request_parser::CheckRequestLine(std::string_view bytes) {
   if (line_bytes_ > 0) return std::nullopt;
   const size_t end = bytes.find('\n');
@@ -155,10 +160,16 @@
     if (FieldsTooLarge(unread)) return unexpected(http_parse_problem::kHeaderTooLarge);
     if (!HeaderComplete()) return consumed;
     if (HasUnknownCoding(state_->parser)) return unexpected(http_parse_problem::kMalformed);
+    if (state_->parser.content_length().value_or(0) > limits_.body_bytes) {
+      return unexpected(http_parse_problem::kBodyTooLarge);
+    }
     state_->parser.eager(true);
   }
   consumed += FeedParser(state_->parser, bytes.substr(consumed), failure);
   if (failure) return unexpected(ProblemOf(failure));
+  if (state_->parser.get().body().size() > limits_.body_bytes) {
+    return unexpected(http_parse_problem::kBodyTooLarge);
+  }
   // Only the line of a chunk or the trailers can be left unread.
   if (!Complete() && bytes.size() - consumed > limits_.header_bytes + kLineEndBytes) {
     return unexpected(http_parse_problem::kHeaderTooLarge);
--- a/src/http_parser.h
+++ b/src/http_parser.h
@@ -37,6 +37,8 @@
   http_request_parser(const http_request_parser&) = delete;
   http_request_parser& operator=(const http_request_parser&) = delete;
 
+  /// Raises the limits to at least these; lower ones are ignored.
+  void RaiseLimits(const http_size_limits& limits);
   /// Parses the next bytes and returns how many were consumed. The caller passes the remaining
   /// bytes again, together with those that follow.
   tl::expected<size_t, http_parse_problem> Feed(std::string_view bytes);
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -106,6 +106,11 @@
   connections_.emplace(key, std::move(connection));
 }
 
+void http_server::SetLimits(const http_limits& limits) {
+  limits_ = limits;
+  for (const auto& [key, connection] : connections_) key->RaiseLimits(limits);
+}
+
 void http_server::Drain(instant now, std::chrono::milliseconds idle) {
   draining_ = true;
   limits_.idle_timeout = std::min(limits_.idle_timeout, idle);
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -103,8 +103,9 @@
   result<void> Listen(const socket_address& address);
   /// Calls `rejected` for each request that the server rejects by itself.
   void OnRejected(rejection_handler rejected) { rejected_ = std::move(rejected); }
-  /// Applies new limits, to open connections as well.
-  void SetLimits(const http_limits& limits) { limits_ = limits; }
+  /// Applies new limits, to open connections as well. A request that is being read may use the
+  /// largest limits in force since its first byte: its caller cannot know of the change.
+  void SetLimits(const http_limits& limits);
   /// Starts draining: connections are closed after their next answer, or when idle for `idle`.
   void Drain(instant now, std::chrono::milliseconds idle);
   /// Whether output on any connection is still buffered.
--- a/src/http_server_connection.cpp
+++ b/src/http_server_connection.cpp
@@ -75,6 +75,7 @@
       size_limits_ = {server_.limits_.max_headers, server_.limits_.max_body};
       parser_ = std::make_unique<http_request_parser>(size_limits_);
       bufferevent_setwatermark(raw_, EV_READ, 0, InputBound(size_limits_.header_bytes));
+      request_timeout_ = server_.limits_.request_timeout;
       request_started_ = now;
       request_bytes_ = 0;
       continue_sent_ = false;
@@ -105,6 +106,15 @@
   }
 }
 
+void http_server_connection::RaiseLimits(const http_limits& limits) {
+  if (!parser_) return;
+  size_limits_.header_bytes = std::max(size_limits_.header_bytes, limits.max_headers);
+  size_limits_.body_bytes = std::max(size_limits_.body_bytes, limits.max_body);
+  request_timeout_ = std::max(request_timeout_, limits.request_timeout);
+  parser_->RaiseLimits(size_limits_);
+  bufferevent_setwatermark(raw_, EV_READ, 0, InputBound(size_limits_.header_bytes));
+}
+
 void http_server_connection::DispatchRequest() {
   progress_ = progress::kHandling;
   keep_alive_ = parser_->KeepAlive();
@@ -145,7 +155,7 @@
     rejected.max_headers = size_limits_.header_bytes;
     rejected.max_body = size_limits_.body_bytes;
     rejected.elapsed = now - request_started_;
-    if (parser_->HeaderComplete() || status == kBodyTooLarge) {
+    if (parser_->HeaderComplete()) {
       rejected.target = parser_->Target();
       rejected.headers = parser_->Headers();
     }
@@ -192,7 +202,7 @@
       break;
   }
   if (parser_ && parser_->Started()) {
-    if (now - request_started_ > server_.limits_.request_timeout) Reject(now, kRequestTimeout);
+    if (now - request_started_ > request_timeout_) Reject(now, kRequestTimeout);
     return;
   }
   if (now - last_activity_ > server_.limits_.idle_timeout) Abort();
--- a/src/http_server_connection.h
+++ b/src/http_server_connection.h
@@ -26,6 +26,8 @@
   void ReplyTruncated(const http_answer& answer, size_t bytes);
   /// Closes the connection immediately and destroys this object.
   void Abort();
+  /// Reads the current request under these limits where they are larger than its own.
+  void RaiseLimits(const http_limits& limits);
   /// Rejects a request that is overdue, or closes a connection that was idle for too long.
   void CheckTimeouts(instant now);
   /// Closes the connection after its exchange was destroyed without an answer.
@@ -61,8 +63,10 @@
   size_t last_unsent_bytes_ = 0;
   instant last_activity_;
   instant request_started_;
-  // Size limits and received bytes of the request being read.
+  // Limits and received bytes of the request being read. Each limit is the largest one in force
+  // since its first byte.
   http_size_limits size_limits_;
+  std::chrono::milliseconds request_timeout_{0};
   size_t request_bytes_ = 0;
 };
 
