Refuse what exceeds the default limits while no configuration is known

A process without a configuration answered 413, 431 or 408 under its default limits (1 MiB of body, 16 KiB of headers, 3 s) to requests that the operators' configuration allows; callers do not repeat those. It cannot know the operators' limits, and must not read more than the default ones.

The server asks the router for the answer to a request that it rejects. Without a configuration the router answers 503 with a Retry-After and the request's id, counts a refusal (no_configuration) and logs the line request_rejected with status 503. Malformed bytes stay 400. The reason is now told by the server: timeouts of the head and of the body are told apart in the line and in bulrushway_rejections{reason,status}.

Failed before: refuses_a_body_that_a_configuration_may_allow [HTTP/1.1 413 != HTTP/1.1 503], refuses_headers_that_a_configuration_may_allow [HTTP/1.1 431 != HTTP/1.1 503], refuses_headers_that_take_longer_than_it_may_wait [HTTP/1.1 408 != HTTP/1.1 503]. refuses_a_small_request and rejects_what_no_configuration_allows passed on the unchanged code. The check of the reason of a body that never ends is new with the reasons; it has no run on the older code.

--- a/src/http_server.h
+++ b/src/http_server.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <string_view>
 
 #include "bulk_pacer.h"
 #include "event_loop.h"
@@ -70,9 +71,23 @@
   std::chrono::milliseconds request_timeout{60'000};
 };
 
-/// A request that the server rejected without passing it to the handler.
+/// Why the server rejects a request.
+enum class rejection_reason {
+  kMalformed,
+  kHeadersTooLarge,
+  kBodyTooLarge,
+  kHeadTimeout,
+  kBodyTimeout
+};
+
+/// Name of the reason in logs and metrics.
+std::string_view Name(rejection_reason reason);
+
+/// A request that the server rejects without passing it to the handler.
 struct rejected_request {
+  /// Status of the answer: 400, 408, 413 or 431.
   int status = 0;
+  rejection_reason reason = rejection_reason::kMalformed;
   socket_address peer;
   /// The target and headers, once the whole head was received.
   std::string target;
@@ -90,7 +105,7 @@
 class http_server {
  public:
   using handler = std::function<void(std::shared_ptr<http_exchange>)>;
-  using rejection_handler = std::function<void(instant, const rejected_request&)>;
+  using rejection_handler = std::function<http_answer(instant, const rejected_request&)>;
 
   /// `pacer`, if not null, paces large answers.
   http_server(event_loop& loop, const http_limits& limits, handler handle,
@@ -101,7 +116,8 @@
 
   /// Starts to listen. Fails when the address cannot be bound.
   result<void> Listen(const socket_address& address);
-  /// Calls `rejected` for each request that the server rejects by itself.
+  /// Calls `rejected` for each request that the server rejects by itself, and sends the answer it
+  /// returns; then closes the connection.
   void OnRejected(rejection_handler rejected) { rejected_ = std::move(rejected); }
   /// Applies new limits, to open connections as well. A request that is being read may use the
   /// largest limits in force since its first byte: its caller cannot know of the change.
--- a/src/http_server_connection.cpp
+++ b/src/http_server_connection.cpp
@@ -9,10 +9,26 @@
 namespace bulrushway {
 namespace {
 
+constexpr int kBadRequest = 400;
 constexpr int kRequestTimeout = 408;
 constexpr int kBodyTooLarge = 413;
-constexpr int kBadRequest = 400;
 constexpr int kHeadersTooLarge = 431;
+
+int StatusOf(rejection_reason reason) {
+  switch (reason) {
+    case rejection_reason::kHeadersTooLarge:
+      return kHeadersTooLarge;
+    case rejection_reason::kBodyTooLarge:
+      return kBodyTooLarge;
+    case rejection_reason::kHeadTimeout:
+    case rejection_reason::kBodyTimeout:
+      return kRequestTimeout;
+    case rejection_reason::kMalformed:
+      break;
+  }
+  return kBadRequest;
+}
+
 // Minimum bound on the input buffered while a request is being handled.
 constexpr size_t kReadAhead = 64 << 10;
 
@@ -25,6 +41,22 @@
 
 }  // namespace
 
+std::string_view Name(rejection_reason reason) {
+  switch (reason) {
+    case rejection_reason::kMalformed:
+      return "malformed";
+    case rejection_reason::kHeadersTooLarge:
+      return "headers too large";
+    case rejection_reason::kBodyTooLarge:
+      return "body too large";
+    case rejection_reason::kHeadTimeout:
+      return "head timeout";
+    case rejection_reason::kBodyTimeout:
+      return "body timeout";
+  }
+  return "unknown";
+}
+
 http_server_connection::http_server_connection(http_server& server, bufferevent* raw,
                                                const socket_address& peer)
     : server_(server), raw_(raw), peer_(peer), last_activity_(boot_clock::now()) {
@@ -87,11 +119,11 @@
     if (!consumed) {
       switch (consumed.error()) {
         case http_parse_problem::kMalformed:
-          return Reject(now, kBadRequest);
+          return Reject(now, rejection_reason::kMalformed);
         case http_parse_problem::kHeaderTooLarge:
-          return Reject(now, kHeadersTooLarge);
+          return Reject(now, rejection_reason::kHeadersTooLarge);
         case http_parse_problem::kBodyTooLarge:
-          return Reject(now, kBodyTooLarge);
+          return Reject(now, rejection_reason::kBodyTooLarge);
       }
     }
     evbuffer_drain(input, *consumed);
@@ -146,10 +178,12 @@
   CloseAfterWriting();
 }
 
-void http_server_connection::Reject(instant now, int status) {
+void http_server_connection::Reject(instant now, rejection_reason reason) {
+  http_answer answer{StatusOf(reason), {}, {}};
   if (server_.rejected_) {
     rejected_request rejected;
-    rejected.status = status;
+    rejected.status = answer.status;
+    rejected.reason = reason;
     rejected.peer = peer_;
     rejected.received = request_bytes_ + evbuffer_get_length(bufferevent_get_input(raw_));
     rejected.max_headers = size_limits_.header_bytes;
@@ -159,10 +193,8 @@
       rejected.target = parser_->Target();
       rejected.headers = parser_->Headers();
     }
-    server_.rejected_(now, rejected);
+    answer = server_.rejected_(now, rejected);
   }
-  http_answer answer;
-  answer.status = status;
   Send(answer, false);
   CloseAfterWriting();
 }
@@ -202,7 +234,9 @@
       break;
   }
   if (parser_ && parser_->Started()) {
-    if (now - request_started_ > request_timeout_) Reject(now, kRequestTimeout);
+    if (now - request_started_ > request_timeout_)
+      Reject(now, parser_->HeaderComplete() ? rejection_reason::kBodyTimeout
+                                            : rejection_reason::kHeadTimeout);
     return;
   }
   if (now - last_activity_ > server_.limits_.idle_timeout) Abort();
--- a/src/http_server_connection.h
+++ b/src/http_server_connection.h
@@ -46,7 +46,7 @@
 
   void Read(instant now);
   void DispatchRequest();
-  void Reject(instant now, int status);
+  void Reject(instant now, rejection_reason reason);
   void Send(const http_answer& answer, bool keep_alive);
   void CloseAfterWriting();
 
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -101,8 +101,9 @@
           }),
       tick_(loop, [this](instant now) { Tick(now); }) {
   mesh_.SetMaxInlineBody(kMaxInlineBody);
-  callers_.OnRejected(
-      [this](instant now, const rejected_request& rejected) { router_.OnRejected(now, rejected); });
+  callers_.OnRejected([this](instant now, const rejected_request& rejected) {
+    return router_.OnRejected(now, rejected);
+  });
 }
 
 result<void> node::Start(instant now) {
--- a/src/request_router.h
+++ b/src/request_router.h
@@ -69,8 +69,10 @@
   /// Accepts a request. Its exchange is answered exactly once, during the call or later, unless the
   /// caller disconnects.
   void Handle(instant now, std::shared_ptr<http_exchange> exchange);
-  /// Logs and counts a request that the server for callers rejected before it was complete.
-  void OnRejected(instant now, const rejected_request& rejected);
+  /// Decides the answer to a request that the server for callers rejects before it is complete, and
+  /// logs and counts it. Without a configuration the operators' limits are unknown: what exceeds
+  /// the default ones is refused with 503.
+  http_answer OnRejected(instant now, const rejected_request& rejected);
   /// Refuses requests whose deadline has passed, and starts the scheduled attempts that are due.
   void Tick(instant now);
   /// Reports that keys have changed owners: requests that wait for an owner are attempted again.
--- a/src/request_router_rejections.cpp
+++ b/src/request_router_rejections.cpp
@@ -1,4 +1,5 @@
-// Logging of rejections: requests that end with a 4xx status of this process.
+// Rejections: requests that end with a status of this process for what they are or how they
+// arrived.
 
 #include <utility>
 
@@ -10,25 +11,10 @@
 using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 
+constexpr int kUnavailable = 503;
 // Longest part of a host or path that a line shows.
 constexpr size_t kMaxLoggedBytes = 80;
 
-std::string ReasonOf(int status) {
-  constexpr int kRequestTimeout = 408;
-  constexpr int kBodyTooLarge = 413;
-  constexpr int kHeadersTooLarge = 431;
-  switch (status) {
-    case kRequestTimeout:
-      return "request timeout";
-    case kBodyTooLarge:
-      return "body too large";
-    case kHeadersTooLarge:
-      return "headers too large";
-    default:
-      return "malformed";
-  }
-}
-
 }  // namespace
 
 void request_router::LogRejection(instant now, const rejection& rejected) {
@@ -52,15 +38,24 @@
              log_priority::kNotable);
 }
 
-void request_router::OnRejected(instant now, const rejected_request& rejected) {
+http_answer request_router::OnRejected(instant now, const rejected_request& rejected) {
+  const std::string request_id = FindHeader(rejected.headers, settings_.headers.request_id);
+  const bool refused = !ports_.configuration() && rejected.reason != rejection_reason::kMalformed;
+  http_answer answer{rejected.status, {}, {}};
+  if (refused) {
+    answer.status = kUnavailable;
+    answer.headers.emplace_back(settings_.headers.retry_after, RetryAfterText(milliseconds{0}));
+    metrics_.CountRefusal(refusal_reason::kNoConfiguration, run_state::kNotRun);
+  }
+  if (!request_id.empty()) answer.headers.emplace_back(settings_.headers.request_id, request_id);
   const auto elapsed = duration_cast<milliseconds>(rejected.elapsed);
-  LogRejection(
-      now,
-      {FindHeader(rejected.headers, settings_.headers.request_id), rejected.status,
-       ReasonOf(rejected.status), FindHeader(rejected.headers, "Host"), rejected.target,
-       "received " + std::to_string(rejected.received) + " bytes in " +
-           std::to_string(elapsed.count()) + " ms; limits " + std::to_string(rejected.max_headers) +
-           " and " + std::to_string(rejected.max_body)});
+  LogRejection(now, {request_id, answer.status, std::string(Name(rejected.reason)),
+                     FindHeader(rejected.headers, "Host"), rejected.target,
+                     "received " + std::to_string(rejected.received) + " bytes in " +
+                         std::to_string(elapsed.count()) + " ms; limits " +
+                         std::to_string(rejected.max_headers) + " and " +
+                         std::to_string(rejected.max_body)});
+  return answer;
 }
 
 }  // namespace bulrushway
