Do not charge callers for time in which the process did not run

After a freeze longer than header_timeout_s a proper request got 408: the timeouts were checked while its remaining bytes were still in the socket, since one read of a connection takes at most 16 KiB, or while the caller was still to send them. An idle connection was closed alike.

Failed before with "mismatch at position 0: [408 == 200] is false": is_not_charged_for_time_in_which_the_process_did_not_run and may_send_the_rest_after_the_process_runs_again.

--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -73,6 +73,7 @@
       limits_(limits),
       handle_(std::move(handle)),
       pacer_(pacer),
+      last_sweep_(boot_clock::now()),
       sweep_(loop, [this](instant now) { Sweep(now); }) {
   sweep_.Every(kSweepInterval);
 }
@@ -123,11 +124,16 @@
 }
 
 void http_server::Sweep(instant now) {
+  // Time in which this process did not run.
+  const auto frozen = now - last_sweep_ - kSweepInterval;
+  last_sweep_ = now;
   std::vector<http_server_connection*> open;
   open.reserve(connections_.size());
   for (const auto& [key, connection] : connections_) open.push_back(key);
   for (http_server_connection* connection : open) {
-    if (connections_.contains(connection)) connection->CheckTimeouts(now);
+    if (!connections_.contains(connection)) continue;
+    if (frozen > kSweepInterval) connection->ExtendTimeouts(now, frozen);
+    connection->CheckTimeouts(now);
   }
 }
 
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -142,6 +142,7 @@
   rejection_handler rejected_;
   bulk_pacer* pacer_;
   bool draining_ = false;
+  instant last_sweep_;
   evconnlistener* listener_ = nullptr;
   std::map<http_server_connection*, std::unique_ptr<http_server_connection>> connections_;
   timer sweep_;
--- a/src/http_server_connection.cpp
+++ b/src/http_server_connection.cpp
@@ -218,6 +218,11 @@
   }
 }
 
+void http_server_connection::ExtendTimeouts(instant now, std::chrono::nanoseconds by) {
+  last_activity_ = std::min(now, last_activity_ + by);
+  request_started_ = std::min(now, request_started_ + by);
+}
+
 void http_server_connection::CheckTimeouts(instant now) {
   // A caller that is receiving its answer is not idle, however long the transfer takes.
   const size_t unsent = evbuffer_get_length(bufferevent_get_output(raw_));
--- a/src/http_server_connection.h
+++ b/src/http_server_connection.h
@@ -28,6 +28,8 @@
   void Abort();
   /// Reads the current request under these limits where they are larger than its own.
   void RaiseLimits(const http_limits& limits);
+  /// Does not charge the caller for a time in which its bytes could not be read.
+  void ExtendTimeouts(instant now, std::chrono::nanoseconds by);
   /// Rejects a request that is overdue, or closes a connection that was idle for too long.
   void CheckTimeouts(instant now);
   /// Closes the connection after its exchange was destroyed without an answer.
--- a/test/error/request_timeouts_test.cpp
+++ b/test/error/request_timeouts_test.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/test/unit_test.hpp>
 #include <string>
+#include <thread>
 
 #include "answering_server.h"
 
@@ -67,6 +68,28 @@
   BOOST_TEST(fixture.Statuses(caller, 2) == both, boost::test_tools::per_element());
 }
 
+BOOST_AUTO_TEST_CASE(is_not_charged_for_time_in_which_the_process_did_not_run) {
+  answering_server fixture(kLimits);
+  raw_caller caller(fixture.address);
+  caller.Send("GET /a HTTP/1.1\r\nHost: a\r\n");
+  RunFor(fixture.loop, milliseconds{50});
+  // More than one read of the connection takes.
+  caller.Send("X: " + std::string(40'000, 'x') + "\r\n\r\n");
+  std::this_thread::sleep_for(milliseconds{700});
+  BOOST_TEST(fixture.Statuses(caller) == kAnswered, boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(may_send_the_rest_after_the_process_runs_again) {
+  answering_server fixture(kLimits);
+  raw_caller caller(fixture.address);
+  caller.Send("GET /a HTTP/1.1\r\nHost: a\r\n");
+  RunFor(fixture.loop, milliseconds{50});
+  std::this_thread::sleep_for(milliseconds{700});
+  RunFor(fixture.loop, milliseconds{50});
+  caller.TrySend("\r\n");
+  BOOST_TEST(fixture.Statuses(caller) == kAnswered, boost::test_tools::per_element());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace bulrushway
