Accept empty lines before a request

A caller that sends an empty line after a body or before its first request, which RFC 9112 (2.2) asks a server to ignore, got 400 and lost its connection: Beast reads the line as a method.

The connection skips them before it begins a request, so that they start no timeout either.

is_accepted_after_empty_lines failed before with "mismatch at position 0: [400 == 200] is false" and "Collections size mismatch: 2 != 3".

--- a/src/http_server_connection.cpp
+++ b/src/http_server_connection.cpp
@@ -5,6 +5,8 @@
 #include <event2/event.h>
 
 #include <algorithm>
+#include <array>
+#include <string_view>
 
 namespace bulrushway {
 namespace {
@@ -39,6 +41,20 @@
   return std::max(kReadAhead, 2 * header_bytes + kLineEnds);
 }
 
+// Removes the empty lines that a caller may send before a request. Returns whether a request has
+// begun.
+bool SkipEmptyLines(evbuffer* input) {
+  constexpr std::string_view kEmptyLine = "\r\n";
+  std::array<char, kEmptyLine.size()> start{};
+  ev_ssize_t length = 0;
+  while ((length = evbuffer_copyout(input, start.data(), start.size())) > 0) {
+    const std::string_view begin(start.data(), static_cast<size_t>(length));
+    if (begin != kEmptyLine) return begin != kEmptyLine.substr(0, 1);
+    evbuffer_drain(input, kEmptyLine.size());
+  }
+  return false;
+}
+
 }  // namespace
 
 std::string_view Name(rejection_reason reason) {
@@ -104,6 +120,7 @@
   evbuffer* input = bufferevent_get_input(raw_);
   while (progress_ == progress::kReading && evbuffer_get_length(input) > 0) {
     if (!parser_) {
+      if (!SkipEmptyLines(input)) return;
       size_limits_ = {server_.limits_.max_headers, server_.limits_.max_body};
       parser_ = std::make_unique<http_request_parser>(size_limits_);
       bufferevent_setwatermark(raw_, EV_READ, 0, InputBound(size_limits_.header_bytes));
--- a/test/error/request_forms_test.cpp
+++ b/test/error/request_forms_test.cpp
@@ -84,6 +84,12 @@
           {200}}});
 }
 
+BOOST_AUTO_TEST_CASE(is_accepted_after_empty_lines) {
+  Check({{"before the first request", "\r\n" + kGet, {200}},
+         {"between requests", kGet + "\r\n" + kGet + "\r\n\r\n" + kGet, {200, 200, 200}},
+         {"a line that never ends", "\r" + kGet, {400}}});
+}
+
 BOOST_AUTO_TEST_CASE(gets_its_final_status_when_it_expects_to_continue) {
   const std::string expect = "Expect: 100-continue\r\n";
   Check({{"body within the limit", kPost + expect + "Content-Length: 1\r\n\r\nb", {200}}}, {false});
