Route a request whose target is a whole URL

A request for http://HOST/PATH got 404: the router compared the whole URL with the prefixes of its routes. RFC 9112 (3.2.2) requires a server to accept this form, and to take the host from it instead of the Host header.

The parser replaces the target by the path and Host by the URL's host.

with_the_whole_url_is_routed_by_it failed before with [http://b.example:80/x?y=z != /x?y=z] and [a != b.example:80].

--- a/src/http_parser.cpp
+++ b/src/http_parser.cpp
@@ -102,6 +102,28 @@
   return false;
 }
 
+// Replaces a target that is a whole URL by its path, and the Host header by its host, which takes
+// precedence.
+void SplitAbsoluteTarget(http_request& request) {
+  const std::string_view target = request.target;
+  const size_t scheme = target.find("://");
+  if (scheme == std::string_view::npos) return;
+  if (!EqualIgnoringCase(target.substr(0, scheme), "http") &&
+      !EqualIgnoringCase(target.substr(0, scheme), "https")) {
+    return;
+  }
+  const std::string_view rest = target.substr(scheme + 3);
+  const size_t path = std::min(rest.find_first_of("/?"), rest.size());
+  const std::string host(rest.substr(0, path));
+  if (host.empty()) return;
+  std::erase_if(request.headers,
+                [](const auto& header) { return EqualIgnoringCase(header.first, "Host"); });
+  request.headers.emplace_back("Host", host);
+  std::string origin_form(rest.substr(path));
+  if (!origin_form.starts_with('/')) origin_form.insert(0, 1, '/');
+  request.target = std::move(origin_form);
+}
+
 }  // namespace
 
 struct http_request_parser::state {
@@ -201,6 +223,7 @@
   request.target = std::string(View(message.target()));
   request.headers = CopyFields(message.base());
   request.body = std::move(message.body());
+  SplitAbsoluteTarget(request);
   return request;
 }
 
--- a/src/http_parser.h
+++ b/src/http_parser.h
@@ -53,7 +53,8 @@
   bool ExpectsContinue() const;
   /// Whether the connection stays open after this request.
   bool KeepAlive() const;
-  /// Moves the complete request out of the parser.
+  /// Moves the complete request out of the parser. A target that is a whole URL is replaced by its
+  /// path, and the Host header by its host.
   http_request Take();
 
  private:
--- a/test/error/request_forms_test.cpp
+++ b/test/error/request_forms_test.cpp
@@ -98,6 +98,25 @@
          {"in another case", kPost + "expect: 100-Continue\r\nContent-Length: 1\r\n\r\n", {100}}});
 }
 
+BOOST_AUTO_TEST_CASE(with_the_whole_url_is_routed_by_it) {
+  answering_server fixture({});
+  raw_caller caller(fixture.address);
+  caller.Send("GET http://b.example:80/x?y=z HTTP/1.1\r\nHost: a\r\n\r\n");
+  caller.Send("GET HTTP://b.example HTTP/1.1\r\nHost: a\r\n\r\n");
+  caller.Send("GET http://b.example?y=z HTTP/1.1\r\n\r\n");
+  caller.Send("GET /?u=http://c/ HTTP/1.1\r\nHost: a\r\n\r\n");
+  fixture.Statuses(caller, 4);
+  BOOST_REQUIRE(fixture.requests.size() == 4);
+  BOOST_TEST(fixture.requests[0].target == "/x?y=z");
+  BOOST_TEST(FindHeader(fixture.requests[0].headers, "Host") == "b.example:80");
+  BOOST_TEST(fixture.requests[1].target == "/");
+  BOOST_TEST(FindHeader(fixture.requests[1].headers, "Host") == "b.example");
+  BOOST_TEST(fixture.requests[2].target == "/?y=z");
+  BOOST_TEST(FindHeader(fixture.requests[2].headers, "Host") == "b.example");
+  BOOST_TEST(fixture.requests[3].target == "/?u=http://c/");
+  BOOST_TEST(FindHeader(fixture.requests[3].headers, "Host") == "a");
+}
+
 BOOST_AUTO_TEST_CASE(is_rejected_when_its_end_is_ambiguous) {
   Check({{"length and chunks",
           kPost + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
