Send no interim answer to a caller of HTTP/1.0

A request of HTTP/1.0 with "Expect: 100-continue" got an interim answer, which such a caller takes for the final one (RFC 9110, 10.1.1).

of_http_1_0_gets_no_interim_answer failed before with "Collections size mismatch: 2 != 1".

--- a/src/http_parser.cpp
+++ b/src/http_parser.cpp
@@ -210,7 +210,8 @@
 bool http_request_parser::Complete() const { return state_->parser.is_done(); }
 
 bool http_request_parser::ExpectsContinue() const {
-  return HeaderComplete() &&
+  constexpr unsigned kHttp11 = 11;
+  return HeaderComplete() && state_->parser.get().version() >= kHttp11 &&
          EqualIgnoringCase(View(state_->parser.get()[beast_http::field::expect]), "100-continue");
 }
 
--- a/test/error/request_forms_test.cpp
+++ b/test/error/request_forms_test.cpp
@@ -98,6 +98,16 @@
          {"in another case", kPost + "expect: 100-Continue\r\nContent-Length: 1\r\n\r\n", {100}}});
 }
 
+BOOST_AUTO_TEST_CASE(of_http_1_0_gets_no_interim_answer) {
+  answering_server fixture({});
+  raw_caller caller(fixture.address);
+  caller.Send("POST /a HTTP/1.0\r\nExpect: 100-continue\r\nContent-Length: 1\r\n\r\n");
+  testing::RunFor(fixture.loop, std::chrono::milliseconds{50});
+  caller.TrySend("b");
+  const std::vector<int> answered{200};
+  BOOST_TEST(fixture.Statuses(caller) == answered, boost::test_tools::per_element());
+}
+
 BOOST_AUTO_TEST_CASE(with_the_whole_url_is_routed_by_it) {
   answering_server fixture({});
   raw_caller caller(fixture.address);
