Test more ambiguous ends of requests

Callers could smuggle a request behind one with a transfer coding other than chunked; found twice, independently, and cured by rejecting such a request.

--- a/test/error/request_forms_test.cpp
+++ b/test/error/request_forms_test.cpp
@@ -138,7 +138,16 @@
          {"no length", kPost + "Content-Length: x\r\n\r\n", {400}},
          {"negative length", kPost + "Content-Length: -1\r\n\r\n", {400}},
          {"no chunk size", kChunked + "x\r\nabc\r\n0\r\n\r\n", {400}},
-         {"chunk longer than its size", kChunked + "2\r\nabc\r\n0\r\n\r\n", {400}}});
+         {"chunk longer than its size", kChunked + "2\r\nabc\r\n0\r\n\r\n", {400}},
+         {"coding other than chunked",
+          kPost + "Transfer-Encoding: gzip\r\n\r\nGET /b HTTP/1.1\r\n\r\n",
+          {400}},
+         {"coding other than chunked, and a length",
+          kPost + "Transfer-Encoding: gzip\r\nContent-Length: 1\r\n\r\nb",
+          {400}},
+         {"chunked before another coding",
+          kPost + "Transfer-Encoding: chunked, gzip\r\n\r\n0\r\n\r\n",
+          {400}}});
 }
 
 BOOST_AUTO_TEST_CASE(is_rejected_when_it_is_not_http) {
