Wait for a whole last chunk before the parser is asked again

In a build with assertions, a target or a caller that sent a chunked message without a body and let its last chunk arrive in pieces ended the process: basic_parser.ipp:688: parse_chunk_header: Assertion `n >= 5' failed. Release builds define NDEBUG; there the message was parsed as it should be.

Cause: once Beast has seen the line "0" of a last chunk, it asserts that it is asked again only with five bytes or more. The connection asks again with whatever has come, and even with the same three bytes, since the head before them was consumed.

FeedParser no longer asks within chunks for fewer bytes than the shortest last chunk has. A chunked message that is not complete always has that many to come, so that none waits for bytes that are not part of it.

--- a/src/http_parser.cpp
+++ b/src/http_parser.cpp
@@ -69,8 +69,12 @@
 // Parses until the parser needs more input or the message is complete. Returns the bytes consumed.
 template <class Parser>
 size_t FeedParser(Parser& parser, std::string_view bytes, boost::beast::error_code& failure) {
+  // "0", CRLF, CRLF. Beast asserts this many bytes once it has seen the first line of a last chunk.
+  constexpr size_t kShortestLastChunk = 5;
   size_t consumed = 0;
   while (consumed < bytes.size() && !parser.is_done()) {
+    const bool in_chunks = parser.is_header_done() && parser.chunked();
+    if (in_chunks && bytes.size() - consumed < kShortestLastChunk) break;
     const size_t step = PutBytes(parser, bytes.substr(consumed), failure);
     consumed += step;
     if (failure || step == 0) break;
--- a/test/error/caller_requests_test.cpp
+++ b/test/error/caller_requests_test.cpp
@@ -45,6 +45,15 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(without_a_body_is_read_whole_though_its_last_chunk_comes_in_pieces) {
+  const std::string text = "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n";
+  for (size_t piece = 1; piece <= text.size(); ++piece) {
+    const auto request = Parse(text, piece);
+    BOOST_REQUIRE(request.has_value());
+    BOOST_TEST(request->body.empty());
+  }
+}
+
 BOOST_AUTO_TEST_CASE(ends_where_its_length_says_and_leaves_the_next_one_alone) {
   std::string rest;
   const auto request = Parse(
--- a/test/error/cut_answers_test.cpp
+++ b/test/error/cut_answers_test.cpp
@@ -40,6 +40,8 @@
     {"a length in HTTP/1.0", "HTTP/1.0 200 OK\r\n" + kId + kSeal + "Content-Length: 4\r\n\r\nbody"},
     {"chunks", "HTTP/1.1 200 OK\r\n" + kId + kSeal +
                    "Transfer-Encoding: chunked\r\n\r\n5\r\nfirst\r\nA\r\n, the rest\r\n0\r\n\r\n"},
+    {"chunks without a body",
+     "HTTP/1.1 200 OK\r\n" + kId + kSeal + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"},
     {"chunks with extensions", "HTTP/1.1 200 OK\r\n" + kId + kSeal +
                                    "Transfer-Encoding: chunked\r\n\r\n5;a=b\r\nfirst\r\n4;c=\"d "
                                    "e\"\r\nrest\r\n0;f=g\r\n\r\n"},
