Make room for a request when only unusable idle connections are open

A request waited until its deadline, and failed as not sent, when all the connections that its client may have were open, and the idle ones had been idle too long to be used.

A client now closes an idle connection that cannot take the request, and opens a new one in its place.

The test failed before: an_answer_of_a_target/that_leaves_the_only_connection_idle_too_long_does_not_hold_up_the_next: has failed [no answer: No connection became available before the time limit. != two].

--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -1,5 +1,6 @@
 #include "http_client.h"
 
+#include <algorithm>
 #include <deque>
 #include <utility>
 
@@ -82,7 +83,8 @@
       break;
     }
     if (chosen == nullptr) {
-      if (connections.open.size() >= settings_.max_connections) return;
+      if (connections.open.size() >= settings_.max_connections && !CloseOneIdle(connections))
+        return;
       connections.open.push_back(std::make_unique<http_client_connection>(*this, address, now));
       chosen = connections.open.back().get();
       ++connections_opened_;
@@ -93,6 +95,15 @@
   }
 }
 
+bool http_client::CloseOneIdle(pool& connections) {
+  const auto idle =
+      std::find_if(connections.open.begin(), connections.open.end(),
+                   [](const auto& connection) { return connection->current() == nullptr; });
+  if (idle == connections.open.end()) return false;
+  (*idle)->Abandon();
+  return true;
+}
+
 void http_client::OnConnectionClosed(http_client_connection* connection) {
   auto& open = pools_.at(connection->address())->open;
   for (auto it = open.begin(); it != open.end(); ++it) {
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -104,6 +104,8 @@
   struct pool;
 
   void Dispatch(const socket_address& address);
+  // Closes an idle connection to make room for a new one; false when there is none.
+  static bool CloseOneIdle(pool& connections);
   void OnConnectionClosed(http_client_connection* connection);
   void Sweep(instant now);
 
--- a/test/error/target_answers_test.cpp
+++ b/test/error/target_answers_test.cpp
@@ -238,6 +238,16 @@
   BOOST_TEST(result.error().may_have_run);
 }
 
+BOOST_AUTO_TEST_CASE(that_leaves_the_only_connection_idle_too_long_does_not_hold_up_the_next) {
+  client_fixture fixture;
+  http_client single(fixture.loop,
+                     http_client_settings{.max_connections = 1, .idle_limit = milliseconds(100)});
+  scripted_server target(fixture.loop, {{MakeAnswer("1", "one")}, {MakeAnswer("2", "two")}});
+  BOOST_TEST(BodyOrError(fixture.SendAndWait(single, target.address(), "1")) == "one");
+  fixture.RunFor(milliseconds(150));
+  BOOST_TEST(BodyOrError(fixture.SendAndWait(single, target.address(), "2")) == "two");
+}
+
 BOOST_AUTO_TEST_CASE(that_never_comes_is_given_up_at_the_time_limit) {
   client_fixture fixture;
   scripted_server target(fixture.loop, {});
