Send no request on a connection whose socket holds unread input

A copy of an earlier answer that lay in the socket, not yet read by the event loop, was taken for the answer to the request that was written next; an end of the stream that lay there lost that request as possibly run. An idle connection counted as free of stray bytes when the loop had read none.

The client now peeks at the socket of the connection that it is about to use again, and passes over it when there are bytes or an end; the event loop then closes it as before. This is one system call for each request on a kept connection, none for one on a new connection.

The tests failed before: that_is_followed_by_more_bytes/that_lie_in_the_socket_keep_the_next_request_off_the_connection: has failed [one, once more != two]; whose_connection_ends_unseen_is_followed_by_another_on_a_new_connection: has failed [no answer: The connection was closed before the answer was complete. != two]; a_refusal_that_a_target_writes_once_more/without_its_id_before_the_next_request_is_sent_refuses_nobody: check IsSuccess(fixture.SendAndWait("2")) has failed.

Ruled out, the test passed on the unchanged code: an answer that comes after the time limit is not read as that to the next request, since the connection is closed at the time limit (that_comes_after_the_time_limit_is_not_read_as_that_to_the_next_request).

--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -79,6 +79,8 @@
     // Prefer the most recently used connection: the server is least likely to have closed it.
     for (auto it = connections.open.rbegin(); it != connections.open.rend(); ++it) {
       if (!(*it)->Usable(now)) continue;
+      // The event loop closes it.
+      if ((*it)->HasUnreadInput()) continue;
       chosen = it->get();
       break;
     }
--- a/src/http_client_connection.cpp
+++ b/src/http_client_connection.cpp
@@ -3,6 +3,7 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
+#include <sys/socket.h>
 
 #include <cerrno>
 #include <charconv>
@@ -200,6 +201,13 @@
   if (!announced.empty()) announced_limit_ = ParseKeepAlive(announced);
 }
 
+bool http_client_connection::HasUnreadInput() const {
+  char byte = 0;
+  const ssize_t received =
+      recv(bufferevent_getfd(raw_), &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT);
+  return received >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 void http_client_connection::Complete(http_answer answer, bool reusable) {
   const auto request = std::move(current_);
   parser_.reset();
--- a/src/http_client_connection.h
+++ b/src/http_client_connection.h
@@ -36,6 +36,9 @@
   /// Whether the connection can take a request: established, idle, without stray input, and not
   /// idle for too long.
   bool Usable(instant now) const;
+  /// Whether the socket holds bytes, or the end of the stream, that the event loop has not read
+  /// yet.
+  bool HasUnreadInput() const;
   /// Drops the request in flight without calling back, and closes the connection.
   void Abandon();
   /// Fails a request past its deadline, or closes a connection that was idle for too long.
--- a/test/error/repeated_refusals_test.cpp
+++ b/test/error/repeated_refusals_test.cpp
@@ -108,6 +108,14 @@
   BOOST_TEST(second.sent_to_target);
 }
 
+BOOST_AUTO_TEST_CASE(without_its_id_before_the_next_request_is_sent_refuses_nobody) {
+  scripted_target fixture({{MakeRefusal("1")}, {MakeSuccess("2")}});
+  BOOST_TEST(SaysNotRun(fixture.SendAndWait("1")));
+  fixture.server().WriteNow(MakeRefusal(""));
+  BOOST_TEST(IsSuccess(fixture.SendAndWait("2")));
+  BOOST_TEST(fixture.server().Connections() == 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(an_answer_that_names_no_request)
--- a/test/error/target_answers_test.cpp
+++ b/test/error/target_answers_test.cpp
@@ -187,6 +187,17 @@
   BOOST_TEST(target.Connections() == 2U);
 }
 
+// The event loop has not seen the bytes: they count all the same.
+BOOST_AUTO_TEST_CASE(that_lie_in_the_socket_keep_the_next_request_off_the_connection) {
+  client_fixture fixture;
+  scripted_server target(fixture.loop, {{MakeAnswer("1", "one")}, {MakeAnswer("2", "two")}});
+  http_client without_ids(fixture.loop, 4);
+  BOOST_TEST(BodyOrError(fixture.SendAndWait(without_ids, target.address(), "1")) == "one");
+  target.WriteNow(MakeAnswer("1", "one, once more"));
+  BOOST_TEST(BodyOrError(fixture.SendAndWait(without_ids, target.address(), "2")) == "two");
+  BOOST_TEST(target.Connections() == 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_CASE(to_another_request_is_skipped_and_the_own_one_delivered) {
@@ -238,6 +249,15 @@
   BOOST_TEST(result.error().may_have_run);
 }
 
+BOOST_AUTO_TEST_CASE(whose_connection_ends_unseen_is_followed_by_another_on_a_new_connection) {
+  client_fixture fixture;
+  scripted_server target(fixture.loop, {{MakeAnswer("1", "one")}, {MakeAnswer("2", "two")}});
+  BOOST_TEST(BodyOrError(fixture.SendAndWait(target.address(), "1")) == "one");
+  target.EndNow();
+  BOOST_TEST(BodyOrError(fixture.SendAndWait(target.address(), "2")) == "two");
+  BOOST_TEST(target.Connections() == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(that_leaves_the_only_connection_idle_too_long_does_not_hold_up_the_next) {
   client_fixture fixture;
   http_client single(fixture.loop,
@@ -248,6 +268,18 @@
   BOOST_TEST(BodyOrError(fixture.SendAndWait(single, target.address(), "2")) == "two");
 }
 
+BOOST_AUTO_TEST_CASE(that_comes_after_the_time_limit_is_not_read_as_that_to_the_next_request) {
+  client_fixture fixture;
+  http_client without_ids(fixture.loop, 4);
+  scripted_server target(fixture.loop, {{""}, {MakeAnswer("2", "two")}});
+  const outcome first =
+      fixture.SendAndWait(without_ids, target.address(), "1", {}, milliseconds(100));
+  BOOST_TEST(!first.has_value());
+  target.WriteNow(MakeAnswer("1", "late"));
+  BOOST_TEST(BodyOrError(fixture.SendAndWait(without_ids, target.address(), "2")) == "two");
+  BOOST_TEST(target.Connections() == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(that_never_comes_is_given_up_at_the_time_limit) {
   client_fixture fixture;
   scripted_server target(fixture.loop, {});
--- a/test/support/scripted_peer.h
+++ b/test/support/scripted_peer.h
@@ -55,6 +55,12 @@
   const socket_address& address() const { return address_; }
   size_t Connections() const { return connections_; }
   const std::string& Received() const { return received_; }
+  /// Writes to the first connection at once, so that the bytes are in the peer's socket on return.
+  void WriteNow(const std::string& text) {
+    send(bufferevent_getfd(open_connections_.front()), text.data(), text.size(), MSG_NOSIGNAL);
+  }
+  /// Ends the first connection at once, in order.
+  void EndNow() { shutdown(bufferevent_getfd(open_connections_.front()), SHUT_WR); }
 
  private:
   void OnAccept(evutil_socket_t socket) {
