Keep a refused request off the connection on which it was refused

Callers were told "not run, try again" for requests that a target had run: an id names an attempt of a caller, not one send. A request that got 421, or 503 when shed, is sent again to the same target with the same id, by its entry, by a relay or by another process's attempt, and all of these pass the gate of that target and its pool. A second copy of the earlier refusal on the kept connection then read as the answer to the later send.

A connection now remembers the ids that were refused on it, and takes no request with one of them. A copy that arrives there while it is idle closes it, and before another request's answer it is skipped by its id. Other requests go on using the connection, so that refusals under overload cost no new connections; it is closed after 256 ids, which bounds the memory. A client without an echoed id closes the connection on which a refusal came.

A new process opens new connections, so that it cannot meet a refusal of its predecessor's. What remains: a target that writes a copy of a refusal on another connection than the refused one, or a first refusal for a request that it runs, cannot be told from one that is true.

The test failed before: a_refusal_that_a_target_writes_once_more/to_the_same_request_does_not_refuse_its_next_send: check IsSuccess(fixture.SendAndWait("1")) has failed. leaves_its_connection_to_other_requests passed before and guards the cost.

--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -78,7 +78,7 @@
     http_client_connection* chosen = nullptr;
     // Prefer the most recently used connection: the server is least likely to have closed it.
     for (auto it = connections.open.rbegin(); it != connections.open.rend(); ++it) {
-      if (!(*it)->Usable(now)) continue;
+      if (!(*it)->Usable(now) || (*it)->HasRefused(connections.waiting.front()->request)) continue;
       // The event loop closes it.
       if ((*it)->HasUnreadInput()) continue;
       chosen = it->get();
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -59,6 +59,10 @@
   /// value belongs to an earlier request and is skipped. One without it may belong to any request:
   /// the request has no answer. Empty disables the check.
   std::string echo_header = {};
+  /// Whether an answer says that the request has not run. A connection on which one was received
+  /// takes no other request with the same value of `echo_header`, since a copy of that answer could
+  /// not be told from the next one; without that header, it takes no further request. May be empty.
+  std::function<bool(const http_answer&)> says_not_run = {};
   /// Called when a server closes an idle connection that it had not announced to close. May be
   /// empty.
   std::function<void()> on_idle_closed = {};
--- a/src/http_client_connection.cpp
+++ b/src/http_client_connection.cpp
@@ -18,6 +18,8 @@
 // Input buffered before it is parsed; the rest stays in the socket. Enough, since answers are small
 // or come from the same machine.
 constexpr size_t kReadAhead = 256 << 10;
+// Refused requests after which a connection is closed, which bounds the memory of their ids.
+constexpr size_t kMaxRefusedIds = 256;
 
 std::optional<std::chrono::milliseconds> ParseKeepAlive(std::string_view value) {
   constexpr std::string_view kTimeout = "timeout=";
@@ -208,8 +210,22 @@
   return received >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
+bool http_client_connection::HasRefused(const http_request& request) const {
+  return !refused_ids_.empty() &&
+         refused_ids_.contains(FindHeader(request.headers, client_.settings_.echo_header));
+}
+
+bool http_client_connection::RecordRefusal(const http_request& request, const http_answer& answer) {
+  const http_client_settings& settings = client_.settings_;
+  if (!settings.says_not_run || !settings.says_not_run(answer)) return true;
+  if (settings.echo_header.empty()) return false;
+  refused_ids_.insert(FindHeader(request.headers, settings.echo_header));
+  return refused_ids_.size() < kMaxRefusedIds;
+}
+
 void http_client_connection::Complete(http_answer answer, bool reusable) {
   const auto request = std::move(current_);
+  reusable = RecordRefusal(request->request, answer) && reusable;
   parser_.reset();
   ForgetReceived();
   RecordKeepAlive(answer);
--- a/src/http_client_connection.h
+++ b/src/http_client_connection.h
@@ -5,6 +5,7 @@
 
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "http_client.h"
@@ -39,6 +40,8 @@
   /// Whether the socket holds bytes, or the end of the stream, that the event loop has not read
   /// yet.
   bool HasUnreadInput() const;
+  /// Whether a request with the same id was refused on this connection.
+  bool HasRefused(const http_request& request) const;
   /// Drops the request in flight without calling back, and closes the connection.
   void Abandon();
   /// Fails a request past its deadline, or closes a connection that was idle for too long.
@@ -61,6 +64,8 @@
   bool IsAnonymous(const http_answer& answer) const;
   void OnDisconnect(bool orderly);
   void Complete(http_answer answer, bool reusable);
+  // Notes the refusal of a request; false when the connection can take no further one.
+  bool RecordRefusal(const http_request& request, const http_answer& answer);
   void Fail(http_failure failure);
   void RecordKeepAlive(const http_answer& answer);
 
@@ -75,6 +80,8 @@
   bool written_ = false;
   bool skipped_answer_ = false;
   bool closed_ = false;
+  // Ids of the requests that the server said it has not run.
+  std::set<std::string> refused_ids_;
   instant connect_started_;
   instant idle_since_;
   std::optional<std::chrono::milliseconds> announced_limit_;
--- a/src/target_gate.cpp
+++ b/src/target_gate.cpp
@@ -10,6 +10,7 @@
 using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 
+constexpr int kMisdirected = 421;
 // Connections of the target that stay unused, since the target still counts those that are being
 // closed.
 constexpr uint32_t kSpareConnections = 4;
@@ -30,6 +31,10 @@
 
 bool IsSuccess(int status) { return status >= 200 && status < 300; }
 
+bool SaysNotRun(const http_answer& answer, const header_names& names) {
+  return !FindHeader(answer.headers, names.not_run).empty() || answer.status == kMisdirected;
+}
+
 }  // namespace
 
 target_gate::target_gate(event_loop& loop, metrics& counters, decision_log& log, own_target& target,
@@ -39,7 +44,11 @@
       target_(target),
       settings_(std::move(settings)),
       ports_(std::move(ports)),
-      client_(loop, http_client_settings{.echo_header = settings_.headers.request_id}),
+      client_(loop, http_client_settings{.echo_header = settings_.headers.request_id,
+                                         .says_not_run =
+                                             [this](const http_answer& answer) {
+                                               return SaysNotRun(answer, settings_.headers);
+                                             }}),
       link_(settings_.large_bytes_per_second),
       bodies_(settings_.large_bytes_per_second),
       next_crash_(seed),
@@ -147,7 +156,6 @@
 
 refusal_reason target_gate::HandleNotRun(instant now, const pending_request& pending,
                                          const http_answer& answer) {
-  constexpr int kMisdirected = 421;
   if (answer.status != kMisdirected) {
     queue_.OnTargetFull(now);
     return refusal_reason::kTargetShed;
@@ -162,16 +170,13 @@
 }
 
 void target_gate::OnAnswer(instant now, const pending_request_ptr& pending, http_answer answer) {
-  constexpr int kMisdirected = 421;
   const auto work = now - pending->sent_at;
   pending->reached_target = true;
   target_.OnAnswer(now);
   RecordLoad(answer);
   RecordNotices(now, *pending, answer);
   const header_names& names = settings_.headers;
-  const bool not_run =
-      !FindHeader(answer.headers, names.not_run).empty() || answer.status == kMisdirected;
-  if (not_run) {
+  if (SaysNotRun(answer, names)) {
     ReleaseSlot(now, pending, std::chrono::nanoseconds{0});
     const refusal_reason reason = HandleNotRun(now, *pending, answer);
     Refuse(now, pending, reason, run_state::kNotRun, queue_.UsualWork(),
--- a/test/error/repeated_refusals_test.cpp
+++ b/test/error/repeated_refusals_test.cpp
@@ -108,6 +108,27 @@
   BOOST_TEST(second.sent_to_target);
 }
 
+// A request keeps its id when it is sent again, be it by its entry, through a relay or by another
+// entry's attempt.
+BOOST_AUTO_TEST_CASE(to_the_same_request_does_not_refuse_its_next_send) {
+  scripted_target fixture({{MakeRefusal("1")},
+                           {.text = MakeSuccess("1"), .stray = MakeRefusal("1")},
+                           {MakeSuccess("2")}});
+  BOOST_TEST(SaysNotRun(fixture.SendAndWait("1")));
+  BOOST_TEST(IsSuccess(fixture.SendAndWait("1")));
+  BOOST_TEST_CONTEXT("and other requests are answered") {
+    BOOST_TEST(IsSuccess(fixture.SendAndWait("2")));
+    BOOST_TEST(fixture.server().Connections() == 2U);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(leaves_its_connection_to_other_requests) {
+  scripted_target fixture({{MakeRefusal("1")}, {MakeSuccess("2")}});
+  BOOST_TEST(SaysNotRun(fixture.SendAndWait("1")));
+  BOOST_TEST(IsSuccess(fixture.SendAndWait("2")));
+  BOOST_TEST(fixture.server().Connections() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(without_its_id_before_the_next_request_is_sent_refuses_nobody) {
   scripted_target fixture({{MakeRefusal("1")}, {MakeSuccess("2")}});
   BOOST_TEST(SaysNotRun(fixture.SendAndWait("1")));
--- a/test/support/scripted_peer.h
+++ b/test/support/scripted_peer.h
@@ -27,6 +27,8 @@
     std::string text;
     /// What follows the write: keep the connection, close it, reset it, or ignore further input.
     enum class end { kKeep, kClose, kReset, kIgnore } then = end::kKeep;
+    /// Bytes that the server writes to its first connection before `text`.
+    std::string stray = {};
   };
 
   scripted_server(event_loop& loop, std::vector<step> script) : script_(std::move(script)) {
@@ -89,6 +91,9 @@
     const step& reply = script_[next_step_++];
     if (reply.then == step::end::kIgnore) ignored_connection_ = connection;
     after_write_ = reply.then;
+    if (!reply.stray.empty()) {
+      bufferevent_write(open_connections_.front(), reply.stray.data(), reply.stray.size());
+    }
     // Nothing to write, so that no callback follows.
     if (reply.text.empty()) return OnWritten(connection);
     bufferevent_write(connection, reply.text.data(), reply.text.size());
