Pass on no status that promises "not run" unless the target says so

Callers that got 408, 429 or 503 from a target read it as the promise that their request has not run and never will. A target that had run a request and failed it with such a status, without saying that it had not run it, had that status passed on unchanged. Only the header of the target states that a request has not run, and 421.

The gate now reports such an answer as lost, with the status in the line gate_refused: an idempotent request is retried, any other ends as 502 without the seal of the target.

The test failed before: a_status_that_promises_not_run/is_not_passed_on_when_the_target_does_not_say_so: has failed [none != answer_lost], has failed [not run != outcome unknown], for 408, 429 and 503. is_believed_when_the_target_says_so passed before.

--- a/src/target_gate.cpp
+++ b/src/target_gate.cpp
@@ -10,7 +10,10 @@
 using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 
+constexpr int kRequestTimeout = 408;
 constexpr int kMisdirected = 421;
+constexpr int kTooManyRequests = 429;
+constexpr int kUnavailable = 503;
 // Connections of the target that stay unused, since the target still counts those that are being
 // closed.
 constexpr uint32_t kSpareConnections = 4;
@@ -31,6 +34,12 @@
 
 bool IsSuccess(int status) { return status >= 200 && status < 300; }
 
+// Whether callers take the status as the promise that their request has not run and never will.
+bool IsPromise(int status) {
+  return status == kRequestTimeout || status == kMisdirected || status == kTooManyRequests ||
+         status == kUnavailable;
+}
+
 bool SaysNotRun(const http_answer& answer, const header_names& names) {
   return !FindHeader(answer.headers, names.not_run).empty() || answer.status == kMisdirected;
 }
@@ -190,6 +199,13 @@
   RecordSlowness(*pending, work);
   answer_bytes_ += kBytesWeight * (static_cast<double>(answer.body.size()) - answer_bytes_);
   if (pending->request.large_answer && IsSuccess(answer.status)) link_.OnAnswer(answer.body.size());
+  // Passed on, the status would promise a caller that its request has not run.
+  if (IsPromise(answer.status)) {
+    Refuse(
+        now, pending, refusal_reason::kAnswerLost, run_state::kUnknown, milliseconds{0},
+        "target answered " + std::to_string(answer.status) + " without saying that it is not run");
+    return PopQueue(now);
+  }
   // A success without the target's signature, or with an encoding that was not requested, was
   // altered on its way.
   const bool damaged =
--- a/test/error/repeated_refusals_test.cpp
+++ b/test/error/repeated_refusals_test.cpp
@@ -139,6 +139,32 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+// These statuses tell a caller that its request has not run and never will.
+BOOST_AUTO_TEST_SUITE(a_status_that_promises_not_run)
+
+BOOST_AUTO_TEST_CASE(is_not_passed_on_when_the_target_does_not_say_so) {
+  for (const int status : {kRequestTimeout, kTooManyRequests, kUnavailable}) {
+    BOOST_TEST_CONTEXT(status) {
+      scripted_target fixture({{MakeAnswer("1", status, "Seal: s\r\n")}});
+      const dispatch_answer answer = fixture.SendAndWait("1");
+      BOOST_TEST(Name(answer.reason) == Name(refusal_reason::kAnswerLost));
+      BOOST_TEST(Name(answer.state) == Name(run_state::kUnknown));
+      BOOST_TEST(answer.sent_to_target);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(is_believed_when_the_target_says_so) {
+  for (const int status : {kTooManyRequests, kMisdirected, kUnavailable}) {
+    BOOST_TEST_CONTEXT(status) {
+      scripted_target fixture({{MakeRefusal("1", status)}});
+      BOOST_TEST(SaysNotRun(fixture.SendAndWait("1")));
+    }
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(an_answer_that_names_no_request)
 
 BOOST_AUTO_TEST_CASE(is_not_delivered_as_a_success) {
