Say "not run" of no request that failed at a target before its retry

A caller of an idempotent route got 503 with a Retry-After, which says that its request has not run, although a target had run it and answered 500: the retry found no other target, and only a lost answer made the router note that the request may have run. It now notes it as well when it retries after a failure, and such a request ends as 502.

The test failed before: a_request_that_a_target_has_run/and_failed_is_not_called_not_run_when_its_retry_finds_no_target: check entry.Call().status == kBadGateway has failed [503 != 502].

--- a/src/request_router.cpp
+++ b/src/request_router.cpp
@@ -213,6 +213,7 @@
     if (failed && idempotent && !pending->keyed &&
         pending->deadline - now > 2 * ExpectedWork(pending->matched->name) &&
         pending->tries < kMaxTries && TakeRetry(*pending)) {
+      pending->may_have_run = true;
       metrics_.CountRetry(refusal_reason::kTargetCrashed);
       return Attempt(now, pending);
     }
