Parse JSON of others with a bounded depth

A heartbeat with a field nested a million levels deep was parsed in full, and accepted. Each level takes a list of its own, many times the two bytes that it has on the wire, on machines with little memory.

--- a/src/http_table_service.cpp
+++ b/src/http_table_service.cpp
@@ -1,6 +1,6 @@
 #include "http_table_service.h"
 
-#include <nlohmann/json.hpp>
+#include "json_text.h"
 
 namespace bulrushway {
 namespace {
@@ -26,7 +26,7 @@
 // A malformed answer is reported like a missing one: the outcome of the call is unknown.
 result<table_snapshot> ParseRows(const std::string& body, const std::string& peer) {
   try {
-    const json parsed = json::parse(body);
+    const json parsed = ParseJson(body);
     table_snapshot snapshot;
     snapshot.now = std::chrono::milliseconds(parsed.at("now_ms").get<int64_t>());
     for (const json& row : parsed.at("rows")) {
@@ -34,7 +34,7 @@
                                row.at("version").get<uint64_t>()});
     }
     return snapshot;
-  } catch (const json::exception& parse_error) {
+  } catch (const std::exception& parse_error) {
     return Failure(
         error_kind::kPeer, "read rows", peer,
         std::string("The platform's answer is not a list of rows: ") + parse_error.what() + ".");
@@ -43,10 +43,10 @@
 
 result<table_receipt> ParseReceipt(const std::string& body, const std::string& peer) {
   try {
-    const json parsed = json::parse(body);
+    const json parsed = ParseJson(body);
     return table_receipt{parsed.at("versions").get<std::vector<uint64_t>>(),
                          std::chrono::milliseconds(parsed.at("now_ms").get<int64_t>())};
-  } catch (const json::exception& parse_error) {
+  } catch (const std::exception& parse_error) {
     return Failure(
         error_kind::kPeer, "commit transaction", peer,
         std::string("The platform's answer is not a receipt: ") + parse_error.what() + ".");
--- a/test/error/odd_entries_test.cpp
+++ b/test/error/odd_entries_test.cpp
@@ -140,6 +140,16 @@
   BOOST_TEST(!Readable("address", R"("10.0.0.9\u0000:8080")"));
 }
 
+BOOST_AUTO_TEST_CASE(names_no_target_when_it_is_nested_too_deeply) {
+  constexpr size_t kLevels = 1 << 20;
+  BOOST_TEST(!Readable("zone", Repeat("[", kLevels) + Repeat("]", kLevels)));
+  BOOST_TEST(!Readable("zone", Repeat(R"({"a":)", kLevels) + "0" + Repeat("}", kLevels)));
+  BOOST_TEST(!Readable("zone", Repeat("[", kLevels)));
+  BOOST_TEST(!ParseHeartbeat("i-1", Repeat("[", kLevels), kWallNow).has_value());
+  // Brackets in a text do not nest.
+  BOOST_TEST(Readable("zone", "\"\\\"" + Repeat("[", kLevels) + "\""));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(a_heartbeat_that_was_taken_for_true)
