Skip rows of the store that cannot be read

One row without a value, with a field of another type or with a value that is not base64 made the answer of the store unreadable as a whole. A follower of the table then logged store_call_failed, read again every 400 ms and learned no further change: no configuration, member or owner of keys.

A key map that cannot be read is not taken for a missing one.

--- a/src/range_service.cpp
+++ b/src/range_service.cpp
@@ -109,6 +109,9 @@
     for (const stored_row& row : outcome->rows) {
       if (row.id.key == settings_.service) return OnMapRow(answered, now, row);
     }
+    for (const unreadable_row& row : outcome->unreadable) {
+      if (row.key == settings_.service) return OnMapUnreadable(answered, row.reason);
+    }
     controller_.OnNoMap(now, EraOf(outcome->version));
   });
 }
@@ -117,8 +120,11 @@
   OnStoreEra(now, EraOf(row.version), {});
   auto map = DecodeKeyMap(row.value);
   if (map) return controller_.OnMap(sent, std::move(*map), row.version);
-  log_.Write("key_map_unreadable",
-             {{"service", settings_.service}, {"reason", map.error().message}},
+  OnMapUnreadable(now, map.error().message);
+}
+
+void range_service::OnMapUnreadable(instant now, const std::string& reason) {
+  log_.Write("key_map_unreadable", {{"service", settings_.service}, {"reason", reason}},
              log_priority::kNotable);
   controller_.OnReadFailed(now);
 }
--- a/src/range_service.h
+++ b/src/range_service.h
@@ -74,6 +74,7 @@
   const range_controller& controller() const { return controller_; }
 
  private:
+  void OnMapUnreadable(instant now, const std::string& reason);
   row_key LeaseRowKey(const std::string& node) const {
     return {kLeaseTable, settings_.service + "/" + node};
   }
--- a/src/row_store.h
+++ b/src/row_store.h
@@ -37,6 +37,15 @@
   bool deleted = false;
 };
 
+/// A row that could not be read: another writer may have written it.
+struct unreadable_row {
+  /// Empty if not even the key could be read.
+  std::string key;
+  /// 0 if the version could not be read.
+  uint64_t version = 0;
+  std::string reason;
+};
+
 /// A consistent snapshot of rows, or the changes since a version in order.
 struct row_snapshot {
   std::vector<stored_row> rows;
@@ -44,6 +53,8 @@
   uint64_t version = 0;
   /// The store's time at some moment between request and answer.
   store_time now{0};
+  /// Rows that are left out of `rows`. What they say is unknown; they are not deleted.
+  std::vector<unreadable_row> unreadable = {};
 };
 
 /// The row must have this version when the transaction commits; 0: it must not exist.
--- a/src/table_follower.cpp
+++ b/src/table_follower.cpp
@@ -8,6 +8,7 @@
 
 // Delay before a retry. Each call is charged, and more calls would add load to a store in trouble.
 constexpr std::chrono::milliseconds kRetryPause{400};
+constexpr size_t kMaxLoggedUnreadable = 1000;
 
 }  // namespace
 
@@ -70,6 +71,8 @@
     present.insert(row.id.key);
     latest_change_ = std::max(latest_change_, row.version);
   }
+  for (const unreadable_row& row : outcome->unreadable) present.insert(row.key);
+  LogUnreadable(outcome->unreadable);
   std::vector<stored_row> changes = std::move(outcome->rows);
   for (const auto& [key, version] : versions_) {
     // The writer of a row that the copy lacks may be about to write it again.
@@ -139,7 +142,8 @@
   RecordHealth(true, {});
   const uint64_t after = latest_change_;
   version_ = std::max(version_, outcome->version);
-  const bool changed = !outcome->rows.empty();
+  const bool changed = !outcome->rows.empty() || !outcome->unreadable.empty();
+  LogUnreadable(outcome->unreadable);
   for (const stored_row& row : outcome->rows) {
     latest_change_ = std::max(latest_change_, row.version);
   }
@@ -148,6 +152,19 @@
   ScheduleWatch();
 }
 
+void table_follower::LogUnreadable(const std::vector<unreadable_row>& rows) {
+  for (const unreadable_row& row : rows) {
+    if (logged_unreadable_.size() >= kMaxLoggedUnreadable) logged_unreadable_.clear();
+    if (!logged_unreadable_.emplace(row.key, row.version).second) continue;
+    log_.Write("row_unreadable",
+               {{"table", table_},
+                {"row", row.key},
+                {"version", std::to_string(row.version)},
+                {"reason", row.reason}},
+               log_priority::kNotable);
+  }
+}
+
 void table_follower::Apply(instant now, instant sent, uint64_t after,
                            std::vector<stored_row> changes) {
   // A read may return rows that are older than those that a watch has already delivered.
--- a/src/table_follower.h
+++ b/src/table_follower.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 
 #include "decision_log.h"
@@ -68,6 +69,8 @@
   void OnWatched(instant now, instant sent, uint64_t epoch, result<row_snapshot> outcome);
   // `after`: the latest change that was known before.
   void Apply(instant now, instant sent, uint64_t after, std::vector<stored_row> changes);
+  // Logs each version of an unreadable row once. What its key said before stays in force.
+  void LogUnreadable(const std::vector<unreadable_row>& rows);
   // Starts the next watch after the pause, unless a neighbour passes changes on.
   void ScheduleWatch();
   void RecordHealth(bool healthy, const std::string& reason);
@@ -83,6 +86,8 @@
   instant rewritten_until_{};
   // Row versions as last reported, to find what a read has changed.
   std::map<std::string, uint64_t> versions_;
+  // Keys and versions of unreadable rows that have been logged.
+  std::set<std::pair<std::string, uint64_t>> logged_unreadable_;
   uint64_t version_ = 0;
   uint64_t latest_change_ = 0;
   relay_function relay_;
