Hand the newest configuration from peers to a process that the store does not give it

Callers got 404 for routes that were there from a process that had started after the store's return from a copy: until the operators wrote again, it read only the older configuration of the copy, while its peers ran a newer one. It noticed by their reports, and read the store again and again.

Cause: a configuration reached a process only as a row of the store, or as a change that a neighbour had read there. What the store had lost was passed on by nobody.

A process that is behind its peers, and that a read of the store has not helped within 100 ms, asks one peer with the newest version for the row of its configuration: the nearest first, another one when there is no connection or no answer within 800 ms. The row is parsed and adopted as one that a neighbour relays; the follower of the table does not learn of it, so that it still applies whatever the store writes later. A process answers at most four requests a second, on the connection for large answers, and the interval of requests grows with the fleet as that of reports does. A process that does not reach the store asks over the connections that its peers opened. configuration_adopted and request_rejected name the peer.

Two messages are appended to those between processes: a peer that runs an earlier program closes the connection on which it is asked.

Tests: takes_over_the_newest_one_from_the_peer and takes_over_the_configuration_of_a_peer_that_reaches_it failed before, each after 8 s: "critical check fleet.Until([&] { return b.WasGiven(2); }) has failed" and "check fleet.Until([&] { return b.WasGiven(2); }) has failed". The cases of a_search_for_a_newer_configuration and a_process_that_is_asked_for_its_configuration are of new classes.

--- a/src/configuration_origin.h
+++ b/src/configuration_origin.h
@@ -5,6 +5,7 @@
 // a rejection can be told apart from one by a configuration that was out of date.
 
 #include <cstdint>
+#include <string>
 
 #include "clock.h"
 
@@ -13,6 +14,8 @@
 struct configuration_origin {
   /// A peer passed it on; otherwise it was read from the store.
   bool relayed = false;
+  /// Name of that peer; empty when it is not known.
+  std::string peer;
   /// Version of its row in the store.
   uint64_t row_version = 0;
   /// When this process took it over.
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -18,8 +18,6 @@
 // Share of the permitted extra arrivals that this process uses: at any moment, processes see
 // different shares of the traffic.
 constexpr double kRetryShareUsed = 0.75;
-// Share of the extra requests a cold target can handle that may be sent as one burst.
-constexpr double kColdBurstUsed = 0.6;
 // The platform detects within two readiness checks, a second apart, that a process is not ready.
 // Requests that arrive later than this after the request to stop are refused, since they might not
 // finish in time.
@@ -43,10 +41,6 @@
 // Maximum bytes of the headers of a metrics request.
 constexpr size_t kMaxMetricsHeaderBytes = 8 << 10;
 
-http_limits CallerLimits(const caller_limits& limits) {
-  return {limits.body_bytes, limits.header_bytes, limits.idle_timeout, limits.request_timeout};
-}
-
 }  // namespace
 
 node::node(event_loop& loop, const node_settings& settings, node_ports ports, uint64_t process)
@@ -70,7 +64,7 @@
                settings_.retry_share * kRetryShareUsed},
               RouterPorts(*this), fleet_, mesh_, gate_, process),
       callers_(
-          loop, CallerLimits({}),
+          loop, LimitsOf({}),
           [this](std::shared_ptr<http_exchange> exchange) {
             router_.Handle(boot_clock::now(), std::move(exchange));
           },
@@ -96,9 +90,11 @@
           [this](instant now, instant sent, const std::vector<stored_row>& rows) {
             // Nothing says when a peer read the rows that it passes on.
             const bool relayed = sent == instant{};
+            const std::string peer = relayed ? relaying_peer_ : std::string{};
             for (const stored_row& row : rows)
-              ports_.operator_row(now, row, {relayed, row.version});
+              OnOperatorRow(now, row, {relayed, row.version, peer});
           }),
+      search_(settings_.name, settings_.data_centre, settings_.region),
       tick_(loop, [this](instant now) { Tick(now); }) {
   mesh_.SetMaxInlineBody(kMaxInlineBody);
   callers_.OnRejected([this](instant now, const rejected_request& rejected) {
@@ -148,28 +144,6 @@
   return {refusal_reason::kMoving, std::max(wait, milliseconds{10})};
 }
 
-void node::OnConfiguration(instant now, std::shared_ptr<const route_table> table,
-                           const operator_row_source& source) {
-  if (table_ && table->version() <= table_->version()) return;
-  log_.Write("configuration_adopted",
-             {{"version", std::to_string(table->version())},
-              {"before", table_ ? std::to_string(table_->version()) : "-"},
-              {"routes", std::to_string(table->routes().size())},
-              {"source", source.relayed ? "peer" : "store"},
-              {"row_version", std::to_string(source.version)}},
-             log_priority::kNotable);
-  table_ = std::move(table);
-  table_source_ = source;
-  table_adopted_ = now;
-  callers_.SetLimits(CallerLimits(table_->limits()));
-  if (const service_policy* policy = table_->FindService(settings_.service)) {
-    gate_.SetPolicy(now, policy->max_connections, policy->cold_requests_per_second,
-                    std::max(1.0, settings_.cold_slack * kColdBurstUsed));
-  }
-  if (OwnServiceKeyed()) members_.AddKeySpaces(now, {{settings_.service, {}}});
-  mesh_.ReportNow(now);
-}
-
 bool node::MayServeKeys(instant now) const {
   const auto since = evacuated_.find(settings_.data_centre);
   return since == evacuated_.end() ||
--- a/src/node.h
+++ b/src/node.h
@@ -15,6 +15,7 @@
 #include <set>
 #include <string>
 
+#include "configuration_handover.h"
 #include "decision_log.h"
 #include "event_loop.h"
 #include "fleet_view.h"
@@ -81,6 +82,8 @@
   bool relayed = false;
   /// Version of the row in the store.
   uint64_t version = 0;
+  /// Name of the peer; empty when it is not known.
+  std::string peer = {};
 };
 
 /// Functions that the platform adapter provides.
@@ -150,7 +153,14 @@
   // Sends the change to the processes of this data centre, and to one process of each other one,
   // which passes it on: the cost must not grow with the fleet.
   void SendKeyMapChange(key_map_change change, bool to_other_data_centres);
-  void OnTableChanges(instant now, const table_changes_notice& notice);
+  void OnTableChanges(instant now, const std::string& from, const table_changes_notice& notice);
+  // Passes a row of the operators to the adapter, and keeps the one of the configuration in force.
+  void OnOperatorRow(instant now, const stored_row& row, const operator_row_source& source);
+  void AskForConfiguration(instant now, uint64_t own_version);
+  void OnConfigurationRequest(instant now, connection_id from,
+                              const configuration_row_request& request);
+  void OnConfigurationAnswer(instant now, const configuration_row_answer& answer);
+  static http_limits LimitsOf(const caller_limits& limits);
   void PassOn(const std::string& table, uint64_t after, uint64_t version,
               const std::vector<stored_row>& rows);
   void BroadcastSuspects(instant now);
@@ -194,6 +204,12 @@
   std::shared_ptr<const route_table> table_;
   operator_row_source table_source_;
   instant table_adopted_{};
+  // The row that holds the configuration in force.
+  stored_row configuration_row_;
+  configuration_search search_;
+  handover_limit handovers_;
+  // The peer that passed on the rows that are being applied.
+  std::string relaying_peer_;
   // Data centres out of service, and since when this process knows.
   std::map<std::string, instant> evacuated_;
   // Requests of peers at the gate.
@@ -204,6 +220,8 @@
   uint64_t newest_peer_version_ = 0;
   uint64_t handled_era_ = 0;
   std::optional<instant> behind_since_;
+  // When the store was first read because of a newer configuration at peers.
+  std::optional<instant> refreshed_;
   relay_gap relay_gap_;
   bool follows_store_ = false;
   std::string unknown_peer_;
--- a/src/node_peers.cpp
+++ b/src/node_peers.cpp
@@ -20,9 +20,6 @@
 // Larger changes of a table are read from the store by each process: passed on, they would fill the
 // link of one machine.
 constexpr size_t kMaxRelayedBytes = 16 << 10;
-// When peers report data that the feeds have not delivered after this time, it is read from the
-// store.
-constexpr milliseconds kFeedDelay{300};
 
 }  // namespace
 
@@ -73,7 +70,13 @@
               return self.members_.OnKeyMapChange(now, *change);
             }
             if (const auto* changes = std::get_if<table_changes_notice>(&message)) {
-              return self.OnTableChanges(now, *changes);
+              return self.OnTableChanges(now, self.mesh_.NodeOf(from), *changes);
+            }
+            if (const auto* wanted = std::get_if<configuration_row_request>(&message)) {
+              return self.OnConfigurationRequest(now, from, *wanted);
+            }
+            if (const auto* row = std::get_if<configuration_row_answer>(&message)) {
+              return self.OnConfigurationAnswer(now, *row);
             }
             if (const auto* body = std::get_if<request_body>(&message)) {
               return self.OnPeerBody(now, from, *body);
@@ -101,8 +104,9 @@
           },
           [&self] { return self.settings_.drain_limit; },
           [&self] {
-            return configuration_origin{self.table_source_.relayed, self.table_source_.version,
-                                        self.table_adopted_, self.newest_peer_version_};
+            return configuration_origin{self.table_source_.relayed, self.table_source_.peer,
+                                        self.table_source_.version, self.table_adopted_,
+                                        self.newest_peer_version_};
           }};
 }
 
@@ -166,6 +170,7 @@
   // A peer with a newer configuration has read it from the store; a peer that is unknown here has
   // registered there. Unless a feed is stuck, both updates are about to arrive.
   newest_peer_version_ = std::max(newest_peer_version_, report.configuration_version);
+  search_.OnReport(report, table_ ? table_->version() : 0);
   contact_.OnPeerEra(now, report.store_era, report.store_era_age);
   if (fleet_.Find(report.node) != nullptr) return;
   unknown_peer_ = report.node;
@@ -227,7 +232,9 @@
   for (const auto& [data_centre, name] : receivers) mesh_.SendMessage(name, change);
 }
 
-void node::OnTableChanges(instant now, const table_changes_notice& notice) {
+void node::OnTableChanges(instant now, const std::string& from,
+                          const table_changes_notice& notice) {
+  relaying_peer_ = from;
   for (table_follower* followed : FollowedTables()) {
     if (followed->table() != notice.table) continue;
     followed->OnRelayed(now, notice.after, notice.version, notice.rows);
@@ -260,20 +267,4 @@
   });
 }
 
-void node::RefreshIfBehind(instant now) {
-  const uint64_t own_version = table_ ? table_->version() : 0;
-  if (newest_peer_version_ <= own_version) {
-    behind_since_.reset();
-  } else if (!behind_since_) {
-    behind_since_ = now;
-  } else if (now - *behind_since_ > kFeedDelay) {
-    behind_since_ = now;
-    operator_rows_.Refresh(now);
-  }
-  if (unknown_peer_since_ && now - *unknown_peer_since_ > kFeedDelay) {
-    unknown_peer_since_.reset();
-    if (fleet_.Find(unknown_peer_) == nullptr) members_.RefreshMembers(now);
-  }
-}
-
 }  // namespace bulrushway
--- a/src/peer_codec.cpp
+++ b/src/peer_codec.cpp
@@ -90,6 +90,14 @@
   return std::tie(m.table, m.after, m.version, m.rows);
 }
 
+static auto Fields(auto& m, const configuration_row_request&) {
+  return std::tie(m.node, m.newer_than);
+}
+
+static auto Fields(auto& m, const configuration_row_answer&) {
+  return std::tie(m.node, m.found, m.row);
+}
+
 static auto Fields(auto& m, const request_body&) { return std::tie(m.id, m.bytes); }
 
 static constexpr auto HighestOf(remembered_state) { return remembered_state::kUnknown; }
--- a/src/peer_mesh.cpp
+++ b/src/peer_mesh.cpp
@@ -121,11 +121,21 @@
   transport_.Send(found->second.connection, message);
 }
 
-bool peer_mesh::SendMessage(const std::string& node, const peer_message& message) {
+bool peer_mesh::SendMessage(const std::string& node, const peer_message& message,
+                            bool large_answer) {
   const auto found = peers_.find(node);
-  if (found == peers_.end()) return false;
-  const link& peer_link = found->second.links[0];
-  return IsEstablished(peer_link) && transport_.Send(peer_link.connection, message);
+  if (found != peers_.end()) {
+    const link& peer_link = found->second.links[large_answer ? 1 : 0];
+    return IsEstablished(peer_link) && transport_.Send(peer_link.connection, message);
+  }
+  const auto sender = std::find_if(senders_.begin(), senders_.end(),
+                                   [&node](const auto& entry) { return entry.second == node; });
+  return sender != senders_.end() && transport_.Send(sender->first, message);
+}
+
+std::string peer_mesh::NodeOf(connection_id id) const {
+  const auto found = senders_.find(id);
+  return found == senders_.end() ? std::string{} : found->second;
 }
 
 bool peer_mesh::IsDropped(connection_id from, const peer_message& message) {
--- a/src/peer_mesh.h
+++ b/src/peer_mesh.h
@@ -71,7 +71,11 @@
   /// Answers a request of a peer.
   void Answer(connection_id to, const dispatch_answer& answer) { transport_.Send(to, answer); }
   /// Sends a message to a peer. Returns false, without sending, when there is no connection.
-  bool SendMessage(const std::string& node, const peer_message& message);
+  /// `large_answer`: the answer must not delay reports. A peer that is not a member yet is reached
+  /// over the connection that it opened.
+  bool SendMessage(const std::string& node, const peer_message& message, bool large_answer = false);
+  /// Node that opened the connection and has reported over it; empty when it is not known.
+  std::string NodeOf(connection_id id) const;
   /// Answers a message of a peer.
   void Reply(connection_id to, const peer_message& message) { transport_.Send(to, message); }
   /// Remote address of a connection; empty when it is closed.
--- a/src/peer_messages.h
+++ b/src/peer_messages.h
@@ -258,12 +258,30 @@
   std::vector<stored_row> rows;
 };
 
+/// Asks a peer for the row of its configuration, where the store does not deliver it.
+struct configuration_row_request {
+  /// Node that asks.
+  std::string node;
+  /// Configuration version that it has; 0 when it has none.
+  uint64_t newer_than = 0;
+};
+
+/// Answer to a configuration_row_request; `found` is false when the peer has no newer configuration
+/// or answers too many requests.
+struct configuration_row_answer {
+  /// Node that answers.
+  std::string node;
+  bool found = false;
+  stored_row row;
+};
+
 /// Any message between processes. A type's index is its number on the wire: append only.
 using peer_message =
     std::variant<cancel_request, configuration_notice, document_request, document_answer,
                  freshness_request, freshness_answer, slice_memory_request, slice_memory_answer,
                  node_report, node_report_ack, dispatch_request, dispatch_answer, poison_notice,
-                 key_map_change, body_permit, request_body, table_changes_notice>;
+                 key_map_change, body_permit, request_body, table_changes_notice,
+                 configuration_row_request, configuration_row_answer>;
 
 }  // namespace bulrushway
 
--- a/src/request_router_rejections.cpp
+++ b/src/request_router_rejections.cpp
@@ -32,6 +32,7 @@
               {"detail", rejected.detail},
               {"configuration", table ? std::to_string(table->version()) : "-"},
               {"source", origin.relayed ? "peer" : "store"},
+              {"peer", origin.peer.empty() ? "-" : origin.peer},
               {"row_version", std::to_string(origin.row_version)},
               {"age_ms", table ? std::to_string(age.count()) : "-"},
               {"newest_reported", std::to_string(origin.newest_reported)}},
