Give each node of the in-process fleet a loopback address of its own

A full run of test_correctness beside another run of it failed twice in both cases of a_process_that_starts_after_the_store_returned: "critical check added.process->Start(boot_clock::now()).has_value() has failed". The error was not printed; a port that was free when it was probed may have been taken before the node listened on it. Ports are fixed now, on an address that depends on the program and the node, and the error is printed. The same case failed a third and fourth time in a run of only these cases at the same moment.

--- a/test/support/small_node_fleet.h
+++ b/test/support/small_node_fleet.h
@@ -4,7 +4,10 @@
 // Nodes on one event loop with a store in memory that can return from a copy. A configuration row
 // is a number: the version, which has the routes /1/ to /version/.
 
+#include <unistd.h>
+
 #include <algorithm>
+#include <boost/test/unit_test.hpp>
 #include <deque>
 #include <functional>
 #include <map>
@@ -15,7 +18,6 @@
 
 #include "http_client.h"
 #include "node.h"
-#include "raw_caller.h"
 #include "store_era.h"
 
 namespace bulrushway::testing {
@@ -135,8 +137,8 @@
 
   /// Announces the node at the address that it will have, as its predecessor did.
   void Announce(const std::string& name) {
-    peers_[name] = FreeAddress();
-    store_.Put({"members", name}, EncodeMember({name, peers_[name], "dc", "r", "plain", 1}));
+    store_.Put({"members", name},
+               EncodeMember({name, Address(name, kPeersPort), "dc", "r", "plain", 1}));
   }
   started_node& Start(const std::string& name, bool reaches_store = true) {
     nodes_.push_back(std::make_unique<started_node>());
@@ -150,10 +152,10 @@
     settings.service = "plain";
     settings.headers.request_id = "X-Request";
     settings.headers.retry_after = "Retry-After";
-    settings.target = FreeAddress();
-    settings.callers = added.callers = FreeAddress();
-    settings.peers = peers_.contains(name) ? peers_[name] : FreeAddress();
-    settings.metrics = FreeAddress();
+    settings.target = Address(name, kTargetPort);
+    settings.callers = added.callers = Address(name, kCallersPort);
+    settings.peers = Address(name, kPeersPort);
+    settings.metrics = Address(name, kMetricsPort);
     node_ports ports;
     ports.store = store_.Rows(added.reaches_store);
     ports.operator_table = "op";
@@ -165,7 +167,9 @@
     };
     ports.parse_load = [](const std::string&) { return std::nullopt; };
     added.process = std::make_unique<node>(loop_, settings, std::move(ports), nodes_.size() + 1);
-    BOOST_REQUIRE(added.process->Start(boot_clock::now()).has_value());
+    const auto started = added.process->Start(boot_clock::now());
+    BOOST_REQUIRE_MESSAGE(started.has_value(),
+                          (started ? std::string{} : ToString(started.error())));
     return added;
   }
   /// Runs the event loop until `done` holds, for at most `limit`; returns whether it holds.
@@ -196,6 +200,24 @@
   }
 
  private:
+  static constexpr uint16_t kCallersPort = 7147;
+  static constexpr uint16_t kPeersPort = 7148;
+  static constexpr uint16_t kMetricsPort = 7149;
+  static constexpr uint16_t kTargetPort = 7145;
+
+  // Each node of a test program has a loopback address of its own, so that neither programs that
+  // run at the same time nor outgoing connections use its ports.
+  socket_address Address(const std::string& node, uint16_t port) {
+    constexpr int kNumbers = 250;
+    static int last_number = 0;
+    std::string& ip = ips_[node];
+    if (ip.empty()) {
+      const int program = getpid() % (kNumbers * kNumbers);
+      ip = "127." + std::to_string(1 + program / kNumbers) + "." +
+           std::to_string(1 + program % kNumbers) + "." + std::to_string(++last_number);
+    }
+    return {ip, port};
+  }
   static std::shared_ptr<const route_table> Table(uint64_t version) {
     std::vector<route> routes;
     for (uint64_t i = 1; i <= version; ++i) {
@@ -214,7 +236,7 @@
   event_loop loop_;
   memory_store store_{loop_};
   http_client client_{loop_, size_t{8}};
-  std::map<std::string, socket_address> peers_;
+  std::map<std::string, std::string> ips_;
   std::vector<std::unique_ptr<started_node>> nodes_;
 };
 
