Reject a request by the configuration only while no newer one may allow it

In the half second until a process that started after the store's return had taken over the newest configuration from a peer, callers got 404 for routes that were there. They do not repeat such a request.

Cause: the router answered 404 for each request without a route, though the process knew that a peer had reported a newer configuration, or could know that the store had returned and that no peer had reported yet. A 400 for a missing key depends on the configuration in the same way: a newer one may serve the route without keys.

Both are answered 503 with the reason stale_rules and a short Retry-After while a peer has a newer configuration, and, when the store is not in its first era, until a peer has reported its version, for at most kRewriteTime from the start. Each is logged as rejection_withheld and counted.

--- a/src/node.cpp
+++ b/src/node.cpp
@@ -106,6 +106,7 @@
   if (auto listening = callers_.Listen(settings_.callers); !listening) return listening;
   if (auto listening = mesh_.Listen(settings_.peers); !listening) return listening;
   if (auto listening = metrics_server_.Listen(settings_.metrics); !listening) return listening;
+  started_ = now;
   log_.Write("started",
              {{"service", settings_.service},
               {"data_centre", settings_.data_centre},
--- a/src/node.h
+++ b/src/node.h
@@ -218,6 +218,7 @@
   peer_request_map<peer_mesh::ticket> relayed_;
   uint64_t report_sequence_ = 0;
   uint64_t newest_peer_version_ = 0;
+  instant started_{};
   uint64_t handled_era_ = 0;
   std::optional<instant> behind_since_;
   // When the store was first read because of a newer configuration at peers.
--- a/src/node_peers.cpp
+++ b/src/node_peers.cpp
@@ -107,6 +107,11 @@
             return configuration_origin{self.table_source_.relayed, self.table_source_.peer,
                                         self.table_source_.version, self.table_adopted_,
                                         self.newest_peer_version_};
+          },
+          [&self](instant now) {
+            return CertaintyOf(now,
+                               {self.table_ ? self.table_->version() : 0, self.newest_peer_version_,
+                                self.contact_.era().era(), self.started_});
           }};
 }
 
--- a/src/request_router.h
+++ b/src/request_router.h
@@ -14,6 +14,7 @@
 #include <random>
 #include <string>
 
+#include "configuration_certainty.h"
 #include "configuration_origin.h"
 #include "decision_log.h"
 #include "fleet_view.h"
@@ -43,6 +44,8 @@
   std::function<std::chrono::milliseconds()> drain_limit;
   /// Where the configuration in force came from.
   std::function<configuration_origin()> origin;
+  /// Whether it may be taken for the newest one.
+  std::function<configuration_certainty(instant)> certainty;
 };
 
 /// Identity of this process and its retry limits.
@@ -109,6 +112,9 @@
   void ScheduleAttempt(instant now, const pending_request_ptr& pending,
                        std::chrono::milliseconds wait);
   void Refuse(instant now, const pending_request_ptr& pending, refusal_reason reason);
+  // Refuses a request that the configuration in force does not allow, if a newer one may allow it.
+  bool RefuseIfUncertain(instant now, const pending_request_ptr& pending,
+                         const std::string& reason);
   // Logs and counts a request that ends with a 4xx status of this process.
   void LogRejection(instant now, const rejection& rejected);
   void Complete(instant now, const pending_request_ptr& pending, http_answer answer,
--- a/src/request_router_rejections.cpp
+++ b/src/request_router_rejections.cpp
@@ -39,6 +39,26 @@
              log_priority::kNotable);
 }
 
+bool request_router::RefuseIfUncertain(instant now, const pending_request_ptr& pending,
+                                       const std::string& reason) {
+  const configuration_certainty certainty = ports_.certainty(now);
+  if (certainty == configuration_certainty::kNewest) return false;
+  metrics_.Counter("bulrushway_rejections_withheld",
+                   {{"certainty", std::string(Name(certainty))}, {"reason", reason}})++;
+  const std::string host = FindHeader(pending->exchange->request().headers, "Host");
+  log_.Write("rejection_withheld",
+             {{"request", pending->request_id.empty() ? "-" : pending->request_id},
+              {"reason", reason},
+              {"certainty", std::string(Name(certainty))},
+              {"host", host.substr(0, kMaxLoggedBytes)},
+              {"target", pending->exchange->request().target.substr(0, kMaxLoggedBytes)},
+              {"configuration", std::to_string(pending->table->version())},
+              {"newest_reported", std::to_string(ports_.origin().newest_reported)}},
+             log_priority::kNotable);
+  Refuse(now, pending, refusal_reason::kStaleRules);
+  return true;
+}
+
 http_answer request_router::OnRejected(instant now, const rejected_request& rejected) {
   const std::string request_id = FindHeader(rejected.headers, settings_.headers.request_id);
   const bool refused = !ports_.configuration() && rejected.reason != rejection_reason::kMalformed;
--- a/test/correctness/configuration_handover_test.cpp
+++ b/test/correctness/configuration_handover_test.cpp
@@ -137,6 +137,19 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(denies_no_route_before_it_has_the_newest_one) {
+  returned_fleet fleet;
+  started_node& b = fleet.Start("b");
+  BOOST_REQUIRE(fleet.Until([&] { return b.WasGiven(1); }));
+  while (!b.WasGiven(2)) {
+    const int status = fleet.StatusOf(b, "/2/");
+    BOOST_TEST_REQUIRE(status == 503);
+  }
+  BOOST_TEST_CONTEXT("and then denies one that is not there") {
+    BOOST_TEST(fleet.StatusOf(b, "/7/") == 404);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(without_reaching_the_store)
