Name the reason when a node of a test cannot start

The suite a_process_without_a_configuration failed at the start of its node in 2 of 8 runs beside other test programs: "critical check process.Start(boot_clock::now()).has_value() has failed". The reason was not printed, so that an address taken meanwhile is only suspected.

--- a/test/error/unconfigured_process_test.cpp
+++ b/test/error/unconfigured_process_test.cpp
@@ -19,7 +19,10 @@
   node_settings settings = Settings();
   node process{loop, settings, Ports(), 1};
 
-  unconfigured_node() { BOOST_REQUIRE(process.Start(boot_clock::now()).has_value()); }
+  unconfigured_node() {
+    const auto started = process.Start(boot_clock::now());
+    BOOST_REQUIRE_MESSAGE(started.has_value(), (started ? "" : ToString(started.error())));
+  }
 
   static node_settings Settings() {
     node_settings settings;
