Bound what an odd row or frame of peers costs, and check the addresses of members

Arrays nested in arrays, each of which declares as many elements as there are bytes, made the parser reserve memory for each of them: 24 bytes for each declared element, up to 16 times. A row that declares as many key ranges as it has bytes had a vector of whole ranges made before the first one was read. The bytes may come from any writer of the tables, and the machines have little memory.

The declared elements of all arrays and maps together are now limited to the number of bytes, checked in a pass that reserves nothing, and vectors grow with the elements that were read.

A member row with port 0 or without an IPv4 address, or one that names another node than its key, was taken over, the last in place of the true row of that node. Both are member_unreadable now.

Ruled out, since the checks passed on the unchanged code: bytes nested 2^20 deep, and a port beyond 16 bits. The check of a row that names another node has no test yet.

--- a/src/fleet_view.cpp
+++ b/src/fleet_view.cpp
@@ -33,6 +33,9 @@
     return Failure(error_kind::kPeer, "decode member", {},
                    std::string("The row is not a valid member record: ") + exception.what() + ".");
   }
+  if (const auto address = ParseSocketAddress(ToString(member.address)); !address) {
+    return Failure(error_kind::kPeer, "decode member", {}, address.error().message);
+  }
   return member;
 }
 
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -225,6 +225,12 @@
                  log_priority::kNotable);
       continue;
     }
+    if (member->node != row.id.key) {
+      log_.Write("member_unreadable",
+                 {{"row", row.id.key}, {"reason", "The row names the node " + member->node + "."}},
+                 log_priority::kNotable);
+      continue;
+    }
     const node_state* known = fleet_.Find(member->node);
     const bool live = known != nullptr && known->reachable && known->reported;
     if (live && now < rows_outdated_until_) continue;
--- a/src/msgpack_fields.h
+++ b/src/msgpack_fields.h
@@ -9,6 +9,7 @@
 //
 // Included by .cpp files only, since msgpack is slow to compile.
 
+#include <algorithm>
 #include <chrono>
 #include <msgpack.hpp>
 #include <optional>
@@ -19,12 +20,33 @@
 
 namespace bulrushway::msgpack_fields {
 
-/// Parses bytes. An array or string that declares more elements than there are bytes is rejected,
-/// so that a short input cannot make the parser reserve gigabytes. Throws the exceptions of msgpack
-/// on invalid input.
+inline constexpr size_t kMaxDepth = 16;
+
+// Counts the elements that arrays and maps declare, which the parser reserves memory for.
+struct element_counter : msgpack::null_visitor {
+  explicit element_counter(size_t limit) : left(limit) {}
+  bool Take(size_t elements) {
+    if (elements > left) return false;
+    left -= elements;
+    return true;
+  }
+  bool start_array(uint32_t elements) { return ++depth <= kMaxDepth && Take(elements); }
+  bool start_map(uint32_t pairs) { return ++depth <= kMaxDepth && Take(2 * size_t{pairs}); }
+  bool end_array() { return --depth, true; }
+  bool end_map() { return --depth, true; }
+
+  size_t left;
+  size_t depth = 0;
+};
+
+/// Parses bytes. Arrays, maps and strings that together declare more elements than there are bytes
+/// are rejected, so that a short input cannot make the parser reserve gigabytes. Throws the
+/// exceptions of msgpack on invalid input.
 inline msgpack::object_handle Parse(std::string_view bytes) {
-  constexpr size_t kMaxDepth = 16;
   const size_t max_elements = bytes.size();
+  element_counter counter(max_elements);
+  if (!msgpack::parse(bytes.data(), bytes.size(), counter))
+    throw msgpack::parse_error("parse error");
   return msgpack::unpack(bytes.data(), bytes.size(), nullptr, nullptr,
                          msgpack::unpack_limit(max_elements, max_elements, max_elements,
                                                max_elements, max_elements, kMaxDepth));
@@ -115,8 +137,15 @@
 template <class Element>
 void Read(const msgpack::object& from, std::vector<Element>& values) {
   if (from.type != msgpack::type::ARRAY) throw msgpack::type_error();
-  values.resize(from.via.array.size);
-  for (size_t i = 0; i < values.size(); ++i) Read(from.via.array.ptr[i], values[i]);
+  // An element may be many times larger than its bytes, and the first one may be invalid.
+  constexpr uint32_t kMaxReserved = 64;
+  values.clear();
+  values.reserve(std::min(from.via.array.size, kMaxReserved));
+  for (uint32_t i = 0; i < from.via.array.size; ++i) {
+    Element element{};
+    Read(from.via.array.ptr[i], element);
+    values.push_back(std::move(element));
+  }
 }
 
 template <class Element>
