Give the member of a test an address

peer_codec's a_damaged_member_is_an_error encoded a member without an address, which is an error since the addresses of members are checked. The test crashed where it used the decoded member. It has an address now; its checks are the same.

--- a/test/correctness/peer_codec_test.cpp
+++ b/test/correctness/peer_codec_test.cpp
@@ -108,6 +108,7 @@
 BOOST_AUTO_TEST_CASE(a_damaged_member_is_an_error) {
   member_record member;
   member.node = "lima1-a";
+  member.address = {"127.0.0.1", 2};
   const std::string bytes = EncodeMember(member);
   BOOST_TEST(DecodeMember(bytes)->node == "lima1-a");
   BOOST_TEST(!DecodeMember(bytes.substr(0, bytes.size() - 1)).has_value());
