--- a/src/configuration_certainty.cpp
+++ b/src/configuration_certainty.cpp
@@ -13,8 +13,7 @@
 configuration_certainty CertaintyOf(instant now, const configuration_evidence& evidence) {
   if (evidence.newest_reported > evidence.version) return configuration_certainty::kBehind;
   const bool may_have_lost = evidence.store_era > kFirstEra;
-  const bool confirmed = evidence.newest_reported > 0;
-  if (may_have_lost && !confirmed && now - evidence.started < kRewriteTime) {
+  if (may_have_lost && now - evidence.started < kRewriteTime) {
     return configuration_certainty::kUnconfirmed;
   }
   return configuration_certainty::kNewest;
@@ -26,9 +25,10 @@
       return "behind";
     case configuration_certainty::kUnconfirmed:
       return "unconfirmed";
-    default:
-      return "newest";
+    case configuration_certainty::kNewest:
+      break;
   }
+  return "newest";
 }
 
 }  // namespace bulrushway
--- a/src/configuration_certainty.h
+++ b/src/configuration_certainty.h
@@ -17,7 +17,8 @@
   kNewest,
   /// A peer has reported a newer one.
   kBehind,
-  /// The store may have lost a newer one, and no peer has reported yet what it has.
+  /// The store may have lost a newer one, and the peers that reported so far may have started
+  /// since.
   kUnconfirmed,
 };
 
--- a/src/node_configuration.cpp
+++ b/src/node_configuration.cpp
@@ -121,10 +121,9 @@
 
 void node::OnConfigurationAnswer(instant now, const configuration_row_answer& answer) {
   const char* outcome = "not adopted";
-  const bool expected = search_.OnAnswer(answer.node);
-  if (!expected) {
-    outcome = "not expected";
-  } else if (!answer.found) {
+  // An answer that comes late may still be newer than what is in force.
+  search_.OnAnswer(answer.node);
+  if (!answer.found) {
     outcome = "refused";
   } else if (answer.row.id.table != ports_.operator_table) {
     outcome = "another table";
--- a/src/request_router.cpp
+++ b/src/request_router.cpp
@@ -107,7 +107,8 @@
   pending->matched =
       pending->table->Find(HostName(FindHeader(request.headers, "Host")), request.target);
   if (pending->matched == nullptr) {
-    return !RefuseIfUncertain(now, pending, "no route") && answer(kNotFound, "no route");
+    if (RefuseIfUncertain(now, pending, "no route")) return false;
+    return answer(kNotFound, "no route");
   }
   if (pending->request_id.empty()) return answer(kBadRequest, "no request id");
   pending->service = ChooseService(*pending->matched, pending->request_id);
@@ -117,8 +118,8 @@
     pending->key = ParseNumber<uint32_t>(FindHeader(request.headers, names.key));
     if (!pending->key || *pending->key > kLastKey) {
       // A newer configuration may serve the route without keys.
-      return !RefuseIfUncertain(now, pending, "no valid key") &&
-             answer(kBadRequest, "no valid key");
+      if (RefuseIfUncertain(now, pending, "no valid key")) return false;
+      return answer(kBadRequest, "no valid key");
     }
   }
   const auto requested_timeout =
