--- a/src/configuration_handover.cpp
+++ b/src/configuration_handover.cpp
@@ -43,12 +43,14 @@
 std::vector<std::string> configuration_search::Ranked() const {
   std::vector<std::string> names;
   for (const auto& [name, peer] : candidates_) names.push_back(name);
-  const auto rank = [this](const std::string& name) {
-    const candidate& peer = candidates_.at(name);
-    return std::tuple(peer.requests, ~peer.version, peer.distance, peer.order);
+  // The least asked first, then the newest, then the nearest.
+  const auto is_better = [this](const std::string& first, const std::string& second) {
+    const candidate& a = candidates_.at(first);
+    const candidate& b = candidates_.at(second);
+    return std::tie(a.requests, b.version, a.distance, a.order) <
+           std::tie(b.requests, a.version, b.distance, b.order);
   };
-  std::sort(names.begin(), names.end(),
-            [&rank](const auto& a, const auto& b) { return rank(a) < rank(b); });
+  std::sort(names.begin(), names.end(), is_better);
   return names;
 }
 
--- a/src/http_parser.h
+++ b/src/http_parser.h
@@ -45,7 +45,7 @@
   /// Whether any input was received.
   bool Started() const { return started_; }
   bool HeaderComplete() const;
-  /// The target and headers of a request whose header is complete.
+  /// The target and headers of a request whose header is complete, as received.
   std::string Target() const;
   header_list Headers() const;
   bool Complete() const;
