Compare an echoed id in one place, and tell the source of a configuration once

Whether an answer names its request was asked by two functions that read the same headers, and each of the two ways in which an answer ends had its own copy of the messages: EchoOf and FailUnmatched serve both. configuration_origin repeated the fields of operator_row_source, and holds it now. Two tests shared the header names of a scripted target line by line; they stand beside the open gate.

--- a/src/configuration_origin.h
+++ b/src/configuration_origin.h
@@ -11,13 +11,18 @@
 
 namespace bulrushway {
 
-struct configuration_origin {
+/// How a row of the operators' table reached this process.
+struct operator_row_source {
   /// A peer passed it on; otherwise it was read from the store.
   bool relayed = false;
-  /// Name of that peer; empty when it is not known.
-  std::string peer;
-  /// Version of its row in the store.
-  uint64_t row_version = 0;
+  /// Version of the row in the store.
+  uint64_t version = 0;
+  /// Name of the peer; empty when it is not known.
+  std::string peer = {};
+};
+
+struct configuration_origin {
+  operator_row_source row;
   /// When this process took it over.
   instant adopted{};
   /// Highest version that a peer has reported.
--- a/src/http_client_connection.cpp
+++ b/src/http_client_connection.cpp
@@ -114,17 +114,17 @@
   connection->OnDisconnect((events & BEV_EVENT_EOF) != 0);
 }
 
-bool http_client_connection::IsCrossed(const http_answer& answer) const {
+http_client_connection::echoed_id http_client_connection::EchoOf(const http_answer& answer) const {
   const std::string& echo = client_.settings_.echo_header;
-  if (echo.empty()) return false;
-  const std::string echoed_value = FindHeader(answer.headers, echo);
-  return !echoed_value.empty() && echoed_value != FindHeader(current_->request.headers, echo);
+  if (echo.empty()) return echoed_id::kOwn;
+  const std::string echoed = FindHeader(answer.headers, echo);
+  if (echoed == FindHeader(current_->request.headers, echo)) return echoed_id::kOwn;
+  return echoed.empty() ? echoed_id::kMissing : echoed_id::kOther;
 }
 
-bool http_client_connection::IsAnonymous(const http_answer& answer) const {
-  const std::string& echo = client_.settings_.echo_header;
-  return !echo.empty() && FindHeader(answer.headers, echo).empty() &&
-         !FindHeader(current_->request.headers, echo).empty();
+void http_client_connection::FailUnmatched(echoed_id id) {
+  Fail({.message = id == echoed_id::kMissing ? "The answer does not name its request."
+                                             : "The last answer belonged to another request."});
 }
 
 void http_client_connection::Read() {
@@ -153,17 +153,18 @@
     }
     const bool keep_alive = parser_->KeepAlive();
     http_answer answer = parser_->Take();
-    if (IsCrossed(answer)) {
+    const echoed_id id = EchoOf(answer);
+    if (id == echoed_id::kOther) {
       // A late duplicate answer to an earlier request; the answer to this request follows.
       ++client_.crossed_answers_;
       skipped_answer_ = true;
-      if (!keep_alive) return Fail({.message = "The last answer belonged to another request."});
+      if (!keep_alive) return FailUnmatched(id);
       parser_ = std::make_unique<http_answer_parser>(
           http_size_limits{.body_bytes = client_.settings_.max_answer_bytes});
       continue;
     }
     // It may be a copy of an answer to an earlier request.
-    if (IsAnonymous(answer)) return Fail({.message = "The answer does not name its request."});
+    if (id == echoed_id::kMissing) return FailUnmatched(id);
     // After an answer that preceded the end of the request, or with extra bytes after the answer,
     // the next answer could not be matched to its request.
     const bool reusable = keep_alive && !skipped_answer_ && evbuffer_get_length(input) == 0 &&
@@ -182,10 +183,10 @@
   if (orderly && parser_->Started() && !client_.settings_.require_length) {
     if (parser_->FeedEnd(ToString(address_))) {
       http_answer answer = parser_->Take();
-      if (IsAnonymous(answer)) return Fail({.message = "The answer does not name its request."});
-      if (!IsCrossed(answer)) return Complete(std::move(answer), false);
-      ++client_.crossed_answers_;
-      return Fail({.message = "The last answer belonged to another request."});
+      const echoed_id id = EchoOf(answer);
+      if (id == echoed_id::kOwn) return Complete(std::move(answer), false);
+      if (id == echoed_id::kOther) ++client_.crossed_answers_;
+      return FailUnmatched(id);
     }
   }
   http_failure failure;
--- a/src/http_client_connection.h
+++ b/src/http_client_connection.h
@@ -58,10 +58,12 @@
   bool CountReceived(size_t bytes);
   void ForgetReceived();
   void Read();
-  // Whether an answer names another request than that in flight.
-  bool IsCrossed(const http_answer& answer) const;
-  // Whether an answer names no request although that in flight has an id.
-  bool IsAnonymous(const http_answer& answer) const;
+  // Which request an answer names: that in flight, none although that in flight has an id, or
+  // another one.
+  enum class echoed_id { kOwn, kMissing, kOther };
+  echoed_id EchoOf(const http_answer& answer) const;
+  // Fails the request in flight, whose answer cannot be told from that to another one.
+  void FailUnmatched(echoed_id id);
   void OnDisconnect(bool orderly);
   void Complete(http_answer answer, bool reusable);
   // Notes the refusal of a request; false when the connection can take no further one.
--- a/src/node.h
+++ b/src/node.h
@@ -16,6 +16,7 @@
 #include <string>
 
 #include "configuration_handover.h"
+#include "configuration_origin.h"
 #include "decision_log.h"
 #include "event_loop.h"
 #include "fleet_view.h"
@@ -76,16 +77,6 @@
   bool operator==(const node_settings&) const = default;
 };
 
-/// How a row of the operators' table reached this process.
-struct operator_row_source {
-  /// A peer passed it on; otherwise it was read from the store.
-  bool relayed = false;
-  /// Version of the row in the store.
-  uint64_t version = 0;
-  /// Name of the peer; empty when it is not known.
-  std::string peer = {};
-};
-
 /// Functions that the platform adapter provides.
 struct node_ports {
   row_store store;
--- a/src/node_peers.cpp
+++ b/src/node_peers.cpp
@@ -104,8 +104,7 @@
           },
           [&self] { return self.settings_.drain_limit; },
           [&self] {
-            return configuration_origin{self.table_source_.relayed, self.table_source_.peer,
-                                        self.table_source_.version, self.table_adopted_,
+            return configuration_origin{self.table_source_, self.table_adopted_,
                                         self.newest_peer_version_};
           },
           [&self](instant now) {
--- a/src/request_router_rejections.cpp
+++ b/src/request_router_rejections.cpp
@@ -31,9 +31,9 @@
               {"target", rejected.target.substr(0, kMaxLoggedBytes)},
               {"detail", rejected.detail},
               {"configuration", table ? std::to_string(table->version()) : "-"},
-              {"source", origin.relayed ? "peer" : "store"},
-              {"peer", origin.peer.empty() ? "-" : origin.peer},
-              {"row_version", std::to_string(origin.row_version)},
+              {"source", origin.row.relayed ? "peer" : "store"},
+              {"peer", origin.row.peer.empty() ? "-" : origin.row.peer},
+              {"row_version", std::to_string(origin.row.version)},
               {"age_ms", table ? std::to_string(age.count()) : "-"},
               {"newest_reported", std::to_string(origin.newest_reported)}},
              log_priority::kNotable);
--- a/test/error/repeated_refusals_test.cpp
+++ b/test/error/repeated_refusals_test.cpp
@@ -66,26 +66,18 @@
   scripted_server& server() { return server_; }
 
  private:
-  static header_names Names() {
-    header_names names;
-    names.request_id = "X-Request-Id";
-    names.time_left = "Time-Left";
-    names.caller = "Caller";
-    names.target_instance = "Target";
-    names.answering_instance = "Instance";
-    names.signature = "Seal";
-    names.not_run = "Not-Run";
-    return names;
-  }
-
   event_loop loop_;
   scripted_server server_;
   decision_log log_{loop_, "test", open("/dev/null", O_WRONLY | O_CLOEXEC)};
   metrics metrics_;
   own_target target_{{"lookup", server_.address()}};
-  target_gate gate_{
-      loop_,           metrics_, log_, target_, {server_.address(), "lookup", "r", Names()},
-      OpenGatePorts(), 1};
+  target_gate gate_{loop_,
+                    metrics_,
+                    log_,
+                    target_,
+                    {server_.address(), "lookup", "r", ScriptedHeaderNames()},
+                    OpenGatePorts(),
+                    1};
 };
 
 bool SaysNotRun(const dispatch_answer& answer) {
--- a/test/error/retried_requests_test.cpp
+++ b/test/error/retried_requests_test.cpp
@@ -23,14 +23,7 @@
 constexpr int kBadGateway = 502;
 
 header_names Names() {
-  header_names names;
-  names.request_id = "X-Request-Id";
-  names.time_left = "Time-Left";
-  names.caller = "Caller";
-  names.target_instance = "Target";
-  names.answering_instance = "Instance";
-  names.signature = "Seal";
-  names.not_run = "Not-Run";
+  header_names names = ScriptedHeaderNames();
   names.retry_after = "Retry-After";
   return names;
 }
--- a/test/support/open_gate.h
+++ b/test/support/open_gate.h
@@ -29,6 +29,19 @@
           [](const std::string&) { return std::optional<reported_load>{}; }};
 }
 
+/// Names of the headers that scripted targets use.
+inline header_names ScriptedHeaderNames() {
+  header_names names;
+  names.request_id = "X-Request-Id";
+  names.time_left = "Time-Left";
+  names.caller = "Caller";
+  names.target_instance = "Target";
+  names.answering_instance = "Instance";
+  names.signature = "Seal";
+  names.not_run = "Not-Run";
+  return names;
+}
+
 /// The first heartbeat of a ready target with 12 slots.
 inline target_heartbeat ReadyHeartbeat(const std::string& service, const socket_address& address) {
   target_heartbeat heartbeat;
