End watches of the store in time, and take no silence for an unchanged table

Cause: a watch waited 25 s, and 27.5 s for its answer. All open connections to the store had fallen silent, and processes went on as if the table had not changed; the leases, renewed over new connections, kept them 'following' for their neighbours, and no peer knew better.

- A watch states how long it waits.
That of the operators' table waits for the configuration limit less 1.5 s; an answer 0.75 s late counts as lost, and the table is read at once.
- A process follows for its data centre while its own tables are confirmed, not while it holds a lease.
- A process that no longer relies on a neighbour asks at once what it missed.
- Versions that any peer reports are compared with the own feed, not only those of the follower, and with all that is known, not the latest row: a deleted row made a later starter read the table each 300 ms.
- bulrushway_table_age_seconds and bulrushway_store_calls_failed tell a silent feed from one without news; table_behind_peers logs a feed that peers contradict.

--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -10,6 +10,9 @@
 
 // Member table: one row per node, with the address of its process.
 constexpr const char* kMemberTable = "members";
+// Longest wait of a watch of the members or the key maps. The processes that write these report the
+// versions of their changes, so that a silent feed is also noticed by peers.
+constexpr milliseconds kMemberFeedWait{10'000};
 // Pause between watches after changes. Processes often start together, which changes many rows.
 constexpr milliseconds kMemberPause{700};
 // The pause for key maps is short, since the previous owner of a moved key refuses requests for it.
@@ -41,12 +44,12 @@
       events_(std::move(events)),
       call_target_(std::move(call_target)),
       member_follower_(
-          loop, log, store, kMemberTable, [] { return kMemberPause; },
+          loop, log, store, kMemberTable, kMemberFeedWait, [] { return kMemberPause; },
           [this](instant now, instant, const std::vector<stored_row>& rows) {
             OnMemberRows(now, rows);
           }),
       key_map_follower_(
-          loop, log, store, kKeyMapTable,
+          loop, log, store, kKeyMapTable, kMemberFeedWait,
           [this] {
             const auto members = static_cast<int64_t>(fleet_.nodes().size());
             return std::max(kOwnerPause, kOwnerPausePerMember * members);
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -13,6 +13,10 @@
 // Minimum interval between updates from the table of operators: versions in quick succession are
 // taken over together.
 constexpr milliseconds kOperatorRowInterval{150};
+// Part of the configuration limit that remains when a watch of the operators' table has waited in
+// vain: its answer is overdue, and the table is read over a new connection and passed on.
+constexpr milliseconds kSilentFeedReserve{1500};
+constexpr milliseconds kMinOperatorFeedWait{250};
 // Interval at which waiting requests and connections are checked.
 constexpr milliseconds kTickInterval{25};
 // Share of the permitted extra arrivals that this process uses: at any moment, processes see
@@ -87,7 +91,9 @@
                 settings_.grants},
                MemberEvents(*this), ports_.call_target),
       operator_rows_(
-          loop, log_, store_, ports_.operator_table, [] { return kOperatorRowInterval; },
+          loop, log_, store_, ports_.operator_table,
+          std::max(kMinOperatorFeedWait, settings_.configuration_limit - kSilentFeedReserve),
+          [] { return kOperatorRowInterval; },
           [this](instant now, instant sent, const std::vector<stored_row>& rows) {
             // Nothing says when a peer read the rows that it passes on.
             const bool relayed = sent == instant{};
@@ -223,7 +229,8 @@
   report.stopping = stopping_since_.has_value();
   report.leased = members_.Leased(now);
   report.configuration_version = table_ ? table_->version() : 0;
-  report.follows_store = follows_store_;
+  // The process may have been frozen since the last tick.
+  report.follows_store = follows_store_ && TablesCurrent(now);
   report.store_era = contact_.era().era();
   report.store_era_age = contact_.era().Age(now);
   for (const table_follower* followed : FollowedTables()) {
@@ -245,6 +252,7 @@
   fleet_.OnReport(now, report);
   mesh_.Tick(now);
   UpdateRelay(now);
+  UpdateTableMetrics(now);
   RefreshIfBehind(now);
   router_.Tick(now);
   if (stopping_since_) FinishStop(now);
--- a/src/node.h
+++ b/src/node.h
@@ -57,6 +57,8 @@
   /// Time after the acknowledgement of an evacuation for which requests may reach targets of the
   /// data centre.
   std::chrono::milliseconds evacuation_limit{5000};
+  /// Time after the acknowledgement of a configuration within which it must be in force.
+  std::chrono::milliseconds configuration_limit{2500};
   /// The platform kills a process this long after the request to stop.
   std::chrono::milliseconds stop_limit{6000};
   /// Maximum duration of a grant of keys.
@@ -139,8 +141,11 @@
   std::array<table_follower*, 3> FollowedTables() {
     return {&operator_rows_, &members_.member_follower(), &members_.key_map_follower()};
   }
-  // Decides whether to follow the store, and reads changes that were not passed on.
+  // Decides whether to follow the store, and reads changes that did not arrive.
   void UpdateRelay(instant now);
+  void UpdateTableMetrics(instant now);
+  // Whether all followed tables are current.
+  bool TablesCurrent(instant now);
   // Sends the change to the processes of this data centre, and to one process of each other one,
   // which passes it on: the cost must not grow with the fleet.
   void SendKeyMapChange(key_map_change change, bool to_other_data_centres);
@@ -214,8 +219,12 @@
   std::optional<instant> behind_since_;
   // When the store was first read because of a newer configuration at peers.
   std::optional<instant> refreshed_;
+  // Latest changes that peers have reported, in the order of FollowedTables().
+  std::array<uint64_t, 3> newest_peer_changes_{};
   relay_gap relay_gap_;
   bool follows_store_ = false;
+  // A neighbour follows the store for this process.
+  bool neighbour_follows_ = false;
   std::string unknown_peer_;
   std::optional<instant> unknown_peer_since_;
   std::optional<instant> stopping_since_;
--- a/src/node_peers.cpp
+++ b/src/node_peers.cpp
@@ -20,6 +20,11 @@
 // Larger changes of a table are read from the store by each process: passed on, they would fill the
 // link of one machine.
 constexpr size_t kMaxRelayedBytes = 16 << 10;
+// Changes that have not arrived this long after a peer reported them are read from the store.
+constexpr milliseconds kRelayDelay{300};
+// The same for a process that follows the store itself: its next watch may have to wait for the
+// pause between changes.
+constexpr milliseconds kFeedDelay{1500};
 
 }  // namespace
 
@@ -174,6 +179,10 @@
   // A peer with a newer configuration has read it from the store; a peer that is unknown here has
   // registered there. Unless a feed is stuck, both updates are about to arrive.
   newest_peer_version_ = std::max(newest_peer_version_, report.configuration_version);
+  const size_t tables = std::min(newest_peer_changes_.size(), report.table_changes.size());
+  for (size_t i = 0; i < tables; ++i) {
+    newest_peer_changes_[i] = std::max(newest_peer_changes_[i], report.table_changes[i]);
+  }
   search_.OnReport(report, table_ ? table_->version() : 0);
   contact_.OnPeerEra(now, report.store_era, report.store_era_age);
   if (fleet_.Find(report.node) != nullptr) return;
@@ -186,23 +195,43 @@
       ReportInterval(node_locality::kDataCentre, fleet_.nodes().size());
   const node_state* follower =
       ChooseFollower(now, fleet_, std::max(kMinReportAge, kMissedReports * report_interval));
-  for (table_follower* followed : FollowedTables()) followed->SetRelayed(now, follower != nullptr);
-  const bool follows =
-      follower == nullptr && !stopping_since_ && members_.Leased(now) && contact_.Working(now);
+  neighbour_follows_ = follower != nullptr;
+  for (table_follower* followed : FollowedTables()) followed->SetRelayed(now, neighbour_follows_);
+  const bool follows = !neighbour_follows_ && !stopping_since_ && TablesCurrent(now);
   if (follows != follows_store_) {
     follows_store_ = follows;
     log_.Write(follows ? "follows_store" : "follows_store_no_more",
-               {{"leased", members_.Leased(now) ? "yes" : "no"},
-                {"store", contact_.Working(now) ? "answers" : "does not answer"},
+               {{"tables", TablesCurrent(now) ? "current" : "unconfirmed"},
                 {"follower", follower == nullptr ? "-" : follower->member.node}},
                log_priority::kNotable);
     mesh_.ReportNow(now);
   }
-  if (follower == nullptr) return;
   std::vector<uint64_t> own;
-  for (const table_follower* followed : FollowedTables()) own.push_back(followed->LatestChange());
-  for (const size_t table : relay_gap_.Overdue(now, follower->report.table_changes, own)) {
-    FollowedTables()[table]->Refresh(now);
+  for (const table_follower* followed : FollowedTables()) own.push_back(followed->KnownVersion());
+  const std::vector<uint64_t> reported(newest_peer_changes_.begin(), newest_peer_changes_.end());
+  const milliseconds delay = neighbour_follows_ ? kRelayDelay : kFeedDelay;
+  for (const size_t table : relay_gap_.Overdue(now, reported, own, delay)) {
+    table_follower& behind = *FollowedTables()[table];
+    log_.Write("table_behind_peers",
+               {{"table", behind.table()},
+                {"version", std::to_string(own[table])},
+                {"newest_reported", std::to_string(reported[table])}},
+               log_priority::kNotable);
+    behind.Refresh(now);
+  }
+}
+
+bool node::TablesCurrent(instant now) {
+  return std::ranges::all_of(FollowedTables(),
+                             [now](const table_follower* table) { return table->Current(now); });
+}
+
+void node::UpdateTableMetrics(instant now) {
+  for (const table_follower* followed : FollowedTables()) {
+    const auto age = followed->Age(now);
+    if (!age) continue;
+    metrics_.Gauge("bulrushway_table_age_seconds", {{"table", followed->table()}}) =
+        std::chrono::duration<double>(*age).count();
   }
 }
 
--- a/src/row_store.h
+++ b/src/row_store.h
@@ -97,10 +97,16 @@
   std::function<void(const std::string& table, rows_callback)> read;
   /// Commits a transaction.
   std::function<void(row_transaction, receipt_callback)> commit;
-  /// Waits until the table changes after `after_version`, and returns the changes.
-  std::function<void(const std::string& table, uint64_t after_version, rows_callback)> watch;
+  /// Waits until the table changes after `after_version`, for at most `wait`, and returns the
+  /// changes, if any. An answer confirms the table; without one, the table may have changed.
+  std::function<void(const std::string& table, uint64_t after_version,
+                     std::chrono::milliseconds wait, rows_callback)>
+      watch;
 };
 
+/// A watch fails when its answer is later than its wait by more than this.
+inline constexpr std::chrono::milliseconds kMaxWatchDelay{750};
+
 }  // namespace bulrushway
 
 #endif  // BULRUSHWAY_ROW_STORE_H
--- a/src/store_relay.cpp
+++ b/src/store_relay.cpp
@@ -7,46 +7,51 @@
 
 using std::chrono::milliseconds;
 
-// A lease is renewed each second, so that a process whose calls hang is noticed after this time.
-constexpr milliseconds kMaxContactAge{2000};
-// Changes that have not arrived this long after the follower reported them are read from the store.
-constexpr milliseconds kRelayDelay{300};
-
 }  // namespace
 
-bool store_contact::Working(instant now) const {
-  return answered_ > failed_ && now - answered_ < kMaxContactAge;
-}
-
 row_store ObserveStore(const row_store& store, store_contact& contact, metrics& counters) {
   const auto count = [&counters](const char* call, const std::string& table) {
     counters.Counter("bulrushway_store_calls", {{"call", call}, {"table", table}})++;
   };
-  const auto record = [&contact](instant now, bool answered, const auto& outcome) {
+  const auto record = [&contact](instant now, const auto& outcome) {
     if (outcome) contact.OnEra(now, EraOf(outcome->version));
-    if (answered) return contact.OnAnswer(now);
-    contact.OnFailure(now);
+  };
+  // A failed condition is an answer.
+  const auto count_failure = [&counters](const char* call, const std::string& table,
+                                         const auto& outcome) {
+    if (outcome || outcome.error().kind == error_kind::kConflict) return;
+    counters.Counter("bulrushway_store_calls_failed", {{"call", call}, {"table", table}})++;
   };
   row_store recording = store;
-  recording.read = [read = store.read, record, count](const std::string& table,
-                                                      rows_callback done) {
+  recording.read = [read = store.read, record, count, count_failure](const std::string& table,
+                                                                     rows_callback done) {
     count("read", table);
-    read(table, [record, done = std::move(done)](instant now, result<row_snapshot> outcome) {
-      record(now, outcome.has_value(), outcome);
+    read(table, [table, record, count_failure, done = std::move(done)](
+                    instant now, result<row_snapshot> outcome) {
+      record(now, outcome);
+      count_failure("read", table, outcome);
       done(now, std::move(outcome));
     });
   };
-  recording.watch = [watch = store.watch, count](const std::string& table, uint64_t after,
-                                                 rows_callback done) {
+  recording.watch = [watch = store.watch, count, count_failure](const std::string& table,
+                                                                uint64_t after, milliseconds wait,
+                                                                rows_callback done) {
     count("watch", table);
-    watch(table, after, std::move(done));
+    watch(
+        table, after, wait,
+        [table, count_failure, done = std::move(done)](instant now, result<row_snapshot> outcome) {
+          count_failure("watch", table, outcome);
+          done(now, std::move(outcome));
+        });
   };
-  recording.commit = [commit = store.commit, record, count](const row_transaction& change,
-                                                            receipt_callback done) {
-    count("commit", change.writes.empty() ? "-" : change.writes.front().id.table);
-    commit(change, [record, done = std::move(done)](instant now, result<row_receipt> outcome) {
-      // A failed condition is an answer too.
-      record(now, outcome.has_value() || outcome.error().kind == error_kind::kConflict, outcome);
+  recording.commit = [commit = store.commit, record, count, count_failure](
+                         const row_transaction& change, receipt_callback done) {
+    const std::string table = change.writes.empty() ? "-" : change.writes.front().id.table;
+    count("commit", table);
+    commit(change, [table, record, count_failure, done = std::move(done)](
+                       instant now, result<row_receipt> outcome) {
+      record(now, outcome);
+      count_failure("commit", table, outcome);
       done(now, std::move(outcome));
     });
   };
@@ -65,17 +70,17 @@
   return nullptr;
 }
 
-std::vector<size_t> relay_gap::Overdue(instant now, const std::vector<uint64_t>& follower,
-                                       const std::vector<uint64_t>& own) {
+std::vector<size_t> relay_gap::Overdue(instant now, const std::vector<uint64_t>& reported,
+                                       const std::vector<uint64_t>& own, milliseconds delay) {
   std::vector<size_t> overdue;
   behind_since_.resize(own.size());
-  for (size_t i = 0; i < std::min(follower.size(), own.size()); ++i) {
+  for (size_t i = 0; i < std::min(reported.size(), own.size()); ++i) {
     instant& since = behind_since_[i];
-    if (own[i] >= follower[i]) {
+    if (own[i] >= reported[i]) {
       since = {};
     } else if (since == instant{}) {
       since = now;
-    } else if (now - since > kRelayDelay) {
+    } else if (now - since > delay) {
       since = now;
       overdue.push_back(i);
     }
--- a/src/store_relay.h
+++ b/src/store_relay.h
@@ -5,9 +5,9 @@
 // on to its neighbours. If each process followed them itself, a change would cost as many calls as
 // there are processes, and a fleet whose members and owners change often would mostly pay for them.
 //
-// A process may follow for others while its calls to the store succeed; a lease, which is renewed
-// each second, shows that. Where no process of a data centre holds a lease, each follows by itself.
-// Two processes that both follow cost calls, not correctness.
+// A process may follow for others while the store confirms to it that its tables are current. Where
+// no process of a data centre may, each follows by itself. Two processes that both follow cost
+// calls, not correctness.
 
 #include <cstdint>
 #include <string>
@@ -20,14 +20,12 @@
 
 namespace bulrushway {
 
-/// Outcomes of this process's calls to the store.
+/// What the answers to this process's calls say of the store.
 class store_contact {
  public:
   /// `first_start`: the store cannot have lost anything in the era that this process finds.
   explicit store_contact(bool first_start) : first_start_(first_start) {}
 
-  void OnAnswer(instant now) { answered_ = now; }
-  void OnFailure(instant now) { failed_ = now; }
   /// An answer shows the store in this era.
   void OnEra(instant now, uint64_t era) {
     const bool first = first_start_ && era_.era() == 0;
@@ -38,20 +36,17 @@
     era_.Observe(now, era, age);
   }
   const store_era& era() const { return era_; }
-  /// Whether calls succeed at present.
-  bool Working(instant now) const;
 
  private:
   // Longer than anything that the store acknowledges is relied on.
   static constexpr std::chrono::hours kFirstEraAge{1};
 
   bool first_start_;
-  instant answered_{};
-  instant failed_{};
   store_era era_;
 };
 
-/// Counts all calls by purpose, and records the outcomes of those that are answered at once.
+/// Counts all calls and those that fail, by purpose, and records the era in the answers to reads
+/// and commits.
 row_store ObserveStore(const row_store& store, store_contact& contact, metrics& counters);
 
 /// The neighbour whose reports this process relies on for changes of the tables; null when it
@@ -60,13 +55,14 @@
 const node_state* ChooseFollower(instant now, const fleet_view& fleet,
                                  std::chrono::milliseconds max_report_age);
 
-/// Detects that changes which the follower has passed on did not arrive.
+/// Detects that changes which peers report did not arrive.
 class relay_gap {
  public:
-  /// `follower`: latest changes that the follower reports, by table; `own`: the same here. Returns
-  /// the tables to read again.
-  std::vector<size_t> Overdue(instant now, const std::vector<uint64_t>& follower,
-                              const std::vector<uint64_t>& own);
+  /// `reported`: latest changes that peers report, by table; `own`: versions up to which this
+  /// process knows all changes. Returns the tables that have been behind for longer than `delay`,
+  /// to be read again.
+  std::vector<size_t> Overdue(instant now, const std::vector<uint64_t>& reported,
+                              const std::vector<uint64_t>& own, std::chrono::milliseconds delay);
 
  private:
   std::vector<instant> behind_since_;
--- a/src/table_follower.cpp
+++ b/src/table_follower.cpp
@@ -13,20 +13,31 @@
 }  // namespace
 
 table_follower::table_follower(event_loop& loop, decision_log& log, const row_store& store,
-                               std::string table, pause_function pause, change_handler changed)
+                               std::string table, std::chrono::milliseconds wait,
+                               pause_function pause, change_handler changed)
     : log_(log),
       store_(store),
       table_(std::move(table)),
+      wait_(wait),
       pause_(std::move(pause)),
       changed_(std::move(changed)),
       retry_(loop, [this](instant now) { Read(now); }),
-      next_watch_(loop, [this](instant now) { Watch(now); }),
+      next_watch_(loop, [this](instant now) { Watch(now, wait_); }),
       check_rewritten_(loop, [this](instant now) { Refresh(now); }) {}
 
 void table_follower::Start(instant now) { Read(now); }
 
 void table_follower::Refresh(instant now) { Read(now); }
 
+bool table_follower::Current(instant now) const {
+  return has_read_ && healthy_ && now - answered_ <= wait_ + pause_() + kMaxWatchDelay;
+}
+
+std::optional<std::chrono::nanoseconds> table_follower::Age(instant now) const {
+  if (!has_read_) return std::nullopt;
+  return now - answered_;
+}
+
 void table_follower::Read(instant now) {
   if (reading_) return;
   reading_ = true;
@@ -55,6 +66,7 @@
   }
   RecordHealth(true, {});
   has_read_ = true;
+  answered_ = now;
   const uint64_t after = latest_change_;
   if (version_ != 0 && EraOf(outcome->version) > EraOf(version_)) {
     log_.Write("table_returned",
@@ -95,7 +107,8 @@
   if (relayed) {
     next_watch_.Cancel();
   } else if (has_read_ && !watching_ && !reading_) {
-    Watch(now);
+    // Answered at once, so that what was missed does not depend on an old connection.
+    Watch(now, std::chrono::milliseconds{0});
   }
 }
 
@@ -119,10 +132,10 @@
   latest_change_ = std::max(latest_change_, version);
 }
 
-void table_follower::Watch(instant now) {
+void table_follower::Watch(instant now, std::chrono::milliseconds wait) {
   watching_ = true;
   const uint64_t epoch = ++epoch_;
-  store_.watch(table_, version_,
+  store_.watch(table_, version_, wait,
                [this, now, epoch](instant answered, result<row_snapshot> outcome) {
                  OnWatched(answered, now, epoch, std::move(outcome));
                });
@@ -136,10 +149,14 @@
     RecordHealth(false, outcome.error().message);
     // After a lost history or a failed call, a read recovers the missed changes.
     if (outcome.error().kind == error_kind::kConflict) return Read(now);
+    // A watch without an answer has taken longer than the pause, and may have failed by its
+    // connection alone.
+    if (now - sent >= kRetryPause) return Read(now);
     retry_.Once(kRetryPause);
     return;
   }
   RecordHealth(true, {});
+  answered_ = now;
   const uint64_t after = latest_change_;
   version_ = std::max(version_, outcome->version);
   const bool changed = !outcome->rows.empty() || !outcome->unreadable.empty();
@@ -148,7 +165,7 @@
     latest_change_ = std::max(latest_change_, row.version);
   }
   Apply(now, sent, after, std::move(outcome->rows));
-  if (!changed && !relayed_) return Watch(now);
+  if (!changed && !relayed_) return Watch(now, wait_);
   ScheduleWatch();
 }
 
--- a/src/table_follower.h
+++ b/src/table_follower.h
@@ -1,15 +1,18 @@
 #ifndef BULRUSHWAY_TABLE_FOLLOWER_H
 #define BULRUSHWAY_TABLE_FOLLOWER_H
 
-// Follows one table of the platform's store: reads it once, then watches for changes. Reads it
-// again after a failed call, or when the store does not have the history of changes any more. When
-// the store returns from a copy, the rows of the copy are reported, and those that it lacks are
-// kept for some time, since their writers write them again.
+// Follows one table of the platform's store: reads it once, then watches for changes. Each watch
+// ends after a limited time also without a change, since a store that stays silent for longer has
+// confirmed nothing. Reads the table again after a failed call, or when the store does not have the
+// history of changes any more. When the store returns from a copy, the rows of the copy are
+// reported, and those that it lacks are kept for some time, since their writers write them again.
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -33,11 +36,11 @@
   /// Returns the pause before the next watch.
   using pause_function = std::function<std::chrono::milliseconds()>;
 
-  /// After changes, the next watch starts after the duration that `pause` returns. A burst of
-  /// changes then costs few calls instead of one per change: all processes follow the table, and
-  /// each call is charged.
+  /// `wait`: longest time for which a watch waits for changes. After changes, the next watch starts
+  /// after the duration that `pause` returns. A burst of changes then costs few calls instead of
+  /// one per change: all processes follow the table, and each call is charged.
   table_follower(event_loop& loop, decision_log& log, const row_store& store, std::string table,
-                 pause_function pause, change_handler changed);
+                 std::chrono::milliseconds wait, pause_function pause, change_handler changed);
 
   /// Starts with a read of the table.
   void Start(instant now);
@@ -56,15 +59,20 @@
   const std::string& table() const { return table_; }
   /// Version of the latest change of a row.
   uint64_t LatestChange() const { return latest_change_; }
+  /// Version of the store up to which all changes are known.
+  uint64_t KnownVersion() const { return std::max(version_, latest_change_); }
   /// Whether the table has been read successfully at least once.
   bool HasRead() const { return has_read_; }
-  /// Whether the last call to the store succeeded.
-  bool Healthy() const { return healthy_; }
+  /// Whether the last call to the store succeeded, and the answer to the present one is not
+  /// overdue.
+  bool Current(instant now) const;
+  /// Time since the store last answered; none before its first answer.
+  std::optional<std::chrono::nanoseconds> Age(instant now) const;
   uint64_t version() const { return version_; }
 
  private:
   void Read(instant now);
-  void Watch(instant now);
+  void Watch(instant now, std::chrono::milliseconds wait);
   void OnRead(instant now, instant sent, result<row_snapshot> outcome);
   void OnWatched(instant now, instant sent, uint64_t epoch, result<row_snapshot> outcome);
   // `after`: the latest change that was known before.
@@ -78,6 +86,7 @@
   decision_log& log_;
   const row_store& store_;
   std::string table_;
+  std::chrono::milliseconds wait_;
   pause_function pause_;
   change_handler changed_;
   timer retry_;
@@ -90,6 +99,8 @@
   std::set<std::pair<std::string, uint64_t>> logged_unreadable_;
   uint64_t version_ = 0;
   uint64_t latest_change_ = 0;
+  // When the store last answered.
+  instant answered_{};
   relay_function relay_;
   bool relayed_ = false;
   bool watching_ = false;
--- a/src/table_row_store.cpp
+++ b/src/table_row_store.cpp
@@ -20,9 +20,8 @@
           [this](const row_transaction& transaction, receipt_callback done) {
             Commit(transaction, std::move(done));
           },
-          [this](const std::string& table, uint64_t, const rows_callback& done) {
-            Watch(table, done);
-          }};
+          [this](const std::string& table, uint64_t, std::chrono::milliseconds wait,
+                 const rows_callback& done) { Watch(table, boot_clock::now() + wait, done); }};
 }
 
 void table_row_store::Read(const std::string& table, rows_callback done) {
@@ -67,12 +66,12 @@
   });
 }
 
-void table_row_store::Watch(const std::string& table, const rows_callback& done) {
-  delayed_.CallAt(boot_clock::now() + kWatchInterval, [this, table, done](instant) {
-    Read(table, [this, table, done](instant now, result<row_snapshot> outcome) {
+void table_row_store::Watch(const std::string& table, instant until, const rows_callback& done) {
+  delayed_.CallAt(boot_clock::now() + kWatchInterval, [this, table, until, done](instant) {
+    Read(table, [this, table, until, done](instant now, result<row_snapshot> outcome) {
       if (!outcome) return done(now, std::move(outcome));
       outcome->rows = TakeChanges(table, std::move(outcome->rows));
-      if (outcome->rows.empty()) return Watch(table, done);
+      if (outcome->rows.empty() && now < until) return Watch(table, until, done);
       done(now, std::move(outcome));
     });
   });
--- a/src/table_row_store.h
+++ b/src/table_row_store.h
@@ -28,7 +28,8 @@
 
   void Read(const std::string& table, rows_callback done);
   void Commit(const row_transaction& transaction, receipt_callback done);
-  void Watch(const std::string& table, const rows_callback& done);
+  // Reads the table repeatedly, until it has changed or at `until`.
+  void Watch(const std::string& table, instant until, const rows_callback& done);
   // Compares the rows with the reported ones and records them as reported. Returns all rows and the
   // deleted ones, or nothing if no version differs.
   std::vector<stored_row> TakeChanges(const std::string& table, std::vector<stored_row> rows);
--- a/test/correctness/fleet_growth_test.cpp
+++ b/test/correctness/fleet_growth_test.cpp
@@ -23,7 +23,8 @@
         done(now, row_snapshot{{}, version, store_time{0}});
       });
     };
-    rows.watch = [this](const std::string&, uint64_t after, const rows_callback& done) {
+    rows.watch = [this](const std::string&, uint64_t after, milliseconds,
+                        const rows_callback& done) {
       ++watch_calls;
       pending_watch = [this, after, done](instant now) {
         row_snapshot answer;
@@ -81,7 +82,7 @@
   busy_store store(loop);
   size_t received = 0;
   table_follower follower(
-      loop, log, store.rows, "members", [] { return milliseconds{50}; },
+      loop, log, store.rows, "members", milliseconds{10'000}, [] { return milliseconds{50}; },
       [&received](instant, instant, const std::vector<stored_row>& changes) {
         received += changes.size();
       });
--- a/test/correctness/store_return_test.cpp
+++ b/test/correctness/store_return_test.cpp
@@ -46,7 +46,8 @@
   }
   result<row_snapshot> Watch(uint64_t after) {
     std::optional<result<row_snapshot>> outcome;
-    rows.watch("op", after, [&](instant, result<row_snapshot> read) { outcome = std::move(read); });
+    rows.watch("op", after, milliseconds(1000),
+               [&](instant, result<row_snapshot> read) { outcome = std::move(read); });
     return Await(outcome);
   }
   result<row_receipt> Commit(uint64_t expected) {
@@ -83,7 +84,9 @@
 struct followed_table {
   followed_table() {
     store.read = [this](const std::string&, rows_callback done) { read = std::move(done); };
-    store.watch = [this](const std::string&, uint64_t after, rows_callback) { watched = after; };
+    store.watch = [this](const std::string&, uint64_t after, milliseconds, const rows_callback&) {
+      watched = after;
+    };
     follower.Start(kStart);
   }
   void OnRead(instant now, uint64_t version, std::vector<std::pair<std::string, uint64_t>> rows) {
@@ -105,6 +108,7 @@
                           log,
                           store,
                           "op",
+                          milliseconds(1000),
                           [] { return milliseconds(1); },
                           [this](instant, instant, const std::vector<stored_row>& rows) {
                             for (const stored_row& row : rows) {
@@ -119,7 +123,7 @@
     store.read = [this](const std::string& table, rows_callback done) {
       if (table == "members") read_members = std::move(done);
     };
-    store.watch = [](const std::string&, uint64_t, const rows_callback&) {};
+    store.watch = [](const std::string&, uint64_t, milliseconds, const rows_callback&) {};
     store.commit = [this](const row_transaction& change, const receipt_callback& done) {
       if (change.writes[0].id.table == "members") ++announcements;
       done(kStart, row_receipt{VersionOf(1, 1), {}});
--- a/test/error/cut_platform_answers_test.cpp
+++ b/test/error/cut_platform_answers_test.cpp
@@ -100,7 +100,8 @@
 std::vector<rows_result> Watch(const std::vector<script>& scripts) {
   return CallEach<rows_result, platform::store_client>(
       scripts, [](platform::store_client& client, auto done) {
-        client.Rows().watch("t", 0, [done](instant, rows_result rows) { done(std::move(rows)); });
+        client.Rows().watch("t", 0, milliseconds(1000),
+                            [done](instant, rows_result rows) { done(std::move(rows)); });
       });
 }
 
--- a/test/error/odd_rows_test.cpp
+++ b/test/error/odd_rows_test.cpp
@@ -95,7 +95,7 @@
     log.OnNotable(
         [this](std::string_view event, decision_log::fields) { logged.emplace_back(event); });
     store.read = [this](const std::string&, rows_callback done) { read = std::move(done); };
-    store.watch = [](const std::string&, uint64_t, const rows_callback&) {};
+    store.watch = [](const std::string&, uint64_t, milliseconds, const rows_callback&) {};
     follower.Start(kStart);
   }
   void Answer(instant now, row_snapshot snapshot) {
@@ -113,6 +113,7 @@
                           log,
                           store,
                           "op",
+                          milliseconds(1000),
                           [] { return milliseconds(1); },
                           [this](instant, instant, const std::vector<stored_row>& rows) {
                             for (const stored_row& row : rows) {
--- a/test/error/unconfigured_process_test.cpp
+++ b/test/error/unconfigured_process_test.cpp
@@ -44,7 +44,8 @@
     node_ports ports;
     ports.store.read = [](const std::string&, const rows_callback&) {};
     ports.store.commit = [](const row_transaction&, const receipt_callback&) {};
-    ports.store.watch = [](const std::string&, uint64_t, const rows_callback&) {};
+    ports.store.watch = [](const std::string&, uint64_t, std::chrono::milliseconds,
+                           const rows_callback&) {};
     ports.operator_row = [](instant, const stored_row&, const operator_row_source&) {};
     ports.parse_load = [](const std::string&) { return std::optional<reported_load>{}; };
     return ports;
--- a/test/support/fake_row_store.h
+++ b/test/support/fake_row_store.h
@@ -97,7 +97,8 @@
       }
       Call(reaches_store, alive, apply, [done](instant now) { done(now, NoAnswer()); });
     };
-    rows.watch = [](const std::string&, uint64_t, const rows_callback&) {};
+    rows.watch = [](const std::string&, uint64_t, std::chrono::milliseconds, const rows_callback&) {
+    };
     return rows;
   }
 
--- a/test/support/small_node_fleet.h
+++ b/test/support/small_node_fleet.h
@@ -35,8 +35,9 @@
     rows.read = [this, reachable](const std::string& table, rows_callback done) {
       Later(reachable, std::move(done), [this, table] { return Snapshot(table); });
     };
-    rows.watch = [this](const std::string& table, uint64_t after, rows_callback done) {
-      watches_.push_back({table, after, std::move(done)});
+    rows.watch = [this, reachable](const std::string& table, uint64_t after,
+                                   std::chrono::milliseconds wait, rows_callback done) {
+      watches_.push_back({table, after, boot_clock::now() + wait, std::move(done), reachable});
     };
     rows.commit = [this, reachable](const row_transaction& change, receipt_callback done) {
       Later(reachable, std::move(done), [this, change] {
@@ -51,6 +52,10 @@
     std::erase_if(rows_, [&id](const stored_row& row) { return row.id == id; });
     rows_.push_back({id, std::move(value), Version(), false});
   }
+  /// The connections on which watches wait fall silent for good; new ones work.
+  void SilenceWatches() {
+    for (watch& each : watches_) each.silent = true;
+  }
   /// Returns from a copy that has an older configuration; the rows of members are written again.
   void ReturnWith(const std::string& configuration) {
     ++era_;
@@ -65,7 +70,10 @@
   struct watch {
     std::string table;
     uint64_t after = 0;
+    instant until;
     rows_callback done;
+    std::shared_ptr<bool> reachable;
+    bool silent = false;
   };
 
   uint64_t Version() const { return VersionOf(era_, count_); }
@@ -90,10 +98,18 @@
     std::vector<watch> waiting;
     waiting.swap(watches_);
     for (watch& each : waiting) {
+      if (each.silent || !*each.reachable) {
+        if (now < each.until + kMaxWatchDelay) {
+          watches_.push_back(std::move(each));
+        } else {
+          each.done(now, Failure(error_kind::kPeer, "watch", "store", "There is no answer."));
+        }
+        continue;
+      }
       row_snapshot changes = Snapshot(each.table);
       std::erase_if(changes.rows,
                     [&each](const stored_row& row) { return row.version <= each.after; });
-      if (changes.rows.empty()) {
+      if (changes.rows.empty() && now < each.until) {
         watches_.push_back(std::move(each));
       } else {
         each.done(now, std::move(changes));
