Close idle connections to the store after a call without an answer

Callers saw keys without an owner for longer than needed: after the open connections to the store had fallen silent, each call took one more idle connection from the pool and lost 1.5 s on it, so that renewals of leases and reads came back up to 5.4 s after the silence began.

The test 'costs_one_call_without_an_answer_however_many_connections_are_silent' failed before.

--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -118,6 +118,13 @@
   sweep_.Once(kSweepInterval);
 }
 
+void http_client::OnUnanswered(const socket_address& address) {
+  if (!settings_.close_idle_after_timeout) return;
+  pool& connections = *pools_.at(address);
+  while (CloseOneIdle(connections)) {
+  }
+}
+
 void http_client::Sweep(instant now) {
   closed_.clear();
   bool busy = false;
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -52,6 +52,9 @@
   /// to the server's timeout would race with the server closing it.
   std::chrono::milliseconds idle_limit{60'000};
   double keep_alive_share = 0.6;
+  /// Closes the idle connections to an address after a request there was not answered in time: they
+  /// may be as dead as the connection of that request.
+  bool close_idle_after_timeout = false;
   /// Treats an answer without a length as a failure. Such an answer ends when the connection is
   /// closed, so that a truncated one looks like a complete one.
   bool require_length = false;
@@ -111,6 +114,8 @@
   // Closes an idle connection to make room for a new one; false when there is none.
   static bool CloseOneIdle(pool& connections);
   void OnConnectionClosed(http_client_connection* connection);
+  // Called when a request that was sent was not answered in time.
+  void OnUnanswered(const socket_address& address);
   void Sweep(instant now);
 
   event_loop& loop_;
--- a/src/http_client_connection.cpp
+++ b/src/http_client_connection.cpp
@@ -277,6 +277,7 @@
                  .message = "The connection was not established before the time limit."});
   }
   if (now >= current_->deadline) {
+    client_.OnUnanswered(address_);
     Fail({.may_have_run = written_,
           .timed_out = true,
           .message = "No complete answer was received before the time limit."});
--- a/test/correctness/silent_feed_test.cpp
+++ b/test/correctness/silent_feed_test.cpp
@@ -118,6 +118,28 @@
   BOOST_TEST(!table.follower.Current(now + milliseconds(2000)));
 }
 
+BOOST_AUTO_TEST_CASE(costs_one_call_without_an_answer_however_many_connections_are_silent) {
+  one_row_store store;
+  int answers = 0;
+  const auto read = [&] {
+    store.rows.read("op", [&](instant, const result<row_snapshot>& rows) {
+      answers += rows.has_value() ? 1 : 0;
+    });
+  };
+  for (int i = 0; i < 4; ++i) read();
+  BOOST_REQUIRE(RunUntil(store.loop, [&] { return answers == 4; }));
+  BOOST_TEST(store.connections.size() == 4U);
+  store.Silence();
+  bool failed = false;
+  store.rows.read("op",
+                  [&](instant, const result<row_snapshot>& rows) { failed = !rows.has_value(); });
+  BOOST_REQUIRE(RunUntil(store.loop, [&] { return failed; }));
+  const instant before = boot_clock::now();
+  read();
+  BOOST_REQUIRE(RunUntil(store.loop, [&] { return answers == 5; }));
+  BOOST_TEST((boot_clock::now() - before < milliseconds(500)));
+}
+
 BOOST_AUTO_TEST_CASE(ends_the_watches_on_other_connections) {
   one_row_store store;
   bool ended = false;
