Deny no request by a configuration that nothing has confirmed lately

A process that neither the store nor a neighbour reaches answered 404 for a route that it did not know, as if its configuration were the newest; callers do not repeat after that. While its table of the operators is not confirmed it refuses such requests with 503 and a Retry-After instead, as it does while a peer reports a newer version.

The test 'deny_no_route_that_the_store_may_have' failed before.

--- a/src/configuration_certainty.cpp
+++ b/src/configuration_certainty.cpp
@@ -12,6 +12,7 @@
 
 configuration_certainty CertaintyOf(instant now, const configuration_evidence& evidence) {
   if (evidence.newest_reported > evidence.version) return configuration_certainty::kBehind;
+  if (!evidence.confirmed) return configuration_certainty::kUnconfirmed;
   const bool may_have_lost = evidence.store_era > kFirstEra;
   if (may_have_lost && now - evidence.started < kRewriteTime) {
     return configuration_certainty::kUnconfirmed;
--- a/src/configuration_certainty.h
+++ b/src/configuration_certainty.h
@@ -17,8 +17,8 @@
   kNewest,
   /// A peer has reported a newer one.
   kBehind,
-  /// The store may have lost a newer one, and the peers that reported so far may have started
-  /// since.
+  /// There may be a newer one: nothing has confirmed this one lately, or the store may have lost a
+  /// newer one, and the peers that reported so far may have started since.
   kUnconfirmed,
 };
 
@@ -32,6 +32,9 @@
   uint64_t store_era = 0;
   /// When the process started.
   instant started{};
+  /// The store has confirmed lately, to this process or to the neighbour that follows the store for
+  /// it, that there is no newer one.
+  bool confirmed = false;
 };
 
 configuration_certainty CertaintyOf(instant now, const configuration_evidence& evidence);
--- a/src/node_peers.cpp
+++ b/src/node_peers.cpp
@@ -115,7 +115,8 @@
           [&self](instant now) {
             return CertaintyOf(now,
                                {self.table_ ? self.table_->version() : 0, self.newest_peer_version_,
-                                self.contact_.era().era(), self.started_});
+                                self.contact_.era().era(), self.started_,
+                                self.neighbour_follows_ || self.operator_rows_.Current(now)});
           }};
 }
 
--- a/test/correctness/configuration_certainty_test.cpp
+++ b/test/correctness/configuration_certainty_test.cpp
@@ -17,7 +17,7 @@
 
 configuration_certainty After(milliseconds age, uint64_t version, uint64_t newest_reported,
                               uint64_t store_era) {
-  return CertaintyOf(kStart + age, {version, newest_reported, store_era, kStart});
+  return CertaintyOf(kStart + age, {version, newest_reported, store_era, kStart, true});
 }
 
 }  // namespace
--- a/test/correctness/silent_feed_test.cpp
+++ b/test/correctness/silent_feed_test.cpp
@@ -171,6 +171,19 @@
   BOOST_TEST((boot_clock::now() - silenced < kConfigurationLimit));
 }
 
+BOOST_AUTO_TEST_CASE(deny_no_route_that_the_store_may_have) {
+  small_node_fleet fleet;
+  fleet.Configure(1);
+  started_node& a = fleet.Start("a");
+  BOOST_REQUIRE(fleet.Until([&] { return fleet.StatusOf(a, "/2/") == 404; }));
+  *a.reaches_store = false;
+  BOOST_TEST(fleet.Until([&] { return fleet.StatusOf(a, "/2/") == 503; }, kConfigurationLimit));
+  BOOST_TEST_CONTEXT("until the store answers again") {
+    *a.reaches_store = true;
+    BOOST_TEST(fleet.Until([&] { return fleet.StatusOf(a, "/2/") == 404; }));
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(a_table_that_peers_know_newer)
