Keep to the time limit of a stop when the settings change meanwhile

Callers of a process in a planned stop got no answer: a longer grace_s that came with a change of the settings file after SIGTERM moved the time of the last answers behind the kill, and what was under way was cut (LOST). The platform counts from the limit that it had at SIGTERM; so does the process now.

The test 'answer_in_time_when_settings_name_a_longer_stop_meanwhile' failed before: no answer within 6 s, and the process had not ended after 7 s. It also sends SIGHUP and a second SIGTERM.

--- a/src/node.cpp
+++ b/src/node.cpp
@@ -161,7 +161,8 @@
 void node::UpdateLimits(instant, const node_settings& settings) {
   settings_.heartbeat = settings.heartbeat;
   settings_.drain_limit = settings.drain_limit;
-  settings_.stop_limit = settings.stop_limit;
+  // The platform has begun to count by the limit that was in force at the request to stop.
+  if (!stopping_since_) settings_.stop_limit = settings.stop_limit;
   settings_.evacuation_limit = settings.evacuation_limit;
   target_.SetLimits(settings_.heartbeat, settings_.drain_limit);
 }
--- a/test/process/platform_path_test.cpp
+++ b/test/process/platform_path_test.cpp
@@ -6,6 +6,7 @@
 #include <fstream>
 #include <functional>
 #include <memory>
+#include <sstream>
 #include <string>
 #include <vector>
 
@@ -37,6 +38,15 @@
     R"({"type":"limits","metadata":{},"spec":{"max_header_bytes":16384,"max_body_bytes":100000,)"
     R"("header_timeout_s":3,"idle_timeout_s":15}}]})";
 
+void ReplaceInFile(const std::string& path, const std::string& old_text,
+                   const std::string& new_text) {
+  std::stringstream content;
+  content << std::ifstream(path).rdbuf();
+  std::string text = content.str();
+  BOOST_REQUIRE(text.find(old_text) != std::string::npos);
+  std::ofstream(path) << text.replace(text.find(old_text), old_text.size(), new_text);
+}
+
 // An instance: a target and its router process. Machine n listens on loopback address 127.0.7.n.
 struct machine {
   std::string ip;
@@ -273,6 +283,26 @@
   BOOST_TEST(fleet.machines()[0].process->ExitStatus() == 0);
 }
 
+BOOST_AUTO_TEST_CASE(answer_in_time_when_settings_name_a_longer_stop_meanwhile) {
+  deployment fleet;
+  std::string configuration = kConfiguration;
+  const std::string limit = R"("timeout_s":2)";
+  configuration.replace(configuration.find(limit), limit.size(), R"("timeout_s":20)");
+  fleet.store().Put("op", "config", configuration);
+  BOOST_REQUIRE(fleet.WaitUntilSettled());
+  for (machine& each : fleet.machines()) each.target->SetWorkTime(seconds(15));
+  const auto result = fleet.Send(0, "/look/x", "slow", -1, seconds(12));
+  fleet.Wait(milliseconds(200));
+  machine& stopped = fleet.machines()[0];
+  stopped.process->Signal(SIGTERM);
+  ReplaceInFile(stopped.settings_file, "grace_s = 6", "grace_s = 60");
+  stopped.process->Signal(SIGHUP);
+  stopped.process->Signal(SIGTERM);
+  BOOST_TEST(fleet.Until([&] { return result->has_value(); }, seconds(6)));
+  BOOST_TEST(stopped.process->WaitForEnd(seconds(1)));
+  BOOST_TEST(stopped.process->ExitStatus() == 0);
+}
+
 BOOST_AUTO_TEST_CASE(move_the_keys_of_a_draining_target_and_take_a_restart_in_their_stride) {
   deployment fleet;
   fleet.store().Put("op", "config", kConfiguration);
