Pass nothing on in a stop that would be cut off at its end

Operators of a similar system reported requests that came late in the grace of a planned stop, were taken, passed on and cut, among them some that may not be repeated. Here new callers are refused 2.2 s after SIGTERM, but the gate took requests of peers until the process ended, and a request that waited for the owner of its key was sent on with any time left: at the end such a request has possibly run, and its caller gets 502.

--- a/src/node.h
+++ b/src/node.h
@@ -173,6 +173,8 @@
   // one that can.
   bool MayServeKeys(instant now) const;
   void FinishStop(instant now);
+  // When a process that stops answers its last requests.
+  instant LatestAnswer() const;
   std::optional<std::chrono::milliseconds> TimeUntilRestart(instant now) const;
   static target_gate_ports GatePorts(node& self);
   static peer_mesh_events MeshEvents(node& self);
--- a/src/node_peers.cpp
+++ b/src/node_peers.cpp
@@ -53,7 +53,13 @@
           [&self](instant now) { return self.MayServeKeys(now); },
           [&self](instant now) { self.BroadcastSuspects(now); },
           [&self] { return self.pacer_.UnsentBytes(); },
-          self.ports_.parse_load};
+          self.ports_.parse_load,
+          [&self] { return self.LatestAnswer(); }};
+}
+
+instant node::LatestAnswer() const {
+  if (!stopping_since_) return instant::max();
+  return *stopping_since_ + settings_.stop_limit - kLastAnswerTime;
 }
 
 peer_mesh_events node::MeshEvents(node& self) {
@@ -103,10 +109,7 @@
             return self.members_.OwnerOf(service, key);
           },
           [&self](instant now) { return self.TimeUntilRestart(now); },
-          [&self] {
-            if (!self.stopping_since_) return instant::max();
-            return *self.stopping_since_ + self.settings_.stop_limit - kLastAnswerTime;
-          },
+          [&self] { return self.LatestAnswer(); },
           [&self] { return self.settings_.drain_limit; },
           [&self] {
             return configuration_origin{self.table_source_, self.table_adopted_,
--- a/src/request_router.cpp
+++ b/src/request_router.cpp
@@ -7,6 +7,7 @@
 #include "home_regions.h"
 #include "parse_number.h"
 #include "pending_request.h"
+#include "stop_reserve.h"
 #include "target_choice.h"
 
 namespace bulrushway {
@@ -169,6 +170,12 @@
   if (pending->finished) return;
   const auto left = duration_cast<milliseconds>(pending->deadline - now);
   if (left < kMinTimeForAttempt) return Refuse(now, pending, refusal_reason::kDeadlineTooShort);
+  const instant latest = ports_.latest_deadline();
+  if (pending->deadline >= latest &&
+      !EndsBeforeStop(now, latest, ExpectedWork(pending->matched->name))) {
+    pending->retry_after = ports_.time_until_restart(now).value_or(milliseconds{0});
+    return Refuse(now, pending, refusal_reason::kStopping);
+  }
   refusal_reason reason = refusal_reason::kNone;
   const node_state* to = ChooseNode(now, *pending, reason);
   if (to != nullptr) return SendTo(now, pending, *to, nullptr);
--- a/src/target_gate.h
+++ b/src/target_gate.h
@@ -62,6 +62,8 @@
   std::function<size_t()> unsent_bytes;
   /// Parses the value of the load header.
   std::function<std::optional<reported_load>(const std::string&)> parse_load;
+  /// When a process that stops answers its last requests; instant::max() while it does not stop.
+  std::function<instant()> latest_answer = [] { return instant::max(); };
 };
 
 /// The target and its machine's link.
--- a/src/target_gate_admission.cpp
+++ b/src/target_gate_admission.cpp
@@ -5,6 +5,7 @@
 
 #include "gate_request.h"
 #include "home_regions.h"
+#include "stop_reserve.h"
 
 namespace bulrushway {
 
@@ -17,6 +18,10 @@
   if (!AllowsRegion(request.home_regions, settings_.region)) {
     return refused{refusal_reason::kHomeRegion, 0};
   }
+  if (!EndsBeforeStop(now, ports_.latest_answer(), ExpectedWork(request))) {
+    // The senders of keyed requests wait for the next owner.
+    return refused{request.key ? refusal_reason::kMoving : refusal_reason::kStopping, 0};
+  }
   const bool out = ports_.evacuated(now);
   if (out && !(ports_.keyed() && ports_.may_serve_keys(now))) {
     return refused{refusal_reason::kDataCentreOut, 0};
--- a/test/error/retried_requests_test.cpp
+++ b/test/error/retried_requests_test.cpp
@@ -21,6 +21,7 @@
 using testing::scripted_server;
 
 constexpr int kBadGateway = 502;
+constexpr int kUnavailable = 503;
 
 header_names Names() {
   header_names names = ScriptedHeaderNames();
@@ -48,6 +49,9 @@
     BOOST_REQUIRE(callers_.Listen(address_).has_value());
   }
 
+  void StopWithin(milliseconds left) { latest_deadline_ = boot_clock::now() + left; }
+  const std::string& Received() const { return server_.Received(); }
+
   http_answer Call() {
     std::optional<http_answer> result;
     client_.Send(address_, {"GET", "/a/", {{"Host", "h"}, {"X-Request-Id", "1"}}, {}},
@@ -76,16 +80,17 @@
     return std::make_shared<route_table>(1, std::vector{lookup}, std::vector{service},
                                          caller_limits{});
   }
-  static request_router_ports Ports() {
+  request_router_ports Ports() {
     return {[] { return Routes(); },
             [](const std::string&, uint32_t) { return std::string{}; },
             [](instant) { return std::optional<milliseconds>{}; },
-            [] { return instant::max(); },
+            [this] { return latest_deadline_; },
             [] { return milliseconds{2500}; },
             [] { return configuration_origin{}; },
             [](instant) { return configuration_certainty::kNewest; }};
   }
 
+  instant latest_deadline_ = instant::max();
   event_loop loop_;
   scripted_server server_;
   const socket_address address_ = FreeAddress();
@@ -117,4 +122,15 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(a_request_at_a_process_that_stops)
+
+BOOST_AUTO_TEST_CASE(is_refused_as_not_run_when_it_would_be_cut_off) {
+  small_entry entry({{"", scripted_server::step::end::kIgnore}});
+  entry.StopWithin(milliseconds(300));
+  BOOST_TEST(entry.Call().status == kUnavailable);
+  BOOST_TEST(entry.Received().empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 }  // namespace bulrushway
