Keep following the store through a call that only its connection failed

After all connections had fallen silent, the processes that follow the store gave it up and took it up again several times within two seconds, and with each turn their neighbours asked the store themselves.

--- a/src/table_follower.cpp
+++ b/src/table_follower.cpp
@@ -8,6 +8,9 @@
 
 // Delay before a retry. Each call is charged, and more calls would add load to a store in trouble.
 constexpr std::chrono::milliseconds kRetryPause{400};
+// After a watch without an answer, a read shows within this time whether only its connection
+// failed.
+constexpr std::chrono::milliseconds kReadTime{250};
 constexpr size_t kMaxLoggedUnreadable = 1000;
 
 }  // namespace
@@ -30,7 +33,7 @@
 void table_follower::Refresh(instant now) { Read(now); }
 
 bool table_follower::Current(instant now) const {
-  return has_read_ && healthy_ && now - answered_ <= wait_ + pause_() + kMaxWatchDelay;
+  return has_read_ && healthy_ && now - answered_ <= wait_ + pause_() + kMaxWatchDelay + kReadTime;
 }
 
 std::optional<std::chrono::nanoseconds> table_follower::Age(instant now) const {
@@ -146,12 +149,21 @@
   if (epoch != epoch_) return;
   watching_ = false;
   if (!outcome) {
-    RecordHealth(false, outcome.error().message);
     // After a lost history or a failed call, a read recovers the missed changes.
-    if (outcome.error().kind == error_kind::kConflict) return Read(now);
-    // A watch without an answer has taken longer than the pause, and may have failed by its
-    // connection alone.
-    if (now - sent >= kRetryPause) return Read(now);
+    if (outcome.error().kind == error_kind::kConflict) {
+      RecordHealth(false, outcome.error().message);
+      return Read(now);
+    }
+    // A watch without an answer may have failed by its connection alone.
+    if (now - sent >= kRetryPause) {
+      log_.Write("watch_unanswered",
+                 {{"table", table_},
+                  {"version", std::to_string(version_)},
+                  {"reason", outcome.error().message}},
+                 log_priority::kNotable);
+      return Read(now);
+    }
+    RecordHealth(false, outcome.error().message);
     retry_.Once(kRetryPause);
     return;
   }
--- a/src/table_follower.h
+++ b/src/table_follower.h
@@ -63,8 +63,8 @@
   uint64_t KnownVersion() const { return std::max(version_, latest_change_); }
   /// Whether the table has been read successfully at least once.
   bool HasRead() const { return has_read_; }
-  /// Whether the last call to the store succeeded, and the answer to the present one is not
-  /// overdue.
+  /// Whether the last read succeeded, and the store has confirmed the table since for as long as it
+  /// had to.
   bool Current(instant now) const;
   /// Time since the store last answered; none before its first answer.
   std::optional<std::chrono::nanoseconds> Age(instant now) const;
