Ask a store in trouble in turn, with growing pauses

Cause: each process retried three tables every 400 ms, owners their leases every 300 ms and failed reads of maps every 100 ms, without backoff, also where a neighbour passes the tables on. What all ask together grew with the fleet.

Now followers of a data centre ask one after the other: the n-th waits n times as long, pauses double, and one table is asked for until the store answers. A follower that a neighbour informs does not retry. Leases are retried rarely while much of them is left and every 300 ms before their end. An answer to any call ends the waits of the others.

--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -21,8 +21,9 @@
 // calls a second in total.
 constexpr milliseconds kOwnerPause{150};
 constexpr milliseconds kOwnerPausePerMember{15};
-// Delay before a failed announcement is retried.
+// Delays before a failed announcement is retried.
 constexpr milliseconds kAnnounceRetry{500};
+constexpr milliseconds kLongestAnnounceRetry{2000};
 // Longest hold of a grant by call. A call without an answer delays a handover of its keys for this
 // long, so that it is shorter than a grant that answers a heartbeat.
 constexpr milliseconds kMaxCallHold{4000};
@@ -57,6 +58,7 @@
           [this](instant now, instant sent, const std::vector<stored_row>& rows) {
             OnKeyMapRows(now, sent, rows);
           }),
+      announce_backoff_(kAnnounceRetry, kLongestAnnounceRetry),
       announce_retry_(loop, [this](instant) { Announce(); }) {}
 
 void membership::Start(instant now) {
@@ -75,12 +77,12 @@
     announcing_ = false;
     // The store may have returned from a copy that lacks the row, while the answer was on its way.
     announced_ = outcome && EraOf(outcome->version) >= store_era_;
-    if (announced_) return;
+    if (announced_) return announce_backoff_.OnSuccess();
     log_.Write(
         "announcement_failed",
         {{"reason", outcome ? "The store has returned from a copy." : outcome.error().message}},
         log_priority::kNotable);
-    announce_retry_.Once(kAnnounceRetry);
+    announce_retry_.Once(announce_backoff_.OnFailure());
   });
 }
 
--- a/src/membership.h
+++ b/src/membership.h
@@ -17,6 +17,7 @@
 #include "fleet_view.h"
 #include "metrics.h"
 #include "range_service.h"
+#include "retry_backoff.h"
 #include "row_store.h"
 #include "table_follower.h"
 
@@ -132,6 +133,7 @@
   uint64_t store_era_ = 0;
   bool announced_ = false;
   bool announcing_ = false;
+  retry_backoff announce_backoff_;
   timer announce_retry_;
 };
 
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -121,6 +121,7 @@
               {"process", std::to_string(process_)}},
              log_priority::kNotable);
   for (table_follower* followed : FollowedTables()) {
+    followed->SetTurn([this] { return NeighboursBefore(fleet_); });
     followed->RelayTo([this, table = followed->table()](uint64_t after, uint64_t version,
                                                         const std::vector<stored_row>& rows) {
       PassOn(table, after, version, rows);
--- a/src/node.h
+++ b/src/node.h
@@ -218,6 +218,8 @@
   uint64_t newest_peer_version_ = 0;
   instant started_{};
   uint64_t handled_era_ = 0;
+  // Time of the store's answer after which its tables were last read again.
+  instant handled_answer_{};
   std::optional<instant> behind_since_;
   // When the store was first read because of a newer configuration at peers.
   std::optional<instant> refreshed_;
--- a/src/node_peers.cpp
+++ b/src/node_peers.cpp
@@ -195,12 +195,21 @@
 }
 
 void node::UpdateRelay(instant now) {
+  if (contact_.Answered() > handled_answer_) {
+    handled_answer_ = contact_.Answered();
+    for (table_follower* followed : FollowedTables()) followed->OnStoreAnswered(now);
+  }
   const milliseconds report_interval =
       ReportInterval(node_locality::kDataCentre, fleet_.nodes().size());
   const node_state* follower =
       ChooseFollower(now, fleet_, std::max(kMinReportAge, kMissedReports * report_interval));
   neighbour_follows_ = follower != nullptr;
-  for (table_follower* followed : FollowedTables()) followed->SetRelayed(now, neighbour_follows_);
+  // One table shows whether the store answers; the others are asked for after it.
+  operator_rows_.SetRelayed(neighbour_follows_);
+  const bool wait = neighbour_follows_ || !operator_rows_.Current(now);
+  for (table_follower* followed : FollowedTables()) {
+    if (followed != &operator_rows_) followed->SetRelayed(wait);
+  }
   const bool follows = !neighbour_follows_ && !stopping_since_ && TablesCurrent(now);
   if (follows != follows_store_) {
     follows_store_ = follows;
--- a/src/process_lease.cpp
+++ b/src/process_lease.cpp
@@ -1,5 +1,6 @@
 #include "process_lease.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "msgpack_fields.h"
@@ -13,14 +14,22 @@
 
 namespace {
 
+using std::chrono::milliseconds;
+
 // Added to the end of a lease to cover the rounding of the store's clock.
 constexpr store_time kEndMargin{50};
+// After a failure, the next attempt comes when this part of the lease's remaining time has passed.
+constexpr int kAttemptsBeforeEnd = 4;
 
 }  // namespace
 
 process_lease::process_lease(std::string node, std::string ip, uint64_t process,
                              const lease_settings& settings)
-    : node_(std::move(node)), ip_(std::move(ip)), process_(process), settings_(settings) {}
+    : node_(std::move(node)),
+      ip_(std::move(ip)),
+      process_(process),
+      settings_(settings),
+      backoff_(settings.retry_delay, settings.longest_retry_delay) {}
 
 void process_lease::OnRead(instant now, std::optional<lease_record> row, uint64_t version) {
   reading_ = false;
@@ -69,6 +78,7 @@
 
 void process_lease::OnWritten(instant now, uint64_t version) {
   writing_ = false;
+  backoff_.OnSuccess();
   if (!row_ || row_->process != process_) ++acquisition_count_;
   row_ = lease_record{node_, ip_, process_, written_until_, era_};
   written_era_ = EraOf(version);
@@ -77,25 +87,32 @@
   next_attempt_ = now + settings_.renewal_interval;
 }
 
-void process_lease::OnWriteFailed(instant now, bool conflict) {
+milliseconds process_lease::RetryDelay(instant now, const store_clock& clock) {
+  const milliseconds left = Remaining(now, clock);
+  if (left.count() == 0) return backoff_.OnFailure();
+  return std::clamp(left / kAttemptsBeforeEnd, settings_.retry_delay,
+                    settings_.longest_retry_delay);
+}
+
+void process_lease::OnWriteFailed(instant now, const store_clock& clock, bool conflict) {
   writing_ = false;
   row_known_ = false;
-  next_attempt_ = conflict ? now : now + settings_.retry_delay;
+  next_attempt_ = conflict ? now : now + RetryDelay(now, clock);
 }
 
 bool process_lease::NeedsRead(instant now) const {
   return !row_known_ && !reading_ && !writing_ && now >= next_attempt_;
 }
 
-void process_lease::OnReadFailed(instant now) {
+void process_lease::OnReadFailed(instant now, const store_clock& clock) {
   reading_ = false;
-  next_attempt_ = now + settings_.retry_delay;
+  next_attempt_ = now + RetryDelay(now, clock);
 }
 
-std::chrono::milliseconds process_lease::Remaining(instant now, const store_clock& clock) const {
-  if (!clock.HasSample() || valid_until_.count() == 0) return std::chrono::milliseconds{0};
+milliseconds process_lease::Remaining(instant now, const store_clock& clock) const {
+  if (!clock.HasSample() || valid_until_.count() == 0) return milliseconds{0};
   const store_time remaining = valid_until_ - clock.Latest(now);
-  return std::max(remaining, std::chrono::milliseconds{0});
+  return std::max(remaining, milliseconds{0});
 }
 
 bool HasEnded(const lease_record& record, store_time store_now) {
--- a/src/process_lease.h
+++ b/src/process_lease.h
@@ -14,6 +14,7 @@
 
 #include "clock.h"
 #include "error.h"
+#include "retry_backoff.h"
 #include "store_clock.h"
 
 namespace bulrushway {
@@ -39,8 +40,10 @@
   /// Time between renewals. When an outage of the store begins, at least `duration` minus this
   /// interval remains of the lease, which covers the usual outage of 4.5 seconds.
   std::chrono::milliseconds renewal_interval{1000};
-  /// Delay after a failed read or renewal.
+  /// Shortest and longest delay after a failed read or renewal. Attempts are rare while much of the
+  /// lease is left, and most frequent before its end.
   std::chrono::milliseconds retry_delay{300};
+  std::chrono::milliseconds longest_retry_delay{900};
 };
 
 /// The lease of this process.
@@ -74,11 +77,11 @@
   void OnWritten(instant now, uint64_t version);
   /// Reports that the write failed or that its outcome is unknown. The row is read again before the
   /// next write. With `conflict`, the read is due at once.
-  void OnWriteFailed(instant now, bool conflict);
+  void OnWriteFailed(instant now, const store_clock& clock, bool conflict);
   /// Whether a read of the row is due. False while a read or write is in flight.
   bool NeedsRead(instant now) const;
   void OnReadStarted() { reading_ = true; }
-  void OnReadFailed(instant now);
+  void OnReadFailed(instant now, const store_clock& clock);
 
   /// Whether the lease is certainly valid.
   bool Valid(instant now, const store_clock& clock) const {
@@ -92,6 +95,7 @@
 
  private:
   pending_write StartWrite(instant now, const store_clock& clock);
+  std::chrono::milliseconds RetryDelay(instant now, const store_clock& clock);
 
   std::string node_;
   std::string ip_;
@@ -108,6 +112,7 @@
   // Era in which the latest write was acknowledged.
   uint64_t written_era_ = 0;
   instant next_attempt_{};
+  retry_backoff backoff_;
   uint64_t acquisition_count_ = 0;
 };
 
--- a/src/range_controller.cpp
+++ b/src/range_controller.cpp
@@ -13,8 +13,6 @@
 constexpr milliseconds kMinLeaseLeft{250};
 // Delay before a release that was not answered is sent again.
 constexpr milliseconds kReleaseRetryDelay{100};
-// Delay before a read of the map or the leases that failed is tried again.
-constexpr milliseconds kReadRetryDelay{100};
 
 std::variant<heartbeat_grants, call_grants> MakeGrants(const range_controller_settings& settings,
                                                        instant started) {
@@ -49,10 +47,11 @@
 
 void range_controller::OnReadFailed(instant now) {
   reading_ = false;
-  next_read_ = now + kReadRetryDelay;
+  next_read_ = now + read_backoff_.OnFailure();
 }
 
 void range_controller::OnMapRead(instant read_started, uint64_t era) {
+  read_backoff_.OnSuccess();
   map_known_ = true;
   map_era_ = era;
   if (map_stale_since_ && read_started >= *map_stale_since_) map_stale_since_.reset();
@@ -77,6 +76,7 @@
     const std::string node = lease.record.node;
     leases_.insert_or_assign(node, std::move(lease));
   }
+  read_backoff_.OnSuccess();
   leases_store_time_ = store_now;
   leases_read_at_ = now;
   leases_known_ = true;
--- a/src/range_controller.h
+++ b/src/range_controller.h
@@ -26,6 +26,7 @@
 #include "key_map.h"
 #include "key_rates.h"
 #include "process_lease.h"
+#include "retry_backoff.h"
 #include "store_era.h"
 #include "target_heartbeat.h"
 
@@ -129,6 +130,8 @@
   /// Reports the outcome of the change: the new version of the map, or an error.
   void OnChanged(instant now, result<uint64_t> outcome);
   void OnReadFailed(instant now);
+  /// The store answered another call of this process: a read that failed is tried again at once.
+  void OnStoreAnswered() { next_read_ = {}; }
 
   /// Processes a heartbeat of the target and returns the grant to answer with; nullopt if the lease
   /// is not valid, the map is not current, the heartbeat is of another incarnation, or grants reach
@@ -263,6 +266,8 @@
   uint64_t map_era_ = 0;
   bool reading_ = false;
   instant next_read_{};
+  // Each owner reads the map and the leases for itself.
+  retry_backoff read_backoff_{std::chrono::milliseconds{100}, std::chrono::milliseconds{800}};
   bool changing_ = false;
   store_era era_;
   // What this process knew of its keys when the store returned from a copy, until it has claimed
--- a/src/range_service.cpp
+++ b/src/range_service.cpp
@@ -61,7 +61,7 @@
   if (lease_.NeedsRead(now)) {
     lease_.OnReadStarted();
     store_.read(kLeaseTable, [this, now](instant answered, result<row_snapshot> outcome) {
-      if (!outcome) return lease_.OnReadFailed(answered);
+      if (!outcome) return lease_.OnReadFailed(answered, clock_);
       ObserveStore(now, answered, *outcome);
       for (const observed_lease& lease : DecodeLeases(*outcome)) {
         if (lease.record.node != settings_.node) continue;
@@ -78,7 +78,7 @@
   store_.commit(std::move(renewal), [this, now](instant answered, result<row_receipt> outcome) {
     if (!outcome) {
       metrics_.Counter("bulrushway_lease_renewals_failed")++;
-      return lease_.OnWriteFailed(answered, outcome.error().kind == error_kind::kConflict);
+      return lease_.OnWriteFailed(answered, clock_, outcome.error().kind == error_kind::kConflict);
     }
     ObserveStore(now, answered, *outcome);
     const uint64_t previous_acquisitions = lease_.AcquisitionCount();
@@ -180,7 +180,7 @@
               {"outcome", outcome ? "committed" : outcome.error().message}},
              log_priority::kNotable);
   if (!outcome) {
-    lease_.OnWriteFailed(now, outcome.error().kind == error_kind::kConflict);
+    lease_.OnWriteFailed(now, clock_, outcome.error().kind == error_kind::kConflict);
     controller_.OnChanged(now, tl::unexpected<error>(outcome.error()));
     return TakeCurrentRows(now, current);
   }
--- a/src/range_service.h
+++ b/src/range_service.h
@@ -83,6 +83,7 @@
   // Takes over the store's time and era from an answer to a call sent at `sent`.
   template <class Answer>
   void ObserveStore(instant sent, instant answered, const Answer& answer) {
+    controller_.OnStoreAnswered();
     clock_.AddSample(sent, answered, answer.now);
     OnStoreEra(answered, EraOf(answer.version), {});
   }
--- a/src/store_relay.cpp
+++ b/src/store_relay.cpp
@@ -70,6 +70,17 @@
   return nullptr;
 }
 
+size_t NeighboursBefore(const fleet_view& fleet) {
+  size_t before = 0;
+  for (const auto& [name, node] : fleet.nodes()) {
+    if (name >= fleet.self()) break;
+    const bool asks = node.locality == node_locality::kDataCentre && node.reachable &&
+                      node.reported && !node.report.stopping;
+    if (asks) ++before;
+  }
+  return before;
+}
+
 std::vector<size_t> relay_gap::Overdue(instant now, const std::vector<uint64_t>& reported,
                                        const std::vector<uint64_t>& own, milliseconds delay) {
   std::vector<size_t> overdue;
--- a/src/store_relay.h
+++ b/src/store_relay.h
@@ -28,6 +28,7 @@
 
   /// An answer shows the store in this era.
   void OnEra(instant now, uint64_t era) {
+    answered_ = now;
     const bool first = first_start_ && era_.era() == 0;
     era_.Observe(now, era, first ? kFirstEraAge : std::chrono::milliseconds{0});
   }
@@ -36,12 +37,15 @@
     era_.Observe(now, era, age);
   }
   const store_era& era() const { return era_; }
+  /// Time of the latest answer that the store gave to a read or commit; never: the epoch.
+  instant Answered() const { return answered_; }
 
  private:
   // Longer than anything that the store acknowledges is relied on.
   static constexpr std::chrono::hours kFirstEraAge{1};
 
   bool first_start_;
+  instant answered_{};
   store_era era_;
 };
 
@@ -55,6 +59,10 @@
 const node_state* ChooseFollower(instant now, const fleet_view& fleet,
                                  std::chrono::milliseconds max_report_age);
 
+/// Number of neighbours that ask a store in trouble before this process: the reachable ones of the
+/// data centre whose names are lower.
+size_t NeighboursBefore(const fleet_view& fleet);
+
 /// Detects that changes which peers report did not arrive.
 class relay_gap {
  public:
--- a/src/table_follower.cpp
+++ b/src/table_follower.cpp
@@ -6,8 +6,9 @@
 namespace bulrushway {
 namespace {
 
-// Delay before a retry. Each call is charged, and more calls would add load to a store in trouble.
+// Pauses before a retry. Each call is charged, and more calls would add load to a store in trouble.
 constexpr std::chrono::milliseconds kRetryPause{400};
+constexpr std::chrono::milliseconds kLongestRetryPause{1600};
 // After a watch without an answer, a read shows within this time whether only its connection
 // failed.
 constexpr std::chrono::milliseconds kReadTime{250};
@@ -24,13 +25,33 @@
       wait_(wait),
       pause_(std::move(pause)),
       changed_(std::move(changed)),
+      backoff_(kRetryPause, kLongestRetryPause),
       retry_(loop, [this](instant now) { Read(now); }),
-      next_watch_(loop, [this](instant now) { Watch(now, wait_); }),
+      next_watch_(loop,
+                  [this](instant now) {
+                    Watch(now,
+                          std::exchange(catch_up_, false) ? std::chrono::milliseconds{0} : wait_);
+                  }),
       check_rewritten_(loop, [this](instant now) { Refresh(now); }) {}
 
 void table_follower::Start(instant now) { Read(now); }
 
-void table_follower::Refresh(instant now) { Read(now); }
+void table_follower::Refresh(instant now) {
+  if (now >= retry_at_) Read(now);
+}
+
+void table_follower::OnStoreAnswered(instant now) {
+  // A relayed table is read again when peers report changes that it lacks.
+  const bool waits = !healthy_ && !reading_ && !watching_ && !(relayed_ && has_read_);
+  if (waits) Read(now);
+}
+
+void table_follower::OnFailed(instant now, const std::string& reason) {
+  RecordHealth(false, reason);
+  const std::chrono::milliseconds pause = PauseAtTurn(backoff_.OnFailure(), turn_());
+  retry_at_ = now + pause;
+  if (!relayed_ || !has_read_) retry_.Once(pause);
+}
 
 bool table_follower::Current(instant now) const {
   return has_read_ && healthy_ && now - answered_ <= wait_ + pause_() + kMaxWatchDelay + kReadTime;
@@ -44,6 +65,7 @@
 void table_follower::Read(instant now) {
   if (reading_) return;
   reading_ = true;
+  retry_.Cancel();
   next_watch_.Cancel();
   watching_ = false;
   ++epoch_;
@@ -53,6 +75,10 @@
 }
 
 void table_follower::RecordHealth(bool healthy, const std::string& reason) {
+  if (healthy) {
+    backoff_.OnSuccess();
+    retry_at_ = {};
+  }
   if (healthy == healthy_) return;
   healthy_ = healthy;
   log_.Write(healthy ? "store_answers_again" : "store_call_failed",
@@ -62,11 +88,7 @@
 
 void table_follower::OnRead(instant now, instant sent, result<row_snapshot> outcome) {
   reading_ = false;
-  if (!outcome) {
-    RecordHealth(false, outcome.error().message);
-    retry_.Once(kRetryPause);
-    return;
-  }
+  if (!outcome) return OnFailed(now, outcome.error().message);
   RecordHealth(true, {});
   has_read_ = true;
   answered_ = now;
@@ -102,16 +124,19 @@
   if (!relayed_) next_watch_.Once(pause_());
 }
 
-void table_follower::SetRelayed(instant now, bool relayed) {
+void table_follower::SetRelayed(bool relayed) {
   if (relayed == relayed_) return;
   relayed_ = relayed;
   log_.Write(relayed ? "table_relayed" : "table_followed",
              {{"table", table_}, {"version", std::to_string(version_)}}, log_priority::kNotable);
   if (relayed) {
     next_watch_.Cancel();
+    if (has_read_) retry_.Cancel();
   } else if (has_read_ && !watching_ && !reading_) {
     // Answered at once, so that what was missed does not depend on an old connection.
-    Watch(now, std::chrono::milliseconds{0});
+    catch_up_ = true;
+    // One after the other: the first one that the store answers tells the others.
+    next_watch_.Once(kRetryPause * static_cast<int64_t>(turn_()));
   }
 }
 
@@ -163,9 +188,7 @@
                  log_priority::kNotable);
       return Read(now);
     }
-    RecordHealth(false, outcome.error().message);
-    retry_.Once(kRetryPause);
-    return;
+    return OnFailed(now, outcome.error().message);
   }
   RecordHealth(true, {});
   answered_ = now;
--- a/src/table_follower.h
+++ b/src/table_follower.h
@@ -18,6 +18,7 @@
 
 #include "decision_log.h"
 #include "event_loop.h"
+#include "retry_backoff.h"
 #include "row_store.h"
 
 namespace bulrushway {
@@ -44,12 +45,16 @@
 
   /// Starts with a read of the table.
   void Start(instant now);
-  /// Reads the table at once, unless a read is in flight. For callers that have evidence of a newer
-  /// state than the watch has delivered.
+  /// Reads the table at once, unless a read is in flight or has just failed. For callers that have
+  /// evidence of a newer state than the watch has delivered.
   void Refresh(instant now);
+  /// `turn` returns how many followers of the data centre ask a store that fails before this one.
+  void SetTurn(std::function<size_t()> turn) { turn_ = std::move(turn); }
+  /// The store answered a call of this process that was sent for another purpose.
+  void OnStoreAnswered(instant now);
   /// While relayed, a neighbour passes changes on, and the store is not watched. Otherwise the
   /// watch continues where the relay ended.
-  void SetRelayed(instant now, bool relayed);
+  void SetRelayed(bool relayed);
   /// Takes over changes that a neighbour passed on: all those after version `after`.
   void OnRelayed(instant now, uint64_t after, uint64_t version, std::vector<stored_row> rows);
   /// The row is known at this version by other means.
@@ -81,6 +86,7 @@
   void LogUnreadable(const std::vector<unreadable_row>& rows);
   // Starts the next watch after the pause, unless a neighbour passes changes on.
   void ScheduleWatch();
+  void OnFailed(instant now, const std::string& reason);
   void RecordHealth(bool healthy, const std::string& reason);
 
   decision_log& log_;
@@ -89,7 +95,13 @@
   std::chrono::milliseconds wait_;
   pause_function pause_;
   change_handler changed_;
+  std::function<size_t()> turn_ = [] { return 0; };
+  retry_backoff backoff_;
   timer retry_;
+  // Earliest time of the next read after a failure.
+  instant retry_at_{};
+  // The next watch is answered at once.
+  bool catch_up_ = false;
   timer next_watch_;
   timer check_rewritten_;
   instant rewritten_until_{};
--- a/test/support/small_node_fleet.h
+++ b/test/support/small_node_fleet.h
@@ -37,6 +37,7 @@
     };
     rows.watch = [this, reachable](const std::string& table, uint64_t after,
                                    std::chrono::milliseconds wait, rows_callback done) {
+      ++calls_;
       watches_.push_back({table, after, boot_clock::now() + wait, std::move(done), reachable});
     };
     rows.commit = [this, reachable](const row_transaction& change, receipt_callback done) {
@@ -52,6 +53,8 @@
     std::erase_if(rows_, [&id](const stored_row& row) { return row.id == id; });
     rows_.push_back({id, std::move(value), Version(), false});
   }
+  /// Calls of all processes since the start, watches included.
+  size_t Calls() const { return calls_; }
   /// The connections on which watches wait fall silent for good; new ones work.
   void SilenceWatches() {
     for (watch& each : watches_) each.silent = true;
@@ -86,6 +89,7 @@
   }
   template <class Callback, class Outcome>
   void Later(const std::shared_ptr<bool>& reachable, Callback done, Outcome outcome) {
+    ++calls_;
     queue_.push_back([reachable, done = std::move(done), outcome](instant now) {
       if (*reachable) return done(now, outcome());
       done(now, Failure(error_kind::kPeer, "call", "store", "The store does not answer."));
@@ -119,6 +123,7 @@
 
   uint64_t era_ = 1;
   uint64_t count_ = 0;
+  size_t calls_ = 0;
   std::vector<stored_row> rows_;
   std::vector<watch> watches_;
   std::deque<std::function<void(instant)>> queue_;
