Resume requests over a new connection when one falls silent

Cause: only a report that was not receipted showed a silent connection, 1.3 s after it was sent, and reports are 2.4 to 7.3 s apart at 195 machines. All requests on the connection then ended as "may have run", also those that had never arrived.

Each request is receipted, long ones are probed, and a connection without a receipt for 400 ms and two round trips is replaced. The new connection lists the requests without an answer: the gate goes on running, sends a lost answer again, or says that it has not seen a request and closes the old connection first, so that it never will; only then it is not run. What a restarted gate cannot know stays unknown. A peer that owes a receipt is avoided; one that cannot be connected to any more is made known, and every process that hears of it examines its own connection. A connection that was reset is reopened at once, and its requests are resumed too.

--- a/src/configuration_service.cpp
+++ b/src/configuration_service.cpp
@@ -41,8 +41,7 @@
   Tick(now);
 }
 
-void configuration_service::OnMessage(instant now, connection_id from,
-                                      const peer_message& message) {
+void configuration_service::OnMessage(instant now, session_id from, const peer_message& message) {
   if (const auto* notice = std::get_if<configuration_notice>(&message)) {
     Run(now, follower_.OnHeadReceived(now, notice->head, peers_.AddressOf(from)));
   } else if (const auto* requested = std::get_if<document_request>(&message)) {
--- a/src/configuration_service.h
+++ b/src/configuration_service.h
@@ -32,7 +32,7 @@
   /// Polls the head immediately, on an operator's request.
   void Poke(instant now);
   /// Handles the messages of this module; ignores all others.
-  void OnMessage(instant now, connection_id from, const peer_message& message);
+  void OnMessage(instant now, session_id from, const peer_message& message);
   /// Whether new work must be refused because the version has not been confirmed for max_staleness.
   bool TooStale(instant now) const { return follower_.TooStale(now); }
   /// Time since the version in force was last confirmed as the newest; absent when it never was.
--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -87,7 +87,7 @@
       row_tables_(loop_, table_),
       rows_(row_tables_.AsRowStore()),
       fleet_(settings_.node.name, settings_.node.data_centre, settings_.node.region),
-      mesh_(loop_, decisions_, fleet_, MakeMeshEvents(*this)),
+      mesh_(loop_, decisions_, metrics_, fleet_, MakeMeshEvents(*this)),
       members_(loop_, decisions_, metrics_, rows_, fleet_, MakeMembershipSettings(seed),
                MakeMembershipEvents(*this)),
       slices_(members_, settings_.node.service, settings_.node.region,
--- a/src/daemon_peers.cpp
+++ b/src/daemon_peers.cpp
@@ -28,7 +28,7 @@
   return report;
 }
 
-void daemon::OnPeerRequest(instant now, connection_id from, dispatch_request request) {
+void daemon::OnPeerRequest(instant now, session_id from, dispatch_request request) {
   const uint64_t id = request.id;
   // The gate may answer before Handle() returns the ticket; such a request is not stored.
   auto answered = std::make_shared<bool>(false);
@@ -37,21 +37,21 @@
         *answered = true;
         peer_requests_.Remove({from, id});
         answer.id = id;
-        mesh_.Answer(from, answer);
+        mesh_.Answer(boot_clock::now(), from, answer);
       });
   if (!*answered) peer_requests_.Add({from, id}, ticket);
 }
 
-void daemon::OnPeerCancelled(instant now, connection_id from, uint64_t id) {
+void daemon::OnPeerCancelled(instant now, session_id from, uint64_t id) {
   if (const auto ticket = peer_requests_.Take({from, id})) gate_.Cancel(now, *ticket);
 }
 
-void daemon::OnPeerDisconnected(instant now, connection_id from) {
+void daemon::OnPeerGone(instant now, session_id from) {
   // The answers can no longer be delivered.
   for (const gate::ticket ticket : peer_requests_.TakeAll(from)) gate_.Cancel(now, ticket);
 }
 
-void daemon::OnPeerMessage(instant now, connection_id from, const peer_message& message) {
+void daemon::OnPeerMessage(instant now, session_id from, const peer_message& message) {
   if (const auto* memory_request = std::get_if<slice_memory_request>(&message)) {
     OnSliceMemoryRequest(from, *memory_request);
   } else if (const auto* memory_answer = std::get_if<slice_memory_answer>(&message)) {
@@ -104,7 +104,7 @@
   for (const slice_number slice : slices) gate_.ReleaseSlice(now, slice);
 }
 
-void daemon::OnSliceMemoryRequest(connection_id from, const slice_memory_request& request) {
+void daemon::OnSliceMemoryRequest(session_id from, const slice_memory_request& request) {
   for (const slice_number slice : request.slices) {
     auto memory = gate_.ReleasedSliceMemory(slice);
     slice_memory_answer answer{slice, memory.has_value(), {}};
--- a/src/daemon_ports.cpp
+++ b/src/daemon_ports.cpp
@@ -112,21 +112,20 @@
 }
 
 peer_mesh_events daemon::MakeMeshEvents(daemon& self) {
-  return {[&self](instant now, connection_id from, dispatch_request request) {
-            self.OnPeerRequest(now, from, std::move(request));
-          },
-          [&self](instant now, connection_id from, uint64_t id) {
-            self.OnPeerCancelled(now, from, id);
-          },
-          [&self](instant now, connection_id from) { self.OnPeerDisconnected(now, from); },
-          [&self](instant now, const node_report& report) { self.fleet_.OnReport(now, report); },
-          [&self](instant now) { return self.OwnReport(now); },
-          [&self](instant now, const poison_notice& notice) {
-            for (const poison_entry& entry : notice.entries) self.gate_.poison().Merge(entry, now);
-          },
-          [&self](instant now, connection_id from, const peer_message& message) {
-            self.OnPeerMessage(now, from, message);
-          }};
+  return {
+      [&self](instant now, session_id from, dispatch_request request) {
+        self.OnPeerRequest(now, from, std::move(request));
+      },
+      [&self](instant now, session_id from, uint64_t id) { self.OnPeerCancelled(now, from, id); },
+      [&self](instant now, session_id from) { self.OnPeerGone(now, from); },
+      [&self](instant now, const node_report& report) { self.fleet_.OnReport(now, report); },
+      [&self](instant now) { return self.OwnReport(now); },
+      [&self](instant now, const poison_notice& notice) {
+        for (const poison_entry& entry : notice.entries) self.gate_.poison().Merge(entry, now);
+      },
+      [&self](instant now, session_id from, const peer_message& message) {
+        self.OnPeerMessage(now, from, message);
+      }};
 }
 
 }  // namespace bulrushway
--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -271,7 +271,7 @@
     return;
   }
   links_.RecordBytes(settings_.location.region, to.region, copy.request.body.size());
-  const uint64_t id = peers_.Send(to.node, std::move(copy), false, on_answer);
+  const uint64_t id = peers_.Send(now, to.node, std::move(copy), false, on_answer);
   pending->sent_attempts[attempt_index].id = id;
   if (id != 0) return;
   dispatch_answer unreachable;
--- a/src/fleet_view.cpp
+++ b/src/fleet_view.cpp
@@ -101,6 +101,11 @@
   found->second.reachable_since = now;
 }
 
+void fleet_view::OnSuspect(const std::string& node, bool suspect) {
+  const auto found = nodes_.find(node);
+  if (found != nodes_.end()) found->second.suspect = suspect;
+}
+
 void fleet_view::OnRoundTrip(const std::string& node, std::chrono::nanoseconds round_trip) {
   const auto found = nodes_.find(node);
   if (found == nodes_.end()) return;
--- a/src/fleet_view.h
+++ b/src/fleet_view.h
@@ -45,6 +45,8 @@
   node_locality locality = node_locality::kRemote;
   /// The connection to the node works in both directions.
   bool reachable = false;
+  /// The node owes a receipt, or a peer has lost it: others are preferred.
+  bool suspect = false;
   /// Time of the last change of `reachable`.
   instant reachable_since{};
   bool reported = false;
@@ -96,6 +98,7 @@
   void OnReport(instant now, const node_report& report);
   /// The connection to the node was established, restored or lost.
   void OnReachable(instant now, const std::string& node, bool reachable);
+  void OnSuspect(const std::string& node, bool suspect);
   void OnRoundTrip(const std::string& node, std::chrono::nanoseconds round_trip);
   void OnSent(const std::string& node);
   void OnAnswer(instant now, const std::string& node, const dispatch_answer& answer);
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -63,7 +63,7 @@
             {settings_.target, settings_.service, settings_.region, settings_.headers,
              settings_.link_bytes_per_second, pacer_.BytesPerSecond()},
             GatePorts(*this), process),
-      mesh_(loop, log_, fleet_, MeshEvents(*this), &pacer_),
+      mesh_(loop, log_, metrics_, fleet_, MeshEvents(*this), &pacer_),
       router_(log_, metrics_,
               {settings_.name, settings_.service, settings_.headers,
                settings_.retry_share * kRetryShareUsed},
--- a/src/node.h
+++ b/src/node.h
@@ -131,11 +131,11 @@
   void Tick(instant now);
   void UpdateTargetState(instant now);
   node_report OwnReport(instant now);
-  void OnPeerRequest(instant now, connection_id from, dispatch_request request);
-  void OnPeerBody(instant now, connection_id from, const request_body& body);
-  void Relay(const peer_request_key& key, dispatch_request request);
-  void OnPeerCancelled(instant now, connection_id from, uint64_t id);
-  void OnPeerDisconnected(instant now, connection_id from);
+  void OnPeerRequest(instant now, session_id from, dispatch_request request);
+  void OnPeerBody(instant now, session_id from, const request_body& body);
+  void Relay(instant now, const peer_request_key& key, dispatch_request request);
+  void OnPeerCancelled(instant now, session_id from, uint64_t id);
+  void OnPeerGone(instant now, session_id from);
   void OnPeerReport(instant now, const node_report& report);
   // Tables that a process of the data centre may follow for all.
   std::array<table_follower*, 3> FollowedTables() {
@@ -153,7 +153,7 @@
   // Passes a row of the operators to the adapter, and keeps the one of the configuration in force.
   void OnOperatorRow(instant now, const stored_row& row, const operator_row_source& source);
   void AskForConfiguration(instant now, uint64_t own_version);
-  void OnConfigurationRequest(instant now, connection_id from,
+  void OnConfigurationRequest(instant now, session_id from,
                               const configuration_row_request& request);
   void OnConfigurationAnswer(instant now, const configuration_row_answer& answer);
   static http_limits LimitsOf(const caller_limits& limits);
--- a/src/node_peers.cpp
+++ b/src/node_peers.cpp
@@ -63,38 +63,37 @@
 }
 
 peer_mesh_events node::MeshEvents(node& self) {
-  return {[&self](instant now, connection_id from, dispatch_request request) {
-            self.OnPeerRequest(now, from, std::move(request));
-          },
-          [&self](instant now, connection_id from, uint64_t id) {
-            self.OnPeerCancelled(now, from, id);
-          },
-          [&self](instant now, connection_id from) { self.OnPeerDisconnected(now, from); },
-          [&self](instant now, const node_report& report) { self.OnPeerReport(now, report); },
-          [&self](instant now) { return self.OwnReport(now); },
-          [&self](instant now, const poison_notice& notice) {
-            for (const poison_entry& entry : notice.entries) self.gate_.poison().Merge(entry, now);
-          },
-          [&self](instant now, connection_id from, const peer_message& message) {
-            if (const auto* change = std::get_if<key_map_change>(&message)) {
-              if (change->pass_on) self.SendKeyMapChange(*change, false);
-              return self.members_.OnKeyMapChange(now, *change);
-            }
-            if (const auto* changes = std::get_if<table_changes_notice>(&message)) {
-              return self.OnTableChanges(now, self.mesh_.NodeOf(from), *changes);
-            }
-            if (const auto* wanted = std::get_if<configuration_row_request>(&message)) {
-              return self.OnConfigurationRequest(now, from, *wanted);
-            }
-            if (const auto* row = std::get_if<configuration_row_answer>(&message)) {
-              return self.OnConfigurationAnswer(now, *row);
-            }
-            if (const auto* body = std::get_if<request_body>(&message)) {
-              return self.OnPeerBody(now, from, *body);
-            }
-            self.log_.Write("message_ignored", {{"from", self.mesh_.AddressOf(from)},
-                                                {"type", std::to_string(message.index())}});
-          }};
+  return {
+      [&self](instant now, session_id from, dispatch_request request) {
+        self.OnPeerRequest(now, from, std::move(request));
+      },
+      [&self](instant now, session_id from, uint64_t id) { self.OnPeerCancelled(now, from, id); },
+      [&self](instant now, session_id from) { self.OnPeerGone(now, from); },
+      [&self](instant now, const node_report& report) { self.OnPeerReport(now, report); },
+      [&self](instant now) { return self.OwnReport(now); },
+      [&self](instant now, const poison_notice& notice) {
+        for (const poison_entry& entry : notice.entries) self.gate_.poison().Merge(entry, now);
+      },
+      [&self](instant now, session_id from, const peer_message& message) {
+        if (const auto* change = std::get_if<key_map_change>(&message)) {
+          if (change->pass_on) self.SendKeyMapChange(*change, false);
+          return self.members_.OnKeyMapChange(now, *change);
+        }
+        if (const auto* changes = std::get_if<table_changes_notice>(&message)) {
+          return self.OnTableChanges(now, self.mesh_.NodeOf(from), *changes);
+        }
+        if (const auto* wanted = std::get_if<configuration_row_request>(&message)) {
+          return self.OnConfigurationRequest(now, from, *wanted);
+        }
+        if (const auto* row = std::get_if<configuration_row_answer>(&message)) {
+          return self.OnConfigurationAnswer(now, *row);
+        }
+        if (const auto* body = std::get_if<request_body>(&message)) {
+          return self.OnPeerBody(now, from, *body);
+        }
+        self.log_.Write("message_ignored", {{"from", self.mesh_.AddressOf(from)},
+                                            {"type", std::to_string(message.index())}});
+      }};
 }
 
 membership_events node::MemberEvents(node& self) {
@@ -123,39 +122,39 @@
           }};
 }
 
-void node::OnPeerRequest(instant now, connection_id from, dispatch_request request) {
+void node::OnPeerRequest(instant now, session_id from, dispatch_request request) {
   const uint64_t id = request.id;
   const peer_request_key key{from, id};
-  if (!request.relay_to.empty()) return Relay(key, std::move(request));
+  if (!request.relay_to.empty()) return Relay(now, key, std::move(request));
   const target_gate::ticket ticket = gate_.Handle(
       now, std::move(request),
-      [this, key](instant, const dispatch_answer& answer) {
+      [this, key](instant answered, const dispatch_answer& answer) {
         peer_requests_.Remove(key);
-        mesh_.Answer(key.first, answer);
+        mesh_.Answer(answered, key.first, answer);
       },
       [this, key] { mesh_.Reply(key.first, body_permit{key.second}); });
   if (gate_.Contains(ticket)) peer_requests_.Add(key, ticket);
 }
 
-void node::OnPeerBody(instant now, connection_id from, const request_body& body) {
+void node::OnPeerBody(instant now, session_id from, const request_body& body) {
   // Otherwise the request was cancelled or refused meanwhile.
   if (const auto ticket = peer_requests_.Find({from, body.id})) {
     gate_.OnBody(now, *ticket, body.bytes);
   }
 }
 
-void node::Relay(const peer_request_key& key, dispatch_request request) {
+void node::Relay(instant now, const peer_request_key& key, dispatch_request request) {
   const std::string to = std::exchange(request.relay_to, {});
   const bool large = request.large_answer;
   const node_state* peer = fleet_.Find(to);
   peer_mesh::ticket ticket = 0;
   if (peer != nullptr && peer->reachable) {
-    ticket =
-        mesh_.Send(to, std::move(request), large, [this, key](instant, dispatch_answer answer) {
-          relayed_.Remove(key);
-          answer.id = key.second;
-          mesh_.Answer(key.first, answer);
-        });
+    ticket = mesh_.Send(now, to, std::move(request), large,
+                        [this, key](instant answered, dispatch_answer answer) {
+                          relayed_.Remove(key);
+                          answer.id = key.second;
+                          mesh_.Answer(answered, key.first, answer);
+                        });
   }
   if (ticket != 0) {
     relayed_.Add(key, ticket);
@@ -165,15 +164,15 @@
   dispatch_answer unreachable;
   unreachable.id = key.second;
   unreachable.reason = refusal_reason::kOwnerUnreachable;
-  mesh_.Answer(key.first, unreachable);
+  mesh_.Answer(now, key.first, unreachable);
 }
 
-void node::OnPeerCancelled(instant now, connection_id from, uint64_t id) {
+void node::OnPeerCancelled(instant now, session_id from, uint64_t id) {
   if (const auto relayed = relayed_.Take({from, id})) return mesh_.Cancel(*relayed);
   if (const auto ticket = peer_requests_.Take({from, id})) gate_.Cancel(now, *ticket);
 }
 
-void node::OnPeerDisconnected(instant now, connection_id from) {
+void node::OnPeerGone(instant now, session_id from) {
   for (const target_gate::ticket ticket : peer_requests_.TakeAll(from)) gate_.Cancel(now, ticket);
   for (const peer_mesh::ticket ticket : relayed_.TakeAll(from)) mesh_.Cancel(ticket);
 }
--- a/src/peer_codec.cpp
+++ b/src/peer_codec.cpp
@@ -98,6 +98,20 @@
   return std::tie(m.node, m.found, m.row);
 }
 
+static auto Fields(auto& m, const resumed_request&) { return std::tie(m.id, m.generation); }
+
+static auto Fields(auto& m, const link_hello&) {
+  return std::tie(m.to, m.origin, m.purpose, m.generation, m.resumed);
+}
+
+static auto Fields(auto& m, const link_resumed&) { return std::tie(m.unseen, m.unknown); }
+
+static auto Fields(auto& m, const link_probe&) { return std::tie(m.id); }
+
+static auto Fields(auto& m, const link_receipt&) { return std::tie(m.id); }
+
+static auto Fields(auto& m, const peer_suspicion&) { return std::tie(m.node, m.pass_on); }
+
 static auto Fields(auto& m, const request_body&) { return std::tie(m.id, m.bytes); }
 
 static constexpr auto HighestOf(remembered_state) { return remembered_state::kUnknown; }
--- a/src/peer_mesh.cpp
+++ b/src/peer_mesh.cpp
@@ -1,6 +1,8 @@
 #include "peer_mesh.h"
 
 #include <algorithm>
+#include <iterator>
+#include <random>
 #include <utility>
 #include <vector>
 
@@ -9,11 +11,6 @@
 
 using std::chrono::milliseconds;
 
-// A connection attempt is restarted after this time; the kernel would retransmit a lost SYN only
-// after a second.
-constexpr milliseconds kConnectTimeout{900};
-// Delay before a failed connection is reopened.
-constexpr milliseconds kReconnectDelay{250};
 // The same for a connection that reached another node.
 constexpr milliseconds kForeignRetryDelay{2000};
 // A peer that does not acknowledge a report for this long is treated as unreachable.
@@ -29,9 +26,19 @@
 // carry the load as well, so processes that exchange many requests do not depend on frequent
 // reports.
 constexpr double kMaxReportsPerSecond = 80;
+// Longer intervals between ticks mean that this process did not run.
+constexpr milliseconds kLongestTickInterval{150};
+// Suspicions of peers that a process sends per second, and at once.
+constexpr double kMaxSuspicionsPerSecond = 2;
+constexpr double kMaxSuspicionsAtOnce = 6;
 // In a large fleet, reports between regions are less frequent than others by this factor.
 constexpr double kRemoteIntervalFactor = 3;
 
+uint64_t DrawOrigin() {
+  std::random_device device;
+  return std::uniform_int_distribution<uint64_t>()(device);
+}
+
 }  // namespace
 
 milliseconds ReportInterval(node_locality locality, size_t peers) {
@@ -44,9 +51,10 @@
   return std::max(base_interval, milliseconds(static_cast<int64_t>(min_interval_ms)));
 }
 
-peer_mesh::peer_mesh(event_loop& loop, decision_log& log, fleet_view& fleet,
+peer_mesh::peer_mesh(event_loop& loop, decision_log& log, metrics& counters, fleet_view& fleet,
                      peer_mesh_events events, bulk_pacer* pacer)
     : log_(log),
+      metrics_(counters),
       fleet_(fleet),
       events_(std::move(events)),
       transport_(loop,
@@ -56,7 +64,11 @@
                   [this](connection_id from, bool was_established, const error& reason) {
                     OnClosed(boot_clock::now(), from, was_established, reason);
                   }},
-                 pacer) {}
+                 pacer),
+      origin_(DrawOrigin()) {
+  suspicions_.Configure({}, kMaxSuspicionsPerSecond, kMaxSuspicionsAtOnce);
+  suspicions_.Fill({});
+}
 
 void peer_mesh::FollowMembers(instant now) {
   for (auto it = peers_.begin(); it != peers_.end();) {
@@ -74,36 +86,32 @@
     peer& added = peers_[node];
     added.address = state.member.address;
     added.locality = state.locality;
-    for (link& peer_link : added.links) Open(now, added, peer_link);
-  }
-}
-
-void peer_mesh::Open(instant now, peer& remote, link& peer_link) {
-  peer_link.connection = transport_.Connect(remote.address);
-  peer_link.established = false;
-  peer_link.opened = now;
-  for (const auto& [node, candidate] : peers_) {
-    if (&candidate == &remote) outgoing_[peer_link.connection] = node;
+    for (uint32_t purpose = 0; purpose < std::size(added.links); ++purpose) {
+      Open(now, node, added, purpose);
+    }
   }
 }
 
-peer_mesh::ticket peer_mesh::Send(const std::string& node, dispatch_request request,
+peer_mesh::ticket peer_mesh::Send(instant now, const std::string& node, dispatch_request request,
                                   bool large_answer, callback done) {
   const auto found = peers_.find(node);
   if (found == peers_.end()) return 0;
   // A relay passes the body on, so that it needs it with the request.
   std::string& body = request.request.body;
   const bool separate_body = body.size() > max_inline_body_ && request.relay_to.empty();
-  const link& peer_link = found->second.links[large_answer || separate_body ? 1 : 0];
+  const uint32_t purpose = large_answer || separate_body ? 1 : 0;
+  link& peer_link = found->second.links[purpose];
   if (!IsEstablished(peer_link)) return 0;
   const ticket id = next_ticket_++;
   request.id = id;
-  pending sent{node, peer_link.connection, std::move(done)};
+  pending sent{node, purpose, peer_link.connection, peer_link.connection, std::move(done)};
+  sent.has_separate_body = separate_body;
   if (separate_body) {
     request.separate_body_bytes = body.size();
     sent.body = std::exchange(body, {});
   }
   if (!transport_.Send(peer_link.connection, request)) return 0;
+  peer_link.watch.OnSent(now, id);
   pending_.emplace(id, std::move(sent));
   return id;
 }
@@ -133,8 +141,8 @@
   return sender != senders_.end() && transport_.Send(sender->first, message);
 }
 
-std::string peer_mesh::NodeOf(connection_id id) const {
-  const auto found = senders_.find(id);
+std::string peer_mesh::NodeOf(session_id id) const {
+  const auto found = senders_.find(sessions_.ConnectionOf(id));
   return found == senders_.end() ? std::string{} : found->second;
 }
 
@@ -170,8 +178,8 @@
 
 bool peer_mesh::IsSuspect(instant now, const std::string& node, const peer& remote) const {
   const node_state* state = fleet_.Find(node);
-  return state != nullptr && state->in_flight > 0 && remote.acknowledged &&
-         now - remote.last_received > kSilenceBeforeReport;
+  return !remote.gives_receipts && state != nullptr && state->in_flight > 0 &&
+         remote.acknowledged && now - remote.last_received > kSilenceBeforeReport;
 }
 
 void peer_mesh::ReportNow(instant now) {
@@ -188,19 +196,12 @@
 }
 
 void peer_mesh::Tick(instant now) {
+  for (const session_id ended : sessions_.Tick(now)) events_.session_ended(now, ended);
+  paused_ = now - last_tick_ > kLongestTickInterval;
+  last_tick_ = now;
+  const std::map<connection_id, size_t> in_flight = InFlight();
   for (auto& [node, remote] : peers_) {
-    for (link& peer_link : remote.links) {
-      if (peer_link.connection == 0) {
-        if (now >= peer_link.retry_at) Open(now, remote, peer_link);
-        continue;
-      }
-      if (peer_link.established) continue;
-      peer_link.established = transport_.Established(peer_link.connection);
-      if (peer_link.established) remote.next_report = now;
-      if (!peer_link.established && now - peer_link.opened > kConnectTimeout) {
-        CloseLink(now, node, peer_link, "the connection was not established in time");
-      }
-    }
+    WatchLinks(now, node, remote, in_flight);
     const bool silent = !remote.acknowledged && now - remote.unacked_since > kAckTimeout;
     if (silent) {
       for (link& peer_link : remote.links) {
@@ -210,49 +211,7 @@
     }
     if (now >= remote.next_report || IsSuspect(now, node, remote)) SendReport(now, remote);
   }
-}
-
-void peer_mesh::CloseLink(instant now, const std::string& node, link& peer_link,
-                          const std::string& why) {
-  if (peer_link.connection == 0) return;
-  const connection_id closed = peer_link.connection;
-  const bool was_established = transport_.Established(closed);
-  peer_link.connection = 0;
-  peer_link.established = false;
-  peer_link.retry_at = now + kReconnectDelay;
-  outgoing_.erase(closed);
-  transport_.Close(closed);
-  OnLinkLost(now, node, closed, was_established, why);
-}
-
-void peer_mesh::OnLinkLost(instant now, const std::string& node, connection_id connection,
-                           bool was_established, const std::string& why) {
-  const node_state* state = fleet_.Find(node);
-  if (state != nullptr && state->reachable) {
-    log_.Write("peer_lost", {{"peer", node}, {"reason", why}}, log_priority::kNotable);
-  }
-  fleet_.OnReachable(now, node, false);
-  FailPending(now, connection, was_established);
-}
-
-void peer_mesh::FailPending(instant now, connection_id connection, bool was_established) {
-  std::vector<pending> failed;
-  for (auto it = pending_.begin(); it != pending_.end();) {
-    if (it->second.connection != connection) {
-      ++it;
-      continue;
-    }
-    failed.push_back(std::move(it->second));
-    it = pending_.erase(it);
-  }
-  for (pending& request : failed) {
-    dispatch_answer answer;
-    answer.reason = refusal_reason::kOwnerUnreachable;
-    const bool sent = was_established && !request.body;
-    answer.state = sent ? run_state::kUnknown : run_state::kNotRun;
-    answer.sent_to_target = sent;
-    request.done(now, std::move(answer));
-  }
+  GiveUp(now);
 }
 
 void peer_mesh::OnAck(instant now, connection_id from, const node_report_ack& ack) {
@@ -267,6 +226,7 @@
       CloseLink(now, found->first, peer_link, "its address is used by " + ack.node);
       peer_link.retry_at = now + kForeignRetryDelay;
     }
+    found->second.gives_receipts = false;
     remote.acknowledged = true;
     return;
   }
@@ -284,29 +244,44 @@
 
 void peer_mesh::OnMessage(instant now, connection_id from, peer_message message) {
   if (IsDropped(from, message)) return;
+  const session_id session = sessions_.SessionOf(from);
   if (auto* report = std::get_if<node_report>(&message)) {
     transport_.Send(from, node_report_ack{report->sequence, fleet_.self()});
     events_.report(now, *report);
   } else if (const auto* ack = std::get_if<node_report_ack>(&message)) {
     OnAck(now, from, *ack);
   } else if (auto* request = std::get_if<dispatch_request>(&message)) {
-    events_.request(now, from, std::move(*request));
+    transport_.Send(from, link_receipt{request->id});
+    sessions_.OnRequest(session, request->id);
+    events_.request(now, session, std::move(*request));
   } else if (auto* answer = std::get_if<dispatch_answer>(&message)) {
     const auto found = pending_.find(answer->id);
     if (found == pending_.end()) return;
     const auto sender = peers_.find(found->second.node);
     if (sender != peers_.end()) sender->second.last_received = now;
     const callback done = std::move(found->second.done);
+    OnReceipt(from, found->first);
     pending_.erase(found);
     done(now, std::move(*answer));
   } else if (const auto* permit = std::get_if<body_permit>(&message)) {
     OnBodyPermit(permit->id);
   } else if (const auto* cancel = std::get_if<cancel_request>(&message)) {
-    events_.cancelled(now, from, cancel->id);
+    sessions_.OnCancelled(session, cancel->id);
+    events_.cancelled(now, session, cancel->id);
+  } else if (const auto* hello = std::get_if<link_hello>(&message)) {
+    OnHello(now, from, *hello);
+  } else if (const auto* resumed = std::get_if<link_resumed>(&message)) {
+    OnResumed(now, from, *resumed);
+  } else if (const auto* probe = std::get_if<link_probe>(&message)) {
+    transport_.Send(from, link_receipt{probe->id});
+  } else if (const auto* receipt = std::get_if<link_receipt>(&message)) {
+    OnReceipt(from, receipt->id);
+  } else if (const auto* suspicion = std::get_if<peer_suspicion>(&message)) {
+    OnSuspicion(now, *suspicion);
   } else if (const auto* notice = std::get_if<poison_notice>(&message)) {
     events_.poison_reported(now, *notice);
   } else {
-    events_.other_message(now, from, message);
+    events_.other_message(now, session, message);
   }
 }
 
@@ -315,7 +290,7 @@
   const auto outgoing = outgoing_.find(from);
   if (outgoing == outgoing_.end()) {
     senders_.erase(from);
-    events_.incoming_closed(now, from);
+    if (sessions_.OnClosed(now, from)) events_.session_ended(now, from);
     return;
   }
   const std::string node = outgoing->second;
@@ -324,13 +299,11 @@
   if (found != peers_.end()) {
     for (link& peer_link : found->second.links) {
       if (peer_link.connection != from) continue;
-      peer_link.connection = 0;
-      peer_link.established = false;
-      peer_link.retry_at = now + kReconnectDelay;
+      Reset(now, peer_link, was_established);
     }
     found->second.acknowledged = true;
   }
-  OnLinkLost(now, node, from, was_established, reason.message);
+  OnLinkLost(now, node, from, !was_established, reason.message);
 }
 
 }  // namespace bulrushway
--- a/src/peer_messages.h
+++ b/src/peer_messages.h
@@ -275,13 +275,63 @@
   stored_row row;
 };
 
+/// A request that was sent over an earlier connection and has no answer yet.
+struct resumed_request {
+  /// Id of the dispatch_request.
+  uint64_t id = 0;
+  /// Generation of the connection that carried it.
+  uint64_t generation = 0;
+};
+
+/// First message on each connection, from the process that opened it. It replaces the earlier
+/// connections of the same origin and purpose: nothing that still arrives over them counts.
+struct link_hello {
+  /// Node that the sender means: its address may belong to another one by now.
+  std::string to;
+  /// Identifies the sender until it restarts.
+  uint64_t origin = 0;
+  /// Purpose of the connection: 0 for small messages, 1 for large ones.
+  uint32_t purpose = 0;
+  /// Increases with each connection of the origin.
+  uint64_t generation = 0;
+  /// All requests that the sender still expects answers to.
+  std::vector<resumed_request> resumed;
+};
+
+/// Answer to a link_hello. The requests that are not listed run, or their answers follow.
+struct link_resumed {
+  /// Requests that have not arrived and never will: they are certainly not run.
+  std::vector<uint64_t> unseen;
+  /// Requests of which the receiver knows nothing certain.
+  std::vector<uint64_t> unknown;
+};
+
+/// Asks for a link_receipt, to learn whether the connection still works.
+struct link_probe {
+  uint64_t id = 0;
+};
+
+/// Says that a dispatch_request or link_probe has arrived, and all those before it.
+struct link_receipt {
+  uint64_t id = 0;
+};
+
+/// The sender has lost a peer and cannot connect to it again. Evidence only: the receiver examines
+/// its own connection.
+struct peer_suspicion {
+  std::string node;
+  /// The receiver passes the suspicion on to its data centre.
+  bool pass_on = false;
+};
+
 /// Any message between processes. A type's index is its number on the wire: append only.
 using peer_message =
     std::variant<cancel_request, configuration_notice, document_request, document_answer,
                  freshness_request, freshness_answer, slice_memory_request, slice_memory_answer,
                  node_report, node_report_ack, dispatch_request, dispatch_answer, poison_notice,
                  key_map_change, body_permit, request_body, table_changes_notice,
-                 configuration_row_request, configuration_row_answer>;
+                 configuration_row_request, configuration_row_answer, link_hello, link_resumed,
+                 link_probe, link_receipt, peer_suspicion>;
 
 }  // namespace bulrushway
 
--- a/src/peer_request_map.h
+++ b/src/peer_request_map.h
@@ -1,8 +1,8 @@
 #ifndef BULRUSHWAY_PEER_REQUEST_MAP_H
 #define BULRUSHWAY_PEER_REQUEST_MAP_H
 
-// Tracks the requests that this process executes for peers, by connection and by the request id
-// that the peer assigned on that connection.
+// Tracks the requests that this process executes for peers, by session and by the request id
+// that the peer assigned in that session.
 
 #include <cstdint>
 #include <map>
@@ -10,12 +10,12 @@
 #include <utility>
 #include <vector>
 
-#include "peer_transport.h"
+#include "peer_sessions.h"
 
 namespace bulrushway {
 
-/// Identifies a peer's request: the connection and the peer's request id.
-using peer_request_key = std::pair<connection_id, uint64_t>;
+/// Identifies a peer's request: the session and the peer's request id.
+using peer_request_key = std::pair<session_id, uint64_t>;
 
 /// Maps the peers' requests in flight to local tickets.
 template <class Ticket>
@@ -40,8 +40,8 @@
     return ticket;
   }
 
-  /// Removes all requests of a connection and returns their tickets.
-  std::vector<Ticket> TakeAll(connection_id from) {
+  /// Removes all requests of a session and returns their tickets.
+  std::vector<Ticket> TakeAll(session_id from) {
     std::vector<Ticket> taken;
     const auto first = tickets_.lower_bound({from, 0});
     auto last = first;
--- a/src/peer_transport.cpp
+++ b/src/peer_transport.cpp
@@ -19,6 +19,7 @@
   std::string peer;
   bufferevent* raw;
   bool established;
+  instant last_received;
 
   ~connection() {
     if (transport->pacer_ != nullptr) transport->pacer_->BeforeFree(raw);
@@ -87,6 +88,11 @@
   });
 }
 
+instant peer_transport::LastReceived(connection_id id) const {
+  const auto found = connections_.find(id);
+  return found == connections_.end() ? instant{} : found->second->last_received;
+}
+
 std::string peer_transport::PeerAddress(connection_id id) const {
   const auto found = connections_.find(id);
   return found == connections_.end() ? "" : found->second->peer;
@@ -101,14 +107,17 @@
   link->peer = peer;
   link->raw = raw;
   link->established = established;
+  link->last_received = boot_clock::now();
   const auto read = [](bufferevent*, void* self) {
     auto* from = static_cast<connection*>(self);
+    from->last_received = boot_clock::now();
     from->transport->Read(*from);
   };
   const auto changed = [](bufferevent*, short events, void* self) {
     auto* from = static_cast<connection*>(self);
     if ((events & BEV_EVENT_CONNECTED) != 0) {
       from->established = true;
+      from->last_received = boot_clock::now();
       return;
     }
     const std::string cause =
--- a/src/peer_transport.h
+++ b/src/peer_transport.h
@@ -52,6 +52,8 @@
   void Close(connection_id id);
   /// Whether the connection is established.
   bool Established(connection_id id) const;
+  /// When bytes last arrived over the connection, or when it was established.
+  instant LastReceived(connection_id id) const;
   /// Remote address; empty when the connection is closed.
   std::string PeerAddress(connection_id id) const;
   /// Whether output on any established connection is still buffered.
--- a/src/request_router_sending.cpp
+++ b/src/request_router_sending.cpp
@@ -99,7 +99,8 @@
     if (pending->attempt == attempt) pending->ticket = ticket;
     return;
   }
-  pending->ticket = mesh_.Send(node, std::move(request), pending->matched->large_answers, done);
+  pending->ticket =
+      mesh_.Send(now, node, std::move(request), pending->matched->large_answers, done);
   if (pending->ticket != 0) return;
   dispatch_answer unreachable;
   unreachable.reason = refusal_reason::kOwnerUnreachable;
--- a/src/target_choice.cpp
+++ b/src/target_choice.cpp
@@ -16,6 +16,8 @@
 constexpr double kLoadSlowdownExponent = 4;
 // Cost of a failed request to its caller; multiplied by the share of failures.
 constexpr milliseconds_f kFailureCost{800};
+// Expected delay of a request to a node that may be gone, until it is sent to another one.
+constexpr milliseconds_f kSuspectCost{600};
 // Traffic between regions and between data centres is billed by volume: one kilobyte is weighed as
 // this much waiting time.
 constexpr milliseconds_f kRemoteCostPerKilobyte{30};
@@ -65,6 +67,7 @@
   if (node.locality == node_locality::kRemote) time += kilobytes * kRemoteCostPerKilobyte.count();
   if (node.locality == node_locality::kRegion) time += kilobytes * kRegionCostPerKilobyte.count();
   time += node.failure_share * kFailureCost.count();
+  if (node.suspect) time += kSuspectCost.count();
   return milliseconds_f(time);
 }
 
--- a/test/correctness/peer_identity_test.cpp
+++ b/test/correctness/peer_identity_test.cpp
@@ -17,12 +17,12 @@
       : name(node),
         log(loop, name, open("/dev/null", O_WRONLY | O_CLOEXEC)),
         fleet(name, "dc", "r"),
-        mesh(loop, log, fleet, Events()) {}
+        mesh(loop, log, counters, fleet, Events()) {}
 
   peer_mesh_events Events() {
     peer_mesh_events events;
-    events.request = [](instant, connection_id, const dispatch_request&) {};
-    events.incoming_closed = [](instant, connection_id) {};
+    events.request = [](instant, session_id, const dispatch_request&) {};
+    events.session_ended = [](instant, session_id) {};
     events.report = [](instant, const node_report&) {};
     events.own_report = [this](instant) {
       node_report report;
@@ -34,6 +34,7 @@
 
   std::string name;
   decision_log log;
+  metrics counters;
   fleet_view fleet;
   peer_mesh mesh;
 };
--- /dev/null
+++ b/test/correctness/silent_peers_test.cpp
@@ -0,0 +1,173 @@
+// Connections between processes fall silent for good. The requests that are under way are answered
+// all the same, or their senders learn in time what became of them.
+
+#include <fcntl.h>
+
+#include <boost/test/unit_test.hpp>
+#include <functional>
+#include <optional>
+#include <vector>
+
+#include "peer_mesh.h"
+#include "severable_path.h"
+
+namespace bulrushway {
+namespace {
+
+using std::chrono::milliseconds;
+
+struct arrived_request {
+  session_id from;
+  uint64_t id;
+};
+
+struct meshed_node {
+  meshed_node(event_loop& loop, const std::string& node)
+      : name(node),
+        log(loop, name, open("/dev/null", O_WRONLY | O_CLOEXEC)),
+        fleet(name, "dc", "r"),
+        mesh(loop, log, counters, fleet, Events()),
+        tick(loop, [this](instant now) { mesh.Tick(now); }) {
+    tick.Every(milliseconds(20));
+  }
+
+  peer_mesh_events Events() {
+    peer_mesh_events events;
+    events.request = [this](instant, session_id from, const dispatch_request& request) {
+      requests.push_back({from, request.id});
+    };
+    events.cancelled = [this](instant, session_id, uint64_t) { ++cancelled; };
+    events.session_ended = [](instant, session_id) {};
+    events.report = [](instant, const node_report&) {};
+    events.own_report = [this](instant) {
+      node_report report;
+      report.node = name;
+      return report;
+    };
+    return events;
+  }
+  void Answer(size_t index) {
+    dispatch_answer answer;
+    answer.id = requests.at(index).id;
+    answer.answer.status = 200;
+    answer.sent_to_target = true;
+    mesh.Answer(boot_clock::now(), requests.at(index).from, answer);
+  }
+
+  std::string name;
+  decision_log log;
+  metrics counters;
+  fleet_view fleet;
+  std::vector<arrived_request> requests;
+  int cancelled = 0;
+  peer_mesh mesh;
+  timer tick;
+};
+
+// Two nodes, of which `near` reaches `far` over a path that can fall silent.
+struct severable_nodes {
+  severable_nodes() {
+    BOOST_REQUIRE(far.mesh.Listen(kFar).has_value());
+    BOOST_REQUIRE(path.Listening());
+    near.fleet.OnMember({"far", kNear, "dc", "r", "s", 1, {}});
+    near.mesh.FollowMembers(boot_clock::now());
+    BOOST_REQUIRE(Until([this] { return near.fleet.Find("far")->reachable; }));
+  }
+  bool Until(const std::function<bool()>& done, milliseconds limit = milliseconds(3000)) {
+    const instant end = boot_clock::now() + limit;
+    timer poll(loop, [this](instant) { loop.Stop(); });
+    while (!done()) {
+      if (boot_clock::now() >= end) return false;
+      poll.Once(milliseconds(5));
+      loop.Run();
+    }
+    return true;
+  }
+  void Send() {
+    const auto ticket =
+        near.mesh.Send(boot_clock::now(), "far", {}, false,
+                       [this](instant, dispatch_answer received) { answer = std::move(received); });
+    BOOST_REQUIRE(ticket != 0U);
+  }
+
+  void RunUntilReplaced() {
+    BOOST_REQUIRE(Until([this] { return !near.fleet.Find("far")->reachable; }));
+    BOOST_REQUIRE(Until([this] { return near.fleet.Find("far")->reachable; }));
+  }
+
+  static inline const socket_address kNear{"127.0.7.91", 7481};
+  static inline const socket_address kFar{"127.0.7.92", 7481};
+  event_loop loop;
+  meshed_node near{loop, "near"};
+  meshed_node far{loop, "far"};
+  testing::severable_path path{loop, kNear, kFar};
+  std::optional<dispatch_answer> answer;
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(when_the_connections_to_a_peer_fall_silent, severable_nodes)
+
+BOOST_AUTO_TEST_CASE(a_request_that_runs_is_answered_over_a_new_one) {
+  Send();
+  BOOST_REQUIRE(Until([this] { return far.requests.size() == 1; }));
+  path.Silence();
+  // It takes longer than the connection takes to be found silent.
+  timer work(loop, [this](instant) { far.Answer(0); });
+  work.Once(milliseconds(1500));
+  BOOST_REQUIRE(Until([this] { return answer.has_value(); }));
+  BOOST_TEST(answer->answer.status == 200);
+  BOOST_TEST(far.requests.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_that_was_lost_is_sent_again) {
+  Send();
+  BOOST_REQUIRE(Until([this] { return far.requests.size() == 1; }));
+  path.Silence();
+  far.Answer(0);
+  BOOST_REQUIRE(Until([this] { return answer.has_value(); }, milliseconds(1500)));
+  BOOST_TEST(answer->answer.status == 200);
+}
+
+BOOST_AUTO_TEST_CASE(a_request_that_did_not_arrive_is_soon_known_not_to_have_run) {
+  path.Silence();
+  Send();
+  BOOST_REQUIRE(Until([this] { return answer.has_value(); }, milliseconds(900)));
+  BOOST_TEST((answer->state == run_state::kNotRun));
+  BOOST_TEST(far.requests.empty());
+  BOOST_TEST(Until([this] { return near.fleet.Find("far")->reachable; }));
+}
+
+BOOST_AUTO_TEST_CASE(a_request_that_arrived_without_a_receipt_is_not_called_not_run) {
+  path.Silence(true);
+  Send();
+  BOOST_REQUIRE(Until([this] { return far.requests.size() == 1; }));
+  RunUntilReplaced();
+  far.Answer(0);
+  BOOST_REQUIRE(Until([this] { return answer.has_value(); }));
+  BOOST_TEST(answer->answer.status == 200);
+  BOOST_TEST(far.requests.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_request_to_a_peer_that_cannot_be_asked_may_have_run) {
+  Send();
+  BOOST_REQUIRE(Until([this] { return far.requests.size() == 1; }));
+  path.Silence();
+  path.Close();
+  BOOST_REQUIRE(Until([this] { return answer.has_value(); }));
+  BOOST_TEST((answer->state == run_state::kUnknown));
+}
+
+BOOST_AUTO_TEST_CASE(a_request_whose_caller_has_left_is_cancelled_there) {
+  const auto ticket =
+      near.mesh.Send(boot_clock::now(), "far", {}, false, [](instant, const dispatch_answer&) {});
+  BOOST_REQUIRE(Until([this] { return far.requests.size() == 1; }));
+  path.Silence();
+  near.mesh.Cancel(ticket);
+  Send();
+  BOOST_TEST(Until([this] { return far.cancelled == 1; }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace bulrushway
--- a/test/error/retried_requests_test.cpp
+++ b/test/error/retried_requests_test.cpp
@@ -101,7 +101,7 @@
       loop_,           metrics_, log_, target_, {server_.address(), "lookup", "r", Names()},
       OpenGatePorts(), 1};
   fleet_view fleet_{"a", "dc", "r"};
-  peer_mesh mesh_{loop_, log_, fleet_, {}};
+  peer_mesh mesh_{loop_, log_, metrics_, fleet_, {}};
   request_router router_{log_,  metrics_, {"a", "lookup", Names()}, Ports(), fleet_, mesh_,
                          gate_, 1};
   http_server callers_{loop_, {}, [this](const std::shared_ptr<http_exchange>& exchange) {
