--- a/src/peer_mesh.cpp
+++ b/src/peer_mesh.cpp
@@ -77,6 +77,7 @@
       ++it;
       continue;
     }
+    it->second.gives_receipts = false;  // its requests cannot be resumed
     for (link& peer_link : it->second.links)
       CloseLink(now, it->first, peer_link, "the peer left or moved");
     it = peers_.erase(it);
@@ -222,11 +223,11 @@
   peer& remote = found->second;
   if (ack.node != found->first) {
     // The node has left, and its address belongs to another one.
+    remote.gives_receipts = false;
     for (link& peer_link : remote.links) {
       CloseLink(now, found->first, peer_link, "its address is used by " + ack.node);
       peer_link.retry_at = now + kForeignRetryDelay;
     }
-    found->second.gives_receipts = false;
     remote.acknowledged = true;
     return;
   }
--- a/src/peer_mesh.h
+++ b/src/peer_mesh.h
@@ -181,7 +181,7 @@
   void OnClosed(instant now, connection_id from, bool was_established, const error& reason);
   void CloseLink(instant now, const std::string& node, link& peer_link, const std::string& why,
                  bool silent = false);
-  // The link's connection is gone; the next one is opened at once if it was established.
+  // The link's connection is gone; the next one is opened at once if this one worked.
   static void Reset(instant now, link& peer_link, bool was_established, bool silent = false);
   void OnBodyPermit(uint64_t id);
   void OnAck(instant now, connection_id from, const node_report_ack& ack);
--- a/src/peer_mesh_links.cpp
+++ b/src/peer_mesh_links.cpp
@@ -17,7 +17,7 @@
 constexpr milliseconds kConnectTimeout{900};
 // The same while requests wait to be resumed, in addition to two round trips.
 constexpr milliseconds kResumeConnectTimeout{300};
-// Delay before a connection that could not be established is opened again.
+// Delay before a connection that could not be established, or was closed at once, is opened again.
 constexpr milliseconds kReconnectDelay{250};
 // Requests that could not be resumed for this long are given up.
 constexpr milliseconds kResumeTime{700};
@@ -35,7 +35,8 @@
 void peer_mesh::Reset(instant now, link& peer_link, bool was_established, bool silent) {
   peer_link.connection = 0;
   peer_link.established = false;
-  peer_link.retry_at = was_established ? now : now + kReconnectDelay;
+  const bool worked = was_established && now - peer_link.opened > kReconnectDelay;
+  peer_link.retry_at = worked ? now : now + kReconnectDelay;
   peer_link.watch.OnReplaced(silent);
 }
 
