Correct two comments of the sessions across connections

By reading: the comment of kForeignRetryDelay referred to a constant that had moved to another file, and node_state::suspect is set by overdue receipts only; a peer's suspicion leads to a probe. Comments only; checked by the formatter and the compiler, no test was run.

--- a/src/fleet_view.h
+++ b/src/fleet_view.h
@@ -45,7 +45,7 @@
   node_locality locality = node_locality::kRemote;
   /// The connection to the node works in both directions.
   bool reachable = false;
-  /// The node owes a receipt, or a peer has lost it: others are preferred.
+  /// The node owes a receipt: others are preferred.
   bool suspect = false;
   /// Time of the last change of `reachable`.
   instant reachable_since{};
--- a/src/peer_mesh.cpp
+++ b/src/peer_mesh.cpp
@@ -11,7 +11,7 @@
 
 using std::chrono::milliseconds;
 
-// The same for a connection that reached another node.
+// Delay before a connection that reached another node is opened again.
 constexpr milliseconds kForeignRetryDelay{2000};
 // A peer that does not acknowledge a report for this long is treated as unreachable.
 constexpr milliseconds kAckTimeout{1300};
@@ -77,7 +77,8 @@
       ++it;
       continue;
     }
-    it->second.gives_receipts = false;  // its requests cannot be resumed
+    // Its requests cannot be resumed.
+    it->second.gives_receipts = false;
     for (link& peer_link : it->second.links)
       CloseLink(now, it->first, peer_link, "the peer left or moved");
     it = peers_.erase(it);
