--- a/test/correctness/silent_peers_test.cpp
+++ b/test/correctness/silent_peers_test.cpp
@@ -1,14 +1,11 @@
 // Connections between processes fall silent for good. The requests that are under way are answered
 // all the same, or their senders learn in time what became of them.
 
-#include <fcntl.h>
-
 #include <boost/test/unit_test.hpp>
 #include <functional>
 #include <optional>
-#include <vector>
 
-#include "peer_mesh.h"
+#include "meshed_node.h"
 #include "severable_path.h"
 
 namespace bulrushway {
@@ -16,54 +13,6 @@
 
 using std::chrono::milliseconds;
 
-struct arrived_request {
-  session_id from;
-  uint64_t id;
-};
-
-struct meshed_node {
-  meshed_node(event_loop& loop, const std::string& node)
-      : name(node),
-        log(loop, name, open("/dev/null", O_WRONLY | O_CLOEXEC)),
-        fleet(name, "dc", "r"),
-        mesh(loop, log, counters, fleet, Events()),
-        tick(loop, [this](instant now) { mesh.Tick(now); }) {
-    tick.Every(milliseconds(20));
-  }
-
-  peer_mesh_events Events() {
-    peer_mesh_events events;
-    events.request = [this](instant, session_id from, const dispatch_request& request) {
-      requests.push_back({from, request.id});
-    };
-    events.cancelled = [this](instant, session_id, uint64_t) { ++cancelled; };
-    events.session_ended = [](instant, session_id) {};
-    events.report = [](instant, const node_report&) {};
-    events.own_report = [this](instant) {
-      node_report report;
-      report.node = name;
-      return report;
-    };
-    return events;
-  }
-  void Answer(size_t index) {
-    dispatch_answer answer;
-    answer.id = requests.at(index).id;
-    answer.answer.status = 200;
-    answer.sent_to_target = true;
-    mesh.Answer(boot_clock::now(), requests.at(index).from, answer);
-  }
-
-  std::string name;
-  decision_log log;
-  metrics counters;
-  fleet_view fleet;
-  std::vector<arrived_request> requests;
-  int cancelled = 0;
-  peer_mesh mesh;
-  timer tick;
-};
-
 // Two nodes, of which `near` reaches `far` over a path that can fall silent.
 struct severable_nodes {
   severable_nodes() {
@@ -98,8 +47,8 @@
   static inline const socket_address kNear{"127.0.7.91", 7481};
   static inline const socket_address kFar{"127.0.7.92", 7481};
   event_loop loop;
-  meshed_node near{loop, "near"};
-  meshed_node far{loop, "far"};
+  testing::meshed_node near{loop, "near"};
+  testing::meshed_node far{loop, "far"};
   testing::severable_path path{loop, kNear, kFar};
   std::optional<dispatch_answer> answer;
 };
