--- a/review/standins.py
+++ b/review/standins.py
@@ -62,7 +62,7 @@
     text = "HTTP/1.1 %d X\r\nContent-Length: %d\r\n" % (status, len(body))
     for name, value in (headers or {}).items():
         text += "%s: %s\r\n" % (name, value)
-    return text.encode() + b"\r\n" + body
+    return text.encode("latin-1") + b"\r\n" + body
 
 
 class Server:
@@ -193,6 +193,8 @@
         self.sequence = 0
         self.born = int(time.time() * 1000)
         self.freed = []
+        self.draining = False
+        self.releases = 0       # calls that took keys back
         self.rejected = 0       # answers to heartbeats that do not count
 
     def seal(self, request_id):
@@ -202,8 +204,42 @@
         return any(first <= key <= last and now() < hold[2]
                    for (first, last), hold in self.holds.items())
 
+    def order(self, path, headers, body):
+        """Carries out a grant or a release that arrives as a call."""
+        own = {"X-Bulrushway-Instance-Id": self.id}
+        if headers.get("x-bulrushway-target-instance", self.id) != self.id:
+            return answer(421, own)
+        order = json.loads(body)
+        keys, fence = (order["from"], order["target"]), order["fence"]
+        if path.endswith("grant"):
+            if any(hold[0] > fence for held, hold in self.holds.items()
+                   if held[0] <= keys[1] and held[1] >= keys[0]):
+                return answer(409, own)
+            self.drop_keys(keys)
+            self.holds[keys] = (fence, order.get("handover", ""), now() + order["hold_s"])
+            return answer(200, own)
+        self.drop_keys(keys)
+        self.releases += 1
+        return answer(200, dict(own, **{"X-Bulrushway-Handover": self.handover()}))
+
+    def drop_keys(self, keys):
+        """Forgets these keys, and keeps the rest of what is held."""
+        for held in list(self.holds):
+            if held[0] > keys[1] or held[1] < keys[0]:
+                continue
+            hold = self.holds.pop(held)
+            if held[0] < keys[0]:
+                self.holds[(held[0], keys[0] - 1)] = hold
+            if held[1] > keys[1]:
+                self.holds[(keys[1] + 1, held[1])] = hold
+
+    def handover(self):
+        return os.urandom(8).hex()
+
     async def handle(self, writer, line, headers, body):
         method, path, _ = line.split(" ")
+        if method == "POST" and path in ("/bulrushway/grant", "/bulrushway/release"):
+            return self.order(path, headers, body)
         request_id = headers.get(ID, "")
         own = {"X-Bulrushway-Request-Id": request_id, "X-Bulrushway-Instance-Id": self.id,
                "X-Bulrushway-Load": "%d,0,%d" % (self.running, self.slots)}
@@ -230,9 +266,10 @@
         for keys in expired:
             del self.holds[keys]
         fields = {"service": self.machine.service, "address": self.machine.address("target"),
-                  "zone": self.machine.zone, "version": "v1", "slots": self.slots, "state": "ready",
+                  "zone": self.machine.zone, "version": "v1", "slots": self.slots,
+                  "state": "draining" if self.draining else "ready",
                   "cold_left_s": 0, "seq": self.sequence, "born": self.born}
-        if self.machine.keyed:
+        if self.machine.keyed and not self.machine.by_calls:
             fields["holds"] = [[k[0], k[1], h[0]] for k, h in self.holds.items()]
             fields["freed"] = self.freed
         try:
@@ -289,7 +326,7 @@
         text += "%s: %s\r\n" % (name, value)
     if body or method in ("POST", "PUT"):
         text += "Content-Length: %d\r\n" % len(body)
-    return text.encode() + b"\r\n" + body
+    return text.encode("latin-1") + b"\r\n" + body
 
 
 class Caller:
@@ -342,10 +379,11 @@
 
     NAMES = ("callers", "ready", "heartbeats", "target")
 
-    def __init__(self, number, service, zone, region, keyed=False, net=61):
+    def __init__(self, number, service, zone, region, keyed=False, by_calls=False, net=61):
         self.name = "sidecar-%s-%d" % (zone, number)
         self.ip = "127.%d.%d.%d" % (net, os.getpid() % 200 + 1, number)
         self.service, self.zone, self.region, self.keyed = service, zone, region, keyed
+        self.by_calls = by_calls
         self.ports = {}
         self.process = None
         self.target = None
@@ -369,10 +407,11 @@
         self.settings = os.path.join(folder, self.name + ".ini")
         self.log = os.path.join(folder, self.name + ".log")
         text = ("[node]\nname = %s\nip = %s\ndata_centre = %s\nregion = %s\nservice = %s\n"
-                "target = %s\nheartbeat = 0.4 s\ngrants = heartbeat\nfirst_start = true\n\n"
+                "target = %s\nheartbeat = 0.4 s\ngrants = %s\nfirst_start = true\n\n"
                 "[listen]\ncallers = %s\nready = %s\nheartbeats = %s\nfirst_and_last_port = %d,%d\n\n"
                 "[store]\naddress = %s\n\n[machine]\nlink_mbit_per_second = 1000.0\n\n[bounds]\n" %
                 (self.name, self.ip, self.zone, self.region, self.service, self.address("target"),
+                 "call" if self.by_calls else "heartbeat",
                  self.address("callers"), self.address("ready"), self.address("heartbeats"),
                  self.ports["first"], self.ports["last"], store))
         for name, value in bounds.items():
