--- a/review/standins.py
+++ b/review/standins.py
@@ -547,6 +547,7 @@
 def run_case(folder, body):
     """Runs a case: exits with 0 if the rule held, 1 if it was broken, 2 if the case could not run."""
     record = Record(folder)
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def limited():
@@ -554,7 +555,7 @@
 
     try:
         broken = asyncio.run(limited())
-    except (CannotRun, asyncio.TimeoutError, OSError) as problem:
+    except Exception as problem:  # anything else than a verdict
         record.write("the case could not run: %r" % problem)
         sys.exit(2)
     record.write("the rule was broken" if broken else "the rule held")
