Keep a handover only if it is text, and write JSON that cannot fail

The process of the next owner ends by SIGABRT whenever it grants the keys, 28 times in 12 s, and 12 requests of its callers that ran at other targets end without an answer.

Cause: ReadGrantAnswer's handover was stored in the key map unchecked, and json::dump() throws for it in GrantRequest (and would in HeartbeatAnswer). The row outlasts the process, so that each new one ends as well.

Evidence: the process's last line is nlohmann's type_error.316; its next incarnations end after lease_acquired, before any answer of the target.

Change: the owner's range controller keeps a handover only if it is UTF-8 without control characters, at most 1,024 bytes, whether a target sends it or the stored map has it. Keys without one are granted without it, with a log line and a counter. Log values may not hold control characters.

--- a/src/configuration_diff.cpp
+++ b/src/configuration_diff.cpp
@@ -1,8 +1,8 @@
 #include "configuration_diff.h"
 
 #include <map>
-#include <nlohmann/json.hpp>
 
+#include "json_text.h"
 #include "quantity.h"
 
 namespace bulrushway {
@@ -195,7 +195,7 @@
 std::string ToJson(const configuration_diff& diff) {
   const json value = {{"inventory", ToJsonValue(diff.inventory)},
                       {"rules", ToJsonValue(diff.rules)}};
-  return value.dump(-1, ' ', false, json::error_handler_t::replace);
+  return ToJsonText(value);
 }
 
 }  // namespace bulrushway
--- a/src/configuration_head.cpp
+++ b/src/configuration_head.cpp
@@ -6,8 +6,8 @@
 #include <array>
 #include <cstdio>
 #include <limits>
-#include <nlohmann/json.hpp>
 
+#include "json_text.h"
 #include "quantity.h"
 
 namespace bulrushway {
@@ -53,7 +53,7 @@
                       {"note", head.note},
                       {"operation", head.operation},
                       {"time", static_cast<uint64_t>(head.time.time_since_epoch().count())}};
-  return value.dump(-1, ' ', false, json::error_handler_t::replace);
+  return ToJsonText(value);
 }
 
 result<configuration_head> DecodeHead(std::string_view bytes, std::string_view peer) {
--- a/src/ctl_commit.cpp
+++ b/src/ctl_commit.cpp
@@ -183,10 +183,9 @@
 void PrintUnchanged(const ctl_session& session, uint64_t version) {
   const std::string message =
       "Version " + std::to_string(version) + " already has this content; nothing was changed.";
-  session.Print(
-      session.options().json
-          ? json{{"state", "unchanged"}, {"version", version}, {"message", message}}.dump(2)
-          : message);
+  session.Print(session.options().json
+                    ? Dump({{"state", "unchanged"}, {"version", version}, {"message", message}})
+                    : message);
 }
 
 // After a conflict, prints the difference between the edit's base and the newest version.
--- a/src/ctl_fleet.cpp
+++ b/src/ctl_fleet.cpp
@@ -3,11 +3,11 @@
 #include <algorithm>
 #include <cstdio>
 #include <map>
-#include <nlohmann/json.hpp>
 
 #include "ctl_json.h"
 #include "ctl_survey.h"
 #include "ctl_verbs.h"
+#include "json_text.h"
 
 namespace bulrushway {
 namespace {
@@ -97,7 +97,7 @@
                      std::to_string(NumberOf(event, "number")) + " " + TextOf(event, "name");
   if (!event.contains("fields") || !event["fields"].is_object()) return line;
   for (const auto& [key, value] : event["fields"].items()) {
-    line += " " + key + "=" + (value.is_string() ? value.get<std::string>() : value.dump());
+    line += " " + key + "=" + (value.is_string() ? value.get<std::string>() : ToJsonText(value));
   }
   return line;
 }
@@ -119,7 +119,7 @@
     return outcome;
   }
   if (list.empty()) session.Print("No request is quarantined.");
-  for (const json& entry : list) session.Print(entry.dump());
+  for (const json& entry : list) session.Print(ToJsonText(entry));
   return outcome;
 }
 
--- a/src/ctl_json.cpp
+++ b/src/ctl_json.cpp
@@ -1,6 +1,6 @@
 #include "ctl_json.h"
 
-#include <nlohmann/json.hpp>
+#include "json_text.h"
 
 namespace bulrushway {
 
@@ -22,7 +22,8 @@
 }
 
 std::string Dump(const nlohmann::json& value) {
-  return value.dump(2, ' ', false, nlohmann::json::error_handler_t::replace);
+  constexpr int kIndent = 2;
+  return ToJsonText(value, kIndent);
 }
 
 }  // namespace bulrushway
--- a/src/daemon_admin.cpp
+++ b/src/daemon_admin.cpp
@@ -1,8 +1,8 @@
 // HTTP handlers for operators, under /-/.
 #include <algorithm>
-#include <nlohmann/json.hpp>
 
 #include "daemon.h"
+#include "json_text.h"
 #include "slice.h"
 
 namespace bulrushway {
@@ -14,7 +14,7 @@
 constexpr size_t kDefaultEventLimit = 50;
 
 http_answer JsonAnswer(const json& value, int status = 200) {
-  return {status, {{"Content-Type", "application/json"}}, value.dump() + "\n"};
+  return {status, {{"Content-Type", "application/json"}}, ToJsonText(value) + "\n"};
 }
 
 json ToJson(const node_state& node) {
--- a/src/decision_log.cpp
+++ b/src/decision_log.cpp
@@ -5,6 +5,7 @@
 #include <fmt/format.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <chrono>
 #include <ctime>
@@ -20,15 +21,24 @@
 // Limit on buffered bytes when the reader has stopped: new lines are dropped, buffered ones kept.
 constexpr size_t kMaxBufferBytes = 64 << 10;
 
+bool IsControl(char c) {
+  const auto byte = static_cast<unsigned char>(c);
+  constexpr unsigned char kFirstPrintable = 0x20;
+  constexpr unsigned char kDelete = 0x7f;
+  return byte < kFirstPrintable || byte == kDelete;
+}
+
+// Values may come from other processes: none may end the line or start a terminal sequence.
 void AppendValue(std::string& line, const std::string& value) {
-  if (!value.empty() && value.find_first_of(" =\"\n\r\t") == std::string::npos) {
+  if (!value.empty() && value.find_first_of(" =\"") == std::string::npos &&
+      std::none_of(value.begin(), value.end(), IsControl)) {
     line += value;
     return;
   }
   line += '"';
   for (const char c : value) {
     if (c == '"' || c == '\\') line += '\\';
-    line += (c == '\n' || c == '\r') ? ' ' : c;
+    line += IsControl(c) ? ' ' : c;
   }
   line += '"';
 }
--- a/src/http_table_service.cpp
+++ b/src/http_table_service.cpp
@@ -94,7 +94,7 @@
 void http_table_service::CommitRows(const transaction& txn,
                                     std::function<void(result<table_receipt>)> done) {
   http_request request{"POST", "/table/txn", {{"Content-Type", "application/json"}}, {}};
-  request.body = ToJson(txn).dump();
+  request.body = ToJsonText(ToJson(txn));
   Send(std::move(request), "commit transaction",
        [done = std::move(done), peer = ToString(Address())](const result<http_answer>& answer) {
          if (!answer) return done(tl::unexpected<error>(answer.error()));
--- a/src/json_text.cpp
+++ b/src/json_text.cpp
@@ -40,4 +40,8 @@
   return nlohmann::json::parse(text);
 }
 
+std::string ToJsonText(const nlohmann::json& value, int indent) {
+  return value.dump(indent, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
 }  // namespace bulrushway
--- a/src/json_text.h
+++ b/src/json_text.h
@@ -1,10 +1,11 @@
 #ifndef BULRUSHWAY_JSON_TEXT_H
 #define BULRUSHWAY_JSON_TEXT_H
 
-// Parses JSON that others have written. Include it only from .cpp files, since it includes the JSON
-// library.
+// Parses JSON that others have written, and formats values that may hold their texts. Include it
+// only from .cpp files, since it includes the JSON library.
 
 #include <nlohmann/json.hpp>
+#include <string>
 #include <string_view>
 
 namespace bulrushway {
@@ -13,6 +14,10 @@
 /// nested so deeply that its values would take many times the memory of the text.
 nlohmann::json ParseJson(std::string_view text);
 
+/// Formats a value: on one line, or with `indent` spaces a level. Bytes that are not UTF-8 are
+/// replaced by U+FFFD, since a text of another process must not make formatting fail.
+std::string ToJsonText(const nlohmann::json& value, int indent = -1);
+
 }  // namespace bulrushway
 
 #endif  // BULRUSHWAY_JSON_TEXT_H
--- a/src/key_map.cpp
+++ b/src/key_map.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "handover.h"
 #include "msgpack_fields.h"
 
 namespace bulrushway {
@@ -124,6 +125,16 @@
   return true;
 }
 
+size_t ClearUnusableHandovers(key_map& map) {
+  size_t cleared = 0;
+  for (owned_range& range : map.ranges) {
+    if (IsUsableHandover(range.handover)) continue;
+    range.handover.clear();
+    ++cleared;
+  }
+  return cleared;
+}
+
 std::string EncodeDelta(const key_map_delta& delta) { return msgpack_fields::Serialize(delta); }
 
 result<key_map_delta> DecodeDelta(const std::string& bytes) {
--- a/src/key_map.h
+++ b/src/key_map.h
@@ -70,6 +70,9 @@
 /// Applies a delta to the map that it is based on. False, with the map unchanged, if the result
 /// would not be consistent.
 bool ApplyDelta(key_map& map, const key_map_delta& delta);
+/// Clears the handovers that cannot be passed on, and returns their number. The keys can be granted
+/// without them.
+size_t ClearUnusableHandovers(key_map& map);
 std::string EncodeDelta(const key_map_delta& delta);
 result<key_map_delta> DecodeDelta(const std::string& bytes);
 
--- a/src/range_controller.cpp
+++ b/src/range_controller.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "handover.h"
+
 namespace bulrushway {
 namespace {
 
@@ -31,6 +33,7 @@
   reading_ = false;
   if (map_known_ && version < map_version_) return;
   map_ = std::move(map);
+  unusable_handovers_ += ClearUnusableHandovers(map_);
   map_version_ = version;
   OnMapRead(read_started, EraOf(version));
 }
@@ -140,7 +143,7 @@
   for (pending_release& pending : pending_releases_) {
     for (const released_range& released : heartbeat.released) {
       if (!released.keys.Overlaps(pending.keys)) continue;
-      if (pending.handover.empty()) pending.handover = released.handover;
+      TakeHandover(pending, released.handover);
       pending.released = true;
     }
     // The heartbeat may have been sent before the target learned that it has to release the keys.
@@ -151,6 +154,15 @@
   }
 }
 
+void range_controller::TakeHandover(pending_release& pending, const std::string& handover) {
+  if (!pending.handover.empty()) return;
+  if (IsUsableHandover(handover)) {
+    pending.handover = handover;
+  } else {
+    ++unusable_handovers_;
+  }
+}
+
 std::vector<granted_range> range_controller::PermittedRanges() const {
   std::vector<granted_range> permitted;
   for (const owned_range& range : map_.ranges) {
@@ -229,7 +241,7 @@
     pending.call_in_flight = false;
     pending.next_call = now + kReleaseRetryDelay;
     pending.released = pending.released || outcome.result == grant_call_result::kDone;
-    if (pending.handover.empty()) pending.handover = outcome.handover;
+    TakeHandover(pending, outcome.handover);
   }
 }
 
--- a/src/range_controller.h
+++ b/src/range_controller.h
@@ -174,6 +174,9 @@
   bool MapKnown() const { return map_known_; }
   /// Whether all leases that the store acknowledged before it last returned from a copy have ended.
   bool Settled(instant now) const { return era_.Settled(now, settings_.return_settle_time); }
+  /// Number of handovers, sent by targets or stored in the map, that could not be passed on. Their
+  /// keys are granted without them.
+  uint64_t UnusableHandovers() const { return unusable_handovers_; }
   bool HasPendingReleases() const { return !pending_releases_.empty(); }
   grant_delivery_kind delivery() const { return settings_.delivery; }
 
@@ -197,6 +200,8 @@
 
   void OnMapRead(instant read_started, uint64_t era);
   bool IsReleasing(const key_range& keys) const;
+  // Takes over the handover of released keys, unless there is one already.
+  void TakeHandover(pending_release& pending, const std::string& handover);
   // Records which of the target's keys the change assigns to other nodes.
   void RecordReassignedKeys();
   // Whether a change that assigns the keys to another node may still take effect.
@@ -288,6 +293,7 @@
   // change may take effect, even after its answer was lost, until the map has another version.
   std::vector<key_range> reassigned_keys_;
   uint64_t reassigned_at_version_ = 0;
+  uint64_t unusable_handovers_ = 0;
 
   std::vector<std::string> last_candidates_;
   instant candidates_changed_at_{};
--- a/src/range_service.cpp
+++ b/src/range_service.cpp
@@ -119,8 +119,21 @@
 void range_service::OnMapRow(instant now, instant sent, const stored_row& row) {
   OnStoreEra(now, EraOf(row.version), {});
   auto map = DecodeKeyMap(row.value);
-  if (map) return controller_.OnMap(sent, std::move(*map), row.version);
-  OnMapUnreadable(now, map.error().message);
+  if (!map) return OnMapUnreadable(now, map.error().message);
+  controller_.OnMap(sent, std::move(*map), row.version);
+  ReportUnusableHandovers("key map");
+}
+
+void range_service::ReportUnusableHandovers(std::string_view source) {
+  const uint64_t total = controller_.UnusableHandovers();
+  if (total == reported_unusable_handovers_) return;
+  const uint64_t added = total - std::exchange(reported_unusable_handovers_, total);
+  metrics_.Counter("bulrushway_handovers_unusable", {{"source", std::string(source)}}) += added;
+  log_.Write("handover_unusable",
+             {{"service", settings_.service},
+              {"source", std::string(source)},
+              {"handovers", std::to_string(added)}},
+             log_priority::kNotable);
 }
 
 void range_service::OnMapUnreadable(instant now, const std::string& reason) {
@@ -141,6 +154,7 @@
   OnStoreEra(now, EraOf(version), {});
   // Nothing says whether this map was read after the lease was acquired.
   controller_.OnMap({}, map, version);
+  ReportUnusableHandovers("key map");
 }
 
 void range_service::CommitChange(instant now) {
@@ -232,11 +246,14 @@
                log_priority::kNotable);
   }
   controller_.OnCallOutcome(now, call, outcome);
+  ReportUnusableHandovers("target");
 }
 
 std::optional<target_grant> range_service::OnHeartbeat(instant now,
                                                        const target_heartbeat& heartbeat) {
-  return controller_.OnHeartbeat(now, heartbeat, lease_.Remaining(now, clock_));
+  auto grant = controller_.OnHeartbeat(now, heartbeat, lease_.Remaining(now, clock_));
+  ReportUnusableHandovers("target");
+  return grant;
 }
 
 }  // namespace bulrushway
--- a/src/range_service.h
+++ b/src/range_service.h
@@ -74,6 +74,8 @@
   const range_controller& controller() const { return controller_; }
 
  private:
+  // Logs and counts the handovers that have turned out unusable since the last call.
+  void ReportUnusableHandovers(std::string_view source);
   void OnMapUnreadable(instant now, const std::string& reason);
   row_key LeaseRowKey(const std::string& node) const {
     return {kLeaseTable, settings_.service + "/" + node};
@@ -108,6 +110,7 @@
   process_lease lease_;
   range_controller controller_;
   bool leased_ = false;
+  uint64_t reported_unusable_handovers_ = 0;
 };
 
 }  // namespace bulrushway
