Catch exceptions that escape a callback of the event loop

Cause: callbacks run below libevent, which is C code; nothing caught what left them.

Change: event_loop::Guard calls each callback of libevent. An exception is logged and counted (exception_caught, bulrushway_exceptions), and ends only what the callback worked on: the request and connection of a server, the connection of a caller, one message of a peer, one delayed call. The requests that wait for that server's connections go on.

--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -137,6 +137,12 @@
     log_.Write(event_id::kServiceFailed, started.error());
     return started;
   }
+  loop_.OnException([this](std::string_view callback, std::string_view what) {
+    metrics_.Counter("bulrushway_exceptions", {{"callback", std::string(callback)}})++;
+    decisions_.Write("exception_caught",
+                     {{"callback", std::string(callback)}, {"what", std::string(what)}},
+                     log_priority::kNotable);
+  });
   loop_.OnTermination([this] { BeginStop(boot_clock::now()); });
   last_tick_ = now;
   tick_.Every(kTickInterval);
--- a/src/delayed_calls.cpp
+++ b/src/delayed_calls.cpp
@@ -5,7 +5,7 @@
 namespace bulrushway {
 
 delayed_calls::delayed_calls(event_loop& loop)
-    : timer_(loop, [this](instant now) { Expire(now); }) {}
+    : loop_(loop), timer_(loop, [this](instant now) { Expire(now); }) {}
 
 void delayed_calls::CallAt(instant due, std::function<void(instant now)> call) {
   const bool first = calls_.empty() || due < calls_.begin()->first;
@@ -17,7 +17,7 @@
   while (!calls_.empty() && calls_.begin()->first <= now) {
     const auto call = std::move(calls_.begin()->second);
     calls_.erase(calls_.begin());
-    call(now);
+    loop_.Guard("delayed call", [&] { call(now); });
   }
   if (!calls_.empty()) Arm(now);
 }
--- a/src/delayed_calls.h
+++ b/src/delayed_calls.h
@@ -23,6 +23,7 @@
   void Arm(instant now);
 
   std::multimap<instant, std::function<void(instant now)>> calls_;
+  event_loop& loop_;
   timer timer_;
 };
 
--- a/src/event_loop.cpp
+++ b/src/event_loop.cpp
@@ -3,6 +3,7 @@
 #include <event2/event.h>
 
 #include <csignal>
+#include <cstdio>
 
 namespace bulrushway {
 namespace {
@@ -40,7 +41,8 @@
   stop_ = std::move(stop);
   std::signal(SIGPIPE, SIG_IGN);
   const auto call = [](evutil_socket_t, short, void* self) {
-    static_cast<event_loop*>(self)->stop_();
+    auto* loop = static_cast<event_loop*>(self);
+    loop->Guard("request to stop", loop->stop_);
   };
   terminate_ = evsignal_new(base_, SIGTERM, call, this);
   interrupt_ = evsignal_new(base_, SIGINT, call, this);
@@ -51,14 +53,29 @@
 void event_loop::OnReload(std::function<void()> reload) {
   reload_ = std::move(reload);
   const auto call = [](evutil_socket_t, short, void* self) {
-    static_cast<event_loop*>(self)->reload_();
+    auto* loop = static_cast<event_loop*>(self);
+    loop->Guard("request to reload", loop->reload_);
   };
   hang_up_ = evsignal_new(base_, SIGHUP, call, this);
   event_add(hang_up_, nullptr);
 }
 
+void event_loop::ReportException(std::string_view callback, std::string_view what) noexcept {
+  try {
+    if (exception_observer_) return exception_observer_(callback, what);
+  } catch (...) {
+    // There may be no memory for the report; the one below needs none.
+    std::fputs("An exception could not be reported.\n", stderr);
+  }
+  std::fprintf(stderr, "An exception ended a callback (%.*s): %.*s.\n",
+               static_cast<int>(callback.size()), callback.data(), static_cast<int>(what.size()),
+               what.data());
+}
+
 timer::timer(event_loop& loop, callback expired)
-    : event_(event_new(loop.Base(), -1, 0, &timer::Expired, this)), expired_(std::move(expired)) {}
+    : loop_(loop),
+      event_(event_new(loop.Base(), -1, 0, &timer::Expired, this)),
+      expired_(std::move(expired)) {}
 
 timer::~timer() { event_free(event_); }
 
@@ -85,9 +102,9 @@
     const timeval value = ToTimeval(expired_timer->interval_);
     event_add(expired_timer->event_, &value);
   }
-  // The callback may destroy the timer, so it is called through a copy.
-  const callback call = expired_timer->expired_;
-  call(boot_clock::now());
+  // The callback may destroy the timer, so a copy is called.
+  event_loop& loop = expired_timer->loop_;
+  loop.Guard("timer", [call = expired_timer->expired_] { call(boot_clock::now()); });
 }
 
 }  // namespace bulrushway
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -118,6 +118,16 @@
   sweep_.Once(kSweepInterval);
 }
 
+void http_client::OnException(const socket_address& address,
+                              const http_client_connection* connection) {
+  const auto& open = pools_.at(address)->open;
+  const auto found = std::find_if(open.begin(), open.end(), [connection](const auto& candidate) {
+    return candidate.get() == connection;
+  });
+  if (found != open.end()) (*found)->FailAfterException();
+  Dispatch(address);
+}
+
 void http_client::OnUnanswered(const socket_address& address) {
   if (!settings_.close_idle_after_timeout) return;
   pool& connections = *pools_.at(address);
@@ -144,7 +154,7 @@
     for (const auto& connection : connections->open) open.push_back(connection.get());
     for (http_client_connection* connection : open) {
       busy = busy || connection->current() != nullptr;
-      connection->CheckTimeouts(now);
+      loop_.Guard("overdue answer", [=] { connection->CheckTimeouts(now); });
     }
     busy = busy || !waiting.empty();
     idle = idle || !connections->open.empty();
@@ -152,7 +162,9 @@
   for (auto& request : overdue) {
     http_failure failure{.may_have_run = false, .timed_out = true};
     failure.message = "No connection became available before the time limit.";
-    if (request->done) request->done(tl::unexpected<http_failure>(std::move(failure)));
+    loop_.Guard("request without a connection", [&] {
+      if (request->done) request->done(tl::unexpected<http_failure>(std::move(failure)));
+    });
   }
   if (busy || !closed_.empty()) {
     sweep_.Once(kSweepInterval);
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -114,6 +114,8 @@
   // Closes an idle connection to make room for a new one; false when there is none.
   static bool CloseOneIdle(pool& connections);
   void OnConnectionClosed(http_client_connection* connection);
+  // Called after an exception while input of the connection was processed, which may be closed.
+  void OnException(const socket_address& address, const http_client_connection* connection);
   // Called when a request that was sent was not answered in time.
   void OnUnanswered(const socket_address& address);
   void Sweep(instant now);
--- a/src/http_client_connection.cpp
+++ b/src/http_client_connection.cpp
@@ -99,19 +99,38 @@
   evbuffer_add(output, current_->request.body.data(), current_->request.body.size());
 }
 
+template <class Call>
+void http_client_connection::Guard(std::string_view callback, Call call) {
+  // The call may destroy this object.
+  http_client& client = client_;
+  const socket_address address = address_;
+  if (client.loop_.Guard(callback, call)) return;
+  client.loop_.Guard(callback, [&] { client.OnException(address, this); });
+}
+
 void http_client_connection::OnReadable(bufferevent*, void* self) {
-  static_cast<http_client_connection*>(self)->Read();
+  auto* connection = static_cast<http_client_connection*>(self);
+  connection->Guard("answer of a server", [connection] { connection->Read(); });
 }
 
 void http_client_connection::OnEvent(bufferevent*, short events, void* self) {
   auto* connection = static_cast<http_client_connection*>(self);
-  if (connection->closed_) return;
+  connection->Guard("connection to a server", [=] { connection->OnStateChange(events); });
+}
+
+void http_client_connection::FailAfterException() {
+  if (!current_) return Abandon();
+  Fail({.may_have_run = written_, .message = "The answer could not be processed."});
+}
+
+void http_client_connection::OnStateChange(short events) {
+  if (closed_) return;
   if ((events & BEV_EVENT_CONNECTED) != 0) {
-    connection->established_ = true;
-    if (connection->current_) connection->Write();
+    established_ = true;
+    if (current_) Write();
     return;
   }
-  connection->OnDisconnect((events & BEV_EVENT_EOF) != 0);
+  OnDisconnect((events & BEV_EVENT_EOF) != 0);
 }
 
 http_client_connection::echoed_id http_client_connection::EchoOf(const http_answer& answer) const {
--- a/src/http_client_connection.h
+++ b/src/http_client_connection.h
@@ -44,6 +44,8 @@
   bool HasRefused(const http_request& request) const;
   /// Drops the request in flight without calling back, and closes the connection.
   void Abandon();
+  /// Ends the request in flight and closes the connection, after processing its input has failed.
+  void FailAfterException();
   /// Fails a request past its deadline, or closes a connection that was idle for too long.
   void CheckTimeouts(instant now);
 
@@ -53,6 +55,10 @@
   static void OnReadable(bufferevent*, void* self);
   static void OnEvent(bufferevent*, short events, void* self);
 
+  // Calls `call` for libevent. After an exception, the connection fails.
+  template <class Call>
+  void Guard(std::string_view callback, Call call);
+  void OnStateChange(short events);
   void Write();
   // Counts received bytes; false when they are more than the connection may buffer.
   bool CountReceived(size_t bytes);
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -86,8 +86,10 @@
   const sockaddr_in raw = ToSockaddr(address);
   const auto accepted = [](evconnlistener*, evutil_socket_t socket, sockaddr* from, int,
                            void* self) {
+    auto* server = static_cast<http_server*>(self);
     const auto* peer = reinterpret_cast<const sockaddr_in*>(from);
-    static_cast<http_server*>(self)->Accept(socket, FromSockaddr(*peer));
+    server->loop_.Guard("connection of a caller",
+                        [=] { server->Accept(socket, FromSockaddr(*peer)); });
   };
   listener_ =
       evconnlistener_new_bind(loop_.Base(), accepted, this,
@@ -133,7 +135,7 @@
   for (http_server_connection* connection : open) {
     if (!connections_.contains(connection)) continue;
     if (frozen > kSweepInterval) connection->ExtendTimeouts(now, frozen);
-    connection->CheckTimeouts(now);
+    loop_.Guard("overdue request", [=] { connection->CheckTimeouts(now); });
   }
 }
 
--- a/src/http_server_connection.cpp
+++ b/src/http_server_connection.cpp
@@ -89,29 +89,44 @@
   bufferevent_free(raw_);
 }
 
+template <class Call>
+void http_server_connection::Guard(std::string_view callback, Call call) {
+  // The call may destroy this object.
+  http_server& server = server_;
+  if (server.loop_.Guard(callback, call)) return;
+  server.loop_.Guard(callback, [&server, this] { server.connections_.erase(this); });
+}
+
 void http_server_connection::OnReadable(bufferevent*, void* self) {
   auto* connection = static_cast<http_server_connection*>(self);
-  if (connection->progress_ == progress::kReading) connection->Read(boot_clock::now());
+  connection->Guard("request of a caller", [connection] {
+    if (connection->progress_ == progress::kReading) connection->Read(boot_clock::now());
+  });
 }
 
 void http_server_connection::OnWritten(bufferevent*, void* self) {
   auto* connection = static_cast<http_server_connection*>(self);
-  if (connection->progress_ == progress::kClosing) connection->Abort();
+  connection->Guard("answer to a caller", [connection] {
+    if (connection->progress_ == progress::kClosing) connection->Abort();
+  });
 }
 
 void http_server_connection::OnEvent(bufferevent*, short events, void* self) {
   auto* connection = static_cast<http_server_connection*>(self);
+  connection->Guard("connection of a caller", [=] { connection->OnStateChange(events); });
+}
+
+void http_server_connection::OnStateChange(short events) {
   if ((events & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) == 0) return;
   // A caller that half-closed the connection may still be reading its last answer.
-  const bool writing = evbuffer_get_length(bufferevent_get_output(connection->raw_)) > 0 &&
-                       (events & BEV_EVENT_ERROR) == 0 &&
-                       connection->progress_ != progress::kHandling;
+  const bool writing = evbuffer_get_length(bufferevent_get_output(raw_)) > 0 &&
+                       (events & BEV_EVENT_ERROR) == 0 && progress_ != progress::kHandling;
   if (writing) {
-    connection->peer_closed_ = true;
-    connection->CloseAfterWriting();
+    peer_closed_ = true;
+    CloseAfterWriting();
     return;
   }
-  connection->Abort();
+  Abort();
 }
 
 void http_server_connection::Abort() { server_.connections_.erase(this); }
--- a/src/http_server_connection.h
+++ b/src/http_server_connection.h
@@ -46,6 +46,10 @@
   static void OnWritten(bufferevent*, void* self);
   static void OnEvent(bufferevent*, short events, void* self);
 
+  // Calls `call` for libevent. After an exception, the connection is closed.
+  template <class Call>
+  void Guard(std::string_view callback, Call call);
+  void OnStateChange(short events);
   void Read(instant now);
   void DispatchRequest();
   void Reject(instant now, rejection_reason reason);
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -114,6 +114,12 @@
   if (auto listening = mesh_.Listen(settings_.peers); !listening) return listening;
   if (auto listening = metrics_server_.Listen(settings_.metrics); !listening) return listening;
   started_ = now;
+  loop_.OnException([this](std::string_view callback, std::string_view what) {
+    metrics_.Counter("bulrushway_exceptions", {{"callback", std::string(callback)}})++;
+    log_.Write("exception_caught",
+               {{"callback", std::string(callback)}, {"what", std::string(what)}},
+               log_priority::kNotable);
+  });
   log_.Write("started",
              {{"service", settings_.service},
               {"data_centre", settings_.data_centre},
--- a/src/node.h
+++ b/src/node.h
@@ -96,6 +96,10 @@
  public:
   node(event_loop& loop, const node_settings& settings, node_ports ports, uint64_t process);
 
+  ~node() { loop_.OnException({}); }
+  node(const node&) = delete;
+  node& operator=(const node&) = delete;
+
   /// Listens for callers and peers, and starts to follow the store.
   result<void> Start(instant now);
   /// Starts a planned stop: refuses new requests after a short time and exits when all requests are
--- a/src/peer_transport.cpp
+++ b/src/peer_transport.cpp
@@ -39,11 +39,13 @@
   const auto accepted = [](evconnlistener*, evutil_socket_t socket, sockaddr* from, int,
                            void* self) {
     auto* transport = static_cast<peer_transport*>(self);
-    DisableDelay(socket);
-    bufferevent* link =
-        bufferevent_socket_new(transport->loop_.Base(), socket, BEV_OPT_CLOSE_ON_FREE);
-    transport->AddConnection(
-        link, ToString(FromSockaddr(*reinterpret_cast<const sockaddr_in*>(from))), true);
+    const auto* peer = reinterpret_cast<const sockaddr_in*>(from);
+    transport->loop_.Guard("connection of a peer", [=] {
+      DisableDelay(socket);
+      bufferevent* link =
+          bufferevent_socket_new(transport->loop_.Base(), socket, BEV_OPT_CLOSE_ON_FREE);
+      transport->AddConnection(link, ToString(FromSockaddr(*peer)), true);
+    });
   };
   constexpr int kBacklog = 512;
   listener_ =
@@ -98,6 +100,15 @@
   return found == connections_.end() ? "" : found->second->peer;
 }
 
+template <class Call>
+void peer_transport::GuardLink(connection_id id, std::string_view callback, Call call) {
+  if (loop_.Guard(callback, call)) return;
+  loop_.Guard(callback, [&] {
+    Fail(id, error{error_kind::kInternal, "process input", PeerAddress(id),
+                   "An exception ended the processing of the input."});
+  });
+}
+
 connection_id peer_transport::AddConnection(bufferevent* raw, const std::string& peer,
                                             bool established) {
   const connection_id id = next_id_++;
@@ -111,7 +122,8 @@
   const auto read = [](bufferevent*, void* self) {
     auto* from = static_cast<connection*>(self);
     from->last_received = boot_clock::now();
-    from->transport->Read(*from);
+    from->transport->GuardLink(from->id, "input of a peer",
+                               [from] { from->transport->Read(*from); });
   };
   const auto changed = [](bufferevent*, short events, void* self) {
     auto* from = static_cast<connection*>(self);
@@ -120,10 +132,13 @@
       from->last_received = boot_clock::now();
       return;
     }
-    const std::string cause =
-        (events & BEV_EVENT_EOF) != 0 ? "the peer closed it" : std::strerror(errno);
-    from->transport->Fail(from->id, error{error_kind::kPeer, "keep connection", from->peer,
-                                          "The connection is gone: " + cause + "."});
+    const int problem = errno;
+    from->transport->GuardLink(from->id, "connection to a peer", [=] {
+      const std::string cause =
+          (events & BEV_EVENT_EOF) != 0 ? "the peer closed it" : std::strerror(problem);
+      from->transport->Fail(from->id, error{error_kind::kPeer, "keep connection", from->peer,
+                                            "The connection is gone: " + cause + "."});
+    });
   };
   bufferevent_setcb(raw, read, nullptr, changed, link.get());
   bufferevent_enable(raw, EV_READ | EV_WRITE);
@@ -149,7 +164,8 @@
     evbuffer_drain(input, frame_size);
     bytes_received_ += frame_size;
     if (!message) return Fail(id, message.error());
-    events_.received(id, std::move(*message));
+    // The next messages concern other requests.
+    loop_.Guard("message of a peer", [&] { events_.received(id, std::move(*message)); });
     // The handler may have closed this connection.
     if (!connections_.contains(id)) return;
   }
--- a/src/peer_transport.h
+++ b/src/peer_transport.h
@@ -69,6 +69,9 @@
 
   connection_id AddConnection(bufferevent* raw, const std::string& peer, bool established);
   void Read(connection& link);
+  // Calls `call` for libevent. After an exception, the connection fails.
+  template <class Call>
+  void GuardLink(connection_id id, std::string_view callback, Call call);
   void Fail(connection_id id, const error& reason);
 
   event_loop& loop_;
