Relay requests only through their home regions

Cause: ChooseRelay took any node of a third data centre and was not given the home regions. ChooseNode checked the region only of an owner that can be reached, so that a relay could also lead to an owner outside them.

Change: a relay stands in a home region. Without one the request is refused at once as not run (no_home_relay), with the rest of the lost owner's lease as Retry-After. The owner's region is checked first, and a node that is asked to relay checks both regions itself. Requests without home regions keep their relay.

--- a/src/node_peers.cpp
+++ b/src/node_peers.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "home_regions.h"
 #include "node.h"
 
 namespace bulrushway {
@@ -145,10 +146,13 @@
 
 void node::Relay(instant now, const peer_request_key& key, dispatch_request request) {
   const std::string to = std::exchange(request.relay_to, {});
+  const std::string request_id = request.request_id;
   const bool large = request.large_answer;
   const node_state* peer = fleet_.Find(to);
+  const bool at_home = AllowsRegion(request.home_regions, settings_.region) &&
+                       (peer == nullptr || AllowsRegion(request.home_regions, peer->member.region));
   peer_mesh::ticket ticket = 0;
-  if (peer != nullptr && peer->reachable) {
+  if (at_home && peer != nullptr && peer->reachable) {
     ticket = mesh_.Send(now, to, std::move(request), large,
                         [this, key](instant answered, dispatch_answer answer) {
                           relayed_.Remove(key);
@@ -160,11 +164,15 @@
     relayed_.Add(key, ticket);
     return;
   }
-  log_.Write("relay_refused", {{"to", to}, {"reachable", peer == nullptr ? "unknown" : "no"}});
-  dispatch_answer unreachable;
-  unreachable.id = key.second;
-  unreachable.reason = refusal_reason::kOwnerUnreachable;
-  mesh_.Answer(now, key.first, unreachable);
+  log_.Write("relay_refused",
+             {{"request", request_id},
+              {"to", to},
+              {"home", at_home ? "yes" : "no"},
+              {"reachable", peer == nullptr ? "unknown" : (peer->reachable ? "yes" : "no")}});
+  dispatch_answer refused;
+  refused.id = key.second;
+  refused.reason = at_home ? refusal_reason::kOwnerUnreachable : refusal_reason::kHomeRegion;
+  mesh_.Answer(now, key.first, refused);
 }
 
 void node::OnPeerCancelled(instant now, session_id from, uint64_t id) {
--- a/src/refusal.cpp
+++ b/src/refusal.cpp
@@ -38,6 +38,7 @@
     "internal",
     "stale_rules",
     "target_limited",
+    "no_home_relay",
 };
 
 }  // namespace
--- a/src/refusal.h
+++ b/src/refusal.h
@@ -42,6 +42,7 @@
   kInternal,
   kStaleRules,
   kTargetLimited,
+  kNoHomeRelay,
   kCount,
 };
 
--- a/src/request_router.cpp
+++ b/src/request_router.cpp
@@ -153,16 +153,17 @@
   reason = refusal_reason::kNoOwner;
   if (owner.empty()) return nullptr;
   const node_state* node = fleet_.Find(owner);
+  // Neither directly nor through a relay.
+  if (node != nullptr && !AllowsRegion(pending.matched->home_regions, node->member.region)) {
+    reason = refusal_reason::kHomeRegion;
+    return nullptr;
+  }
   reason = refusal_reason::kOwnerUnreachable;
   if (node == nullptr || !node->reachable || !node->reported) return nullptr;
   if (node->TargetLeft(now, ports_.drain_limit())) {
     reason = refusal_reason::kMoving;
     return nullptr;
   }
-  if (!AllowsRegion(pending.matched->home_regions, node->member.region)) {
-    reason = refusal_reason::kHomeRegion;
-    return nullptr;
-  }
   return node;
 }
 
@@ -179,10 +180,11 @@
   refusal_reason reason = refusal_reason::kNone;
   const node_state* to = ChooseNode(now, *pending, reason);
   if (to != nullptr) return SendTo(now, pending, *to, nullptr);
-  if (reason == refusal_reason::kOwnerUnreachable && SendThroughRelay(now, pending)) return;
+  if (reason == refusal_reason::kOwnerUnreachable && SendThroughRelay(now, pending, reason)) return;
   // The owner may become known shortly.
   const bool may_wait =
       pending->keyed && reason != refusal_reason::kHomeRegion &&
+      reason != refusal_reason::kNoHomeRelay &&
       now - pending->arrived < kOwnerWaitShare * (pending->deadline - pending->arrived);
   if (may_wait) {
     pending->last_reason = reason;
--- a/src/request_router.h
+++ b/src/request_router.h
@@ -96,7 +96,9 @@
   // Sends through `relay` when the node cannot be reached directly; null: sends directly.
   void SendTo(instant now, const pending_request_ptr& pending, const node_state& to,
               const node_state* relay);
-  bool SendThroughRelay(instant now, const pending_request_ptr& pending);
+  // Sends to the owner, which cannot be reached, through another node. Returns false when there is
+  // none; `reason` is then changed if the home regions of the request rule out that one is found.
+  bool SendThroughRelay(instant now, const pending_request_ptr& pending, refusal_reason& reason);
   std::chrono::milliseconds MaxQueueWait(const pending_request& pending,
                                          std::chrono::milliseconds spare,
                                          std::chrono::milliseconds on_time_spare) const;
--- a/src/request_router_sending.cpp
+++ b/src/request_router_sending.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "pending_request.h"
+#include "process_lease.h"
 #include "target_choice.h"
 
 namespace bulrushway {
@@ -67,11 +68,21 @@
   return request;
 }
 
-bool request_router::SendThroughRelay(instant now, const pending_request_ptr& pending) {
+bool request_router::SendThroughRelay(instant now, const pending_request_ptr& pending,
+                                      refusal_reason& reason) {
   const node_state* owner = fleet_.Find(OwnerOf(*pending));
   if (owner == nullptr || pending->tries >= kMaxTries) return false;
-  const node_state* relay = ChooseRelay(now, fleet_, *owner, pending->tried, rng_);
-  if (relay == nullptr) return false;
+  const choice_request request{.home_regions = pending->matched->home_regions,
+                               .tried = pending->tried};
+  const node_state* relay = ChooseRelay(now, fleet_, *owner, request, rng_);
+  if (relay == nullptr) {
+    if (request.home_regions.empty() || !MayRelay(now, *owner)) return false;
+    reason = refusal_reason::kNoHomeRelay;
+    // By then the lease of an owner that is gone has ended, and its keys have another one.
+    const auto unreachable = duration_cast<milliseconds>(now - owner->reachable_since);
+    pending->retry_after = std::max(lease_settings{}.duration - unreachable, milliseconds{0});
+    return false;
+  }
   metrics_.Counter("bulrushway_requests_relayed")++;
   SendTo(now, pending, *owner, relay);
   return true;
--- a/src/retry_rules.cpp
+++ b/src/retry_rules.cpp
@@ -47,6 +47,7 @@
     case refusal_reason::kOwnerUnreachable:
     case refusal_reason::kMoving:
     case refusal_reason::kLeaseLapsed:
+    case refusal_reason::kNoHomeRelay:
       return failure_class::kOwnership;
     case refusal_reason::kQueueFull:
     case refusal_reason::kTenantShare:
--- a/src/target_choice.cpp
+++ b/src/target_choice.cpp
@@ -33,11 +33,14 @@
 // processes.
 constexpr double kColdFactor = 2;
 
+bool WasTried(const choice_request& request, const std::string& node) {
+  return std::find(request.tried.begin(), request.tried.end(), node) != request.tried.end();
+}
+
 bool Allowed(instant now, const node_state& node, const choice_request& request) {
   if (!node.Usable() || now < node.avoid_until) return false;
   if (!AllowsRegion(request.home_regions, node.member.region)) return false;
-  const auto& tried = request.tried;
-  return std::find(tried.begin(), tried.end(), node.member.node) == tried.end();
+  return !WasTried(request, node.member.node);
 }
 
 }  // namespace
@@ -86,11 +89,13 @@
   return best;
 }
 
+bool MayRelay(instant now, const node_state& owner) {
+  return !owner.reachable && owner.reported && now - owner.reachable_since >= kRelayDelay;
+}
+
 const node_state* ChooseRelay(instant now, const fleet_view& fleet, const node_state& owner,
-                              const std::vector<std::string>& tried, std::mt19937_64& rng) {
-  if (owner.reachable || !owner.reported || now - owner.reachable_since < kRelayDelay) {
-    return nullptr;
-  }
+                              const choice_request& request, std::mt19937_64& rng) {
+  if (!MayRelay(now, owner)) return nullptr;
   const node_state* self = fleet.Find(fleet.self());
   if (self == nullptr) return nullptr;
   const node_state* best = nullptr;
@@ -100,10 +105,10 @@
     const std::string& data_centre = node.member.data_centre;
     const bool in_third_data_centre =
         data_centre != self->member.data_centre && data_centre != owner.member.data_centre;
-    const bool already_tried = std::find(tried.begin(), tried.end(), name) != tried.end();
-    if (!in_third_data_centre || already_tried || !node.reachable || !node.reported ||
-        node.report.stopping)
-      continue;
+    const bool eligible = in_third_data_centre && !WasTried(request, name) && node.reachable &&
+                          node.reported && !node.report.stopping;
+    // A relay receives the whole request.
+    if (!eligible || !AllowsRegion(request.home_regions, node.member.region)) continue;
     const double time = (milliseconds_f(node.round_trip).count() + 1) * jitter(rng);
     if (best != nullptr && time >= best_time) continue;
     best = &node;
--- a/src/target_choice.h
+++ b/src/target_choice.h
@@ -39,10 +39,13 @@
 
 /// Node that may relay a request to `owner`, to which this process has no connection. It is in a
 /// third data centre, since the path between the other two is the one that is cut. Null when there
-/// is no such node, or when the connection was lost so recently that other nodes may not have
-/// noticed yet that the owner is gone.
+/// is no such node in the request's home regions, or while MayRelay is false.
 const node_state* ChooseRelay(instant now, const fleet_view& fleet, const node_state& owner,
-                              const std::vector<std::string>& tried, std::mt19937_64& rng);
+                              const choice_request& request, std::mt19937_64& rng);
+
+/// Whether other nodes may reach an owner to which this process has no connection. False when the
+/// connection was lost so recently that they may not have noticed yet that the owner is gone.
+bool MayRelay(instant now, const node_state& owner);
 
 }  // namespace bulrushway
 
--- a/test/process/platform_path_test.cpp
+++ b/test/process/platform_path_test.cpp
@@ -10,20 +10,13 @@
 #include <string>
 #include <vector>
 
-#include "child_process.h"
-#include "http_client.h"
-#include "row_server.h"
-#include "sealing_target.h"
+#include "platform_deployment.h"
 
 namespace bulrushway::testing {
 namespace {
 
 using std::chrono::milliseconds;
 using std::chrono::seconds;
-using outcome = tl::expected<http_answer, http_failure>;
-
-constexpr milliseconds kPollInterval{20};
-const std::string kFilePrefix = "/tmp/bulrushway-platform-test";
 
 constexpr const char* kConfiguration =
     R"({"version":"00000001","resources":[)"
@@ -47,147 +40,12 @@
   std::ofstream(path) << text.replace(text.find(old_text), old_text.size(), new_text);
 }
 
-// An instance: a target and its router process. Machine n listens on loopback address 127.0.7.n.
-struct machine {
-  std::string ip;
-  std::unique_ptr<standin::sealing_target> target;
-  std::unique_ptr<child_process> process;
-  std::string settings_file;
-
-  socket_address Address(uint16_t port) const { return {ip, port}; }
-};
-
-constexpr uint16_t kCallersPort = 7147;
-constexpr uint16_t kReadyPort = 7141;
-constexpr uint16_t kControlPort = 7144;
-constexpr uint16_t kTargetPort = 7145;
-
-class deployment {
- public:
-  /// With `by_calls`, keys are granted by calls, of which every fourth is carried out late.
-  explicit deployment(bool by_calls = false) : by_calls_(by_calls), store_(loop_, kStoreAddress) {
-    BOOST_REQUIRE(store_.Listen());
-    for (const char* service : {"plain", "plain", "keyed", "keyed"}) AddMachine(service);
-  }
-
-  event_loop& loop() { return loop_; }
-  standin::row_server& store() { return store_; }
-  std::vector<machine>& machines() { return machines_; }
-
-  // Runs the event loop until `done` holds, for at most `limit`; returns whether it holds.
-  bool Until(const std::function<bool()>& done, milliseconds limit) {
-    const instant end = boot_clock::now() + limit;
-    timer poll_timer(loop_, [this](instant) { loop_.Stop(); });
-    while (!done()) {
-      if (boot_clock::now() >= end) return false;
-      poll_timer.Once(kPollInterval);
-      loop_.Run();
-    }
-    return true;
-  }
-  void Wait(milliseconds time) {
-    Until([] { return false; }, time);
-  }
-
-  // Sends a request to the process of a machine. The result is set once the answer arrives. A
-  // negative `key` means no key.
-  std::shared_ptr<std::optional<outcome>> Send(size_t entry, const std::string& path,
-                                               const std::string& id, int key = -1,
-                                               milliseconds timeout = seconds(2)) {
-    http_request request;
-    request.method = path.starts_with("/pay/") ? "POST" : "GET";
-    request.target = path;
-    request.headers = {{"Host", "h"},
-                       {"X-Bulrushway-Request-Id", id},
-                       {"X-Bulrushway-Request-Timeout", std::to_string(timeout.count())}};
-    if (key >= 0) request.headers.emplace_back("X-Bulrushway-Shard-Key", std::to_string(key));
-    auto result = std::make_shared<std::optional<outcome>>();
-    client_.Send(machines_[entry].Address(kCallersPort), std::move(request), timeout + seconds(1),
-                 [result](outcome answer) { *result = std::move(answer); });
-    return result;
-  }
-  int StatusOf(size_t entry, const std::string& path, const std::string& id, int key = -1) {
-    const auto result = Send(entry, path, id, key);
-    Until([&] { return result->has_value(); }, seconds(4));
-    if (!result->has_value() || !(*result)->has_value()) return 0;
-    return (**result)->status;
-  }
-  bool Ready(size_t entry) {
-    http_request request;
-    request.target = "/bulrushway/ready";
-    int status = 0;
-    client_.Send(machines_[entry].Address(kReadyPort), std::move(request), seconds(1),
-                 [&status](const outcome& answer) { status = answer ? answer->status : -1; });
-    Until([&status] { return status != 0; }, seconds(2));
-    return status == 200;
-  }
-  // Waits until every process is ready and all keys have an owner.
-  bool WaitUntilSettled() {
-    return Until(
-        [this] {
-          for (size_t i = 0; i < machines_.size(); ++i) {
-            if (machines_[i].process->Running() && !Ready(i)) return false;
-          }
-          return CountHolders(0) == 1 && CountHolders(65535) == 1;
-        },
-        seconds(15));
-  }
-  int CountHolders(uint32_t key) {
-    int holders = 0;
-    for (const machine& each : machines_) holders += each.target->Holds(key) ? 1 : 0;
-    return holders;
-  }
-  void StartProcess(machine& host) {
-    setenv("BULRUSHWAY_BOOT", host.settings_file.c_str(), 1);
-    host.process =
-        std::make_unique<child_process>(std::string(BULRUSHWAY_PROGRAMS) + "/bulrushway-node",
-                                        std::vector<std::string>{}, host.settings_file + ".log");
-  }
-
- private:
-  void AddMachine(const std::string& service) {
-    const std::string number = std::to_string(machines_.size() + 1);
-    machine added;
-    added.ip = "127.0.7." + number;
-    added.settings_file = kFilePrefix + number + ".ini";
-    standin::sealing_target_settings target;
-    target.id = "i-" + number;
-    target.service = service;
-    target.address = added.Address(kTargetPort);
-    target.control = added.Address(kControlPort);
-    target.keyed = service == "keyed";
-    target.granted_by_calls = by_calls_;
-    target.late_grant_every = by_calls_ ? 4 : 0;
-    added.target = std::make_unique<standin::sealing_target>(loop_, target);
-    BOOST_REQUIRE(added.target->Listen());
-    std::ofstream(added.settings_file)
-        << "[node]\nname = n" << number << "\nip = " << added.ip
-        << "\ndata_centre = a\nregion = r\n"
-        << "service = " << service << "\ntarget = " << ToString(added.Address(kTargetPort))
-        << "\nheartbeat = 300 ms\ngrants = " << (by_calls_ ? "call" : "heartbeat")
-        << "\n[listen]\ncallers = " << ToString(added.Address(kCallersPort))
-        << "\nready = " << ToString(added.Address(kReadyPort))
-        << "\nheartbeats = " << ToString(added.Address(kControlPort))
-        << "\nfirst_and_last_port = 7380,7395\n[store]\naddress = " << ToString(kStoreAddress)
-        << "\n[bounds]\ndrain_s = 2.5\ngrace_s = 6\nhold_max_s = 10\n";
-    StartProcess(added);
-    machines_.push_back(std::move(added));
-  }
-
-  const socket_address kStoreAddress{"127.0.7.100", 7142};
-  bool by_calls_;
-  event_loop loop_;
-  standin::row_server store_;
-  http_client client_{loop_, http_client_settings{.max_connections = 64}};
-  std::vector<machine> machines_;
-};
-
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(processes_on_the_platform)
 
 BOOST_AUTO_TEST_CASE(serve_requests_from_the_first_configuration_on) {
-  deployment fleet;
+  platform_deployment fleet;
   BOOST_TEST_CONTEXT("without a configuration they are not ready and refuse requests") {
     fleet.Wait(milliseconds(800));
     BOOST_TEST(!fleet.Ready(0));
@@ -239,7 +97,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(lose_no_request_when_one_is_asked_to_stop) {
-  deployment fleet;
+  platform_deployment fleet;
   fleet.store().Put("op", "config", kConfiguration);
   BOOST_REQUIRE(fleet.WaitUntilSettled());
   std::vector<std::shared_ptr<std::optional<outcome>>> results;
@@ -264,7 +122,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(answer_what_is_under_way_before_one_that_stops_is_gone) {
-  deployment fleet;
+  platform_deployment fleet;
   // The work and the request timeout are longer than the time in which a process must stop.
   std::string configuration = kConfiguration;
   const std::string limit = R"("timeout_s":2)";
@@ -284,7 +142,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(answer_in_time_when_settings_name_a_longer_stop_meanwhile) {
-  deployment fleet;
+  platform_deployment fleet;
   std::string configuration = kConfiguration;
   const std::string limit = R"("timeout_s":2)";
   configuration.replace(configuration.find(limit), limit.size(), R"("timeout_s":20)");
@@ -304,7 +162,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(move_the_keys_of_a_draining_target_and_take_a_restart_in_their_stride) {
-  deployment fleet;
+  platform_deployment fleet;
   fleet.store().Put("op", "config", kConfiguration);
   BOOST_REQUIRE(fleet.WaitUntilSettled());
 
@@ -332,7 +190,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(grant_keys_by_calls_that_are_carried_out_late_or_not_answered) {
-  deployment fleet(true);
+  platform_deployment fleet(true);
   fleet.store().Put("op", "config", kConfiguration);
   BOOST_REQUIRE(fleet.WaitUntilSettled());
   const auto runs_once = [&fleet](const std::string& id) {
