Give a process a budget for the messages that it holds

Thirty answers of 15 MiB, each within its limit, took 226 MB beside callers that did not read them at once; on the platform the process would have been killed with the requests of all its callers.

Cause: limits were per answer, and nothing limited the sum. An answer was also copied up to five times on its way through a process.

Change: memory_budget, 0.4 of memory_mb (a new setting, filled in from limits.memory_mb). It counts what the target is sending with all that is announced, what is buffered for and from peers, and what callers have not read. Messages up to 64 KiB are always accepted. A large answer of a target waits in its socket until it fits; a large message of a peer that does not fit is discarded as it arrives and ends its own request only (answer_too_large), with a log line and a counter. Large messages are encoded in one piece that the output keeps, decoding refers to the input, and the allocator returns large blocks to the system.

--- a/src/http_client.h
+++ b/src/http_client.h
@@ -14,6 +14,7 @@
 
 #include "event_loop.h"
 #include "http_message.h"
+#include "memory_budget.h"
 #include "socket_address.h"
 
 namespace bulrushway {
@@ -30,6 +31,8 @@
   bool refused = false;
   /// The server closed or reset the connection before the first byte of an answer.
   bool closed_before_answer = false;
+  /// The answer is larger than permitted, or than can be held at present.
+  bool too_large = false;
   /// Description as a full sentence.
   std::string message = {};
 };
@@ -40,11 +43,14 @@
   size_t max_connections = 8;
   /// Maximum size of an answer's body.
   size_t max_answer_bytes = 16 << 20;
-  /// Maximum bytes of all answers that are being received together. Beyond it, a connection whose
-  /// answer has taken more than `small_answer_bytes` fails: servers in trouble may send without
-  /// end.
+  /// Maximum bytes of all answers that are being received together, but for those that `budget` has
+  /// accepted whole. Beyond it, a connection whose answer has taken more than `small_answer_bytes`
+  /// fails: servers in trouble may send without end.
   size_t max_buffered_bytes = 32 << 20;
   size_t small_answer_bytes = 1 << 20;
+  /// Answers of more than `kSmallMessageBytes` have to fit in this budget. One that announces its
+  /// length waits in its socket until it does; another one fails. Null: not limited.
+  const memory_budget* budget = nullptr;
   /// A connection that is not established within this time has failed.
   std::chrono::milliseconds connect_timeout{1000};
   /// An idle connection is closed after `idle_limit`, or after this fraction of the timeout that
@@ -100,8 +106,10 @@
   size_t Connections(const socket_address& address) const;
   /// Total connections opened since the start, to all addresses.
   uint64_t ConnectionsOpened() const { return connections_opened_; }
-  /// Bytes of the answers that are being received.
+  /// Bytes received of the answers that are being received.
   size_t BufferedBytes() const { return buffered_bytes_; }
+  /// The same with the bytes that these answers announce and that are still to come.
+  size_t ExpectedBytes() const { return expected_bytes_; }
   /// Number of answers that were skipped because they belonged to another request.
   uint64_t CrossedAnswers() const { return crossed_answers_; }
 
@@ -126,6 +134,7 @@
   uint64_t connections_opened_ = 0;
   uint64_t crossed_answers_ = 0;
   size_t buffered_bytes_ = 0;
+  size_t expected_bytes_ = 0;
   std::map<socket_address, std::unique_ptr<pool>> pools_;
   std::vector<std::unique_ptr<http_client_connection>> closed_;
   timer sweep_;
--- a/src/http_client_connection.cpp
+++ b/src/http_client_connection.cpp
@@ -5,6 +5,7 @@
 #include <event2/event.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <charconv>
 #include <cstring>
@@ -52,14 +53,42 @@
 bool http_client_connection::CountReceived(size_t bytes) {
   answer_bytes_ += bytes;
   client_.buffered_bytes_ += bytes;
+  Expect(answer_bytes_);
   const http_client_settings& settings = client_.settings_;
-  const bool too_many = client_.buffered_bytes_ > settings.max_buffered_bytes;
+  const bool too_many = !admitted_ && client_.buffered_bytes_ > settings.max_buffered_bytes;
   return answer_bytes_ <= settings.max_answer_bytes + settings.small_answer_bytes &&
          (!too_many || answer_bytes_ <= settings.small_answer_bytes);
 }
 
+void http_client_connection::Expect(size_t bytes) {
+  if (bytes <= expected_bytes_) return;
+  client_.expected_bytes_ += bytes - std::exchange(expected_bytes_, bytes);
+}
+
+http_client_connection::admission http_client_connection::Admit() {
+  const memory_budget* budget = client_.settings_.budget;
+  const size_t announced = parser_->AnnouncedBytes();
+  const size_t known = std::max(announced, answer_bytes_);
+  if (budget == nullptr || admitted_ || known <= kSmallMessageBytes) return admission::kAccepted;
+  if (announced == 0) return budget->Fits(0) ? admission::kAccepted : admission::kRefused;
+  if (budget->limit() > 0 && announced > budget->limit()) return admission::kRefused;
+  if (!budget->Fits(known - expected_bytes_)) return admission::kWait;
+  Expect(known);
+  admitted_ = true;
+  return admission::kAccepted;
+}
+
+void http_client_connection::Resume() {
+  if (!awaits_memory_ || Admit() != admission::kAccepted) return;
+  awaits_memory_ = false;
+  bufferevent_enable(raw_, EV_READ);
+  Read();
+}
+
 void http_client_connection::ForgetReceived() {
   client_.buffered_bytes_ -= std::exchange(answer_bytes_, 0);
+  client_.expected_bytes_ -= std::exchange(expected_bytes_, 0);
+  admitted_ = false;
 }
 
 void http_client_connection::Start(std::unique_ptr<http_client::pending> request, instant now) {
@@ -164,9 +193,21 @@
     }
     evbuffer_drain(input, *consumed);
     if (!CountReceived(*consumed)) {
-      return Fail({.message = "The server sends more bytes than an answer may have."});
+      return Fail(
+          {.too_large = true, .message = "The server sends more bytes than an answer may have."});
     }
     if (!parser_->Complete()) {
+      switch (Admit()) {
+        case admission::kAccepted:
+          break;
+        case admission::kWait:
+          awaits_memory_ = true;
+          bufferevent_disable(raw_, EV_READ);
+          return;
+        case admission::kRefused:
+          return Fail(
+              {.too_large = true, .message = "This process has no memory left for the answer."});
+      }
       if (*consumed == 0) return;
       continue;
     }
@@ -295,12 +336,11 @@
                  .timed_out = true,
                  .message = "The connection was not established before the time limit."});
   }
-  if (now >= current_->deadline) {
-    client_.OnUnanswered(address_);
-    Fail({.may_have_run = written_,
-          .timed_out = true,
-          .message = "No complete answer was received before the time limit."});
-  }
+  if (now < current_->deadline) return Resume();
+  client_.OnUnanswered(address_);
+  Fail({.may_have_run = written_,
+        .timed_out = true,
+        .message = "No complete answer was received before the time limit."});
 }
 
 }  // namespace bulrushway
--- a/src/http_client_connection.h
+++ b/src/http_client_connection.h
@@ -62,6 +62,14 @@
   void Write();
   // Counts received bytes; false when they are more than the connection may buffer.
   bool CountReceived(size_t bytes);
+  // Counts bytes that are held, or will be, for the answer.
+  void Expect(size_t bytes);
+  // Whether an answer that is being received can be held. One that announces its length is held
+  // whole, or waits in the socket until it can be.
+  enum class admission { kAccepted, kWait, kRefused };
+  admission Admit();
+  // Goes on with an answer that waits, if it can be held now.
+  void Resume();
   void ForgetReceived();
   void Read();
   // Which request an answer names: that in flight, none although that in flight has an id, or
@@ -85,6 +93,10 @@
   bool established_ = false;
   // Bytes received since the request was sent, interim and skipped answers included.
   size_t answer_bytes_ = 0;
+  // The same, or the length that the answer announces if that is more.
+  size_t expected_bytes_ = 0;
+  bool admitted_ = false;
+  bool awaits_memory_ = false;
   bool written_ = false;
   bool skipped_answer_ = false;
   bool closed_ = false;
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -33,12 +33,12 @@
   return connection_ == nullptr ? socket_address{} : connection_->peer();
 }
 
-void http_exchange::Reply(const http_answer& answer) {
+void http_exchange::Reply(http_answer answer) {
   if (connection_ == nullptr) return;
   http_server_connection* connection = connection_;
   connection_ = nullptr;
   on_closed_ = nullptr;
-  connection->Reply(answer);
+  connection->Reply(std::move(answer));
 }
 
 void http_exchange::ReplyTruncated(const http_answer& answer, size_t bytes) {
@@ -125,6 +125,12 @@
                      [](const auto& entry) { return entry.second->HasUnsent(); });
 }
 
+size_t http_server::BufferedBytes() const {
+  size_t bytes = 0;
+  for (const auto& [key, connection] : connections_) bytes += connection->BufferedBytes();
+  return bytes;
+}
+
 void http_server::Sweep(instant now) {
   // Time in which this process did not run.
   const auto frozen = now - last_sweep_ - kSweepInterval;
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -37,7 +37,7 @@
   /// Address of the caller; empty once finished.
   socket_address Peer() const;
   /// Sends the answer. Does nothing after the exchange is finished.
-  void Reply(const http_answer& answer);
+  void Reply(http_answer answer);
   /// Sends the head of the answer and the first `bytes` of its body, then closes the connection.
   /// Lets stand-in targets simulate truncated answers.
   void ReplyTruncated(const http_answer& answer, size_t bytes);
@@ -127,6 +127,8 @@
   void Drain(instant now, std::chrono::milliseconds idle);
   /// Whether output on any connection is still buffered.
   bool HasUnsent() const;
+  /// Bytes that are buffered on all connections.
+  size_t BufferedBytes() const;
   /// Number of open connections.
   size_t Connections() const { return connections_.size(); }
 
--- a/src/http_server_connection.cpp
+++ b/src/http_server_connection.cpp
@@ -7,6 +7,9 @@
 #include <algorithm>
 #include <array>
 #include <string_view>
+#include <utility>
+
+#include "output_buffer.h"
 
 namespace bulrushway {
 namespace {
@@ -188,10 +191,10 @@
   server_.handle_(std::move(exchange));
 }
 
-void http_server_connection::Reply(const http_answer& answer) {
+void http_server_connection::Reply(http_answer answer) {
   const bool keep_alive = keep_alive_ && !server_.draining_;
   exchange_.reset();
-  Send(answer, keep_alive);
+  Send(std::move(answer), keep_alive);
   if (!keep_alive) return CloseAfterWriting();
   progress_ = progress::kReading;
   last_activity_ = boot_clock::now();
@@ -227,18 +230,18 @@
     }
     answer = server_.rejected_(now, rejected);
   }
-  Send(answer, false);
+  Send(std::move(answer), false);
   CloseAfterWriting();
 }
 
-void http_server_connection::Send(const http_answer& answer, bool keep_alive) {
+void http_server_connection::Send(http_answer answer, bool keep_alive) {
   const std::string head = SerializeAnswerHead(answer, keep_alive);
   if (server_.pacer_ != nullptr) {
     server_.pacer_->BeforeWrite(raw_, head.size() + answer.body.size());
   }
   evbuffer* output = bufferevent_get_output(raw_);
-  evbuffer_add(output, head.data(), head.size());
-  evbuffer_add(output, answer.body.data(), answer.body.size());
+  Append(output, head);
+  Append(output, std::move(answer.body));
 }
 
 void http_server_connection::CloseAfterWriting() {
@@ -287,6 +290,11 @@
   return evbuffer_get_length(bufferevent_get_output(raw_)) > 0;
 }
 
+size_t http_server_connection::BufferedBytes() const {
+  return evbuffer_get_length(bufferevent_get_output(raw_)) +
+         evbuffer_get_length(bufferevent_get_input(raw_));
+}
+
 void http_server_connection::OnExchangeDestroyed() {
   // Without an answer, closing the connection is the only way to notify the caller.
   if (progress_ == progress::kHandling) CloseAfterWriting();
--- a/src/http_server_connection.h
+++ b/src/http_server_connection.h
@@ -21,7 +21,7 @@
   http_server_connection& operator=(const http_server_connection&) = delete;
 
   /// Answers the current exchange and continues with the next request.
-  void Reply(const http_answer& answer);
+  void Reply(http_answer answer);
   /// Sends the head and the first `bytes` of the body, then closes the connection.
   void ReplyTruncated(const http_answer& answer, size_t bytes);
   /// Closes the connection immediately and destroys this object.
@@ -36,6 +36,8 @@
   void OnExchangeDestroyed();
 
   bool HasUnsent() const;
+  /// Bytes of the answer that the caller has not read, and of the input that was not parsed yet.
+  size_t BufferedBytes() const;
 
   const socket_address& peer() const { return peer_; }
 
@@ -53,7 +55,7 @@
   void Read(instant now);
   void DispatchRequest();
   void Reject(instant now, rejection_reason reason);
-  void Send(const http_answer& answer, bool keep_alive);
+  void Send(http_answer answer, bool keep_alive);
   void CloseAfterWriting();
 
   http_server& server_;
--- a/src/msgpack_fields.h
+++ b/src/msgpack_fields.h
@@ -40,14 +40,15 @@
 };
 
 /// Parses bytes. Arrays, maps and strings that together declare more elements than there are bytes
-/// are rejected, so that a short input cannot make the parser reserve gigabytes. Throws the
-/// exceptions of msgpack on invalid input.
+/// are rejected, so that a short input cannot make the parser reserve gigabytes. The result refers
+/// to the bytes, which must outlive it. Throws the exceptions of msgpack on invalid input.
 inline msgpack::object_handle Parse(std::string_view bytes) {
   const size_t max_elements = bytes.size();
   element_counter counter(max_elements);
   if (!msgpack::parse(bytes.data(), bytes.size(), counter))
     throw msgpack::parse_error("parse error");
-  return msgpack::unpack(bytes.data(), bytes.size(), nullptr, nullptr,
+  const auto refer = [](msgpack::type::object_type, size_t, void*) { return true; };
+  return msgpack::unpack(bytes.data(), bytes.size(), refer, nullptr,
                          msgpack::unpack_limit(max_elements, max_elements, max_elements,
                                                max_elements, max_elements, kMaxDepth));
 }
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -44,6 +44,13 @@
 constexpr milliseconds kEvacuationMargin{2500};
 // Maximum bytes of the headers of a metrics request.
 constexpr size_t kMaxMetricsHeaderBytes = 8 << 10;
+// Share of the memory that messages may take. The rest is for the process itself, and for copies of
+// one message while it is encoded or decoded.
+constexpr double kMessageMemoryShare = 0.4;
+
+size_t MessageLimit(double memory_bytes) {
+  return static_cast<size_t>(memory_bytes * kMessageMemoryShare);
+}
 
 }  // namespace
 
@@ -61,9 +68,9 @@
                settings_.longest_grant}),
       gate_(loop, metrics_, log_, target_,
             {settings_.target, settings_.service, settings_.region, settings_.headers,
-             settings_.link_bytes_per_second, pacer_.BytesPerSecond()},
+             settings_.link_bytes_per_second, pacer_.BytesPerSecond(), &budget_},
             GatePorts(*this), process),
-      mesh_(loop, log_, metrics_, fleet_, MeshEvents(*this), &pacer_),
+      mesh_(loop, log_, metrics_, fleet_, MeshEvents(*this), &pacer_, &budget_),
       router_(log_, metrics_,
               {settings_.name, settings_.service, settings_.headers,
                settings_.retry_share * kRetryShareUsed},
@@ -114,6 +121,10 @@
   if (auto listening = mesh_.Listen(settings_.peers); !listening) return listening;
   if (auto listening = metrics_server_.Listen(settings_.metrics); !listening) return listening;
   started_ = now;
+  budget_.AddHolder([this] { return gate_.HeldBytes(); });
+  budget_.AddHolder([this] { return mesh_.BufferedBytes(); });
+  budget_.AddHolder([this] { return callers_.BufferedBytes(); });
+  budget_.SetLimit(MessageLimit(settings_.memory_bytes));
   loop_.OnException([this](std::string_view callback, std::string_view what) {
     metrics_.Counter("bulrushway_exceptions", {{"callback", std::string(callback)}})++;
     log_.Write("exception_caught",
@@ -171,6 +182,8 @@
   // The platform has begun to count by the limit that was in force at the request to stop.
   if (!stopping_since_) settings_.stop_limit = settings.stop_limit;
   settings_.evacuation_limit = settings.evacuation_limit;
+  settings_.memory_bytes = settings.memory_bytes;
+  budget_.SetLimit(MessageLimit(settings_.memory_bytes));
   target_.SetLimits(settings_.heartbeat, settings_.drain_limit);
 }
 
--- a/src/node.h
+++ b/src/node.h
@@ -23,6 +23,7 @@
 #include "header_names.h"
 #include "http_server.h"
 #include "membership.h"
+#include "memory_budget.h"
 #include "metrics.h"
 #include "own_target.h"
 #include "peer_mesh.h"
@@ -72,6 +73,8 @@
   double retry_share = 0.2;
   /// Rate of the machine's link in each direction; zero means unknown, and the link is not limited.
   double link_bytes_per_second = 0;
+  /// Memory that the process may use, in bytes; zero means unknown, and it is not limited.
+  double memory_bytes = 0;
   /// Requests that a cold target can handle in addition to its rate, in total.
   double cold_slack = 5;
   header_names headers;
@@ -194,6 +197,7 @@
   decision_log log_;
   metrics metrics_;
   fleet_view fleet_;
+  memory_budget budget_;
   bulk_pacer pacer_;
   own_target target_;
   target_gate gate_;
--- a/src/peer_codec.cpp
+++ b/src/peer_codec.cpp
@@ -138,15 +138,33 @@
 
 }  // namespace
 
-std::string EncodeFrame(const peer_message& message) {
-  msgpack::sbuffer buffer;
-  buffer.write("\0\0\0\0", kFrameHeaderSize);
-  msgpack::packer packer(buffer);
+namespace {
+
+// The output of a packer.
+struct string_stream {
+  void write(const char* bytes, size_t count) { text.append(bytes, count); }
+  std::string text;
+};
+
+size_t BodyBytes(const dispatch_request& message) { return message.request.body.size(); }
+size_t BodyBytes(const dispatch_answer& message) { return message.answer.body.size(); }
+size_t BodyBytes(const request_body& message) { return message.bytes.size(); }
+size_t BodyBytes(const auto&) { return 0; }
+
+template <class Message>
+std::string EncodeMessage(const Message& message) {
+  // Room for the other fields. A string that grows beyond its reserve would copy the body.
+  constexpr size_t kReserve = 4 << 10;
+  string_stream stream;
+  const size_t body = BodyBytes(message);
+  if (body > 0) stream.text.reserve(body + kReserve);
+  stream.write("\0\0\0\0", kFrameHeaderSize);
+  msgpack::packer packer(stream);
   packer.pack_array(3);
   packer.pack(kPeerProtocolVersion);
-  packer.pack(static_cast<uint32_t>(message.index()));
-  std::visit([&packer](const auto& m) { msgpack_fields::Write(packer, m); }, message);
-  std::string frame(buffer.data(), buffer.size());
+  packer.pack(TypeOf<Message>());
+  msgpack_fields::Write(packer, message);
+  std::string frame = std::move(stream.text);
   const size_t length = frame.size() - kFrameHeaderSize;
   for (size_t i = 0; i < kFrameHeaderSize; ++i) {
     frame[i] = static_cast<char>((length >> (8 * (kFrameHeaderSize - 1 - i))) & 0xff);
@@ -154,6 +172,38 @@
   return frame;
 }
 
+// Stops at the first field of the message.
+struct start_reader : msgpack::null_visitor {
+  bool visit_positive_integer(uint64_t number) {
+    numbers[count++] = number;
+    return count < std::size(numbers);
+  }
+  // Version, type and id.
+  uint64_t numbers[3] = {};
+  size_t count = 0;
+};
+
+}  // namespace
+
+std::string EncodeFrame(const peer_message& message) {
+  return std::visit([](const auto& m) { return EncodeMessage(m); }, message);
+}
+
+std::string EncodeFrame(const dispatch_request& message) { return EncodeMessage(message); }
+std::string EncodeFrame(const dispatch_answer& message) { return EncodeMessage(message); }
+std::string EncodeFrame(const request_body& message) { return EncodeMessage(message); }
+
+std::optional<frame_start> DecodeStart(std::string_view bytes) {
+  // An array of version, type and fields; the fields are an array.
+  start_reader reader;
+  size_t offset = 0;
+  msgpack::parse(bytes.data(), bytes.size(), offset, reader);
+  if (reader.count != std::size(reader.numbers) || reader.numbers[0] != kPeerProtocolVersion) {
+    return std::nullopt;
+  }
+  return frame_start{reader.numbers[1], reader.numbers[2]};
+}
+
 result<size_t> FrameLength(std::string_view bytes, const std::string& peer) {
   size_t length = 0;
   for (size_t i = 0; i < kFrameHeaderSize; ++i) {
--- a/src/peer_mesh.cpp
+++ b/src/peer_mesh.cpp
@@ -52,7 +52,7 @@
 }
 
 peer_mesh::peer_mesh(event_loop& loop, decision_log& log, metrics& counters, fleet_view& fleet,
-                     peer_mesh_events events, bulk_pacer* pacer)
+                     peer_mesh_events events, bulk_pacer* pacer, const memory_budget* budget)
     : log_(log),
       metrics_(counters),
       fleet_(fleet),
@@ -63,8 +63,11 @@
                   },
                   [this](connection_id from, bool was_established, const error& reason) {
                     OnClosed(boot_clock::now(), from, was_established, reason);
+                  },
+                  [this](connection_id from, const frame_start& start) {
+                    OnDiscarded(boot_clock::now(), from, start);
                   }},
-                 pacer),
+                 pacer, budget),
       origin_(DrawOrigin()) {
   suspicions_.Configure({}, kMaxSuspicionsPerSecond, kMaxSuspicionsAtOnce);
   suspicions_.Fill({});
@@ -112,7 +115,7 @@
     request.separate_body_bytes = body.size();
     sent.body = std::exchange(body, {});
   }
-  if (!transport_.Send(peer_link.connection, request)) return 0;
+  if (!transport_.SendFrame(peer_link.connection, EncodeFrame(request))) return 0;
   peer_link.watch.OnSent(now, id);
   pending_.emplace(id, std::move(sent));
   return id;
@@ -128,7 +131,7 @@
   if (found == pending_.end() || !found->second.body) return;
   request_body message{id, std::move(*found->second.body)};
   found->second.body.reset();
-  transport_.Send(found->second.connection, message);
+  transport_.SendFrame(found->second.connection, EncodeFrame(message));
 }
 
 bool peer_mesh::SendMessage(const std::string& node, const peer_message& message,
--- a/src/peer_mesh.h
+++ b/src/peer_mesh.h
@@ -57,7 +57,8 @@
   using ticket = uint64_t;
 
   peer_mesh(event_loop& loop, decision_log& log, metrics& counters, fleet_view& fleet,
-            peer_mesh_events events, bulk_pacer* pacer = nullptr);
+            peer_mesh_events events, bulk_pacer* pacer = nullptr,
+            const memory_budget* budget = nullptr);
   /// Sends bodies of more bytes separately, when the peer permits it. By default all bodies are
   /// part of their requests.
   void SetMaxInlineBody(size_t bytes) { max_inline_body_ = bytes; }
@@ -98,6 +99,8 @@
   uint64_t BytesReceived() const { return transport_.BytesReceived(); }
   /// Calls `make` for each connected peer and sends it the message.
   void SendToAll(const std::function<peer_message(const node_state&)>& make);
+  /// Bytes of messages that are being sent or received.
+  size_t BufferedBytes() const { return transport_.BufferedBytes(); }
   /// Whether output to any peer is still buffered.
   bool HasUnsent() const { return transport_.HasUnsent(); }
   /// Sends reports that are due and replaces failed connections.
@@ -184,6 +187,8 @@
   // The link's connection is gone; the next one is opened at once if this one worked.
   static void Reset(instant now, link& peer_link, bool was_established, bool silent = false);
   void OnBodyPermit(uint64_t id);
+  // A message of a peer did not fit in the budget: the request that it belongs to is refused.
+  void OnDiscarded(instant now, connection_id from, const frame_start& start);
   void OnAck(instant now, connection_id from, const node_report_ack& ack);
 
   decision_log& log_;
--- a/src/peer_mesh_links.cpp
+++ b/src/peer_mesh_links.cpp
@@ -178,7 +178,31 @@
 
 void peer_mesh::Answer(instant now, session_id to, const dispatch_answer& answer) {
   sessions_.OnAnswer(now, to, answer);
-  transport_.Send(sessions_.ConnectionOf(to), answer);
+  transport_.SendFrame(sessions_.ConnectionOf(to), EncodeFrame(answer));
+}
+
+void peer_mesh::OnDiscarded(instant now, connection_id from, const frame_start& start) {
+  metrics_.Counter("bulrushway_peer_messages_discarded")++;
+  log_.Write("peer_message_discarded",
+             {{"peer", transport_.PeerAddress(from)},
+              {"type", std::to_string(start.type)},
+              {"ticket", std::to_string(start.id)}},
+             log_priority::kNotable);
+  dispatch_answer refused;
+  refused.id = start.id;
+  if (start.type == TypeOf<dispatch_answer>()) {
+    // The target has answered.
+    refused.reason = refusal_reason::kAnswerTooLarge;
+    refused.state = run_state::kUnknown;
+    refused.sent_to_target = true;
+    return OnMessage(now, from, std::move(refused));
+  }
+  const bool is_body = start.type == TypeOf<request_body>();
+  if (!is_body && start.type != TypeOf<dispatch_request>()) return;
+  const session_id session = sessions_.SessionOf(from);
+  if (is_body) events_.cancelled(now, session, start.id);
+  refused.reason = refusal_reason::kQueueFull;
+  Answer(now, session, refused);
 }
 
 void peer_mesh::OnReceipt(connection_id from, uint64_t id) {
--- a/src/peer_messages.h
+++ b/src/peer_messages.h
@@ -333,6 +333,16 @@
                  configuration_row_request, configuration_row_answer, link_hello, link_resumed,
                  link_probe, link_receipt, peer_suspicion>;
 
+/// Index of a type in peer_message.
+template <class Message, size_t Index = 0>
+constexpr uint32_t TypeOf() {
+  if constexpr (std::is_same_v<std::variant_alternative_t<Index, peer_message>, Message>) {
+    return Index;
+  } else {
+    return TypeOf<Message, Index + 1>();
+  }
+}
+
 }  // namespace bulrushway
 
 #endif  // BULRUSHWAY_PEER_MESSAGES_H
--- a/src/peer_transport.cpp
+++ b/src/peer_transport.cpp
@@ -9,6 +9,7 @@
 #include <cerrno>
 #include <cstring>
 
+#include "output_buffer.h"
 #include "peer_codec.h"
 #include "socket_options.h"
 
@@ -20,6 +21,10 @@
   bufferevent* raw;
   bool established;
   instant last_received;
+  // Size of the accepted frame that is being received; zero between frames.
+  size_t expected = 0;
+  // Bytes to discard of a frame that was not accepted.
+  size_t to_discard = 0;
 
   ~connection() {
     if (transport->pacer_ != nullptr) transport->pacer_->BeforeFree(raw);
@@ -27,8 +32,9 @@
   }
 };
 
-peer_transport::peer_transport(event_loop& loop, peer_events events, bulk_pacer* pacer)
-    : loop_(loop), events_(std::move(events)), pacer_(pacer) {}
+peer_transport::peer_transport(event_loop& loop, peer_events events, bulk_pacer* pacer,
+                               const memory_budget* budget)
+    : loop_(loop), events_(std::move(events)), pacer_(pacer), budget_(budget) {}
 
 peer_transport::~peer_transport() {
   if (listener_ != nullptr) evconnlistener_free(listener_);
@@ -67,13 +73,22 @@
   return id;
 }
 
-bool peer_transport::Send(connection_id id, const peer_message& message) {
+bool peer_transport::SendFrame(connection_id id, std::string frame) {
   const auto found = connections_.find(id);
   if (found == connections_.end()) return false;
-  const std::string frame = EncodeFrame(message);
   bytes_sent_ += frame.size();
   if (pacer_ != nullptr) pacer_->BeforeWrite(found->second->raw, frame.size());
-  return bufferevent_write(found->second->raw, frame.data(), frame.size()) == 0;
+  Append(bufferevent_get_output(found->second->raw), std::move(frame));
+  return true;
+}
+
+size_t peer_transport::BufferedBytes() const {
+  size_t bytes = 0;
+  for (const auto& [id, link] : connections_) {
+    bytes += evbuffer_get_length(bufferevent_get_output(link->raw));
+    bytes += std::max(link->expected, evbuffer_get_length(bufferevent_get_input(link->raw)));
+  }
+  return bytes;
 }
 
 void peer_transport::Close(connection_id id) { connections_.erase(id); }
@@ -148,27 +163,65 @@
 
 void peer_transport::Read(connection& link) {
   const connection_id id = link.id;
+  // A handler may close the connection.
+  while (ReadFrame(link) && connections_.contains(id)) {
+  }
+}
+
+bool peer_transport::ReadFrame(connection& link) {
+  evbuffer* input = bufferevent_get_input(link.raw);
+  const size_t available = evbuffer_get_length(input);
+  if (link.to_discard > 0) {
+    const size_t discarded = std::min(link.to_discard, available);
+    evbuffer_drain(input, discarded);
+    bytes_received_ += discarded;
+    link.to_discard -= discarded;
+    return discarded > 0;
+  }
+  if (available < kFrameHeaderSize) return false;
+  std::array<char, kFrameHeaderSize> header{};
+  evbuffer_copyout(input, header.data(), header.size());
+  const auto length = FrameLength({header.data(), header.size()}, link.peer);
+  if (!length) {
+    Fail(link.id, length.error());
+    return true;
+  }
+  const size_t frame_size = kFrameHeaderSize + *length;
+  if (frame_size > kSmallMessageBytes && link.expected == 0) {
+    if (available < kFrameHeaderSize + kFrameStartBytes) return false;
+    if (!Accept(link, frame_size)) return true;
+    link.expected = frame_size;
+  }
+  if (available < frame_size) return false;
+  const auto* bytes =
+      reinterpret_cast<const char*>(evbuffer_pullup(input, static_cast<ev_ssize_t>(frame_size)));
+  auto message = DecodeFrame({bytes + kFrameHeaderSize, *length}, link.peer);
+  evbuffer_drain(input, frame_size);
+  bytes_received_ += frame_size;
+  link.expected = 0;
+  if (!message) {
+    Fail(link.id, message.error());
+    return true;
+  }
+  // The next messages concern other requests.
+  loop_.Guard("message of a peer", [&] { events_.received(link.id, std::move(*message)); });
+  return true;
+}
+
+bool peer_transport::Accept(connection& link, size_t frame_size) {
   evbuffer* input = bufferevent_get_input(link.raw);
-  while (true) {
-    const size_t available = evbuffer_get_length(input);
-    if (available < kFrameHeaderSize) return;
-    std::array<char, kFrameHeaderSize> header{};
-    evbuffer_copyout(input, header.data(), header.size());
-    const auto length = FrameLength({header.data(), header.size()}, link.peer);
-    if (!length) return Fail(id, length.error());
-    const size_t frame_size = kFrameHeaderSize + *length;
-    if (available < frame_size) return;
-    const auto* bytes =
-        reinterpret_cast<const char*>(evbuffer_pullup(input, static_cast<ev_ssize_t>(frame_size)));
-    auto message = DecodeFrame({bytes + kFrameHeaderSize, *length}, link.peer);
-    evbuffer_drain(input, frame_size);
-    bytes_received_ += frame_size;
-    if (!message) return Fail(id, message.error());
-    // The next messages concern other requests.
-    loop_.Guard("message of a peer", [&] { events_.received(id, std::move(*message)); });
-    // The handler may have closed this connection.
-    if (!connections_.contains(id)) return;
+  if (budget_ == nullptr ||
+      budget_->Fits(frame_size - std::min(frame_size, evbuffer_get_length(input)))) {
+    return true;
+  }
+  std::array<char, kFrameHeaderSize + kFrameStartBytes> start{};
+  evbuffer_copyout(input, start.data(), start.size());
+  link.to_discard = frame_size;
+  const auto decoded = DecodeStart({start.data() + kFrameHeaderSize, kFrameStartBytes});
+  if (decoded && events_.discarded) {
+    loop_.Guard("message of a peer", [&] { events_.discarded(link.id, *decoded); });
   }
+  return false;
 }
 
 void peer_transport::Fail(connection_id id, const error& reason) {
--- a/src/peer_transport.h
+++ b/src/peer_transport.h
@@ -11,6 +11,8 @@
 
 #include "bulk_pacer.h"
 #include "event_loop.h"
+#include "memory_budget.h"
+#include "peer_codec.h"
 #include "peer_messages.h"
 #include "socket_address.h"
 
@@ -30,13 +32,17 @@
   /// `was_established` is false when connecting failed, so that nothing sent on it has left this
   /// process.
   std::function<void(connection_id, bool was_established, const error&)> closed;
+  /// A large message did not fit in the budget and is discarded as it arrives. May be empty.
+  std::function<void(connection_id, const frame_start&)> discarded = {};
 };
 
 /// All connections of one process, incoming and outgoing.
 class peer_transport {
  public:
-  /// `pacer`, if not null, paces large messages.
-  peer_transport(event_loop& loop, peer_events events, bulk_pacer* pacer = nullptr);
+  /// `pacer`, if not null, paces large messages. Messages that peers send and that are larger than
+  /// `kSmallMessageBytes` have to fit in `budget`, if it is not null.
+  peer_transport(event_loop& loop, peer_events events, bulk_pacer* pacer = nullptr,
+                 const memory_budget* budget = nullptr);
   ~peer_transport();
   peer_transport(const peer_transport&) = delete;
   peer_transport& operator=(const peer_transport&) = delete;
@@ -47,7 +53,11 @@
   /// established.
   connection_id Connect(const socket_address& address);
   /// Sends a message. Returns false, without sending, when the connection is closed.
-  bool Send(connection_id id, const peer_message& message);
+  bool Send(connection_id id, const peer_message& message) {
+    return SendFrame(id, EncodeFrame(message));
+  }
+  /// Sends a message that EncodeFrame has encoded.
+  bool SendFrame(connection_id id, std::string frame);
   /// Closes the connection without a `closed` event.
   void Close(connection_id id);
   /// Whether the connection is established.
@@ -58,6 +68,9 @@
   std::string PeerAddress(connection_id id) const;
   /// Whether output on any established connection is still buffered.
   bool HasUnsent() const;
+  /// Bytes buffered on all connections, and those still to come of messages that are being
+  /// received.
+  size_t BufferedBytes() const;
   /// Total bytes sent and received on all connections since the start.
   uint64_t BytesSent() const { return bytes_sent_; }
   uint64_t BytesReceived() const { return bytes_received_; }
@@ -69,6 +82,10 @@
 
   connection_id AddConnection(bufferevent* raw, const std::string& peer, bool established);
   void Read(connection& link);
+  // Reads one message, or discards its next bytes. Returns false if more input is needed.
+  bool ReadFrame(connection& link);
+  // Whether a frame of this size is accepted. Reports one that is not.
+  bool Accept(connection& link, size_t frame_size);
   // Calls `call` for libevent. After an exception, the connection fails.
   template <class Call>
   void GuardLink(connection_id id, std::string_view callback, Call call);
@@ -77,6 +94,7 @@
   event_loop& loop_;
   peer_events events_;
   bulk_pacer* pacer_;
+  const memory_budget* budget_;
   evconnlistener* listener_ = nullptr;
   connection_id next_id_ = 1;
   std::map<connection_id, std::unique_ptr<connection>> connections_;
--- a/src/request_router_answers.cpp
+++ b/src/request_router_answers.cpp
@@ -94,7 +94,7 @@
               {"configuration", pending->table ? std::to_string(pending->table->version()) : "-"},
               {"elapsed_ms", std::to_string(duration_cast<milliseconds>(elapsed).count())}},
              served ? log_priority::kRoutine : log_priority::kNotable);
-  pending->exchange->Reply(answer);
+  pending->exchange->Reply(std::move(answer));
   pending_requests_.erase(pending->id);
 }
 
--- a/src/target_gate.cpp
+++ b/src/target_gate.cpp
@@ -53,7 +53,8 @@
       target_(target),
       settings_(std::move(settings)),
       ports_(std::move(ports)),
-      client_(loop, http_client_settings{.echo_header = settings_.headers.request_id,
+      client_(loop, http_client_settings{.budget = settings_.budget,
+                                         .echo_header = settings_.headers.request_id,
                                          .says_not_run =
                                              [this](const http_answer& answer) {
                                                return SaysNotRun(answer, settings_.headers);
@@ -243,6 +244,8 @@
     reason = refusal_reason::kTargetUnreachable;
   } else if (failure.timed_out) {
     reason = refusal_reason::kDeadlinePassed;
+  } else if (failure.too_large) {
+    reason = refusal_reason::kAnswerTooLarge;
   }
   Refuse(now, pending, reason, state, milliseconds{0}, failure.message);
   PopQueue(now);
--- a/src/target_gate.h
+++ b/src/target_gate.h
@@ -76,6 +76,8 @@
   double link_bytes_per_second = 0;
   /// Share of that rate for large answers, in bytes per second; zero means unknown.
   double large_bytes_per_second = 0;
+  /// Budget of the process for large answers; null: not limited.
+  const memory_budget* budget = nullptr;
 };
 
 /// Admits requests to one target and forwards them.
@@ -116,6 +118,9 @@
   size_t Running() const { return running_.size(); }
   size_t Waiting() const { return queue_.Waiting(); }
 
+  /// Bytes of the answers that the target is sending.
+  size_t HeldBytes() const { return client_.ExpectedBytes(); }
+
  private:
   struct pending_request;
   using pending_request_ptr = std::shared_ptr<pending_request>;
--- a/standins/common/sealing_target.cpp
+++ b/standins/common/sealing_target.cpp
@@ -4,6 +4,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "parse_number.h"
+
 namespace bulrushway::standin {
 namespace {
 
@@ -73,14 +75,17 @@
   if (running_ >= settings_.slots) return refuse(kUnavailable);
   ++running_;
   ++runs_[id];
-  delayed_.CallAt(boot_clock::now() + settings_.work_time, [this, call, common_headers](instant) {
+  // Size of the answer that the caller asks for.
+  const size_t bytes = ParseNumber<size_t>(QueryValue(request.target, "bytes")).value_or(0);
+  const auto answer = [this, call, common_headers, bytes](instant) {
     --running_;
     header_list headers = common_headers;
     headers.emplace_back("X-Bulrushway-Server-Seal", "seal-of-" + settings_.id);
     headers.emplace_back("X-Bulrushway-Load",
                          std::to_string(running_) + ",0," + std::to_string(settings_.slots));
-    call->Reply({kOk, headers, "work of " + settings_.id});
-  });
+    call->Reply({kOk, headers, bytes > 0 ? std::string(bytes, 'a') : "work of " + settings_.id});
+  };
+  delayed_.CallAt(boot_clock::now() + settings_.work_time, answer);
 }
 
 void sealing_target::DropKeys(const key_range& keys) {
--- a/test/support/child_process.h
+++ b/test/support/child_process.h
@@ -28,6 +28,7 @@
   /// Kills the process and waits for its end.
   void Kill();
   bool Running();
+  pid_t Id() const { return id_; }
   /// Exit status of a process that has ended; -1 while it runs or if a signal ended it.
   int ExitStatus() const { return status_; }
 
--- a/test/support/meshed_node.h
+++ b/test/support/meshed_node.h
@@ -21,11 +21,11 @@
 
 /// The mesh of one node. Requests that arrive are recorded until the test answers them.
 struct meshed_node {
-  meshed_node(event_loop& loop, const std::string& node)
+  meshed_node(event_loop& loop, const std::string& node, const memory_budget* budget = nullptr)
       : name(node),
         log(loop, name, open("/dev/null", O_WRONLY | O_CLOEXEC)),
         fleet(name, "dc", "r"),
-        mesh(loop, log, counters, fleet, Events()),
+        mesh(loop, log, counters, fleet, Events(), nullptr, budget),
         tick(loop, [this](instant now) { mesh.Tick(now); }) {
     tick.Every(std::chrono::milliseconds(20));
   }
@@ -45,11 +45,12 @@
     };
     return events;
   }
-  void Answer(size_t index) {
+  void Answer(size_t index, size_t body_bytes = 0) {
     dispatch_answer answer;
     answer.id = requests.at(index).id;
     answer.answer.status = 200;
     answer.sent_to_target = true;
+    answer.answer.body.assign(body_bytes, 'a');
     mesh.Answer(boot_clock::now(), requests.at(index).from, answer);
   }
 
--- a/test/support/platform_deployment.h
+++ b/test/support/platform_deployment.h
@@ -5,6 +5,7 @@
 
 #include <boost/test/unit_test.hpp>
 #include <chrono>
+#include <csignal>
 #include <cstdio>
 #include <cstdlib>
 #include <fstream>
@@ -38,6 +39,9 @@
 inline constexpr uint16_t kControlPort = 7144;
 inline constexpr uint16_t kTargetPort = 7145;
 
+/// Memory that each process may use.
+inline constexpr size_t kMachineMemoryMb = 160;
+
 /// Where a machine stands, and the service of its target.
 struct machine_place {
   std::string service;
@@ -53,6 +57,8 @@
       bool by_calls = false,
       const std::vector<machine_place>& places = {{"plain"}, {"plain"}, {"keyed"}, {"keyed"}})
       : by_calls_(by_calls), store_(loop_, kStoreAddress) {
+    // Stand-ins may write to a connection that a process has closed.
+    std::signal(SIGPIPE, SIG_IGN);
     BOOST_REQUIRE(store_.Listen());
     for (const machine_place& place : places) AddMachine(place);
   }
@@ -120,6 +126,20 @@
         },
         std::chrono::seconds(15));
   }
+  // Largest resident memory that the process of a machine has had, in MB.
+  double PeakMemoryMb(size_t index) {
+    std::ifstream status("/proc/" + std::to_string(machines_[index].process->Id()) + "/status");
+    constexpr double kKilobytesPerMegabyte = 1000;
+    constexpr double kKibibyte = 1.024;
+    std::string word;
+    while (status >> word) {
+      double kibibytes = 0;
+      if (word == "VmHWM:" && status >> kibibytes) {
+        return kibibytes * kKibibyte / kKilobytesPerMegabyte;
+      }
+    }
+    return 0;
+  }
   int CountHolders(uint32_t key) {
     int holders = 0;
     for (const machine& each : machines_) holders += each.target->Holds(key) ? 1 : 0;
@@ -157,17 +177,22 @@
         << "\nready = " << ToString(added.Address(kReadyPort))
         << "\nheartbeats = " << ToString(added.Address(kControlPort))
         << "\nfirst_and_last_port = 7380,7395\n[store]\naddress = " << ToString(kStoreAddress)
+        << "\n[machine]\nmemory_mb = " << kMachineMemoryMb
         << "\n[bounds]\ndrain_s = 2.5\ngrace_s = 6\nhold_max_s = 10\n";
     std::remove((added.settings_file + ".log").c_str());
     StartProcess(added);
     machines_.push_back(std::move(added));
   }
 
+  // Callers hold all answers that a test asks for.
+  static constexpr size_t kMaxBufferedAnswers = size_t{1} << 30;
+
   const socket_address kStoreAddress{"127.0.7.100", 7142};
   bool by_calls_;
   event_loop loop_;
   standin::row_server store_;
-  http_client client_{loop_, http_client_settings{.max_connections = 64}};
+  http_client client_{loop_, http_client_settings{.max_connections = 64,
+                                                  .max_buffered_bytes = kMaxBufferedAnswers}};
   std::vector<machine> machines_;
 };
 
