--- a/src/http_parser.cpp
+++ b/src/http_parser.cpp
@@ -279,7 +279,7 @@
   size_t consumed = 0;
   while (true) {
     if (!state_->parser.is_header_done()) {
-      const auto head = FeedHead(bytes.substr(consumed), peer);
+      auto head = FeedHead(bytes.substr(consumed), peer);
       if (!head) return head;
       consumed += *head;
     }
--- a/test/correctness/target_choice_test.cpp
+++ b/test/correctness/target_choice_test.cpp
@@ -136,7 +136,7 @@
   BOOST_TEST(relay->member.node == "a2");
 
   BOOST_TEST_CONTEXT("and is another one when the first was tried already") {
-    relay = ChooseRelay(kStart + seconds(2), fixture.fleet, owner, {.tried = {"a2"}}, fixture.rng);
+    relay = ChooseRelay(kStart + seconds(2), fixture.fleet, owner, {{}, {"a2"}}, fixture.rng);
     BOOST_TEST(relay->member.node == "b2");
   }
 }
@@ -147,8 +147,8 @@
   fixture.fleet.OnReachable(kStart, "b1", false);
   const node_state& owner = *fixture.fleet.Find("b1");
   const auto relay_with_homes = [&](const std::vector<std::string>& homes) {
-    const node_state* relay = ChooseRelay(kStart + seconds(2), fixture.fleet, owner,
-                                          {.home_regions = homes}, fixture.rng);
+    const node_state* relay =
+        ChooseRelay(kStart + seconds(2), fixture.fleet, owner, {homes, {}}, fixture.rng);
     return relay == nullptr ? "none" : relay->member.node;
   };
   for (int i = 0; i < 20; ++i) {
