--- a/src/route_table.cpp
+++ b/src/route_table.cpp
@@ -8,8 +8,14 @@
 namespace bulrushway {
 
 route_table::route_table(uint64_t version, std::vector<route> routes,
-                         std::vector<service_policy> services, const caller_limits& limits)
-    : version_(version), routes_(std::move(routes)), limits_(limits) {
+                         std::vector<service_policy> services, const caller_limits& limits,
+                         std::vector<workspace> workspaces)
+    : version_(version),
+      routes_(std::move(routes)),
+      limits_(limits),
+      workspaces_(std::move(workspaces)) {
+  std::sort(workspaces_.begin(), workspaces_.end(),
+            [](const workspace& a, const workspace& b) { return a.name < b.name; });
   for (service_policy& policy : services) {
     const std::string name = policy.name;
     services_.insert_or_assign(name, std::move(policy));
@@ -32,6 +38,13 @@
   return nullptr;
 }
 
+const workspace* route_table::FindWorkspace(std::string_view name) const {
+  const auto found = std::lower_bound(
+      workspaces_.begin(), workspaces_.end(), name,
+      [](const workspace& entry, std::string_view wanted) { return entry.name < wanted; });
+  return found == workspaces_.end() || found->name != name ? nullptr : &*found;
+}
+
 const service_policy* route_table::FindService(const std::string& service) const {
   const auto found = services_.find(service);
   return found == services_.end() ? nullptr : &found->second;
--- a/src/route_table.h
+++ b/src/route_table.h
@@ -11,6 +11,8 @@
 #include <string_view>
 #include <vector>
 
+#include "workspace.h"
+
 namespace bulrushway {
 
 /// A service that gets a share of a route's requests.
@@ -41,6 +43,8 @@
   std::vector<weighted_service> split;
   /// Regions that may serve the requests; empty means all.
   std::vector<std::string> home_regions;
+  /// Requests need no key of a workspace.
+  bool is_public = false;
 };
 
 /// Limits and properties of the targets of a service.
@@ -70,15 +74,19 @@
  public:
   route_table() = default;
   route_table(uint64_t version, std::vector<route> routes, std::vector<service_policy> services,
-              const caller_limits& limits);
+              const caller_limits& limits, std::vector<workspace> workspaces = {});
 
   /// Version assigned by the operators; increases with each change.
   uint64_t version() const { return version_; }
   const caller_limits& limits() const { return limits_; }
   const std::vector<route>& routes() const { return routes_; }
+  /// Empty where callers need no keys.
+  const std::vector<workspace>& workspaces() const { return workspaces_; }
 
   /// The route of the host with the longest prefix of the path, or null.
   const route* Find(std::string_view host, std::string_view target) const;
+  /// The workspace of this name, or null.
+  const workspace* FindWorkspace(std::string_view name) const;
   /// The policy of the service, or null.
   const service_policy* FindService(const std::string& service) const;
 
@@ -87,6 +95,7 @@
   std::vector<route> routes_;
   std::map<std::string, service_policy> services_;
   caller_limits limits_;
+  std::vector<workspace> workspaces_;
   // Indices of routes by host, longest prefix first.
   std::map<std::string, std::vector<size_t>, std::less<>> by_host_;
 };
