Handle pipelined requests of one connection at the same time

The server parsed the next request only after the answer to the previous one.

Requests whose route is idempotent are now handled side by side, eight of a connection at most, and answered in their order. Others are handed over only when nothing is before them: the connection may still close, and their callers would take them as not read and repeat them. Nothing is read behind a request that closes the connection, behind a rejected one, or after a stop began, and the connection stays open until all that was handed over is answered.

--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -26,7 +26,7 @@
     : connection_(connection), request_(std::move(request)) {}
 
 http_exchange::~http_exchange() {
-  if (connection_ != nullptr) connection_->OnExchangeDestroyed();
+  if (connection_ != nullptr) connection_->OnExchangeDestroyed(*this);
 }
 
 socket_address http_exchange::Peer() const {
@@ -38,7 +38,7 @@
   http_server_connection* connection = connection_;
   connection_ = nullptr;
   on_closed_ = nullptr;
-  connection->Reply(std::move(answer));
+  connection->Reply(*this, std::move(answer));
 }
 
 void http_exchange::ReplyTruncated(const http_answer& answer, size_t bytes) {
@@ -46,7 +46,7 @@
   http_server_connection* connection = connection_;
   connection_ = nullptr;
   on_closed_ = nullptr;
-  connection->ReplyTruncated(answer, bytes);
+  connection->ReplyTruncated(*this, answer, bytes);
 }
 
 void http_exchange::Drop() {
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -4,6 +4,7 @@
 // HTTP/1.1 server for callers, targets and operators: libevent does the I/O, Boost.Beast the
 // parsing. An exchange may be answered asynchronously, and reports when its caller disconnects.
 
+#include <algorithm>
 #include <chrono>
 #include <functional>
 #include <map>
@@ -107,6 +108,7 @@
  public:
   using handler = std::function<void(std::shared_ptr<http_exchange>)>;
   using rejection_handler = std::function<http_answer(instant, const rejected_request&)>;
+  using overlap_predicate = std::function<bool(const http_request&)>;
 
   /// `pacer`, if not null, paces large answers.
   http_server(event_loop& loop, const http_limits& limits, handler handle,
@@ -120,6 +122,12 @@
   /// Calls `rejected` for each request that the server rejects by itself, and sends the answer it
   /// returns; then closes the connection.
   void OnRejected(rejection_handler rejected) { rejected_ = std::move(rejected); }
+  /// Handles up to `depth` pipelined requests of a connection at the same time, if `may_overlap`
+  /// holds for each of them. By default they are handled one at a time.
+  void EnablePipelining(size_t depth, overlap_predicate may_overlap) {
+    pipeline_depth_ = std::max<size_t>(1, depth);
+    may_overlap_ = std::move(may_overlap);
+  }
   /// Applies new limits, to open connections as well. A request that is being read may use the
   /// largest limits in force since its first byte: its caller cannot know of the change.
   void SetLimits(const http_limits& limits);
@@ -142,6 +150,8 @@
   http_limits limits_;
   handler handle_;
   rejection_handler rejected_;
+  size_t pipeline_depth_ = 1;
+  overlap_predicate may_overlap_;
   bulk_pacer* pacer_;
   bool draining_ = false;
   instant last_sweep_;
--- a/src/http_server_connection.cpp
+++ b/src/http_server_connection.cpp
@@ -78,15 +78,20 @@
 
 http_server_connection::http_server_connection(http_server& server, bufferevent* raw,
                                                const socket_address& peer)
-    : server_(server), raw_(raw), peer_(peer), last_activity_(boot_clock::now()) {
+    : server_(server),
+      raw_(raw),
+      peer_(peer),
+      last_output_(boot_clock::now()),
+      last_activity_(last_output_) {
   bufferevent_setcb(raw_, &OnReadable, &OnWritten, &OnEvent, this);
   bufferevent_setwatermark(raw_, EV_READ, 0, kReadAhead);
   bufferevent_enable(raw_, EV_READ | EV_WRITE);
 }
 
 http_server_connection::~http_server_connection() {
-  if (const auto exchange = exchange_.lock()) {
-    if (exchange->connection_ == this) exchange->OnCallerDisconnected();
+  for (const pending_answer& pending : std::exchange(pending_, {})) {
+    const auto exchange = pending.exchange.lock();
+    if (exchange && exchange->connection_ == this) exchange->OnCallerDisconnected();
   }
   if (server_.pacer_ != nullptr) server_.pacer_->BeforeFree(raw_);
   bufferevent_free(raw_);
@@ -102,15 +107,13 @@
 
 void http_server_connection::OnReadable(bufferevent*, void* self) {
   auto* connection = static_cast<http_server_connection*>(self);
-  connection->Guard("request of a caller", [connection] {
-    if (connection->progress_ == progress::kReading) connection->Read(boot_clock::now());
-  });
+  connection->Guard("request of a caller", [connection] { connection->Read(boot_clock::now()); });
 }
 
 void http_server_connection::OnWritten(bufferevent*, void* self) {
   auto* connection = static_cast<http_server_connection*>(self);
   connection->Guard("answer to a caller", [connection] {
-    if (connection->progress_ == progress::kClosing) connection->Abort();
+    if (connection->closing_) connection->Abort();
   });
 }
 
@@ -123,7 +126,7 @@
   if ((events & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) == 0) return;
   // A caller that half-closed the connection may still be reading its last answer.
   const bool writing = evbuffer_get_length(bufferevent_get_output(raw_)) > 0 &&
-                       (events & BEV_EVENT_ERROR) == 0 && progress_ != progress::kHandling;
+                       (events & BEV_EVENT_ERROR) == 0 && pending_.empty();
   if (writing) {
     peer_closed_ = true;
     CloseAfterWriting();
@@ -136,7 +139,7 @@
 
 void http_server_connection::Read(instant now) {
   evbuffer* input = bufferevent_get_input(raw_);
-  while (progress_ == progress::kReading && evbuffer_get_length(input) > 0) {
+  while (MayRead() && evbuffer_get_length(input) > 0) {
     if (!parser_) {
       if (!SkipEmptyLines(input)) return;
       size_limits_ = {server_.limits_.max_headers, server_.limits_.max_body};
@@ -163,12 +166,11 @@
     }
     evbuffer_drain(input, *consumed);
     request_bytes_ += *consumed;
-    if (parser_->Complete()) return DispatchRequest();
-    if (parser_->ExpectsContinue() && !continue_sent_) {
-      continue_sent_ = true;
-      constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
-      bufferevent_write(raw_, kContinue.data(), kContinue.size());
+    if (parser_->Complete()) {
+      TakeRequest();
+      continue;
     }
+    SendContinue();
     if (*consumed == 0) return;
   }
 }
@@ -182,30 +184,98 @@
   bufferevent_setwatermark(raw_, EV_READ, 0, InputBound(size_limits_.header_bytes));
 }
 
-void http_server_connection::DispatchRequest() {
-  progress_ = progress::kHandling;
-  keep_alive_ = parser_->KeepAlive();
-  auto exchange = std::make_shared<http_exchange>(this, parser_->Take());
+bool http_server_connection::MayRead() const {
+  if (closing_ || held_) return false;
+  if (pending_.empty()) return true;
+  // Nothing is read behind a request that closes the connection.
+  return pending_.size() < server_.pipeline_depth_ && !server_.draining_ &&
+         std::all_of(pending_.begin(), pending_.end(), [](const pending_answer& pending) {
+           return pending.may_overlap && pending.keep_alive && !pending.lost;
+         });
+}
+
+void http_server_connection::TakeRequest() {
+  const bool keep_alive = parser_->KeepAlive();
+  http_request request = parser_->Take();
   parser_.reset();
-  exchange_ = exchange;
+  const bool may_overlap =
+      server_.pipeline_depth_ > 1 && server_.may_overlap_ && server_.may_overlap_(request);
+  if (!pending_.empty() && !may_overlap) {
+    held_ = std::move(request);
+    held_keep_alive_ = keep_alive;
+    return;
+  }
+  Dispatch(std::move(request), keep_alive, may_overlap);
+}
+
+void http_server_connection::Dispatch(http_request request, bool keep_alive, bool may_overlap) {
+  auto exchange = std::make_shared<http_exchange>(this, std::move(request));
+  pending_answer pending;
+  pending.id = exchange.get();
+  pending.exchange = exchange;
+  pending.may_overlap = may_overlap;
+  pending.keep_alive = keep_alive;
+  pending_.push_back(std::move(pending));
   server_.handle_(std::move(exchange));
 }
 
-void http_server_connection::Reply(http_answer answer) {
-  const bool keep_alive = keep_alive_ && !server_.draining_;
-  exchange_.reset();
-  Send(std::move(answer), keep_alive);
-  if (!keep_alive) return CloseAfterWriting();
-  progress_ = progress::kReading;
-  last_activity_ = boot_clock::now();
-  // A pipelined request may already be buffered. It is read from the loop, to avoid recursion.
-  if (evbuffer_get_length(bufferevent_get_input(raw_)) > 0) {
-    bufferevent_trigger(raw_, EV_READ, BEV_TRIG_IGNORE_WATERMARKS | BEV_TRIG_DEFER_CALLBACKS);
+http_server_connection::pending_answer* http_server_connection::FindPending(
+    const http_exchange& exchange) {
+  const auto found =
+      std::find_if(pending_.begin(), pending_.end(),
+                   [&exchange](const pending_answer& pending) { return pending.id == &exchange; });
+  return found == pending_.end() ? nullptr : &*found;
+}
+
+void http_server_connection::Reply(const http_exchange& exchange, http_answer answer) {
+  pending_answer* pending = FindPending(exchange);
+  if (pending == nullptr) return;
+  pending->id = nullptr;
+  pending->answer = std::move(answer);
+  SendReady();
+}
+
+void http_server_connection::SendReady() {
+  while (!closing_ && !pending_.empty()) {
+    pending_answer& next = pending_.front();
+    if (next.lost) return CloseAfterWriting();
+    if (!next.answer) break;
+    http_answer answer = std::move(*next.answer);
+    // A stop closes the connection behind the last request that was handed over.
+    const bool keep_alive = next.keep_alive && !(server_.draining_ && pending_.size() == 1);
+    pending_.pop_front();
+    Send(std::move(answer), keep_alive);
+    if (!keep_alive) return CloseAfterWriting();
+    last_activity_ = boot_clock::now();
+  }
+  if (closing_) return;
+  if (held_ && pending_.empty()) {
+    http_request request = std::move(*held_);
+    held_.reset();
+    Dispatch(std::move(request), held_keep_alive_, false);
   }
+  SendContinue();
+  ReadLater();
+}
+
+void http_server_connection::SendContinue() {
+  // Before the answer to an earlier request, it would be taken for one to that request.
+  if (!parser_ || continue_sent_ || !pending_.empty() || !parser_->ExpectsContinue()) return;
+  continue_sent_ = true;
+  constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+  bufferevent_write(raw_, kContinue.data(), kContinue.size());
+}
+
+void http_server_connection::ReadLater() {
+  if (!MayRead() || evbuffer_get_length(bufferevent_get_input(raw_)) == 0) return;
+  // From the loop, to avoid recursion.
+  bufferevent_trigger(raw_, EV_READ, BEV_TRIG_IGNORE_WATERMARKS | BEV_TRIG_DEFER_CALLBACKS);
 }
 
-void http_server_connection::ReplyTruncated(const http_answer& answer, size_t bytes) {
-  exchange_.reset();
+void http_server_connection::ReplyTruncated(const http_exchange& exchange,
+                                            const http_answer& answer, size_t bytes) {
+  std::erase_if(pending_,
+                [&exchange](const pending_answer& pending) { return pending.id == &exchange; });
   const std::string head = SerializeAnswerHead(answer, true);
   evbuffer* output = bufferevent_get_output(raw_);
   evbuffer_add(output, head.data(), head.size());
@@ -230,8 +300,12 @@
     }
     answer = server_.rejected_(now, rejected);
   }
-  Send(std::move(answer), false);
-  CloseAfterWriting();
+  parser_.reset();
+  pending_answer rejected;
+  rejected.keep_alive = false;
+  rejected.answer = std::move(answer);
+  pending_.push_back(std::move(rejected));
+  SendReady();
 }
 
 void http_server_connection::Send(http_answer answer, bool keep_alive) {
@@ -245,8 +319,9 @@
 }
 
 void http_server_connection::CloseAfterWriting() {
-  progress_ = progress::kClosing;
+  closing_ = true;
   parser_.reset();
+  held_.reset();
   last_activity_ = boot_clock::now();
   if (evbuffer_get_length(bufferevent_get_output(raw_)) == 0) {
     bufferevent_trigger(raw_, EV_WRITE, BEV_TRIG_IGNORE_WATERMARKS | BEV_TRIG_DEFER_CALLBACKS);
@@ -255,6 +330,7 @@
 
 void http_server_connection::ExtendTimeouts(instant now, std::chrono::nanoseconds by) {
   last_activity_ = std::min(now, last_activity_ + by);
+  last_output_ = std::min(now, last_output_ + by);
   request_started_ = std::min(now, request_started_ + by);
 }
 
@@ -262,16 +338,13 @@
   // A caller that is receiving its answer is not idle, however long the transfer takes.
   const size_t unsent = evbuffer_get_length(bufferevent_get_output(raw_));
   if (unsent < last_unsent_bytes_) last_activity_ = now;
+  if (unsent == 0 || unsent != last_unsent_bytes_) last_output_ = now;
   last_unsent_bytes_ = unsent;
-  switch (progress_) {
-    case progress::kHandling:
-      return;
-    case progress::kClosing:
-      // The caller has stopped reading its answer.
-      if (now - last_activity_ > server_.limits_.idle_timeout) Abort();
-      return;
-    case progress::kReading:
-      break;
+  // The caller has stopped reading its answers.
+  if (now - last_output_ > server_.limits_.idle_timeout) return Abort();
+  if (closing_) {
+    if (now - last_activity_ > server_.limits_.idle_timeout) Abort();
+    return;
   }
   if (parser_ && parser_->HeaderComplete()) {
     // A large body may take long on a slow link, so that only its progress is checked.
@@ -283,7 +356,7 @@
     if (now - request_started_ > request_timeout_) Reject(now, rejection_reason::kHeadTimeout);
     return;
   }
-  if (now - last_activity_ > server_.limits_.idle_timeout) Abort();
+  if (pending_.empty() && now - last_activity_ > server_.limits_.idle_timeout) Abort();
 }
 
 bool http_server_connection::HasUnsent() const {
@@ -291,13 +364,22 @@
 }
 
 size_t http_server_connection::BufferedBytes() const {
-  return evbuffer_get_length(bufferevent_get_output(raw_)) +
-         evbuffer_get_length(bufferevent_get_input(raw_));
+  size_t bytes = evbuffer_get_length(bufferevent_get_output(raw_)) +
+                 evbuffer_get_length(bufferevent_get_input(raw_));
+  if (held_) bytes += held_->body.size();
+  for (const pending_answer& pending : pending_) {
+    if (pending.answer) bytes += pending.answer->body.size();
+  }
+  return bytes;
 }
 
-void http_server_connection::OnExchangeDestroyed() {
+void http_server_connection::OnExchangeDestroyed(const http_exchange& exchange) {
   // Without an answer, closing the connection is the only way to notify the caller.
-  if (progress_ == progress::kHandling) CloseAfterWriting();
+  pending_answer* pending = FindPending(exchange);
+  if (pending == nullptr) return;
+  pending->id = nullptr;
+  pending->lost = true;
+  SendReady();
 }
 
 }  // namespace bulrushway
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -111,6 +111,9 @@
       search_(settings_.name, settings_.data_centre, settings_.region),
       tick_(loop, [this](instant now) { Tick(now); }) {
   mesh_.SetMaxInlineBody(kMaxInlineBody);
+  callers_.EnablePipelining(settings_.pipeline_depth, [this](const http_request& request) {
+    return router_.MayOverlap(boot_clock::now(), request);
+  });
   callers_.OnRejected([this](instant now, const rejected_request& rejected) {
     return router_.OnRejected(now, rejected);
   });
--- a/src/node.h
+++ b/src/node.h
@@ -75,6 +75,8 @@
   double link_bytes_per_second = 0;
   /// Memory that the process may use, in bytes; zero means unknown, and it is not limited.
   double memory_bytes = 0;
+  /// Most pipelined requests of a caller's connection that are handled at the same time.
+  size_t pipeline_depth = 8;
   /// Requests that a cold target can handle in addition to its rate, in total.
   double cold_slack = 5;
   header_names headers;
--- a/src/request_router.cpp
+++ b/src/request_router.cpp
@@ -85,6 +85,13 @@
   Attempt(now, pending);
 }
 
+bool request_router::MayOverlap(instant now, const http_request& request) const {
+  const auto table = ports_.configuration();
+  if (!table || ports_.time_until_restart(now)) return false;
+  const route* matched = table->Find(HostName(FindHeader(request.headers, "Host")), request.target);
+  return matched != nullptr && matched->idempotent;
+}
+
 bool request_router::Accept(instant now, const pending_request_ptr& pending) {
   const http_request& request = pending->exchange->request();
   const header_names& names = settings_.headers;
