Test callers that send more than a process can hold

Each test starts real processes with 48 MB and a body limit of 4 MiB, and a crowd of 24 callers, or 200 connections where 128 descriptors are allowed. It checks that the process lives, that its peak memory and its descriptors stay under a bound, and that one ordinary request is answered afterwards.

--- a/test/support/platform_deployment.h
+++ b/test/support/platform_deployment.h
@@ -8,6 +8,7 @@
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
+#include <filesystem>
 #include <fstream>
 #include <functional>
 #include <memory>
@@ -55,8 +56,9 @@
   /// With `by_calls`, keys are granted by calls, of which every fourth is carried out late.
   explicit platform_deployment(
       bool by_calls = false,
-      const std::vector<machine_place>& places = {{"plain"}, {"plain"}, {"keyed"}, {"keyed"}})
-      : by_calls_(by_calls), store_(loop_, kStoreAddress) {
+      const std::vector<machine_place>& places = {{"plain"}, {"plain"}, {"keyed"}, {"keyed"}},
+      size_t memory_mb = kMachineMemoryMb)
+      : by_calls_(by_calls), memory_mb_(memory_mb), store_(loop_, kStoreAddress) {
     // Stand-ins may write to a connection that a process has closed.
     std::signal(SIGPIPE, SIG_IGN);
     BOOST_REQUIRE(store_.Listen());
@@ -140,6 +142,12 @@
     }
     return 0;
   }
+  // Descriptors that the process of a machine has open.
+  size_t OpenDescriptors(size_t index) {
+    const std::filesystem::directory_iterator descriptors(
+        "/proc/" + std::to_string(machines_[index].process->Id()) + "/fd");
+    return static_cast<size_t>(std::distance(begin(descriptors), end(descriptors)));
+  }
   int CountHolders(uint32_t key) {
     int holders = 0;
     for (const machine& each : machines_) holders += each.target->Holds(key) ? 1 : 0;
@@ -177,7 +185,7 @@
         << "\nready = " << ToString(added.Address(kReadyPort))
         << "\nheartbeats = " << ToString(added.Address(kControlPort))
         << "\nfirst_and_last_port = 7380,7395\n[store]\naddress = " << ToString(kStoreAddress)
-        << "\n[machine]\nmemory_mb = " << kMachineMemoryMb
+        << "\n[machine]\nmemory_mb = " << memory_mb_
         << "\n[bounds]\ndrain_s = 2.5\ngrace_s = 6\nhold_max_s = 10\n";
     std::remove((added.settings_file + ".log").c_str());
     StartProcess(added);
@@ -189,6 +197,7 @@
 
   const socket_address kStoreAddress{"127.0.7.100", 7142};
   bool by_calls_;
+  size_t memory_mb_;
   event_loop loop_;
   standin::row_server store_;
   http_client client_{loop_, http_client_settings{.max_connections = 64,
