Limit the memory and descriptors that callers can take

Callers that nobody controls ended a process: it ran out of memory. The bodies of requests were not part of its budget, so that 24 callers with 4 MiB each took 106 MB, and 164 MB when their bodies were complete.

body_admission decides which connections may go on sending. One whose request does not fit is not read: its bytes stay in the socket. While others wait, the unfinished request that has held the most memory for the longest time without progress is rejected with 408; one that waited for longer than the head timeout gets 503. Bodies at the gate count too. Connections of callers are limited by what files, store, target and peers leave of the descriptors; at the limit the least active one is closed.

--- a/src/gate_request.h
+++ b/src/gate_request.h
@@ -18,6 +18,7 @@
   target_incarnation incarnation;
   http_client::request_id http = 0;
   bool abandoned = false;
+  size_t body_bytes = 0;
   request_fingerprint fingerprint = 0;
   // Bytes of the request were written to a connection of the target.
   bool reached_target = false;
--- a/src/http_parser.cpp
+++ b/src/http_parser.cpp
@@ -213,6 +213,12 @@
 
 bool http_request_parser::Complete() const { return state_->parser.is_done(); }
 
+size_t http_request_parser::BodyBytes() const { return state_->parser.get().body().capacity(); }
+
+uint64_t http_request_parser::AnnouncedBytes() const {
+  return HeaderComplete() ? state_->parser.content_length().value_or(0) : 0;
+}
+
 bool http_request_parser::ExpectsContinue() const {
   constexpr unsigned kHttp11 = 11;
   return HeaderComplete() && state_->parser.get().version() >= kHttp11 &&
--- a/src/http_parser.h
+++ b/src/http_parser.h
@@ -50,6 +50,9 @@
   std::string Target() const;
   header_list Headers() const;
   bool Complete() const;
+  /// Memory that the body takes, and the length that its head announces; zero without one.
+  size_t BodyBytes() const;
+  uint64_t AnnouncedBytes() const;
   /// Whether the sender waits for "100 Continue" before it sends the body.
   bool ExpectsContinue() const;
   /// Whether the connection stays open after this request.
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -102,6 +102,10 @@
 }
 
 void http_server::Accept(int socket, const socket_address& peer) {
+  if (max_connections_ > 0 && connections_.size() >= max_connections_ && !CloseLeastActive()) {
+    evutil_closesocket(socket);
+    return;
+  }
   DisableDelay(socket);
   bufferevent* raw = bufferevent_socket_new(loop_.Base(), socket, BEV_OPT_CLOSE_ON_FREE);
   auto connection = std::make_unique<http_server_connection>(*this, raw, peer);
@@ -109,6 +113,46 @@
   connections_.emplace(key, std::move(connection));
 }
 
+bool http_server::CloseLeastActive() {
+  http_server_connection* least_active = nullptr;
+  for (const auto& [key, connection] : connections_) {
+    if (connection->HasRequestInFlight()) continue;
+    if (least_active == nullptr || key->last_activity() < least_active->last_activity()) {
+      least_active = key;
+    }
+  }
+  if (least_active == nullptr) return false;
+  least_active->Abort();
+  return true;
+}
+
+size_t http_server::HeldByOthers() const {
+  const size_t all = budget_ == nullptr ? 0 : budget_->HeldBytes();
+  return all - std::min(all, bodies_.HeldBytes());
+}
+
+void http_server::ShareMemory(instant now) {
+  if (budget_ == nullptr) return;
+  bodies_.SetLimit(budget_->limit());
+  const auto reject = [this, now](const std::vector<body_admission::holder>& holders,
+                                  rejection_reason reason) {
+    for (const body_admission::holder holder : holders) {
+      const auto found = connections_.find(static_cast<http_server_connection*>(holder));
+      if (found != connections_.end()) found->second->RejectUnfinished(now, reason);
+    }
+  };
+  reject(bodies_.Overdue(now, limits_.request_timeout), rejection_reason::kNoMemory);
+  reject(bodies_.GiveWay(now, HeldByOthers()), rejection_reason::kBodyTimeout);
+  ResumeWaiting();
+}
+
+void http_server::ResumeWaiting() {
+  for (const body_admission::holder holder : bodies_.Waiting()) {
+    const auto found = connections_.find(static_cast<http_server_connection*>(holder));
+    if (found != connections_.end()) found->second->ReadLater();
+  }
+}
+
 void http_server::SetLimits(const http_limits& limits) {
   limits_ = limits;
   for (const auto& [key, connection] : connections_) key->RaiseLimits(limits);
@@ -143,6 +187,7 @@
     if (frozen > kSweepInterval) connection->ExtendTimeouts(now, frozen);
     loop_.Guard("overdue request", [=] { connection->CheckTimeouts(now); });
   }
+  loop_.Guard("memory of requests", [=, this] { ShareMemory(now); });
 }
 
 }  // namespace bulrushway
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -11,9 +11,11 @@
 #include <memory>
 #include <string_view>
 
+#include "body_admission.h"
 #include "bulk_pacer.h"
 #include "event_loop.h"
 #include "http_message.h"
+#include "memory_budget.h"
 #include "socket_address.h"
 
 struct evconnlistener;
@@ -79,7 +81,9 @@
   kHeadersTooLarge,
   kBodyTooLarge,
   kHeadTimeout,
-  kBodyTimeout
+  kBodyTimeout,
+  /// Other requests fill the memory of the process.
+  kNoMemory
 };
 
 /// Name of the reason in logs and metrics.
@@ -87,7 +91,7 @@
 
 /// A request that the server rejects without passing it to the handler.
 struct rejected_request {
-  /// Status of the answer: 400, 408, 413 or 431.
+  /// Status of the answer: 400, 408, 413, 431 or 503.
   int status = 0;
   rejection_reason reason = rejection_reason::kMalformed;
   socket_address peer;
@@ -128,6 +132,14 @@
     pipeline_depth_ = std::max<size_t>(1, depth);
     may_overlap_ = std::move(may_overlap);
   }
+  /// Lets callers wait whose requests do not fit in the budget, and ends requests that make no
+  /// progress meanwhile. The budget includes HeldBytes().
+  void SetBudget(const memory_budget* budget) { budget_ = budget; }
+  /// Limits the open connections; zero means that they are not limited. At the limit, the
+  /// connection without progress for the longest time is closed, if it has no request in flight.
+  void SetMaxConnections(size_t connections) { max_connections_ = connections; }
+  /// Bytes of requests, complete or not, and of answers.
+  size_t HeldBytes() const { return bodies_.HeldBytes() + BufferedBytes(); }
   /// Applies new limits, to open connections as well. A request that is being read may use the
   /// largest limits in force since its first byte: its caller cannot know of the change.
   void SetLimits(const http_limits& limits);
@@ -145,6 +157,14 @@
 
   void Accept(int socket, const socket_address& peer);
   void Sweep(instant now);
+  // Closes the connection that made no progress for the longest time. False if all have requests in
+  // flight.
+  bool CloseLeastActive();
+  // Bytes that the process holds beside the requests of these callers.
+  size_t HeldByOthers() const;
+  // Ends requests for which there is no memory, and lets others go on.
+  void ShareMemory(instant now);
+  void ResumeWaiting();
 
   event_loop& loop_;
   http_limits limits_;
@@ -152,6 +172,9 @@
   rejection_handler rejected_;
   size_t pipeline_depth_ = 1;
   overlap_predicate may_overlap_;
+  const memory_budget* budget_ = nullptr;
+  body_admission bodies_;
+  size_t max_connections_ = 0;
   bulk_pacer* pacer_;
   bool draining_ = false;
   instant last_sweep_;
--- a/src/http_server_connection.cpp
+++ b/src/http_server_connection.cpp
@@ -18,6 +18,7 @@
 constexpr int kRequestTimeout = 408;
 constexpr int kBodyTooLarge = 413;
 constexpr int kHeadersTooLarge = 431;
+constexpr int kUnavailable = 503;
 
 int StatusOf(rejection_reason reason) {
   switch (reason) {
@@ -28,6 +29,8 @@
     case rejection_reason::kHeadTimeout:
     case rejection_reason::kBodyTimeout:
       return kRequestTimeout;
+    case rejection_reason::kNoMemory:
+      return kUnavailable;
     case rejection_reason::kMalformed:
       break;
   }
@@ -72,6 +75,8 @@
       return "head timeout";
     case rejection_reason::kBodyTimeout:
       return "body timeout";
+    case rejection_reason::kNoMemory:
+      return "no memory";
   }
   return "unknown";
 }
@@ -89,6 +94,7 @@
 }
 
 http_server_connection::~http_server_connection() {
+  server_.bodies_.Remove(this);
   for (const pending_answer& pending : std::exchange(pending_, {})) {
     const auto exchange = pending.exchange.lock();
     if (exchange && exchange->connection_ == this) exchange->OnCallerDisconnected();
@@ -147,10 +153,11 @@
       bufferevent_setwatermark(raw_, EV_READ, 0, InputBound(size_limits_.header_bytes));
       request_timeout_ = server_.limits_.request_timeout;
       request_started_ = now;
+      last_activity_ = now;
       request_bytes_ = 0;
       continue_sent_ = false;
     }
-    last_activity_ = now;
+    if (!ReserveMemory(now)) return;
     const size_t available = evbuffer_get_length(input);
     const auto* bytes = reinterpret_cast<const char*>(evbuffer_pullup(input, -1));
     const auto consumed = parser_->Feed({bytes, available});
@@ -166,13 +173,27 @@
     }
     evbuffer_drain(input, *consumed);
     request_bytes_ += *consumed;
+    if (*consumed > 0) {
+      last_activity_ = now;
+      server_.bodies_.OnProgress(now, this);
+    }
     if (parser_->Complete()) {
       TakeRequest();
       continue;
     }
     SendContinue();
-    if (*consumed == 0) return;
+    if (*consumed == 0) break;
   }
+  if (parser_) ReserveMemory(now);
+}
+
+bool http_server_connection::ReserveMemory(instant now) {
+  if (server_.budget_ == nullptr || !parser_->Started()) return true;
+  const size_t input = evbuffer_get_length(bufferevent_get_input(raw_));
+  // Over the limit, the body is rejected before memory is taken for it.
+  const size_t announced = std::min<uint64_t>(parser_->AnnouncedBytes(), size_limits_.body_bytes);
+  const size_t wanted = std::max(announced, parser_->BodyBytes() + input);
+  return server_.bodies_.Reserve(now, this, wanted, server_.HeldByOthers());
 }
 
 void http_server_connection::RaiseLimits(const http_limits& limits) {
@@ -209,8 +230,11 @@
 }
 
 void http_server_connection::Dispatch(http_request request, bool keep_alive, bool may_overlap) {
+  const size_t body_bytes = request.body.capacity();
   auto exchange = std::make_shared<http_exchange>(this, std::move(request));
   pending_answer pending;
+  pending.body_bytes = body_bytes;
+  server_.bodies_.OnComplete(this, body_bytes);
   pending.id = exchange.get();
   pending.exchange = exchange;
   pending.may_overlap = may_overlap;
@@ -243,6 +267,7 @@
     http_answer answer = std::move(*next.answer);
     // A stop closes the connection behind the last request that was handed over.
     const bool keep_alive = next.keep_alive && !(server_.draining_ && pending_.size() == 1);
+    server_.bodies_.OnAnswered(this, next.body_bytes);
     pending_.pop_front();
     Send(std::move(answer), keep_alive);
     if (!keep_alive) return CloseAfterWriting();
@@ -283,6 +308,10 @@
   CloseAfterWriting();
 }
 
+void http_server_connection::RejectUnfinished(instant now, rejection_reason reason) {
+  if (parser_ && !closing_) Reject(now, reason);
+}
+
 void http_server_connection::Reject(instant now, rejection_reason reason) {
   http_answer answer{StatusOf(reason), {}, {}};
   if (server_.rejected_) {
@@ -301,6 +330,7 @@
     answer = server_.rejected_(now, rejected);
   }
   parser_.reset();
+  server_.bodies_.OnComplete(this, 0);
   pending_answer rejected;
   rejected.keep_alive = false;
   rejected.answer = std::move(answer);
--- a/src/http_server_connection.h
+++ b/src/http_server_connection.h
@@ -38,6 +38,10 @@
   void ExtendTimeouts(instant now, std::chrono::nanoseconds by);
   /// Rejects a request that is overdue, or closes a connection that was idle for too long.
   void CheckTimeouts(instant now);
+  /// Rejects the request that is being read.
+  void RejectUnfinished(instant now, rejection_reason reason);
+  /// Continues reading from the loop, if the next request may be read.
+  void ReadLater();
   /// Closes the connection, after the answers before it, since an exchange was destroyed without an
   /// answer.
   void OnExchangeDestroyed(const http_exchange& exchange);
@@ -46,6 +50,8 @@
   /// Bytes of the answers that the caller has not read, and of the input that was not parsed yet.
   size_t BufferedBytes() const;
 
+  bool HasRequestInFlight() const { return !pending_.empty() || held_; }
+  instant last_activity() const { return last_activity_; }
   const socket_address& peer() const { return peer_; }
 
  private:
@@ -57,6 +63,7 @@
     bool keep_alive = true;
     // Destroyed without an answer.
     bool lost = false;
+    size_t body_bytes = 0;
     std::optional<http_answer> answer;
   };
 
@@ -77,7 +84,8 @@
   pending_answer* FindPending(const http_exchange& exchange);
   // Sends the answers whose turn it is, and continues reading.
   void SendReady();
-  void ReadLater();
+  // Whether there is memory for the request that is being read.
+  bool ReserveMemory(instant now);
   // Asks for the body of a request whose caller waits for that.
   void SendContinue();
   void Reject(instant now, rejection_reason reason);
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -1,5 +1,6 @@
 #include "node.h"
 
+#include <sys/resource.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -48,6 +49,11 @@
 // one message while it is encoded or decoded.
 constexpr double kMessageMemoryShare = 0.4;
 
+// Descriptors for files, the store, the platform's calls and metrics.
+constexpr size_t kReservedDescriptors = 264;
+// Callers get one descriptor in this many, however many the others need.
+constexpr size_t kLeastCallerShare = 4;
+
 size_t MessageLimit(double memory_bytes) {
   return static_cast<size_t>(memory_bytes * kMessageMemoryShare);
 }
@@ -126,7 +132,8 @@
   started_ = now;
   budget_.AddHolder([this] { return gate_.HeldBytes(); });
   budget_.AddHolder([this] { return mesh_.BufferedBytes(); });
-  budget_.AddHolder([this] { return callers_.BufferedBytes(); });
+  budget_.AddHolder([this] { return callers_.HeldBytes(); });
+  callers_.SetBudget(&budget_);
   budget_.SetLimit(MessageLimit(settings_.memory_bytes));
   loop_.OnException([this](std::string_view callback, std::string_view what) {
     metrics_.Counter("bulrushway_exceptions", {{"callback", std::string(callback)}})++;
@@ -153,6 +160,22 @@
   return {};
 }
 
+size_t node::MaxCallerConnections() const {
+  rlimit system{};
+  size_t descriptors = settings_.descriptors;
+  if (getrlimit(RLIMIT_NOFILE, &system) == 0 && system.rlim_cur != RLIM_INFINITY) {
+    const auto available = static_cast<size_t>(system.rlim_cur);
+    descriptors = descriptors == 0 ? available : std::min(descriptors, available);
+  }
+  if (descriptors == 0) return 0;
+  // Two connections a peer, each of which may be replaced while the old one is still open.
+  constexpr size_t kPerPeer = 4;
+  const size_t reserved =
+      kReservedDescriptors + kPerPeer * fleet_.nodes().size() + gate_.MaxConnections();
+  const size_t least = descriptors / kLeastCallerShare;
+  return descriptors > reserved ? std::max(least, descriptors - reserved) : least;
+}
+
 bool node::OwnServiceKeyed() const {
   if (!table_) return false;
   const service_policy* policy = table_->FindService(settings_.service);
@@ -186,6 +209,7 @@
   if (!stopping_since_) settings_.stop_limit = settings.stop_limit;
   settings_.evacuation_limit = settings.evacuation_limit;
   settings_.memory_bytes = settings.memory_bytes;
+  settings_.descriptors = settings.descriptors;
   budget_.SetLimit(MessageLimit(settings_.memory_bytes));
   target_.SetLimits(settings_.heartbeat, settings_.drain_limit);
 }
@@ -275,6 +299,7 @@
   report.sequence = ++report_sequence_;
   fleet_.OnReport(now, report);
   mesh_.Tick(now);
+  callers_.SetMaxConnections(MaxCallerConnections());
   UpdateRelay(now);
   UpdateTableMetrics(now);
   RefreshIfBehind(now);
--- a/src/node.h
+++ b/src/node.h
@@ -77,6 +77,8 @@
   double memory_bytes = 0;
   /// Most pipelined requests of a caller's connection that are handled at the same time.
   size_t pipeline_depth = 8;
+  /// Descriptors that the process may have open; zero means that only the system limits them.
+  size_t descriptors = 0;
   /// Requests that a cold target can handle in addition to its rate, in total.
   double cold_slack = 5;
   header_names headers;
@@ -175,6 +177,8 @@
   range_service* OwnKeys() { return members_.Find(settings_.service); }
   const range_service* OwnKeys() const { return members_.Find(settings_.service); }
   bool OwnServiceKeyed() const;
+  // Connections that callers may have open; zero means that they are not limited.
+  size_t MaxCallerConnections() const;
   std::pair<refusal_reason, std::chrono::milliseconds> WhyNotHeld(instant now, uint32_t key) const;
   std::string OtherOwner(uint32_t key) const;
   bool DataCentreOut() const { return evacuated_.contains(settings_.data_centre); }
--- a/src/request_router_rejections.cpp
+++ b/src/request_router_rejections.cpp
@@ -63,14 +63,16 @@
   const std::string request_id = FindHeader(rejected.headers, settings_.headers.request_id);
   const bool certain =
       ports_.configuration() && ports_.certainty(now) == configuration_certainty::kNewest;
-  const bool refused = !certain && rejected.reason != rejection_reason::kMalformed;
+  const bool no_memory = rejected.reason == rejection_reason::kNoMemory;
+  const bool refused = no_memory || (!certain && rejected.reason != rejection_reason::kMalformed);
   http_answer answer{rejected.status, {}, {}};
   if (refused) {
     answer.status = kUnavailable;
     answer.headers.emplace_back(settings_.headers.retry_after, RetryAfterText(milliseconds{0}));
-    metrics_.CountRefusal(
-        ports_.configuration() ? refusal_reason::kStaleRules : refusal_reason::kNoConfiguration,
-        run_state::kNotRun);
+    auto reason =
+        ports_.configuration() ? refusal_reason::kStaleRules : refusal_reason::kNoConfiguration;
+    if (no_memory) reason = refusal_reason::kQueueFull;
+    metrics_.CountRefusal(reason, run_state::kNotRun);
   }
   if (!request_id.empty()) answer.headers.emplace_back(settings_.headers.request_id, request_id);
   const auto elapsed = duration_cast<milliseconds>(rejected.elapsed);
--- a/src/target_gate.cpp
+++ b/src/target_gate.cpp
@@ -69,6 +69,7 @@
 
 void target_gate::SetPolicy(instant now, uint32_t connections, double cold_rate,
                             double cold_burst) {
+  max_connections_ = connections;
   client_.SetMaxConnections(connections > 2 * kSpareConnections ? connections - kSpareConnections
                                                                 : std::max(1U, connections / 2));
   cold_rate_ = cold_rate;
--- a/src/target_gate.h
+++ b/src/target_gate.h
@@ -118,8 +118,10 @@
   size_t Running() const { return running_.size(); }
   size_t Waiting() const { return queue_.Waiting(); }
 
-  /// Bytes of the answers that the target is sending.
-  size_t HeldBytes() const { return client_.ExpectedBytes(); }
+  /// Bytes of the bodies of all requests here, and of the answers that the target is sending.
+  size_t HeldBytes() const { return body_bytes_ + client_.ExpectedBytes(); }
+  /// Most connections to the target.
+  uint32_t MaxConnections() const { return max_connections_; }
 
  private:
   struct pending_request;
@@ -136,6 +138,8 @@
   // Waits for the body of a request, or refuses it when the body would arrive too late.
   void AwaitBody(instant now, const pending_request_ptr& pending);
   void PermitBodies(instant now);
+  // Counts the body of a request, which has arrived.
+  void CountBody(pending_request& pending);
   void RemoveRequest(const pending_request& pending);
   void SendToTarget(instant now, const pending_request_ptr& pending);
   void PopQueue(instant now);
@@ -173,6 +177,8 @@
   body_queue bodies_;
   // Requests with large answers that wait or run.
   size_t large_requests_ = 0;
+  size_t body_bytes_ = 0;
+  uint32_t max_connections_ = 0;
   crash_watch crash_watch_;
   poison_registry poison_{poison_settings{}};
   // Identifier of the next crash; unique across processes.
--- a/src/target_gate_admission.cpp
+++ b/src/target_gate_admission.cpp
@@ -48,6 +48,7 @@
   pending->ask_for_body = std::move(ask_for_body);
   const ticket id = pending->id;
   pending_requests_.emplace(id, pending);
+  CountBody(*pending);
   if (pending->request.large_answer) ++large_requests_;
   if (pending->request.separate_body_bytes > 0) {
     AwaitBody(now, pending);
@@ -97,6 +98,7 @@
   bodies_.Remove(id);
   pending->request.separate_body_bytes = 0;
   pending->request.request.body = std::move(body);
+  CountBody(*pending);
   Admit(now, pending);
   PermitBodies(now);
 }
@@ -150,8 +152,16 @@
   return std::pair{refusal_reason::kQueueFull, *wait};
 }
 
+void target_gate::CountBody(pending_request& pending) {
+  pending.body_bytes = pending.request.request.body.size();
+  body_bytes_ += pending.body_bytes;
+}
+
 void target_gate::RemoveRequest(const pending_request& pending) {
-  if (pending_requests_.erase(pending.id) > 0 && pending.request.large_answer) --large_requests_;
+  if (pending_requests_.erase(pending.id) > 0) {
+    if (pending.request.large_answer) --large_requests_;
+    body_bytes_ -= pending.body_bytes;
+  }
   bodies_.Remove(pending.id);
 }
 
