Accept keys of workspaces and keep their quotas

A request now needs the key of a workspace, unless its route is public or the configuration has no workspaces. The key is removed before the request leaves the process, and the target is told the workspace's name. Priority and home regions of the workspace take effect on every path. 401 is answered only by a configuration that may be taken for the newest.

--- a/src/header_names.h
+++ b/src/header_names.h
@@ -17,6 +17,8 @@
   std::string key;
   /// Service beside the process at which the request entered; set by the router.
   std::string caller;
+  /// Workspace on whose behalf the request runs; set by the router.
+  std::string workspace;
   /// Id of the target that must run the request; any other target refuses it.
   std::string target_instance;
   /// Id of the target that answered.
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -77,6 +77,7 @@
              settings_.link_bytes_per_second, pacer_.BytesPerSecond(), &budget_},
             GatePorts(*this), process),
       mesh_(loop, log_, metrics_, fleet_, MeshEvents(*this), &pacer_, &budget_),
+      quotas_(log_, metrics_, settings_.name, QuotaPorts(*this)),
       router_(log_, metrics_,
               {settings_.name, settings_.service, settings_.headers,
                settings_.retry_share * kRetryShareUsed},
@@ -208,6 +209,8 @@
   // The platform has begun to count by the limit that was in force at the request to stop.
   if (!stopping_since_) settings_.stop_limit = settings.stop_limit;
   settings_.evacuation_limit = settings.evacuation_limit;
+  settings_.strict_revocation = settings.strict_revocation;
+  settings_.revocation_limit = settings.revocation_limit;
   settings_.memory_bytes = settings.memory_bytes;
   settings_.descriptors = settings.descriptors;
   budget_.SetLimit(MessageLimit(settings_.memory_bytes));
@@ -301,8 +304,10 @@
   mesh_.Tick(now);
   callers_.SetMaxConnections(MaxCallerConnections());
   UpdateRelay(now);
+  if (ConfigurationConfirmed(now)) configuration_confirmed_ = now;
   UpdateTableMetrics(now);
   RefreshIfBehind(now);
+  quotas_.Tick(now);
   router_.Tick(now);
   if (stopping_since_) FinishStop(now);
 }
--- a/src/node.h
+++ b/src/node.h
@@ -28,6 +28,7 @@
 #include "own_target.h"
 #include "peer_mesh.h"
 #include "peer_request_map.h"
+#include "quota_service.h"
 #include "request_router.h"
 #include "route_table.h"
 #include "row_store.h"
@@ -62,6 +63,10 @@
   std::chrono::milliseconds configuration_limit{2500};
   /// The platform kills a process this long after the request to stop.
   std::chrono::milliseconds stop_limit{6000};
+  /// Whether requests that need the key of a workspace are refused once the configuration has not
+  /// been confirmed for `revocation_limit`: a key may have been removed since.
+  bool strict_revocation = false;
+  std::chrono::milliseconds revocation_limit{5000};
   /// Maximum duration of a grant of keys.
   std::chrono::milliseconds longest_grant{10'000};
   /// How grants of keys reach the target.
@@ -172,6 +177,15 @@
               const std::vector<stored_row>& rows);
   void BroadcastSuspects(instant now);
   void RefreshIfBehind(instant now);
+  // Whether the store has confirmed lately, to this process or to the neighbour that follows the
+  // store for it, that there is no newer configuration.
+  bool ConfigurationConfirmed(instant now) {
+    return neighbour_follows_ || operator_rows_.Current(now);
+  }
+  bool MayAcceptKeys(instant now) const {
+    return !settings_.strict_revocation ||
+           now - configuration_confirmed_ <= settings_.revocation_limit;
+  }
   // Reacts to a return of the store from a copy, as seen in its answers or reported by peers.
   void FollowStoreEra(instant now);
   range_service* OwnKeys() { return members_.Find(settings_.service); }
@@ -192,6 +206,11 @@
   static target_gate_ports GatePorts(node& self);
   static peer_mesh_events MeshEvents(node& self);
   static request_router_ports RouterPorts(node& self);
+  static quota_service_ports QuotaPorts(node& self);
+  // Node that issues the part of a quota which belongs to the key.
+  std::string QuotaIssuer(uint32_t key) const;
+  // Whether no other process can issue the tokens that this one issues.
+  bool MayIssueQuota(instant now) const;
   static membership_events MemberEvents(node& self);
 
   event_loop& loop_;
@@ -208,6 +227,7 @@
   own_target target_;
   target_gate gate_;
   peer_mesh mesh_;
+  quota_service quotas_;
   request_router router_;
   http_server callers_;
   http_server metrics_server_;
@@ -216,6 +236,7 @@
   std::shared_ptr<const route_table> table_;
   operator_row_source table_source_;
   instant table_adopted_{};
+  instant configuration_confirmed_{};
   // The row that holds the configuration in force.
   stored_row configuration_row_;
   configuration_search search_;
--- a/src/node_peers.cpp
+++ b/src/node_peers.cpp
@@ -1,5 +1,7 @@
 // Handling of requests and reports of peers, and the callbacks that connect the parts of a node.
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -89,6 +91,12 @@
         if (const auto* row = std::get_if<configuration_row_answer>(&message)) {
           return self.OnConfigurationAnswer(now, *row);
         }
+        if (const auto* wanted = std::get_if<quota_request>(&message)) {
+          return self.mesh_.Reply(from, self.quotas_.OnRequest(now, *wanted));
+        }
+        if (const auto* tokens = std::get_if<quota_answer>(&message)) {
+          return self.quotas_.OnAnswer(now, *tokens);
+        }
         if (const auto* body = std::get_if<request_body>(&message)) {
           return self.OnPeerBody(now, from, *body);
         }
@@ -116,10 +124,52 @@
                                         self.newest_peer_version_};
           },
           [&self](instant now) {
-            return CertaintyOf(now,
-                               {self.table_ ? self.table_->version() : 0, self.newest_peer_version_,
-                                self.contact_.era().era(), self.started_,
-                                self.neighbour_follows_ || self.operator_rows_.Current(now)});
+            return CertaintyOf(
+                now, {self.table_ ? self.table_->version() : 0, self.newest_peer_version_,
+                      self.contact_.era().era(), self.started_, self.ConfigurationConfirmed(now)});
+          },
+          [&self](instant now) { return self.MayAcceptKeys(now); },
+          [&self](instant now, const std::string& workspace, quota_service::answer done) {
+            self.quotas_.Acquire(now, workspace, std::move(done));
+          },
+          [&self](instant now, const std::string& workspace, const quota_token& token) {
+            self.quotas_.Return(now, workspace, token);
+          }};
+}
+
+std::string node::QuotaIssuer(uint32_t key) const {
+  if (!table_) return {};
+  const std::string keyed = table_->KeyedService();
+  if (!keyed.empty()) return members_.OwnerOf(keyed, key);
+  // Without leases of keys, the rows of members are what all processes agree on.
+  const auto score = [key](const auto& entry) {
+    return XXH3_64bits_withSeed(entry.first.data(), entry.first.size(), key);
+  };
+  const auto& nodes = fleet_.nodes();
+  const auto chosen =
+      std::max_element(nodes.begin(), nodes.end(),
+                       [&score](const auto& a, const auto& b) { return score(a) < score(b); });
+  return chosen == nodes.end() ? std::string{} : chosen->first;
+}
+
+bool node::MayIssueQuota(instant now) const {
+  if (!OwnServiceKeyed() || members_.Leased(now)) return true;
+  // Another process may have taken the keys over, unless the store answers nobody.
+  return std::ranges::none_of(fleet_.nodes(), [](const auto& entry) {
+    return entry.second.reachable && entry.second.report.leased;
+  });
+}
+
+quota_service_ports node::QuotaPorts(node& self) {
+  return {[&self] { return self.table_; }, [&self](uint32_t key) { return self.QuotaIssuer(key); },
+          [&self](instant now) { return self.MayIssueQuota(now); },
+          [&self](const std::string& name) -> std::optional<std::chrono::nanoseconds> {
+            const node_state* peer = self.fleet_.Find(name);
+            if (peer == nullptr || !peer->reachable) return std::nullopt;
+            return peer->round_trip;
+          },
+          [&self](const std::string& name, const peer_message& message) {
+            return self.mesh_.SendMessage(name, message);
           }};
 }
 
--- a/src/peer_codec.cpp
+++ b/src/peer_codec.cpp
@@ -112,6 +112,14 @@
 
 static auto Fields(auto& m, const peer_suspicion&) { return std::tie(m.node, m.pass_on); }
 
+static auto Fields(auto& m, const quota_request&) {
+  return std::tie(m.node, m.id, m.workspace, m.part, m.tokens);
+}
+
+static auto Fields(auto& m, const quota_answer&) {
+  return std::tie(m.node, m.id, m.workspace, m.tokens, m.wait);
+}
+
 static auto Fields(auto& m, const request_body&) { return std::tie(m.id, m.bytes); }
 
 static constexpr auto HighestOf(remembered_state) { return remembered_state::kUnknown; }
--- a/src/peer_messages.h
+++ b/src/peer_messages.h
@@ -324,6 +324,28 @@
   bool pass_on = false;
 };
 
+/// Asks the issuer of a part of a workspace's quota for tokens.
+struct quota_request {
+  /// Node that asks.
+  std::string node;
+  /// Repeated in the answer.
+  uint64_t id = 0;
+  std::string workspace;
+  uint32_t part = 0;
+  uint32_t tokens = 0;
+};
+
+/// Answer to a quota_request.
+struct quota_answer {
+  /// Node that answers.
+  std::string node;
+  uint64_t id = 0;
+  std::string workspace;
+  uint32_t tokens = 0;
+  /// Time until the part has a token again; zero when unknown, or when all were issued.
+  std::chrono::milliseconds wait{0};
+};
+
 /// Any message between processes. A type's index is its number on the wire: append only.
 using peer_message =
     std::variant<cancel_request, configuration_notice, document_request, document_answer,
@@ -331,7 +353,7 @@
                  node_report, node_report_ack, dispatch_request, dispatch_answer, poison_notice,
                  key_map_change, body_permit, request_body, table_changes_notice,
                  configuration_row_request, configuration_row_answer, link_hello, link_resumed,
-                 link_probe, link_receipt, peer_suspicion>;
+                 link_probe, link_receipt, peer_suspicion, quota_request, quota_answer>;
 
 /// Index of a type in peer_message.
 template <class Message, size_t Index = 0>
--- a/src/pending_request.h
+++ b/src/pending_request.h
@@ -16,6 +16,11 @@
   std::shared_ptr<http_exchange> exchange;
   std::shared_ptr<const route_table> table;
   const route* matched = nullptr;
+  // Workspace of the caller; null where requests need no key.
+  const workspace* caller_workspace = nullptr;
+  std::optional<quota_token> token;
+  // Regions that the route and the workspace both allow.
+  std::vector<std::string> home_regions;
   std::string request_id;
   std::string service;
   std::optional<uint32_t> key;
--- a/src/refusal.cpp
+++ b/src/refusal.cpp
@@ -39,6 +39,7 @@
     "stale_rules",
     "target_limited",
     "no_home_relay",
+    "over_quota",
 };
 
 }  // namespace
--- a/src/refusal.h
+++ b/src/refusal.h
@@ -43,6 +43,7 @@
   kStaleRules,
   kTargetLimited,
   kNoHomeRelay,
+  kOverQuota,
   kCount,
 };
 
--- a/src/request_router.cpp
+++ b/src/request_router.cpp
@@ -82,7 +82,7 @@
   pending->body = pending->exchange->TakeBody();
   pending->exchange->OnClosed([this, id = pending->id] { OnCallerDisconnected(id); });
   BudgetOf(pending->service).OnRequest();
-  Attempt(now, pending);
+  AttemptWithinQuota(now, pending);
 }
 
 bool request_router::MayOverlap(instant now, const http_request& request) const {
@@ -95,12 +95,6 @@
 bool request_router::Accept(instant now, const pending_request_ptr& pending) {
   const http_request& request = pending->exchange->request();
   const header_names& names = settings_.headers;
-  const auto answer = [&](int status, const std::string& outcome) {
-    LogRejection(now, {pending->request_id, status, outcome, FindHeader(request.headers, "Host"),
-                       request.target});
-    Complete(now, pending, http_answer{status, {}, {}}, outcome);
-    return false;
-  };
   pending->request_id = FindHeader(request.headers, names.request_id);
   pending->table = ports_.configuration();
   if (!pending->table) {
@@ -116,9 +110,10 @@
       pending->table->Find(HostName(FindHeader(request.headers, "Host")), request.target);
   if (pending->matched == nullptr) {
     if (RefuseIfUncertain(now, pending, "no route")) return false;
-    return answer(kNotFound, "no route");
+    return Reject(now, pending, kNotFound, "no route");
   }
-  if (pending->request_id.empty()) return answer(kBadRequest, "no request id");
+  if (pending->request_id.empty()) return Reject(now, pending, kBadRequest, "no request id");
+  if (!IdentifyWorkspace(now, pending)) return false;
   pending->service = ChooseService(*pending->matched, pending->request_id);
   const service_policy* policy = pending->table->FindService(pending->service);
   pending->keyed = policy != nullptr && policy->keyed;
@@ -127,7 +122,7 @@
     if (!pending->key || *pending->key > kLastKey) {
       // A newer configuration may serve the route without keys.
       if (RefuseIfUncertain(now, pending, "no valid key")) return false;
-      return answer(kBadRequest, "no valid key");
+      return Reject(now, pending, kBadRequest, "no valid key");
     }
   }
   const auto requested_timeout =
@@ -152,7 +147,7 @@
     const auto stats = route_stats_.find(pending.matched->name);
     const double bytes = stats == route_stats_.end() ? 0 : stats->second.bytes;
     return ChooseTarget(now, fleet_.OfService(pending.service),
-                        {pending.matched->home_regions, pending.tried, bytes,
+                        {pending.home_regions, pending.tried, bytes,
                          ExpectedWork(pending.matched->name), pending.body.size()},
                         rng_);
   }
@@ -161,7 +156,7 @@
   if (owner.empty()) return nullptr;
   const node_state* node = fleet_.Find(owner);
   // Neither directly nor through a relay.
-  if (node != nullptr && !AllowsRegion(pending.matched->home_regions, node->member.region)) {
+  if (node != nullptr && !AllowsRegion(pending.home_regions, node->member.region)) {
     reason = refusal_reason::kHomeRegion;
     return nullptr;
   }
--- a/src/request_router.h
+++ b/src/request_router.h
@@ -23,6 +23,7 @@
 #include "metrics.h"
 #include "owner_hints.h"
 #include "peer_mesh.h"
+#include "quota_account.h"
 #include "retry_budget.h"
 #include "route_table.h"
 #include "target_gate.h"
@@ -46,6 +47,15 @@
   std::function<configuration_origin()> origin;
   /// Whether it may be taken for the newest one.
   std::function<configuration_certainty(instant)> certainty;
+  /// Whether it is recent enough to accept the keys of workspaces by it.
+  std::function<bool(instant)> may_accept_keys = [](instant) { return true; };
+  /// Calls back once with a token for a request of the workspace, or without one when it is over
+  /// its quota.
+  std::function<void(instant, const std::string& workspace,
+                     std::function<void(instant, const quota_verdict&)>)>
+      take_quota = {};
+  /// Returns the token of a request that has not run.
+  std::function<void(instant, const std::string& workspace, const quota_token&)> return_quota = {};
 };
 
 /// Identity of this process and its retry limits.
@@ -94,6 +104,16 @@
   using pending_request_ptr = std::shared_ptr<pending_request>;
 
   bool Accept(instant now, const pending_request_ptr& pending);
+  // Finds the workspace of the caller's key, and what its workspace changes for the request.
+  // Returns false after a request without a valid key was answered.
+  bool IdentifyWorkspace(instant now, const pending_request_ptr& pending);
+  // Obtains a token of the workspace's quota, if it has one, and makes the first attempt.
+  void AttemptWithinQuota(instant now, const pending_request_ptr& pending);
+  // Returns the token of a request that ends without having run.
+  void ReturnQuota(instant now, pending_request& pending);
+  // Ends the request with a status of this process; returns false.
+  bool Reject(instant now, const pending_request_ptr& pending, int status,
+              const std::string& outcome);
   void Attempt(instant now, const pending_request_ptr& pending);
   const node_state* ChooseNode(instant now, pending_request& pending, refusal_reason& reason);
   // Sends through `relay` when the node cannot be reached directly; null: sends directly.
--- a/src/request_router_answers.cpp
+++ b/src/request_router_answers.cpp
@@ -12,6 +12,7 @@
 using std::chrono::milliseconds;
 
 constexpr int kFirstErrorStatus = 400;
+constexpr int kTooManyRequests = 429;
 constexpr int kBadGateway = 502;
 constexpr int kUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
@@ -39,7 +40,8 @@
   http_answer answer;
   const run_state state = pending->may_have_run ? run_state::kUnknown : run_state::kNotRun;
   if (state == run_state::kNotRun) {
-    answer.status = kUnavailable;
+    answer.status = reason == refusal_reason::kOverQuota ? kTooManyRequests : kUnavailable;
+    ReturnQuota(now, *pending);
     answer.headers.emplace_back(settings_.headers.retry_after,
                                 RetryAfterText(pending->retry_after));
   } else {
@@ -104,6 +106,8 @@
   const pending_request_ptr pending = found->second;
   const instant now = boot_clock::now();
   pending->finished = true;
+  // Nothing of it reached a target.
+  if (pending->offers == 0 && !pending->outstanding) ReturnQuota(now, *pending);
   CancelAttempt(now, *pending);
   metrics_.Counter("bulrushway_callers_left")++;
   log_.Write("caller_left", {{"request", pending->request_id},
--- a/src/request_router_rejections.cpp
+++ b/src/request_router_rejections.cpp
@@ -1,8 +1,10 @@
 // Rejections: requests that end with a status of this process for what they are or how they
 // arrived.
 
+#include <algorithm>
 #include <utility>
 
+#include "home_regions.h"
 #include "pending_request.h"
 
 namespace bulrushway {
@@ -11,6 +13,7 @@
 using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 
+constexpr int kUnauthorized = 401;
 constexpr int kUnavailable = 503;
 // Longest part of a host or path that a line shows.
 constexpr size_t kMaxLoggedBytes = 80;
@@ -39,6 +42,57 @@
              log_priority::kNotable);
 }
 
+bool request_router::Reject(instant now, const pending_request_ptr& pending, int status,
+                            const std::string& outcome) {
+  const http_request& request = pending->exchange->request();
+  LogRejection(now, {pending->request_id, status, outcome, FindHeader(request.headers, "Host"),
+                     request.target});
+  Complete(now, pending, http_answer{status, {}, {}}, outcome);
+  return false;
+}
+
+bool request_router::IdentifyWorkspace(instant now, const pending_request_ptr& pending) {
+  const route& matched = *pending->matched;
+  pending->home_regions = matched.home_regions;
+  if (matched.is_public || pending->table->workspaces().empty()) return true;
+  if (!ports_.may_accept_keys(now)) {
+    Refuse(now, pending, refusal_reason::kStaleRules);
+    return false;
+  }
+  const std::string_view key = BearerKey(pending->exchange->request().headers);
+  pending->caller_workspace = key.empty() ? nullptr : pending->table->FindWorkspaceByKey(key);
+  if (pending->caller_workspace == nullptr) {
+    // A newer configuration may have the key, or no workspaces.
+    const std::string reason = key.empty() ? "no workspace key" : "unknown workspace key";
+    if (RefuseIfUncertain(now, pending, reason)) return false;
+    return Reject(now, pending, kUnauthorized, reason);
+  }
+  pending->home_regions =
+      CommonHomeRegions(matched.home_regions, pending->caller_workspace->home_regions);
+  const std::vector<std::string>& homes = pending->home_regions;
+  if (std::find(homes.begin(), homes.end(), kNoRegion) == homes.end()) return true;
+  Refuse(now, pending, refusal_reason::kHomeRegion);
+  return false;
+}
+
+void request_router::AttemptWithinQuota(instant now, const pending_request_ptr& pending) {
+  const workspace* of = pending->caller_workspace;
+  if (of == nullptr || !of->HasQuota() || !ports_.take_quota) return Attempt(now, pending);
+  ports_.take_quota(now, of->name, [this, pending](instant decided, const quota_verdict& verdict) {
+    pending->token = verdict.token;
+    if (pending->finished) return ReturnQuota(decided, *pending);
+    if (verdict.token) return Attempt(decided, pending);
+    pending->retry_after = verdict.wait;
+    Refuse(decided, pending, refusal_reason::kOverQuota);
+  });
+}
+
+void request_router::ReturnQuota(instant now, pending_request& pending) {
+  if (!pending.token || pending.may_have_run) return;
+  ports_.return_quota(now, pending.caller_workspace->name, *pending.token);
+  pending.token.reset();
+}
+
 bool request_router::RefuseIfUncertain(instant now, const pending_request_ptr& pending,
                                        const std::string& reason) {
   const configuration_certainty certainty = ports_.certainty(now);
--- a/src/request_router_sending.cpp
+++ b/src/request_router_sending.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "http_parser.h"
 #include "pending_request.h"
 #include "process_lease.h"
 #include "target_choice.h"
@@ -52,7 +53,11 @@
   request.idempotent = pending.matched->idempotent;
   request.large_answer = pending.matched->large_answers;
   request.rank = pending.matched->rank;
-  request.home_regions = pending.matched->home_regions;
+  request.home_regions = pending.home_regions;
+  if (const workspace* of = pending.caller_workspace) {
+    request.tenant = of->name;
+    request.rank = of->rank.value_or(request.rank);
+  }
   const auto return_time = duration_cast<milliseconds>(to.round_trip / 2);
   const auto left = duration_cast<milliseconds>(pending.deadline - now) - return_time;
   request.time_left = std::max(left, milliseconds{1});
@@ -64,6 +69,12 @@
   request.request.method = original.method;
   request.request.target = original.target;
   request.request.headers = original.headers;
+  if (!pending.table->workspaces().empty()) {
+    RemoveCredentials(request.request.headers);
+    std::erase_if(request.request.headers, [this](const auto& header) {
+      return EqualIgnoringCase(header.first, settings_.headers.workspace);
+    });
+  }
   request.request.body = pending.body;
   return request;
 }
@@ -72,8 +83,7 @@
                                       refusal_reason& reason) {
   const node_state* owner = fleet_.Find(OwnerOf(*pending));
   if (owner == nullptr || pending->tries >= kMaxTries) return false;
-  const choice_request request{.home_regions = pending->matched->home_regions,
-                               .tried = pending->tried};
+  const choice_request request{.home_regions = pending->home_regions, .tried = pending->tried};
   const node_state* relay = ChooseRelay(now, fleet_, *owner, request, rng_);
   if (relay == nullptr) {
     if (request.home_regions.empty() || !MayRelay(now, *owner)) return false;
--- a/src/route_table.cpp
+++ b/src/route_table.cpp
@@ -16,6 +16,7 @@
       workspaces_(std::move(workspaces)) {
   std::sort(workspaces_.begin(), workspaces_.end(),
             [](const workspace& a, const workspace& b) { return a.name < b.name; });
+  workspace_keys_ = workspace_keys(workspaces_);
   for (service_policy& policy : services) {
     const std::string name = policy.name;
     services_.insert_or_assign(name, std::move(policy));
@@ -38,6 +39,11 @@
   return nullptr;
 }
 
+const workspace* route_table::FindWorkspaceByKey(std::string_view key) const {
+  const auto found = workspace_keys_.Find(workspaces_, key);
+  return found ? &workspaces_[*found] : nullptr;
+}
+
 const workspace* route_table::FindWorkspace(std::string_view name) const {
   const auto found = std::lower_bound(
       workspaces_.begin(), workspaces_.end(), name,
@@ -45,6 +51,12 @@
   return found == workspaces_.end() || found->name != name ? nullptr : &*found;
 }
 
+std::string route_table::KeyedService() const {
+  const auto found = std::find_if(services_.begin(), services_.end(),
+                                  [](const auto& entry) { return entry.second.keyed; });
+  return found == services_.end() ? std::string{} : found->first;
+}
+
 const service_policy* route_table::FindService(const std::string& service) const {
   const auto found = services_.find(service);
   return found == services_.end() ? nullptr : &found->second;
--- a/src/route_table.h
+++ b/src/route_table.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "workspace.h"
+#include "workspace_keys.h"
 
 namespace bulrushway {
 
@@ -85,8 +86,12 @@
 
   /// The route of the host with the longest prefix of the path, or null.
   const route* Find(std::string_view host, std::string_view target) const;
+  /// The workspace that has the API key, or null.
+  const workspace* FindWorkspaceByKey(std::string_view key) const;
   /// The workspace of this name, or null.
   const workspace* FindWorkspace(std::string_view name) const;
+  /// Name of the first keyed service; empty when there is none.
+  std::string KeyedService() const;
   /// The policy of the service, or null.
   const service_policy* FindService(const std::string& service) const;
 
@@ -96,6 +101,7 @@
   std::map<std::string, service_policy> services_;
   caller_limits limits_;
   std::vector<workspace> workspaces_;
+  workspace_keys workspace_keys_;
   // Indices of routes by host, longest prefix first.
   std::map<std::string, std::vector<size_t>, std::less<>> by_host_;
 };
--- a/src/target_gate.cpp
+++ b/src/target_gate.cpp
@@ -88,6 +88,9 @@
   request.headers.emplace_back(names.time_left, std::to_string(left.count()));
   request.headers.emplace_back(names.caller, pending.request.caller);
   request.headers.emplace_back(names.target_instance, pending.incarnation.id);
+  if (!pending.request.tenant.empty()) {
+    request.headers.emplace_back(names.workspace, pending.request.tenant);
+  }
   return request;
 }
 
