Keep slots free for urgent requests where callers compete for them

The rank in the queue did not help, since no slot came free before the latency target.

slot_reserve keeps the slots that more urgent ranks need free of requests whose work is longer than these can wait.

--- a/src/node.h
+++ b/src/node.h
@@ -80,6 +80,8 @@
   double link_bytes_per_second = 0;
   /// Memory that the process may use, in bytes; zero means unknown, and it is not limited.
   double memory_bytes = 0;
+  /// Keeps slots of the target free of long requests for more urgent ones.
+  bool urgent_room = false;
   /// Most pipelined requests of a caller's connection that are handled at the same time.
   size_t pipeline_depth = 8;
   /// Descriptors that the process may have open; zero means that only the system limits them.
--- a/src/slot_queue.cpp
+++ b/src/slot_queue.cpp
@@ -30,6 +30,11 @@
   return now + request.expected_work > request.on_time_until;
 }
 
+reserve_request ReserveRequest(instant now, const slot_request& request) {
+  const auto left = duration_cast<milliseconds>(request.on_time_until - now);
+  return {request.rank, request.expected_work, left - request.expected_work};
+}
+
 bool LeavesTimeForWork(instant start, const slot_request& request) {
   const auto min_work =
       duration_cast<std::chrono::nanoseconds>(request.expected_work * kMinShareOfWork);
@@ -72,10 +77,26 @@
   return !cold_ || cold_bucket_.CanTake(now);
 }
 
-void slot_queue::TakeSlot(instant now) {
+uint32_t slot_queue::ReservedFrom(instant now, const slot_request& request) const {
+  if (!urgent_room_) return 0;
+  return reserve_.ReservedFrom(now, ReserveRequest(now, request), slots_);
+}
+
+bool slot_queue::LeavesUrgentRoom(instant now, const slot_request& request) const {
+  const uint32_t reserved = ReservedFrom(now, request);
+  if (reserved == 0) return true;
+  uint32_t running = 0;
+  for (auto it = running_by_rank_.lower_bound(request.rank); it != running_by_rank_.end(); ++it) {
+    running += it->second;
+  }
+  return running + reserved < slots_;
+}
+
+void slot_queue::TakeSlot(instant now, uint32_t rank) {
   if (cold_) cold_bucket_.Take(now);
   if (limit_) limit_bucket_.Take(now);
   ++running_;
+  ++running_by_rank_[rank];
 }
 
 milliseconds slot_queue::LimitWait(instant now, size_t ahead) const {
@@ -91,9 +112,10 @@
   const queue_position position = PositionOf(request, IsLate(now, request));
   const auto ahead =
       static_cast<size_t>(std::distance(waiting_.begin(), waiting_.upper_bound(position)));
-  if (HasFreeSlot(now) && ahead == 0) return milliseconds{0};
+  if (HasFreeSlot(now) && ahead == 0 && LeavesUrgentRoom(now, request)) return milliseconds{0};
   const double work = usual_work_ms_ > 0 ? usual_work_ms_ : kAssumedWorkMs;
-  double slot_wait = static_cast<double>(ahead + 1) * work / std::max(1U, slots_);
+  const uint32_t open = std::max(1U, slots_ - std::min(slots_, ReservedFrom(now, request)));
+  double slot_wait = static_cast<double>(ahead + 1) * work / open;
   // All slots become available with the first answer.
   if (probing_) slot_wait += work;
   const milliseconds cold_wait = cold_ ? cold_bucket_.Wait(now) : milliseconds{0};
@@ -107,12 +129,13 @@
 
 slot_verdict slot_queue::Arrive(instant now, const slot_request& request) {
   const bool late = IsLate(now, request);
+  if (urgent_room_) reserve_.OnArrival(now, ReserveRequest(now, request));
   const bool served_first = waiting_.empty() || PositionOf(request, late) < waiting_.begin()->first;
-  if (served_first && HasFreeSlot(now)) {
+  if (served_first && HasFreeSlot(now) && LeavesUrgentRoom(now, request)) {
     if (!LeavesTimeForWork(now, request)) {
       return {slot_verdict::kind::kRefuse, refusal_reason::kDeadlineTooShort, milliseconds{0}};
     }
-    TakeSlot(now);
+    TakeSlot(now, request.rank);
     return {};
   }
   const milliseconds wait = ExpectedWait(now, request);
@@ -126,8 +149,10 @@
   return {slot_verdict::kind::kWait, refusal_reason::kNone, wait};
 }
 
-void slot_queue::Finish(instant, std::chrono::nanoseconds work) {
+void slot_queue::Finish(instant, std::chrono::nanoseconds work, uint32_t rank) {
   if (running_ > 0) --running_;
+  const auto of_rank = running_by_rank_.find(rank);
+  if (of_rank != running_by_rank_.end() && --of_rank->second == 0) running_by_rank_.erase(of_rank);
   const double ms = std::chrono::duration<double, std::milli>(work).count();
   if (ms <= 0) return;
   usual_work_ms_ = usual_work_ms_ > 0 ? usual_work_ms_ + kWorkWeight * (ms - usual_work_ms_) : ms;
@@ -135,11 +160,15 @@
 
 std::optional<uint64_t> slot_queue::StartNext(instant now) {
   if (waiting_.empty() || !HasFreeSlot(now)) return std::nullopt;
-  const uint64_t id = waiting_.begin()->second.request.id;
-  waiting_.erase(waiting_.begin());
-  positions_.erase(id);
-  TakeSlot(now);
-  return id;
+  const auto next = std::find_if(waiting_.begin(), waiting_.end(), [&](const auto& entry) {
+    return LeavesUrgentRoom(now, entry.second.request);
+  });
+  if (next == waiting_.end()) return std::nullopt;
+  const slot_request request = next->second.request;
+  waiting_.erase(next);
+  positions_.erase(request.id);
+  TakeSlot(now, request.rank);
+  return request.id;
 }
 
 void slot_queue::DemoteLate(instant now) {
--- a/src/slot_queue.h
+++ b/src/slot_queue.h
@@ -22,6 +22,7 @@
 
 #include "clock.h"
 #include "refusal.h"
+#include "slot_reserve.h"
 #include "token_bucket.h"
 
 namespace bulrushway {
@@ -60,6 +61,8 @@
  public:
   /// Sets the number of requests that may run at once.
   void SetSlots(uint32_t slots) { slots_ = slots; }
+  /// Keeps slots free of long requests for more urgent ones; see slot_reserve.
+  void EnableUrgentRoom(bool enabled) { urgent_room_ = enabled; }
   /// While cold, each request also needs a token of the bucket.
   void SetCold(instant now, bool cold);
   token_bucket& cold_bucket() { return cold_bucket_; }
@@ -72,8 +75,9 @@
 
   /// Decides about an arriving request. After kRun it holds a slot.
   slot_verdict Arrive(instant now, const slot_request& request);
-  /// Frees the slot of a request that ran for `work`; zero keeps the time out of the average.
-  void Finish(instant now, std::chrono::nanoseconds work);
+  /// Frees the slot of a request of the rank that ran for `work`; zero keeps the time out of the
+  /// average.
+  void Finish(instant now, std::chrono::nanoseconds work, uint32_t rank = 0);
   /// Removes the first waiting request and gives it a slot; nullopt when no request waits or no
   /// slot is free.
   std::optional<uint64_t> StartNext(instant now);
@@ -111,7 +115,11 @@
   bool HasFreeSlot(instant now) const;
   // Reason for the refusal of a request that would wait too long.
   refusal_reason ReasonForWait() const;
-  void TakeSlot(instant now);
+  // Slots that the request must leave free.
+  uint32_t ReservedFrom(instant now, const slot_request& request) const;
+  // Whether requests as urgent as this one, and less urgent ones, leave the reserved slots free.
+  bool LeavesUrgentRoom(instant now, const slot_request& request) const;
+  void TakeSlot(instant now, uint32_t rank);
 
   uint32_t slots_ = 0;
   uint32_t running_ = 0;
@@ -123,6 +131,10 @@
   double usual_work_ms_ = 0;
   instant full_until_{};
   uint32_t full_slots_ = 0;
+  bool urgent_room_ = false;
+  slot_reserve reserve_;
+  // Running requests by rank.
+  std::map<uint32_t, uint32_t> running_by_rank_;
   std::map<queue_position, waiting_request> waiting_;
   std::map<uint64_t, queue_position> positions_;
 };
--- a/src/target_gate.cpp
+++ b/src/target_gate.cpp
@@ -63,7 +63,9 @@
       bodies_(settings_.large_bytes_per_second),
       next_crash_(seed),
       work_latency_(metrics_.Latency("bulrushway_target_work_seconds")),
-      wait_latency_(metrics_.Latency("bulrushway_gate_wait_seconds")) {}
+      wait_latency_(metrics_.Latency("bulrushway_gate_wait_seconds")) {
+  queue_.EnableUrgentRoom(settings_.urgent_room);
+}
 
 target_gate::~target_gate() = default;
 
@@ -165,7 +167,7 @@
 void target_gate::ReleaseSlot(instant now, const pending_request_ptr& pending,
                               std::chrono::nanoseconds work) {
   running_.erase(pending->id);
-  queue_.Finish(now, work);
+  queue_.Finish(now, work, pending->request.rank);
 }
 
 refusal_reason target_gate::HandleNotRun(instant now, const pending_request& pending,
@@ -279,7 +281,7 @@
     const pending_request_ptr pending = found->second;
     // The target may have started to leave, or lost the key, while the request waited.
     if (const auto refused = CheckAdmission(now, pending->request)) {
-      queue_.Finish(now, std::chrono::nanoseconds{0});
+      queue_.Finish(now, std::chrono::nanoseconds{0}, pending->request.rank);
       Refuse(now, pending, refused->first, run_state::kNotRun, refused->second,
              "not admitted after the wait");
       continue;
--- a/src/target_gate.h
+++ b/src/target_gate.h
@@ -76,6 +76,8 @@
   double link_bytes_per_second = 0;
   /// Share of that rate for large answers, in bytes per second; zero means unknown.
   double large_bytes_per_second = 0;
+  /// Keeps slots free of long requests for more urgent ones.
+  bool urgent_room = false;
   /// Budget of the process for large answers; null: not limited.
   const memory_budget* budget = nullptr;
 };
