--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -102,9 +102,12 @@
 }
 
 void http_server::Accept(int socket, const socket_address& peer) {
-  if (max_connections_ > 0 && connections_.size() >= max_connections_ && !CloseLeastActive()) {
-    evutil_closesocket(socket);
-    return;
+  if (max_connections_ > 0 && connections_.size() >= max_connections_) {
+    ++displaced_;
+    if (!CloseLeastActive()) {
+      evutil_closesocket(socket);
+      return;
+    }
   }
   DisableDelay(socket);
   bufferevent* raw = bufferevent_socket_new(loop_.Base(), socket, BEV_OPT_CLOSE_ON_FREE);
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -149,6 +149,8 @@
   bool HasUnsent() const;
   /// Bytes that are buffered on all connections.
   size_t BufferedBytes() const;
+  /// Number of connections that were closed or not accepted because too many were open.
+  uint64_t Displaced() const { return displaced_; }
   /// Number of open connections.
   size_t Connections() const { return connections_.size(); }
 
@@ -175,6 +177,7 @@
   const memory_budget* budget_ = nullptr;
   body_admission bodies_;
   size_t max_connections_ = 0;
+  uint64_t displaced_ = 0;
   bulk_pacer* pacer_;
   bool draining_ = false;
   instant last_sweep_;
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -304,6 +304,8 @@
   fleet_.OnReport(now, report);
   mesh_.Tick(now);
   callers_.SetMaxConnections(MaxCallerConnections());
+  metrics_.Gauge("bulrushway_callers_displaced") = static_cast<double>(callers_.Displaced());
+  metrics_.Gauge("bulrushway_held_bytes") = static_cast<double>(budget_.HeldBytes());
   UpdateRelay(now);
   if (ConfigurationConfirmed(now)) configuration_confirmed_ = now;
   UpdateTableMetrics(now);
--- a/src/quota_account.cpp
+++ b/src/quota_account.cpp
@@ -71,10 +71,11 @@
 }
 
 void quota_account::Expire(instant now) {
-  std::erase_if(balances_, [now](auto& entry) {
-    std::deque<quota_token>& tokens = entry.second.tokens;
-    while (!tokens.empty() && tokens.front().expires <= now) tokens.pop_front();
-    return tokens.empty() && DemandAt(now, entry.second) < kNoDemand;
+  for (auto& [workspace, of] : balances_) {
+    while (!of.tokens.empty() && of.tokens.front().expires <= now) of.tokens.pop_front();
+  }
+  std::erase_if(balances_, [now](const auto& entry) {
+    return entry.second.tokens.empty() && DemandAt(now, entry.second) < kNoDemand;
   });
 }
 
