Tell refused callers of a workspace when a token is likely to be left

They are now told times that follow one another at the rate at which the process obtains tokens. A process that finds no token pauses for longer with each round in series, instead of asking all issuers again.

--- a/src/quota_service.cpp
+++ b/src/quota_service.cpp
@@ -1,6 +1,7 @@
 #include "quota_service.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace bulrushway {
@@ -17,6 +18,13 @@
 // Bounds of the time for which a workspace without tokens is not asked for again.
 constexpr milliseconds kMinDryTime{20};
 constexpr milliseconds kMaxDryTime{250};
+// The shorter one doubles with each round in which no part has enough, this often at most.
+constexpr uint32_t kMaxDoublings = 5;
+// Time constant of the measured rate of tokens, and the least rate that callers are told.
+constexpr std::chrono::duration<double> kObtainedTime{1};
+constexpr double kMinObtained = 1;
+// Callers are not told to return later than this.
+constexpr milliseconds kLatestReturn{2000};
 // Wait that callers are told when no issuer has named one.
 constexpr milliseconds kUnknownWait{500};
 // Most tokens that one message can ask for.
@@ -53,20 +61,32 @@
     return done(now, {token, {}});
   }
   if (now < state.dry_until) {
-    return Refuse(now, workspace, std::chrono::ceil<milliseconds>(state.dry_until - now), done);
+    return Refuse(now, workspace, state, std::chrono::ceil<milliseconds>(state.dry_until - now),
+                  done);
   }
   state.waiting.push_back({now + kMaxWait, std::move(done)});
   Ask(now, workspace, state);
 }
 
-void quota_service::Refuse(instant now, const std::string& workspace, milliseconds wait,
-                           const answer& done) {
+void quota_service::Refuse(instant now, const std::string& workspace, workspace_state& state,
+                           milliseconds wait, const answer& done) {
+  const double tokens_per_second = std::max(ObtainedAt(now, state), kMinObtained);
+  const std::chrono::duration<double> spacing{1 / tokens_per_second};
+  state.next_return = std::max(state.next_return, now) +
+                      std::chrono::duration_cast<std::chrono::nanoseconds>(spacing);
+  state.next_return = std::min(state.next_return, now + kLatestReturn);
+  wait = std::max(wait, std::chrono::ceil<milliseconds>(state.next_return - now));
   metrics_.Counter("bulrushway_quota_refusals")++;
   log_.Write("quota_refused",
              {{"workspace", workspace}, {"wait_ms", std::to_string(wait.count())}});
   done(now, {std::nullopt, wait});
 }
 
+double quota_service::ObtainedAt(instant now, const workspace_state& state) {
+  const std::chrono::duration<double> elapsed = now - state.obtained_at;
+  return state.obtained * std::exp(-std::max(0.0, elapsed / kObtainedTime));
+}
+
 std::optional<std::pair<uint32_t, std::string>> quota_service::NextIssuer(
     const std::string& workspace, const workspace_state& state) const {
   std::optional<std::pair<uint32_t, std::string>> nearest;
@@ -114,8 +134,13 @@
                              workspace_state& state, uint32_t part, const quota_loan& loan) {
   if (loan.tokens > 0) {
     account_.Add(asked, workspace, loan.tokens);
+    state.obtained = ObtainedAt(now, state) + loan.tokens / kObtainedTime.count();
+    state.obtained_at = now;
     // The part may have more.
-    if (loan.wait.count() == 0) state.asked.erase(part);
+    if (loan.wait.count() == 0) {
+      state.asked.erase(part);
+      state.dry_rounds = 0;
+    }
   }
   if (loan.wait.count() > 0) {
     state.shortest_wait = std::min(state.shortest_wait.value_or(loan.wait), loan.wait);
@@ -131,12 +156,13 @@
 
 void quota_service::EndRound(instant now, const std::string& workspace, workspace_state& state) {
   const milliseconds wait = state.shortest_wait.value_or(kUnknownWait);
-  state.dry_until = now + std::clamp(wait, kMinDryTime, kMaxDryTime);
+  const milliseconds pause = kMinDryTime * (1U << std::min(state.dry_rounds++, kMaxDoublings));
+  state.dry_until = now + std::max(pause, std::min(wait, kMaxDryTime));
   state.asked.clear();
   state.shortest_wait.reset();
   std::deque<waiting_request> waiting;
   waiting.swap(state.waiting);
-  for (const waiting_request& refused : waiting) Refuse(now, workspace, wait, refused.done);
+  for (const waiting_request& refused : waiting) Refuse(now, workspace, state, wait, refused.done);
 }
 
 quota_answer quota_service::OnRequest(instant now, const quota_request& request) {
@@ -172,7 +198,7 @@
     while (!state.waiting.empty() && state.waiting.front().until <= now) {
       const waiting_request overdue = std::move(state.waiting.front());
       state.waiting.pop_front();
-      Refuse(now, workspace, state.shortest_wait.value_or(kUnknownWait), overdue.done);
+      Refuse(now, workspace, state, state.shortest_wait.value_or(kUnknownWait), overdue.done);
     }
     if (now >= state.dry_until) Ask(now, workspace, state);
   }
--- a/src/quota_service.h
+++ b/src/quota_service.h
@@ -77,8 +77,14 @@
     // Parts that were asked in this round, and the shortest wait that they named.
     std::set<uint32_t> asked;
     std::optional<std::chrono::milliseconds> shortest_wait;
-    // No part had a token: requests are refused until then.
+    // No part had a token: requests are refused until then. Number of such rounds in series.
     instant dry_until{};
+    uint32_t dry_rounds = 0;
+    // EWMA of the tokens per second that this process obtained, at `obtained_at`.
+    double obtained = 0;
+    instant obtained_at{};
+    // When the caller that was refused last was told to return.
+    instant next_return{};
   };
 
   void UpdateParts(instant now);
@@ -89,9 +95,12 @@
                                                              const workspace_state& state) const;
   void TakeLoan(instant now, instant asked, const std::string& workspace, workspace_state& state,
                 uint32_t part, const quota_loan& loan);
+  static double ObtainedAt(instant now, const workspace_state& state);
   void EndRound(instant now, const std::string& workspace, workspace_state& state);
-  void Refuse(instant now, const std::string& workspace, std::chrono::milliseconds wait,
-              const answer& done);
+  // Refuses a request, and tells its caller when a token is likely to be left for it: callers that
+  // are refused together must not return together.
+  void Refuse(instant now, const std::string& workspace, workspace_state& state,
+              std::chrono::milliseconds wait, const answer& done);
 
   decision_log& log_;
   metrics& metrics_;
