Send separate bodies in pieces, and hold them once

A frame of more than 24 MiB closed the connection between processes with the requests of other callers.

A separate body goes in pieces of 512 KiB, each permitted by the gate, which has room for the whole one before it permits the first. The body is handed to the target's connection instead of copied.

--- a/src/body_queue.h
+++ b/src/body_queue.h
@@ -53,6 +53,11 @@
 
   /// Expected time until a body of usual size that is asked for now would have arrived.
   std::chrono::milliseconds ExpectedWait() const;
+  /// Size of the body that PermitNext() would permit; nullopt when none waits.
+  std::optional<size_t> NextBytes() const {
+    if (waiting_.empty()) return std::nullopt;
+    return waiting_.begin()->second.bytes;
+  }
   size_t Waiting() const { return waiting_.size(); }
   size_t UnderWay() const { return under_way_.size(); }
 
--- a/src/http_client_connection.cpp
+++ b/src/http_client_connection.cpp
@@ -11,6 +11,7 @@
 #include <cstring>
 #include <utility>
 
+#include "output_buffer.h"
 #include "socket_options.h"
 
 namespace bulrushway {
@@ -125,7 +126,7 @@
   const std::string head = SerializeRequestHead(current_->request, {});
   evbuffer* output = bufferevent_get_output(raw_);
   evbuffer_add(output, head.data(), head.size());
-  evbuffer_add(output, current_->request.body.data(), current_->request.body.size());
+  Append(output, std::move(current_->request.body));
 }
 
 template <class Call>
--- a/src/peer_mesh.cpp
+++ b/src/peer_mesh.cpp
@@ -129,9 +129,13 @@
 void peer_mesh::OnBodyPermit(uint64_t id) {
   const auto found = pending_.find(id);
   if (found == pending_.end() || !found->second.body) return;
-  request_body message{id, std::move(*found->second.body)};
-  found->second.body.reset();
-  transport_.SendFrame(found->second.connection, EncodeFrame(message));
+  pending& sent = found->second;
+  std::string& body = *sent.body;
+  const bool whole = sent.body_sent == 0 && body.size() <= kMaxBodyPiece;
+  request_body message{id, whole ? std::move(body) : body.substr(sent.body_sent, kMaxBodyPiece)};
+  sent.body_sent += message.bytes.size();
+  if (whole || sent.body_sent == body.size()) sent.body.reset();
+  transport_.SendFrame(sent.connection, EncodeFrame(message));
 }
 
 bool peer_mesh::SendMessage(const std::string& node, const peer_message& message,
--- a/src/peer_mesh.h
+++ b/src/peer_mesh.h
@@ -144,8 +144,9 @@
     connection_id sent_over = 0;
     callback done;
     bool has_separate_body = false;
-    // The separate body that the peer has not permitted yet.
+    // The separate body until all of it was sent, and how much was.
     std::optional<std::string> body = std::nullopt;
+    size_t body_sent = 0;
     // While the request is being resumed: when it is given up.
     std::optional<instant> give_up = std::nullopt;
   };
--- a/src/peer_messages.h
+++ b/src/peer_messages.h
@@ -197,13 +197,17 @@
 /// Larger bodies are sent when the peer permits them: 16 KiB take 13 ms on a link of 10 Mbit/s.
 inline constexpr size_t kMaxInlineBody = 16 << 10;
 
-/// Allows the sender of a dispatch_request to send its separate body.
+/// A separate body is sent in pieces of at most this many bytes, each when the peer permits it: a
+/// message as large as the body would be held several times at both ends.
+inline constexpr size_t kMaxBodyPiece = 512 << 10;
+
+/// Allows the sender of a dispatch_request to send its separate body, or the next piece of it.
 struct body_permit {
   /// Id of the dispatch_request.
   uint64_t id = 0;
 };
 
-/// The separate body of a dispatch_request.
+/// The separate body of a dispatch_request, or a piece of it.
 struct request_body {
   /// Id of the dispatch_request.
   uint64_t id = 0;
--- a/src/peer_transport.cpp
+++ b/src/peer_transport.cpp
@@ -210,14 +210,16 @@
 
 bool peer_transport::Accept(connection& link, size_t frame_size) {
   evbuffer* input = bufferevent_get_input(link.raw);
-  if (budget_ == nullptr ||
+  std::array<char, kFrameHeaderSize + kFrameStartBytes> start{};
+  evbuffer_copyout(input, start.data(), start.size());
+  const auto decoded = DecodeStart({start.data() + kFrameHeaderSize, kFrameStartBytes});
+  // A body was permitted before it was sent.
+  const bool permitted = decoded && decoded->type == TypeOf<request_body>();
+  if (permitted || budget_ == nullptr ||
       budget_->Fits(frame_size - std::min(frame_size, evbuffer_get_length(input)))) {
     return true;
   }
-  std::array<char, kFrameHeaderSize + kFrameStartBytes> start{};
-  evbuffer_copyout(input, start.data(), start.size());
   link.to_discard = frame_size;
-  const auto decoded = DecodeStart({start.data() + kFrameHeaderSize, kFrameStartBytes});
   if (decoded && events_.discarded) {
     loop_.Guard("message of a peer", [&] { events_.discarded(link.id, *decoded); });
   }
--- a/src/target_gate.cpp
+++ b/src/target_gate.cpp
@@ -320,22 +320,6 @@
   PopQueue(now);
 }
 
-void target_gate::Cancel(instant now, ticket id) {
-  const auto found = pending_requests_.find(id);
-  if (found == pending_requests_.end()) return;
-  const pending_request_ptr pending = found->second;
-  pending->abandoned = true;
-  if (queue_.Withdraw(id) || pending->request.separate_body_bytes > 0) {
-    RemoveRequest(*pending);
-    return PermitBodies(now);
-  }
-  if (!pending->request.idempotent) return;
-  client_.Cancel(pending->http);
-  ReleaseSlot(now, pending, std::chrono::nanoseconds{0});
-  RemoveRequest(*pending);
-  PopQueue(now);
-}
-
 void target_gate::Refuse(instant now, const pending_request_ptr& pending, refusal_reason reason,
                          run_state state, milliseconds retry_after, const std::string& detail) {
   dispatch_answer result;
--- a/src/target_gate.h
+++ b/src/target_gate.h
@@ -97,8 +97,8 @@
   /// Admits or refuses a request. `done` is called at most once, during the call or later: never
   /// after Cancel().
   ticket Handle(instant now, dispatch_request request, reply done, permit ask_for_body = {});
-  /// Takes the separate body of a request.
-  void OnBody(instant now, ticket id, std::string body);
+  /// Takes the separate body of a request, or the next piece of it.
+  void OnBody(instant now, ticket id, std::string piece);
   /// Cancels a request whose caller has disconnected. A waiting request is dropped. A running one
   /// is cancelled at the target only if it is idempotent; another one has begun and runs to its
   /// end.
@@ -140,8 +140,10 @@
   // Waits for the body of a request, or refuses it when the body would arrive too late.
   void AwaitBody(instant now, const pending_request_ptr& pending);
   void PermitBodies(instant now);
-  // Counts the body of a request, which has arrived.
-  void CountBody(pending_request& pending);
+  // Counts the memory for the body of a request, which has arrived or was permitted.
+  void CountBody(pending_request& pending, size_t bytes);
+  // Whether there is memory for the next body.
+  bool MayPermitBody() const;
   void RemoveRequest(const pending_request& pending);
   void SendToTarget(instant now, const pending_request_ptr& pending);
   void PopQueue(instant now);
--- a/src/target_gate_admission.cpp
+++ b/src/target_gate_admission.cpp
@@ -48,7 +48,7 @@
   pending->ask_for_body = std::move(ask_for_body);
   const ticket id = pending->id;
   pending_requests_.emplace(id, pending);
-  CountBody(*pending);
+  CountBody(*pending, pending->request.request.body.size());
   if (pending->request.large_answer) ++large_requests_;
   if (pending->request.separate_body_bytes > 0) {
     AwaitBody(now, pending);
@@ -81,24 +81,43 @@
 }
 
 void target_gate::PermitBodies(instant now) {
-  while (const auto id = bodies_.PermitNext(now)) {
+  while (MayPermitBody()) {
+    const auto id = bodies_.PermitNext(now);
+    if (!id) return;
     const auto found = pending_requests_.find(*id);
     if (found == pending_requests_.end() || !found->second->ask_for_body) {
       bodies_.Remove(*id);
       continue;
     }
+    CountBody(*found->second, found->second->request.separate_body_bytes);
     found->second->ask_for_body();
   }
 }
 
-void target_gate::OnBody(instant now, ticket id, std::string body) {
+bool target_gate::MayPermitBody() const {
+  const auto next = bodies_.NextBytes();
+  const memory_budget* budget = settings_.budget;
+  if (!next || budget == nullptr || *next <= kSmallMessageBytes || budget->Fits(*next)) return true;
+  // A single body is accepted however large.
+  constexpr size_t kLargePart = 4;
+  return budget->HeldBytes() <= budget->limit() / kLargePart;
+}
+
+void target_gate::OnBody(instant now, ticket id, std::string piece) {
   const auto found = pending_requests_.find(id);
   if (found == pending_requests_.end() || found->second->request.separate_body_bytes == 0) return;
   const pending_request_ptr pending = found->second;
+  std::string& body = pending->request.request.body;
+  const size_t expected = pending->request.separate_body_bytes;
+  if (body.empty() && piece.size() >= expected) {
+    body = std::move(piece);
+  } else {
+    if (body.empty()) body.reserve(expected);
+    body += piece;
+    if (body.size() < expected) return pending->ask_for_body();
+  }
   bodies_.Remove(id);
   pending->request.separate_body_bytes = 0;
-  pending->request.request.body = std::move(body);
-  CountBody(*pending);
   Admit(now, pending);
   PermitBodies(now);
 }
@@ -152,9 +171,25 @@
   return std::pair{refusal_reason::kQueueFull, *wait};
 }
 
-void target_gate::CountBody(pending_request& pending) {
-  pending.body_bytes = pending.request.request.body.size();
-  body_bytes_ += pending.body_bytes;
+void target_gate::Cancel(instant now, ticket id) {
+  const auto found = pending_requests_.find(id);
+  if (found == pending_requests_.end()) return;
+  const pending_request_ptr pending = found->second;
+  pending->abandoned = true;
+  if (queue_.Withdraw(id) || pending->request.separate_body_bytes > 0) {
+    RemoveRequest(*pending);
+    return PermitBodies(now);
+  }
+  if (!pending->request.idempotent) return;
+  client_.Cancel(pending->http);
+  ReleaseSlot(now, pending, std::chrono::nanoseconds{0});
+  RemoveRequest(*pending);
+  PopQueue(now);
+}
+
+void target_gate::CountBody(pending_request& pending, size_t bytes) {
+  pending.body_bytes += bytes;
+  body_bytes_ += bytes;
 }
 
 void target_gate::RemoveRequest(const pending_request& pending) {
--- a/standins/common/sealing_target.cpp
+++ b/standins/common/sealing_target.cpp
@@ -12,7 +12,7 @@
 using json = nlohmann::json;
 using std::chrono::milliseconds;
 
-constexpr http_limits kLimits{2 << 20, 16 << 10, std::chrono::seconds{10}};
+constexpr http_limits kLimits{128 << 20, 16 << 10, std::chrono::seconds{10}};
 constexpr milliseconds kHeartbeatTimeout{1000};
 // How long after its arrival a grant without an answer is carried out.
 constexpr milliseconds kLateGrantDelay{1500};
--- a/test/correctness/separate_body_test.cpp
+++ b/test/correctness/separate_body_test.cpp
@@ -108,6 +108,18 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(in_pieces_is_asked_for_until_it_is_whole) {
+  gate_behind_a_narrow_link fixture;
+  const auto upload = fixture.Upload(milliseconds(2000));
+  BOOST_TEST(fixture.permits == 1);
+  fixture.gate.OnBody(fixture.now, upload, std::string(kBody / 2, 'x'));
+  BOOST_TEST(fixture.permits == 2);
+  BOOST_TEST(fixture.gate.Running() == 0U);
+  fixture.gate.OnBody(fixture.now, upload, std::string(kBody - kBody / 2, 'x'));
+  BOOST_TEST(fixture.permits == 2);
+  BOOST_TEST(fixture.gate.Running() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace bulrushway
--- a/test/process/hostile_callers_test.cpp
+++ b/test/process/hostile_callers_test.cpp
@@ -28,18 +28,19 @@
 // Rounds without any progress after which the crowd has sent all that the process takes.
 constexpr int kQuietRounds = 40;
 
-const std::string kConfiguration =
-    R"({"version":"00000001","resources":[)"
-    R"({"type":"routes","metadata":{"name":"look"},"spec":{"host":"h","prefix":"/look/",)"
-    R"("kind":"safe","timeout_s":30,"latency_target_s":10,"priority":2,"service":"plain",)"
-    R"("attempts":2}},)"
-    R"({"type":"routes","metadata":{"name":"put"},"spec":{"host":"h","prefix":"/put/",)"
-    R"("kind":"unsafe","timeout_s":30,"latency_target_s":10,"priority":1,"service":"plain",)"
-    R"("attempts":2}},)"
-    R"({"type":"services","metadata":{"name":"plain"},"spec":{"max_conns":64}},)"
-    R"({"type":"services","metadata":{"name":"keyed"},"spec":{"max_conns":64,"sharded":true}},)"
-    R"({"type":"limits","metadata":{},"spec":{"max_header_bytes":16384,"max_body_bytes":)" +
-    std::to_string(kMaxBody) + R"(,"header_timeout_s":3,"idle_timeout_s":15}}]})";
+std::string Configuration(size_t max_body) {
+  return R"({"version":"00000001","resources":[)"
+         R"({"type":"routes","metadata":{"name":"look"},"spec":{"host":"h","prefix":"/look/",)"
+         R"("kind":"safe","timeout_s":30,"latency_target_s":10,"priority":2,"service":"plain",)"
+         R"("attempts":2}},)"
+         R"({"type":"routes","metadata":{"name":"put"},"spec":{"host":"h","prefix":"/put/",)"
+         R"("kind":"unsafe","timeout_s":30,"latency_target_s":10,"priority":1,"service":"plain",)"
+         R"("attempts":2}},)"
+         R"({"type":"services","metadata":{"name":"plain"},"spec":{"max_conns":64}},)"
+         R"({"type":"services","metadata":{"name":"keyed"},"spec":{"max_conns":64,"sharded":true}},)"
+         R"({"type":"limits","metadata":{},"spec":{"max_header_bytes":16384,"max_body_bytes":)" +
+         std::to_string(max_body) + R"(,"header_timeout_s":3,"idle_timeout_s":15}}]})";
+}
 
 std::string Head(const std::string& body_headers) {
   return "POST /put/x HTTP/1.1\r\nHost: h\r\nX-Bulrushway-Request-Id: crowd\r\n"
@@ -62,8 +63,10 @@
 
 class hostile_crowd {
  public:
-  hostile_crowd() : fleet_(false, {{"plain"}, {"plain"}, {"keyed"}, {"keyed"}}, kMemoryMb) {
-    fleet_.store().Put("op", "config", kConfiguration);
+  explicit hostile_crowd(size_t max_body = kMaxBody, size_t memory_mb = kMemoryMb)
+      : memory_mb_(memory_mb),
+        fleet_(false, {{"plain"}, {"plain"}, {"keyed"}, {"keyed"}}, memory_mb) {
+    fleet_.store().Put("op", "config", Configuration(max_body));
     BOOST_REQUIRE(fleet_.WaitUntilSettled());
     // A target is sent few requests until it has answered the first.
     for (size_t i = 0; i < 4; ++i) fleet_.StatusOf(i % 2, "/look/x", "first" + std::to_string(i));
@@ -100,13 +103,21 @@
         const double peak = fleet_.PeakMemoryMb(i);
         const size_t descriptors = fleet_.OpenDescriptors(i);
         BOOST_TEST_MESSAGE("peak memory " << peak << " MB, " << descriptors << " descriptors");
-        BOOST_TEST(peak < kMemoryMb);
+        BOOST_TEST(peak < memory_mb_);
         BOOST_TEST(descriptors < kMaxDescriptors);
       }
     }
   }
 
+  // Whether the first caller has received an answer of the target.
+  bool Served() {
+    const auto received = [this] { return !callers_.front()->Statuses().empty(); };
+    fleet_.Until(received, std::chrono::seconds(30));
+    return callers_.front()->Statuses() == std::vector<int>{200};
+  }
+
  private:
+  size_t memory_mb_;
   platform_deployment fleet_;
   std::vector<std::unique_ptr<raw_caller>> callers_;
 };
@@ -184,4 +195,13 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+// The same limits must not turn away a caller that stays within those of the operators.
+BOOST_AUTO_TEST_CASE(a_single_upload_of_the_largest_size_is_served_by_a_small_machine) {
+  constexpr size_t kLargest = 64 << 20;
+  hostile_crowd crowd(kLargest, kMachineMemoryMb);
+  crowd.SendAll(WithLength(kLargest, kLargest), 1, kLargest);
+  BOOST_TEST(crowd.Served());
+  crowd.RequireServiceGoesOn();
+}
+
 }  // namespace bulrushway::testing
