Count the body of a request that waits for its turn, and update limits once a second

A complete request that may not overlap with those before it was not counted, and the limits on callers were worked out at each tick of 25 ms.

--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -137,6 +137,7 @@
 void http_server::ShareMemory(instant now) {
   if (budget_ == nullptr) return;
   bodies_.SetLimit(budget_->limit());
+  if (bodies_.Waiting().empty()) return;
   const auto reject = [this, now](const std::vector<body_admission::holder>& holders,
                                   rejection_reason reason) {
     for (const body_admission::holder holder : holders) {
--- a/src/http_server_connection.cpp
+++ b/src/http_server_connection.cpp
@@ -36,6 +36,11 @@
   return false;
 }
 
+// Memory that the body of a complete request takes.
+size_t HeldBytes(const http_request& request) {
+  return request.body.empty() ? 0 : request.body.capacity();
+}
+
 }  // namespace
 
 http_server_connection::http_server_connection(http_server& server, bufferevent* raw,
@@ -176,6 +181,7 @@
   const bool keep_alive = parser_->KeepAlive();
   http_request request = parser_->Take();
   parser_.reset();
+  server_.bodies_.OnComplete(this, HeldBytes(request));
   const bool may_overlap =
       server_.pipeline_depth_ > 1 && server_.may_overlap_ && server_.may_overlap_(request);
   if (!pending_.empty() && !may_overlap) {
@@ -187,11 +193,9 @@
 }
 
 void http_server_connection::Dispatch(http_request request, bool keep_alive, bool may_overlap) {
-  const size_t body_bytes = request.body.capacity();
-  auto exchange = std::make_shared<http_exchange>(this, std::move(request));
   pending_answer pending;
-  pending.body_bytes = body_bytes;
-  server_.bodies_.OnComplete(this, body_bytes);
+  pending.body_bytes = HeldBytes(request);
+  auto exchange = std::make_shared<http_exchange>(this, std::move(request));
   pending.id = exchange.get();
   pending.exchange = exchange;
   pending.may_overlap = may_overlap;
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -49,6 +49,8 @@
 // one message while it is encoded or decoded.
 constexpr double kMessageMemoryShare = 0.4;
 
+// Interval at which the limits on callers follow the number of peers.
+constexpr milliseconds kLimitsInterval{1000};
 // Descriptors for files, the store, the platform's calls and metrics.
 constexpr size_t kReservedDescriptors = 264;
 // Callers get one descriptor in this many, however many the others need.
@@ -178,6 +180,14 @@
   return descriptors > reserved ? std::max(least, descriptors - reserved) : least;
 }
 
+void node::UpdateCallerLimits(instant now) {
+  if (now < next_limits_) return;
+  next_limits_ = now + kLimitsInterval;
+  callers_.SetMaxConnections(MaxCallerConnections());
+  metrics_.Gauge("bulrushway_callers_displaced") = static_cast<double>(callers_.Displaced());
+  metrics_.Gauge("bulrushway_held_bytes") = static_cast<double>(budget_.HeldBytes());
+}
+
 bool node::OwnServiceKeyed() const {
   if (!table_) return false;
   const service_policy* policy = table_->FindService(settings_.service);
@@ -303,9 +313,7 @@
   report.sequence = ++report_sequence_;
   fleet_.OnReport(now, report);
   mesh_.Tick(now);
-  callers_.SetMaxConnections(MaxCallerConnections());
-  metrics_.Gauge("bulrushway_callers_displaced") = static_cast<double>(callers_.Displaced());
-  metrics_.Gauge("bulrushway_held_bytes") = static_cast<double>(budget_.HeldBytes());
+  UpdateCallerLimits(now);
   UpdateRelay(now);
   if (ConfigurationConfirmed(now)) configuration_confirmed_ = now;
   UpdateTableMetrics(now);
--- a/src/node.h
+++ b/src/node.h
@@ -195,6 +195,7 @@
   bool OwnServiceKeyed() const;
   // Connections that callers may have open; zero means that they are not limited.
   size_t MaxCallerConnections() const;
+  void UpdateCallerLimits(instant now);
   std::pair<refusal_reason, std::chrono::milliseconds> WhyNotHeld(instant now, uint32_t key) const;
   std::string OtherOwner(uint32_t key) const;
   bool DataCentreOut() const { return evacuated_.contains(settings_.data_centre); }
@@ -269,6 +270,7 @@
   std::string unknown_peer_;
   std::optional<instant> unknown_peer_since_;
   std::optional<instant> stopping_since_;
+  instant next_limits_{};
   instant last_busy_{};
   target_report last_told_;
   timer tick_;
