Keep callers from removing the headers that the gate sets

A caller that named X-Bulrushway-Tenant in its Connection header reached the target like one without a workspace: the serializer drops what Connection names, also from the headers that the gate had added to the same list. Likewise for the time left, the calling service and the target instance. The gate now removes what Connection names first. Found in review, by running the serializer.

--- a/src/target_gate.cpp
+++ b/src/target_gate.cpp
@@ -81,8 +81,11 @@
 http_request target_gate::MakeTargetRequest(instant now, pending_request& pending) const {
   const header_names& names = settings_.headers;
   http_request request = std::move(pending.request.request);
-  std::erase_if(request.headers, [&names](const auto& header) {
-    return EqualIgnoringCase(header.first, names.time_left) ||
+  // A caller must not remove the headers that are set here by naming them in Connection.
+  const std::string connection_options = FindHeader(request.headers, "Connection");
+  std::erase_if(request.headers, [&](const auto& header) {
+    return IsHopByHop(header.first, connection_options) ||
+           EqualIgnoringCase(header.first, names.time_left) ||
            EqualIgnoringCase(header.first, names.caller) ||
            EqualIgnoringCase(header.first, names.target_instance);
   });
