Bound the input of connections that wait for memory

Found in review. A connection that had to wait still filled its input buffer, of 64 KiB on each of 2,990 connections; heads were not counted. It is not read while it waits now, connections of callers are limited by the memory too, and heads, bodies that wait at their senders and closing connections are counted right. Requests that hold memory and wait give way one after the other, instead of all at once. A request that waits is woken when memory is free. Messages between processes have a new version: a body in pieces would be taken for whole by an older process. Errors of JSON no longer quote the text, which may hold keys of workspaces, and credentials on public routes reach the target unless they are the key of a workspace.

--- a/src/body_admission.cpp
+++ b/src/body_admission.cpp
@@ -44,6 +44,11 @@
   return false;
 }
 
+bool body_admission::Holds(holder connection, size_t bytes) const {
+  const auto found = requests_.find(connection);
+  return found != requests_.end() && !found->second.waits && bytes <= found->second.unfinished;
+}
+
 void body_admission::OnProgress(instant now, holder connection) {
   const auto found = requests_.find(connection);
   if (found != requests_.end()) found->second.progress = now;
@@ -88,9 +93,9 @@
   };
   std::vector<candidate> candidates;
   for (const auto& [connection, of] : requests_) {
-    const auto stalled = now - of.progress;
     // One that waits makes no progress because it is not read.
-    if (of.waits || of.unfinished == 0 || stalled < kStallTime) continue;
+    const auto stalled = now - (of.waits ? of.waits_since : of.progress);
+    if (connection == waiting.front() || of.unfinished == 0 || stalled < kStallTime) continue;
     const std::chrono::duration<double> seconds = stalled;
     candidates.push_back(
         {connection, static_cast<double>(of.unfinished) * seconds.count(), of.unfinished});
@@ -122,8 +127,12 @@
 std::vector<body_admission::holder> body_admission::Overdue(instant now,
                                                             std::chrono::nanoseconds limit) const {
   std::vector<holder> overdue;
-  for (const auto& [connection, of] : requests_) {
-    if (of.waits && now - of.waits_since > limit) overdue.push_back(connection);
+  bool frees_memory = false;
+  for (const holder connection : Waiting()) {
+    const request& of = requests_.at(connection);
+    if (now - of.waits_since <= limit || (of.unfinished > 0 && frees_memory)) continue;
+    frees_memory = frees_memory || of.unfinished > 0;
+    overdue.push_back(connection);
   }
   return overdue;
 }
--- a/src/body_admission.h
+++ b/src/body_admission.h
@@ -30,6 +30,8 @@
   /// Asks for `bytes` in total for the unfinished request of a connection, while the rest of the
   /// process holds `others`. False: the connection has to wait, and to ask again.
   bool Reserve(instant now, holder connection, size_t bytes, size_t others);
+  /// Whether the connection has as much already.
+  bool Holds(holder connection, size_t bytes) const;
   /// More of the unfinished request has arrived.
   void OnProgress(instant now, holder connection);
   /// The request is complete and in flight with a body of `bytes`.
@@ -41,7 +43,8 @@
 
   /// Connections whose unfinished requests have to be rejected now, for others that wait.
   std::vector<holder> GiveWay(instant now, size_t others) const;
-  /// Connections that have waited for longer than `limit`.
+  /// Connections that have waited for longer than `limit`: those without memory, and one of those
+  /// that hold some, whose end lets others go on.
   std::vector<holder> Overdue(instant now, std::chrono::nanoseconds limit) const;
   /// Connections that wait, longest first.
   std::vector<holder> Waiting() const;
--- a/src/http_parser.h
+++ b/src/http_parser.h
@@ -50,6 +50,8 @@
   std::string Target() const;
   header_list Headers() const;
   bool Complete() const;
+  /// Length of the head, as far as it was consumed.
+  size_t HeadBytes() const { return head_bytes_; }
   /// Memory that the body takes, and the length that its head announces; zero without one.
   size_t BodyBytes() const;
   uint64_t AnnouncedBytes() const;
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -119,7 +119,7 @@
 bool http_server::CloseLeastActive() {
   http_server_connection* least_active = nullptr;
   for (const auto& [key, connection] : connections_) {
-    if (connection->HasRequestInFlight()) continue;
+    if (connection->HasRequestInFlight() || connection->HasUnsent()) continue;
     if (least_active == nullptr || key->last_activity() < least_active->last_activity()) {
       least_active = key;
     }
@@ -147,13 +147,13 @@
   };
   reject(bodies_.Overdue(now, limits_.request_timeout), rejection_reason::kNoMemory);
   reject(bodies_.GiveWay(now, HeldByOthers()), rejection_reason::kBodyTimeout);
-  ResumeWaiting();
+  ResumeWaiting(now);
 }
 
-void http_server::ResumeWaiting() {
+void http_server::ResumeWaiting(instant now) {
   for (const body_admission::holder holder : bodies_.Waiting()) {
     const auto found = connections_.find(static_cast<http_server_connection*>(holder));
-    if (found != connections_.end()) found->second->ReadLater();
+    if (found != connections_.end()) found->second->ReadAfterWait(now);
   }
 }
 
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -166,7 +166,7 @@
   size_t HeldByOthers() const;
   // Ends requests for which there is no memory, and lets others go on.
   void ShareMemory(instant now);
-  void ResumeWaiting();
+  void ResumeWaiting(instant now);
 
   event_loop& loop_;
   http_limits limits_;
--- a/src/http_server_connection.cpp
+++ b/src/http_server_connection.cpp
@@ -150,12 +150,19 @@
 }
 
 bool http_server_connection::ReserveMemory(instant now) {
-  if (server_.budget_ == nullptr || !parser_->Started()) return true;
+  const bool limited = server_.budget_ != nullptr && server_.budget_->limit() > 0;
+  if (!limited || !parser_->Started()) return true;
   const size_t input = evbuffer_get_length(bufferevent_get_input(raw_));
   // Over the limit, the body is rejected before memory is taken for it.
   const size_t announced = std::min<uint64_t>(parser_->AnnouncedBytes(), size_limits_.body_bytes);
-  const size_t wanted = std::max(announced, parser_->BodyBytes() + input);
-  return server_.bodies_.Reserve(now, this, wanted, server_.HeldByOthers());
+  const size_t wanted = parser_->HeadBytes() + std::max(announced, parser_->BodyBytes() + input);
+  if (server_.bodies_.Holds(this, wanted)) return true;
+  const bool granted = server_.bodies_.Reserve(now, this, wanted, server_.HeldByOthers());
+  // What does not fit stays in the socket.
+  if (!granted) bufferevent_disable(raw_, EV_READ);
+  if (granted && paused_) bufferevent_enable(raw_, EV_READ);
+  paused_ = !granted;
+  return granted;
 }
 
 void http_server_connection::RaiseLimits(const http_limits& limits) {
@@ -212,6 +219,10 @@
   bufferevent_write(raw_, kContinue.data(), kContinue.size());
 }
 
+void http_server_connection::ReadAfterWait(instant now) {
+  if (parser_ && !closing_ && ReserveMemory(now)) ReadLater();
+}
+
 void http_server_connection::ReadLater() {
   if (!MayRead() || evbuffer_get_length(bufferevent_get_input(raw_)) == 0) return;
   // From the loop, to avoid recursion.
@@ -256,7 +267,6 @@
 size_t http_server_connection::BufferedBytes() const {
   size_t bytes = evbuffer_get_length(bufferevent_get_output(raw_)) +
                  evbuffer_get_length(bufferevent_get_input(raw_));
-  if (held_) bytes += held_->body.size();
   for (const pending_answer& pending : pending_) {
     if (pending.answer) bytes += pending.answer->body.size();
   }
--- a/src/http_server_connection.h
+++ b/src/http_server_connection.h
@@ -40,6 +40,8 @@
   void CheckTimeouts(instant now);
   /// Rejects the request that is being read.
   void RejectUnfinished(instant now, rejection_reason reason);
+  /// Continues reading a request that waited for memory, if there is enough now.
+  void ReadAfterWait(instant now);
   /// Continues reading from the loop, if the next request may be read.
   void ReadLater();
   /// Closes the connection, after the answers before it, since an exchange was destroyed without an
@@ -102,6 +104,8 @@
   std::optional<http_request> held_;
   bool held_keep_alive_ = true;
   bool closing_ = false;
+  // Nothing is read until there is memory.
+  bool paused_ = false;
   bool continue_sent_ = false;
   bool peer_closed_ = false;
   // Buffered output at the last timeout check, and when less of it was left for the last time.
--- a/src/http_server_connection_answers.cpp
+++ b/src/http_server_connection_answers.cpp
@@ -149,6 +149,7 @@
 
 void http_server_connection::CloseAfterWriting() {
   closing_ = true;
+  server_.bodies_.OnComplete(this, 0);
   parser_.reset();
   held_.reset();
   last_activity_ = boot_clock::now();
--- a/src/json_text.cpp
+++ b/src/json_text.cpp
@@ -37,7 +37,12 @@
     throw std::runtime_error("the text is nested more than " + std::to_string(kMaxDepth) +
                              " levels deep");
   }
-  return nlohmann::json::parse(text);
+  try {
+    return nlohmann::json::parse(text);
+  } catch (const nlohmann::json::parse_error& problem) {
+    // The library's message quotes the text, which may hold keys of workspaces.
+    throw std::runtime_error("the text is not JSON, at byte " + std::to_string(problem.byte));
+  }
 }
 
 std::string ToJsonText(const nlohmann::json& value, int indent) {
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -53,6 +53,8 @@
 constexpr milliseconds kLimitsInterval{1000};
 // Descriptors for files, the store, the platform's calls and metrics.
 constexpr size_t kReservedDescriptors = 264;
+// Input that a connection of a caller may have before its head is complete.
+constexpr size_t kConnectionInputBytes = 64 << 10;
 // Callers get one descriptor in this many, however many the others need.
 constexpr size_t kLeastCallerShare = 4;
 
@@ -177,7 +179,10 @@
   const size_t reserved =
       kReservedDescriptors + kPerPeer * fleet_.nodes().size() + gate_.MaxConnections();
   const size_t least = descriptors / kLeastCallerShare;
-  return descriptors > reserved ? std::max(least, descriptors - reserved) : least;
+  const size_t left = descriptors > reserved ? std::max(least, descriptors - reserved) : least;
+  // The input of each connection takes memory before its request is known.
+  const size_t by_memory = budget_.limit() / kConnectionInputBytes;
+  return by_memory == 0 ? left : std::min(left, by_memory);
 }
 
 void node::UpdateCallerLimits(instant now) {
--- a/src/peer_codec.h
+++ b/src/peer_codec.h
@@ -18,7 +18,7 @@
 namespace bulrushway {
 
 /// Version of the protocol between processes.
-inline constexpr uint32_t kPeerProtocolVersion = 3;
+inline constexpr uint32_t kPeerProtocolVersion = 4;
 /// Size in bytes of the length prefix of a frame.
 inline constexpr size_t kFrameHeaderSize = 4;
 /// Maximum size of a frame in bytes, without the header.
--- a/src/peer_mesh.cpp
+++ b/src/peer_mesh.cpp
@@ -121,6 +121,12 @@
   return id;
 }
 
+size_t peer_mesh::BufferedBytes() const {
+  size_t bytes = transport_.BufferedBytes();
+  for (const auto& [id, sent] : pending_) bytes += sent.body ? sent.body->size() : 0;
+  return bytes;
+}
+
 bool peer_mesh::MayHaveRun(ticket id) const {
   const auto found = pending_.find(id);
   return found == pending_.end() || !found->second.body;
--- a/src/peer_mesh.h
+++ b/src/peer_mesh.h
@@ -99,8 +99,8 @@
   uint64_t BytesReceived() const { return transport_.BytesReceived(); }
   /// Calls `make` for each connected peer and sends it the message.
   void SendToAll(const std::function<peer_message(const node_state&)>& make);
-  /// Bytes of messages that are being sent or received.
-  size_t BufferedBytes() const { return transport_.BufferedBytes(); }
+  /// Bytes of messages that are being sent or received, and of bodies that wait to be sent.
+  size_t BufferedBytes() const;
   /// Whether output to any peer is still buffered.
   bool HasUnsent() const { return transport_.HasUnsent(); }
   /// Sends reports that are due and replaces failed connections.
--- a/src/request_router.h
+++ b/src/request_router.h
@@ -82,8 +82,8 @@
   /// Accepts a request. Its exchange is answered exactly once, during the call or later, unless the
   /// caller disconnects.
   void Handle(instant now, std::shared_ptr<http_exchange> exchange);
-  /// Whether the request may run while earlier ones of the same connection have no answer: it may be
-  /// repeated if the connection closes before its answer.
+  /// Whether the request may run while earlier ones of the same connection have no answer: it may
+  /// be repeated if the connection closes before its answer.
   bool MayOverlap(instant now, const http_request& request) const;
   /// Decides the answer to a request that the server for callers rejects before it is complete, and
   /// logs and counts it. Without a configuration the operators' limits are unknown: what exceeds
--- a/src/request_router_sending.cpp
+++ b/src/request_router_sending.cpp
@@ -70,7 +70,7 @@
   request.request.target = original.target;
   request.request.headers = original.headers;
   if (!pending.table->workspaces().empty()) {
-    RemoveCredentials(request.request.headers);
+    if (pending.has_workspace_key) RemoveCredentials(request.request.headers);
     std::erase_if(request.request.headers, [this](const auto& header) {
       return EqualIgnoringCase(header.first, settings_.headers.workspace);
     });
--- a/test/error/body_admission_test.cpp
+++ b/test/error/body_admission_test.cpp
@@ -99,6 +99,16 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_CASE(that_holds_memory_and_waits_gives_way_to_another_one) {
+  BOOST_TEST(Reserve(0, 7 * kMegabyte));
+  BOOST_TEST(Reserve(1, 7 * kMegabyte));
+  BOOST_TEST(!Reserve(0, 9 * kMegabyte));
+  BOOST_TEST(!Reserve(1, 9 * kMegabyte, kStart + milliseconds(1)));
+  const instant later = kStart + seconds(1);
+  BOOST_TEST((bodies.GiveWay(later, 0) == holders{Caller(1)}));
+  BOOST_TEST((bodies.Overdue(kStart + seconds(4), seconds(3)) == holders{Caller(0)}));
+}
+
 BOOST_AUTO_TEST_CASE(that_waited_too_long_is_overdue) {
   BOOST_TEST(Reserve(0, 15 * kMegabyte));
   BOOST_TEST(!Reserve(1, kMegabyte));
