--- a/src/ini_document.cpp
+++ b/src/ini_document.cpp
@@ -6,6 +6,7 @@
 #include <cstring>
 #include <fstream>
 #include <iterator>
+#include <sstream>
 #include <unordered_map>
 
 namespace bulrushway {
@@ -216,12 +217,15 @@
     return Failure(error_kind::kUser, "read file", path,
                    "The file '" + path + "' cannot be opened: " + std::strerror(errno) + ".");
   }
-  std::string text{std::istreambuf_iterator<char>(stream), std::istreambuf_iterator<char>()};
-  if (stream.bad()) {
+  // A stream buffer throws on a read error, for example of a directory; the stream operator turns
+  // that into a state of `text`. It also sets failbit for an empty file, which is not an error.
+  std::ostringstream text;
+  if (stream.peek() != std::ifstream::traits_type::eof()) text << stream.rdbuf();
+  if (stream.bad() || !text) {
     return Failure(error_kind::kUser, "read file", path,
                    "The file '" + path + "' cannot be read to the end.");
   }
-  return text;
+  return std::move(text).str();
 }
 
 }  // namespace bulrushway
--- a/src/json_text.cpp
+++ b/src/json_text.cpp
@@ -30,6 +30,11 @@
   return false;
 }
 
+// The library's messages end with the token that it read last, which may be a credential.
+std::string WithoutQuotedInput(const std::string& message) {
+  return message.substr(0, message.find("; last read: "));
+}
+
 }  // namespace
 
 nlohmann::json ParseJson(std::string_view text) {
@@ -37,7 +42,11 @@
     throw std::runtime_error("the text is nested more than " + std::to_string(kMaxDepth) +
                              " levels deep");
   }
-  return nlohmann::json::parse(text);
+  try {
+    return nlohmann::json::parse(text);
+  } catch (const nlohmann::json::parse_error& failure) {
+    throw std::runtime_error(WithoutQuotedInput(failure.what()));
+  }
 }
 
 std::string ToJsonText(const nlohmann::json& value, int indent) {
--- a/src/json_text.h
+++ b/src/json_text.h
@@ -11,7 +11,8 @@
 namespace bulrushway {
 
 /// Parses a JSON text. Throws a std::exception that names the fault if the text is not valid, or
-/// nested so deeply that its values would take many times the memory of the text.
+/// nested so deeply that its values would take many times the memory of the text. The fault is
+/// named by its position and does not quote the text, which may hold credentials.
 nlohmann::json ParseJson(std::string_view text);
 
 /// Formats a value: on one line, or with `indent` spaces a level. Bytes that are not UTF-8 are
--- a/src/route_table.h
+++ b/src/route_table.h
@@ -81,6 +81,7 @@
   uint64_t version() const { return version_; }
   const caller_limits& limits() const { return limits_; }
   const std::vector<route>& routes() const { return routes_; }
+  const std::map<std::string, service_policy>& services() const { return services_; }
   /// Empty where callers need no keys.
   const std::vector<workspace>& workspaces() const { return workspaces_; }
 
