--- a/src/configuration_differences.cpp
+++ b/src/configuration_differences.cpp
@@ -26,6 +26,7 @@
 // The services with the share of each; the order does not matter.
 std::string FormatSplit(const std::vector<weighted_service>& split) {
   std::vector<std::string> parts;
+  parts.reserve(split.size());
   for (const weighted_service& part : split) {
     parts.push_back(Quoted(part.service) + " with weight " + FormatNumber(part.weight));
   }
@@ -195,6 +196,7 @@
 
 std::vector<service_policy> ServicesOf(const route_table& table) {
   std::vector<service_policy> services;
+  services.reserve(table.services().size());
   for (const auto& [name, policy] : table.services()) services.push_back(policy);
   return services;
 }
--- a/src/ini_document.cpp
+++ b/src/ini_document.cpp
@@ -5,7 +5,6 @@
 #include <algorithm>
 #include <cstring>
 #include <fstream>
-#include <iterator>
 #include <sstream>
 #include <unordered_map>
 
