--- a/src/json_text.cpp
+++ b/src/json_text.cpp
@@ -30,6 +30,11 @@
   return false;
 }
 
+// The library's messages end with the token that it read last, which may be a credential.
+std::string WithoutQuotedInput(const std::string& message) {
+  return message.substr(0, message.find("; last read: "));
+}
+
 }  // namespace
 
 nlohmann::json ParseJson(std::string_view text) {
@@ -39,9 +44,8 @@
   }
   try {
     return nlohmann::json::parse(text);
-  } catch (const nlohmann::json::parse_error& problem) {
-    // The library's message quotes the text, which may hold keys of workspaces.
-    throw std::runtime_error("the text is not JSON, at byte " + std::to_string(problem.byte));
+  } catch (const nlohmann::json::parse_error& failure) {
+    throw std::runtime_error(WithoutQuotedInput(failure.what()));
   }
 }
 
