--- a/standins/common/sealing_target.cpp
+++ b/standins/common/sealing_target.cpp
@@ -75,6 +75,8 @@
   if (running_ >= settings_.slots) return refuse(kUnavailable);
   ++running_;
   ++runs_[id];
+  const instant started_at = boot_clock::now();
+  executions_.push_back({id, request.headers, started_at, running_});
   // Size of the answer that the caller asks for.
   const size_t bytes = ParseNumber<size_t>(QueryValue(request.target, "bytes")).value_or(0);
   const auto answer = [this, call, common_headers, bytes](instant) {
@@ -85,7 +87,9 @@
                          std::to_string(running_) + ",0," + std::to_string(settings_.slots));
     call->Reply({kOk, headers, bytes > 0 ? std::string(bytes, 'a') : "work of " + settings_.id});
   };
-  delayed_.CallAt(boot_clock::now() + settings_.work_time, answer);
+  // A request may ask for a work time of its own.
+  const auto work_ms = ParseNumber<uint32_t>(QueryValue(request.target, "work_ms"));
+  delayed_.CallAt(started_at + (work_ms ? milliseconds(*work_ms) : settings_.work_time), answer);
 }
 
 void sealing_target::DropKeys(const key_range& keys) {
--- a/standins/common/sealing_target.h
+++ b/standins/common/sealing_target.h
@@ -35,6 +35,16 @@
   std::chrono::milliseconds heartbeat_interval{300};
 };
 
+/// A request that a target ran.
+struct execution {
+  std::string request_id;
+  /// Headers as received.
+  header_list headers;
+  instant started_at{};
+  /// Requests that ran when it started, itself included.
+  uint32_t running = 0;
+};
+
 /// Server of one target.
 class sealing_target {
  public:
@@ -47,6 +57,8 @@
   void SetWorkTime(std::chrono::milliseconds work_time) { settings_.work_time = work_time; }
   /// Number of executions by request id.
   const std::map<std::string, int>& Runs() const { return runs_; }
+  /// Executions in the order of their start.
+  const std::vector<execution>& Executions() const { return executions_; }
   /// Requests refused because they are for another instance or a key that is not granted.
   uint64_t Misdirected() const { return misdirected_; }
   bool Holds(uint32_t key) const;
@@ -86,6 +98,7 @@
   std::vector<held_range> seen_fences_;
   uint64_t grants_received_ = 0;
   std::map<std::string, int> runs_;
+  std::vector<execution> executions_;
 };
 
 }  // namespace bulrushway::standin
--- a/test/support/platform_deployment.h
+++ b/test/support/platform_deployment.h
@@ -85,10 +85,11 @@
   }
 
   // Sends a request to the process of a machine. The result is set once the answer arrives. A
-  // negative `key` means no key.
+  // negative `key` means no key of a keyed service.
   std::shared_ptr<std::optional<outcome>> Send(
       size_t entry, const std::string& path, const std::string& id, int key = -1,
-      std::chrono::milliseconds timeout = std::chrono::seconds(2)) {
+      std::chrono::milliseconds timeout = std::chrono::seconds(2),
+      const header_list& more_headers = {}) {
     http_request request;
     request.method = path.starts_with("/pay/") ? "POST" : "GET";
     request.target = path;
@@ -96,6 +97,7 @@
                        {"X-Bulrushway-Request-Id", id},
                        {"X-Bulrushway-Request-Timeout", std::to_string(timeout.count())}};
     if (key >= 0) request.headers.emplace_back("X-Bulrushway-Shard-Key", std::to_string(key));
+    request.headers.insert(request.headers.end(), more_headers.begin(), more_headers.end());
     auto result = std::make_shared<std::optional<outcome>>();
     client_.Send(machines_[entry].Address(kCallersPort), std::move(request),
                  timeout + std::chrono::seconds(1),
