--- a/test/process/workspaces_test.cpp
+++ b/test/process/workspaces_test.cpp
@@ -1,8 +1,6 @@
-// Workspaces, their keys and their quotas, with real processes: a request without a valid key must
-// not run, its target must be told the workspace by the system and must not see the key, and no
-// workspace may run more than its quota.
+// Workspaces and their keys, with real processes: a request without a valid key must not run, and a
+// target must be told the workspace by the system and must not see the key.
 
-#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <csignal>
 #include <string>
@@ -10,47 +8,16 @@
 #include <vector>
 
 #include "http_parser.h"
-#include "platform_deployment.h"
+#include "workspace_deployment.h"
 
 namespace bulrushway::testing {
 namespace {
 
-using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-// A state that is not reached within this time is not reached at all, also on a busy machine.
-constexpr seconds kLimit{30};
-
-std::string Route(const std::string& name, const std::string& kind, const std::string& service,
-                  const std::string& extra = "") {
-  return R"({"type":"routes","metadata":{"name":")" + name +
-         R"("},"spec":{"host":"h","prefix":"/)" + name + R"(/","kind":")" + kind +
-         R"(","timeout_s":10,"latency_target_s":5,"priority":1,"service":")" + service +
-         R"(","attempts":2)" + extra + "}},";
-}
-
-std::string Workspace(const std::string& name, const std::string& keys,
-                      const std::string& extra = "") {
-  return R"({"type":"tenants","metadata":{"name":")" + name + R"("},"spec":{"api_keys":[)" + keys +
-         "]" + extra + "}},";
-}
-
-// `resources` are further routes and workspaces, each followed by a comma.
-std::string Configuration(int version, const std::string& resources) {
-  return R"({"version":"0000000)" + std::to_string(version) + R"(","resources":[)" +
-         Route("look", "safe", "plain") + Route("pay", "unsafe", "keyed") +
-         Route("open", "safe", "plain", R"(,"public":true)") + resources +
-         R"({"type":"services","metadata":{"name":"plain"},"spec":{"max_conns":64}},)"
-         R"({"type":"services","metadata":{"name":"keyed"},"spec":{"max_conns":64,)"
-         R"("sharded":true}},{"type":"limits","metadata":{},"spec":{"max_header_bytes":16384,)"
-         R"("max_body_bytes":100000,"header_timeout_s":3,"idle_timeout_s":15}}]})";
-}
-
 const std::string kTwoWorkspaces =
     Workspace("acme", R"("acme-key","acme-spare")") + Workspace("zenith", R"("zenith-key")");
 
-header_list Bearer(const std::string& key) { return {{"Authorization", "Bearer " + key}}; }
-
 std::vector<std::string> ValuesOf(const header_list& headers, const std::string& name) {
   std::vector<std::string> values;
   for (const auto& [each, value] : headers) {
@@ -61,61 +28,6 @@
 
 using values = std::vector<std::string>;
 
-struct workspace_deployment {
-  explicit workspace_deployment(const std::vector<machine_place>& places) : fleet(false, places) {}
-
-  // With a plain target beside process 0 and a keyed one beside process 1, each target is reached
-  // from the process beside it and from another one.
-  workspace_deployment() : workspace_deployment({{"plain"}, {"keyed"}}) {}
-
-  void Configure(const std::string& configuration) {
-    fleet.store().Put("op", "config", configuration);
-    BOOST_REQUIRE(fleet.WaitUntilSettled());
-  }
-  // Sends a request until the answer is not 503: a process that cannot tell at the moment whether
-  // its configuration is the newest answers so. Each attempt has an id of its own.
-  int Status(size_t entry, const std::string& path, const header_list& headers, int key = -1) {
-    int status = 0;
-    fleet.Until(
-        [&] {
-          last_id = "request-" + std::to_string(++sent);
-          const auto result = fleet.Send(entry, path, last_id, key, seconds(10), headers);
-          fleet.Until([&] { return result->has_value(); }, seconds(12));
-          const bool answered = result->has_value() && (*result)->has_value();
-          status = answered ? (**result)->status : 0;
-          if (answered) answer = ***result;
-          return status != 503;
-        },
-        kLimit);
-    return status;
-  }
-  std::vector<standin::execution> Executions(const std::string& id) {
-    std::vector<standin::execution> found;
-    for (const machine& each : fleet.machines()) {
-      for (const standin::execution& one : each.target->Executions()) {
-        if (one.request_id == id) found.push_back(one);
-      }
-    }
-    return found;
-  }
-  // Headers that the target received with the last request, which it ran once.
-  header_list ReceivedHeaders() {
-    const std::vector<standin::execution> found = Executions(last_id);
-    BOOST_REQUIRE_EQUAL(found.size(), 1U);
-    return found.front().headers;
-  }
-  size_t CountExecutions() {
-    size_t count = 0;
-    for (const machine& each : fleet.machines()) count += each.target->Executions().size();
-    return count;
-  }
-
-  platform_deployment fleet;
-  int sent = 0;
-  std::string last_id;
-  http_answer answer;
-};
-
 // The ways to reach a target: the process that takes the request, the path, and the key of the
 // keyed service.
 struct way {
