--- a/test/process/pipelined_callers_test.cpp
+++ b/test/process/pipelined_callers_test.cpp
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "platform_deployment.h"
@@ -66,7 +67,7 @@
   }
   // Lengths of the bodies received, which consist of the letter a, in their order.
   bytes_list BodyLengths() {
-    static const std::string kHeadEnd = "\r\n\r\n";
+    static constexpr std::string_view kHeadEnd = "\r\n\r\n";
     const std::string& text = caller->Receive();
     bytes_list lengths;
     for (size_t at = text.find(kHeadEnd); at != std::string::npos; at = text.find(kHeadEnd, at)) {
