--- a/src/gate_request.h
+++ b/src/gate_request.h
@@ -15,6 +15,8 @@
   instant arrived;
   instant deadline;
   instant sent_at;
+  // Requests at the target when it was sent, including itself.
+  uint32_t running_at_start = 0;
   target_incarnation incarnation;
   http_client::request_id http = 0;
   bool abandoned = false;
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -77,7 +77,7 @@
       gate_(loop, metrics_, log_, target_,
             {settings_.target, settings_.service, settings_.region, settings_.headers,
              settings_.link_bytes_per_second, pacer_.BytesPerSecond(), settings_.urgent_room,
-             &budget_},
+             settings_.adaptive_concurrency, &budget_},
             GatePorts(*this), process),
       mesh_(loop, log_, metrics_, fleet_, MeshEvents(*this), &pacer_, &budget_),
       quotas_(log_, metrics_, settings_.name, QuotaPorts(*this)),
--- a/src/node.h
+++ b/src/node.h
@@ -82,6 +82,8 @@
   double memory_bytes = 0;
   /// Keeps slots of the target free of long requests for more urgent ones.
   bool urgent_room = false;
+  /// Learns how many requests the target handles well, instead of using all its slots.
+  bool adaptive_concurrency = false;
   /// Most pipelined requests of a caller's connection that are handled at the same time.
   size_t pipeline_depth = 8;
   /// Descriptors that the process may have open; zero means that only the system limits them.
--- a/src/target_gate.cpp
+++ b/src/target_gate.cpp
@@ -100,6 +100,7 @@
   pending->sent_at = now;
   pending->incarnation = target_.incarnation();
   running_.emplace(pending->id, pending);
+  pending->running_at_start = static_cast<uint32_t>(running_.size());
   metrics_.Counter("bulrushway_target_requests")++;
   wait_latency_.Add(now - pending->arrived);
   const auto left = duration_cast<milliseconds>(pending->deadline - now) + kAnswerSlack;
@@ -174,6 +175,7 @@
                                          const http_answer& answer) {
   if (answer.status != kMisdirected) {
     queue_.OnTargetFull(now);
+    RecordTargetFull(now, pending);
     return refusal_reason::kTargetShed;
   }
   const std::string answering_id = FindHeader(answer.headers, settings_.headers.answering_instance);
@@ -204,6 +206,7 @@
   poison_.OnAnswered(pending->fingerprint, now);
   work_latency_.Add(work);
   RecordSlowness(*pending, work);
+  RecordConcurrency(now, *pending, work);
   answer_bytes_ += kBytesWeight * (static_cast<double>(answer.body.size()) - answer_bytes_);
   if (pending->request.large_answer && IsSuccess(answer.status)) link_.OnAnswer(answer.body.size());
   // Passed on, the status would promise a caller that its request has not run.
@@ -237,6 +240,7 @@
   if (failure.closed_before_answer && failure.may_have_run) {
     crash_watch_.OnConnectionLost(now, {pending->fingerprint, pending->request.home_regions});
   }
+  if (failure.closed_before_answer) RecordTargetFull(now, *pending);
   if (failure.refused) {
     OnCrash(now);
     target_.OnConnectionRefused(now);
@@ -298,9 +302,10 @@
     queue_.SetProbing(first);
     last_incarnation_ = target_.incarnation();
     limit_.Reset();
+    limiter_.OnIncarnation(now);
     ApplyLimit(now);
   }
-  queue_.SetSlots(target_.slots());
+  ApplySlots(now);
   queue_.SetCold(now, cold_rate_ > 0 && target_.Cold(now));
   for (const expired_request& expired : queue_.Expire(now)) {
     const auto found = pending_requests_.find(expired.id);
@@ -361,7 +366,7 @@
   report.leaving = target_.Leaving();
   report.evacuated = ports_.evacuated(now);
   report.cold = target_.Cold(now);
-  report.slots = target_.slots();
+  report.slots = settings_.adaptive_concurrency ? queue_.slots() : target_.slots();
   report.running = queue_.Running();
   report.waiting = static_cast<uint32_t>(queue_.Waiting());
   report.usual_work = queue_.UsualWork();
--- a/src/target_gate.h
+++ b/src/target_gate.h
@@ -15,6 +15,7 @@
 #include <string>
 
 #include "body_queue.h"
+#include "concurrency_limiter.h"
 #include "crash_watch.h"
 #include "decision_log.h"
 #include "header_names.h"
@@ -78,6 +79,8 @@
   double large_bytes_per_second = 0;
   /// Keeps slots free of long requests for more urgent ones.
   bool urgent_room = false;
+  /// Learns how many requests the target handles well, instead of using all its slots.
+  bool adaptive_concurrency = false;
   /// Budget of the process for large answers; null: not limited.
   const memory_budget* budget = nullptr;
 };
@@ -158,6 +161,13 @@
   void ApplyLimit(instant now);
   // Takes over the limit that the target names, and whether it says that it is leaving.
   void RecordNotices(instant now, const pending_request& pending, const http_answer& answer);
+  // Records an answer, or that the target refused a request or reset its connection, for the
+  // number of requests that it handles well.
+  void RecordConcurrency(instant now, const pending_request& pending,
+                         std::chrono::nanoseconds work);
+  void RecordTargetFull(instant now, const pending_request& pending);
+  // Sets the slots of the queue: those of the target, or fewer if it handles fewer well.
+  void ApplySlots(instant now);
   void RecordSlowness(const pending_request& pending, std::chrono::nanoseconds work);
   uint32_t SlownessPercent() const;
   std::chrono::milliseconds ExpectedWork(const dispatch_request& request) const {
@@ -177,6 +187,7 @@
   target_gate_ports ports_;
   http_client client_;
   slot_queue queue_;
+  concurrency_limiter limiter_;
   link_queue link_;
   body_queue bodies_;
   // Requests with large answers that wait or run.
