Remove credentials on public routes too, where a configuration has workspaces

The previous rule forwarded a key that this process does not know: a newer configuration may have it, or an older one had it.

--- a/src/pending_request.h
+++ b/src/pending_request.h
@@ -18,8 +18,6 @@
   const route* matched = nullptr;
   // Workspace of the caller; null where requests need no key.
   const workspace* caller_workspace = nullptr;
-  // The request carries the key of a workspace, which its target must not see.
-  bool has_workspace_key = false;
   std::optional<quota_token> token;
   // Regions that the route and the workspace both allow.
   std::vector<std::string> home_regions;
--- a/src/request_router_rejections.cpp
+++ b/src/request_router_rejections.cpp
@@ -54,18 +54,14 @@
 bool request_router::IdentifyWorkspace(instant now, const pending_request_ptr& pending) {
   const route& matched = *pending->matched;
   pending->home_regions = matched.home_regions;
-  if (pending->table->workspaces().empty()) return true;
-  const std::string_view key = BearerKey(pending->exchange->request().headers);
-  const workspace* found = key.empty() ? nullptr : pending->table->FindWorkspaceByKey(key);
-  // Credentials on a public route may be meant for the target.
-  pending->has_workspace_key = !matched.is_public || found != nullptr;
-  if (matched.is_public) return true;
+  if (matched.is_public || pending->table->workspaces().empty()) return true;
   if (!ports_.may_accept_keys(now)) {
     Refuse(now, pending, refusal_reason::kStaleRules);
     return false;
   }
-  pending->caller_workspace = found;
-  if (found == nullptr) {
+  const std::string_view key = BearerKey(pending->exchange->request().headers);
+  pending->caller_workspace = key.empty() ? nullptr : pending->table->FindWorkspaceByKey(key);
+  if (pending->caller_workspace == nullptr) {
     // A newer configuration may have the key, or no workspaces.
     const std::string reason = key.empty() ? "no workspace key" : "unknown workspace key";
     if (RefuseIfUncertain(now, pending, reason)) return false;
--- a/src/request_router_sending.cpp
+++ b/src/request_router_sending.cpp
@@ -70,7 +70,8 @@
   request.request.target = original.target;
   request.request.headers = original.headers;
   if (!pending.table->workspaces().empty()) {
-    if (pending.has_workspace_key) RemoveCredentials(request.request.headers);
+    // Also on public routes, and unknown ones: a newer configuration may have the key.
+    RemoveCredentials(request.request.headers);
     std::erase_if(request.request.headers, [this](const auto& header) {
       return EqualIgnoringCase(header.first, settings_.headers.workspace);
     });
