--- a/src/peer_mesh.cpp
+++ b/src/peer_mesh.cpp
@@ -137,10 +137,11 @@
   if (found == pending_.end() || !found->second.body) return;
   pending& sent = found->second;
   std::string& body = *sent.body;
-  const bool whole = sent.body_sent == 0 && body.size() <= kMaxBodyPiece;
+  const size_t size = body.size();
+  const bool whole = sent.body_sent == 0 && size <= kMaxBodyPiece;
   request_body message{id, whole ? std::move(body) : body.substr(sent.body_sent, kMaxBodyPiece)};
   sent.body_sent += message.bytes.size();
-  if (whole || sent.body_sent == body.size()) sent.body.reset();
+  if (whole || sent.body_sent == size) sent.body.reset();
   transport_.SendFrame(sent.connection, EncodeFrame(message));
 }
 
