Read an answer with a status outside 100 to 599 as a failure

What callers saw: a target answered with the status 000, and the caller got it as an answer, with the target's seal and body, after one attempt: "HTTP/1.1 0 <unknown-status>", which is not even HTTP. 001 and 099 likewise; 600 and 999 were passed on for keyed and unsafe requests, for others after a second attempt. With the target's "not executed" in such an answer, callers got 503, the promise that the request had not run.

Cause: Boost.Beast accepts any three digits as a status, and nothing that reads answers checked the range. Whatever decides from the status took 0 for below 400, thus served, and not for one of the statuses that are a promise.

Change: the parser of answers, which all HTTP answers go through (targets, grants and releases, both stores, health probes, bulrushctl), fails at the head of such an answer, before its body is read and before a header of it is believed. The request may have run: it is refused with 502 unless it may be repeated, and the connection is closed, since what follows on it cannot be trusted. By RFC 9110, section 15, values outside 100 to 599 are invalid, and a client should take such an answer for a server error; 502 is the status for an invalid answer of an inbound server. That holds for 600 and above too.

The same cause at other readers, fixed by this change: a grant answered so by another instance counted as not carried out; an idempotency key kept such an answer for its repeats (older path).

Handled already, tests kept: field names with a blank, a control byte or another byte that no name may hold, in any place of the head, in interim answers and trailers, however the bytes arrive; statuses that are no three digits; invalid answers of the store to reads, watches and commits.

--- a/src/http_message.h
+++ b/src/http_message.h
@@ -30,6 +30,13 @@
   std::string body;
 };
 
+/// Whether an answer with this status is a final one: 200 to 599 (RFC 9110, section 15).
+constexpr bool IsFinalStatus(int status) {
+  constexpr int kFirstFinalStatus = 200;
+  constexpr int kLastStatus = 599;
+  return status >= kFirstFinalStatus && status <= kLastStatus;
+}
+
 /// Value of the first header of this name, ignoring case; empty when absent.
 std::string FindHeader(const header_list& headers, const std::string& name);
 
--- a/src/http_parser.cpp
+++ b/src/http_parser.cpp
@@ -239,6 +239,12 @@
 }
 
 struct http_answer_parser::state {
+  int Status() const { return static_cast<int>(parser.get().result_int()); }
+  bool IsInterim() const {
+    return beast_http::to_status_class(parser.get().result_int()) ==
+           beast_http::status_class::informational;
+  }
+
   beast_http::response_parser<beast_http::string_body> parser;
 };
 
@@ -264,6 +270,11 @@
   const size_t consumed = PutBytes(state_->parser, bytes, failure);
   if (failure) return fail("The answer is not valid HTTP: " + failure.message() + ".");
   if (!state_->parser.is_header_done()) return consumed;
+  // Beast accepts any three digits.
+  if (!state_->IsInterim() && !IsFinalStatus(state_->Status())) {
+    return fail("The answer has the status " + std::to_string(state_->Status()) +
+                ", which is outside 100 to 599.");
+  }
   if (HasUnknownCoding(state_->parser)) {
     return fail("The answer has a transfer coding other than chunked.");
   }
@@ -297,10 +308,7 @@
       return Failure(error_kind::kPeer, "read answer", peer,
                      "The answer is not valid HTTP: " + failure.message() + ".");
     }
-    const bool interim = state_->parser.is_done() &&
-                         beast_http::to_status_class(state_->parser.get().result_int()) ==
-                             beast_http::status_class::informational;
-    if (!interim) return consumed;
+    if (!state_->parser.is_done() || !state_->IsInterim()) return consumed;
     StartMessage();
   }
 }
--- a/src/http_parser.h
+++ b/src/http_parser.h
@@ -79,7 +79,8 @@
   size_t head_bytes_ = 0;
 };
 
-/// Parses one answer. Skips interim answers (1xx).
+/// Parses one answer. Skips interim answers (1xx). An answer whose status is outside the protocol,
+/// 100 to 599, is an error.
 class http_answer_parser {
  public:
   explicit http_answer_parser(const http_size_limits& limits);
--- a/standins/common/sealing_target.cpp
+++ b/standins/common/sealing_target.cpp
@@ -154,7 +154,7 @@
 
 void sealing_target::SendHeartbeat() {
   json body = {{"service", settings_.service},
-               {"address", ToString(settings_.address)},
+               {"address", ToString(settings_.announced_address.value_or(settings_.address))},
                {"zone", "a"},
                {"version", "v1"},
                {"slots", settings_.slots},
--- a/standins/common/sealing_target.h
+++ b/standins/common/sealing_target.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -23,6 +24,8 @@
   std::string id;
   std::string service;
   socket_address address;
+  /// Address in heartbeats, where another one than `address` leads to the target.
+  std::optional<socket_address> announced_address = {};
   /// Address that heartbeats are sent to.
   socket_address control;
   bool keyed = false;
--- a/test/error/cut_answers_at_the_gate_test.cpp
+++ b/test/error/cut_answers_at_the_gate_test.cpp
@@ -1,5 +1,6 @@
-// What the sender of a request gets from the gate when the target's answer is cut or its framing is
-// contradictory: a refusal that leaves open whether the request has run, and never a success.
+// What the sender of a request gets from the gate when the target's answer is cut, its framing is
+// contradictory or its head is invalid: a refusal that leaves open whether the request has run, and
+// never a success.
 
 #include <fcntl.h>
 
@@ -10,6 +11,7 @@
 #include <string>
 #include <vector>
 
+#include "broken_answers.h"
 #include "open_gate.h"
 #include "scripted_peer.h"
 
@@ -221,6 +223,16 @@
   CheckEachRefusedAsUnknown(framings);
 }
 
+BOOST_AUTO_TEST_CASE(with_an_invalid_field_name_is_refused_as_possibly_run) {
+  std::vector<std::string> framings;
+  for (const std::string& line : testing::kBrokenFieldLines) {
+    framings.push_back(line + "\r\nContent-Length: 4\r\n\r\nbody");
+    framings.push_back("Content-Length: 4\r\n" + line + "\r\n\r\nbody");
+    framings.push_back(line + "\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n");
+  }
+  CheckEachRefusedAsUnknown(framings);
+}
+
 BOOST_AUTO_TEST_CASE(with_bytes_behind_its_length_is_as_long_as_its_length_says) {
   const auto answers = Offer({{kHead + "Content-Length: 2\r\n\r\nbody", end::kClose}}, kPatience);
   CheckWhole(answers.front(), "bo");
@@ -228,4 +240,29 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(an_answer_with_a_status_outside_the_protocol)
+
+BOOST_AUTO_TEST_CASE(is_refused_as_possibly_run) {
+  std::vector<scripted_server::step> steps;
+  for (const std::string& status : testing::kBrokenStatuses) {
+    const std::string head = "HTTP/1.1 " + status + " -\r\nId: 1\r\nSeal: s\r\n";
+    steps.push_back({head + "Content-Length: 4\r\n\r\nbody", end::kKeep});
+    steps.push_back(
+        {head + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", end::kKeep});
+    steps.push_back({head + "\r\nbody", end::kClose});
+    // It is not believed either.
+    steps.push_back({head + "Not-Run: 1\r\nContent-Length: 0\r\n\r\n", end::kKeep});
+    steps.push_back({head + "Content-Length: 0\r\n\r\n" + kWithLength, end::kKeep});
+  }
+  const auto answers = Offer(steps, kPatience);
+  for (size_t i = 0; i < answers.size(); ++i) {
+    BOOST_TEST_CONTEXT(steps[i].text) {
+      CheckRefusedAsUnknown(answers[i]);
+      BOOST_TEST((answers[i].reason == refusal_reason::kAnswerLost));
+    }
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 }  // namespace bulrushway
--- a/test/error/cut_platform_answers_test.cpp
+++ b/test/error/cut_platform_answers_test.cpp
@@ -1,5 +1,6 @@
-// Answers of the platform's store and of the target to grants, cut at every byte. Rows that a cut
-// answer lacks must not count as deleted, and a cut success says nothing of what was carried out.
+// Answers of the platform's store and of the target to grants, cut at every byte or invalid. Rows
+// that a cut answer lacks must not count as deleted, and neither a cut nor an invalid answer says
+// what was carried out.
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
@@ -8,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "broken_answers.h"
 #include "grant_client.h"
 #include "scripted_peer.h"
 #include "store_client.h"
@@ -37,6 +39,20 @@
 
 using script = std::vector<scripted_server::step>;
 
+// The answer with each broken status and each broken field line, on a connection of its own.
+std::vector<script> BrokenEverywhere(const std::string& text) {
+  std::vector<script> scripts;
+  for (const std::string& status : testing::kBrokenStatuses) {
+    std::string broken = text;
+    scripts.push_back({{broken.replace(text.find(' ') + 1, status.size(), status)}});
+  }
+  for (const std::string& line : testing::kBrokenFieldLines) {
+    std::string broken = text;
+    scripts.push_back({{broken.insert(text.find('\n') + 1, line + "\r\n")}});
+  }
+  return scripts;
+}
+
 // Makes one call to a server for each script, and returns their results. So many calls at the same
 // time keep within the usual limit of descriptors.
 template <class Result, class Client, class Call>
@@ -228,4 +244,60 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(an_answer_of_the_store_that_is_invalid)
+
+BOOST_AUTO_TEST_CASE(has_no_rows) {
+  const std::string body = Page(kRow + "," + kLastRow, false);
+  const auto scripts = BrokenEverywhere(Framings(kStoreHeaders, body).front());
+  for (const auto& results : {Read(scripts), Watch(scripts)}) {
+    for (size_t i = 0; i < results.size(); ++i) {
+      BOOST_TEST_CONTEXT(scripts[i].front().text) { BOOST_TEST(!results[i].has_value()); }
+    }
+  }
+}
+
+// The status of a conflict would say that nothing was committed.
+BOOST_AUTO_TEST_CASE(does_not_tell_whether_rows_were_committed) {
+  using receipt = result<row_receipt>;
+  const std::string success = Framings(kStoreHeaders, R"({"ver":12345,"now_s":5.5})").front();
+  const std::string conflict = "HTTP/1.1 412 -\r\nContent-Length: 0\r\n\r\n";
+  for (const std::string& text : {success, conflict}) {
+    const auto scripts = BrokenEverywhere(text);
+    const auto results = CallEach<receipt, platform::store_client>(
+        scripts, [](platform::store_client& client, auto done) {
+          client.Rows().commit({.conditions = {}, .writes = {{{"t", "a"}, "x"}}},
+                               [done](instant, receipt received) { done(std::move(received)); });
+        });
+    for (size_t i = 0; i < results.size(); ++i) {
+      BOOST_TEST_CONTEXT(scripts[i].front().text) {
+        BOOST_REQUIRE(!results[i].has_value());
+        BOOST_TEST((results[i].error().kind == error_kind::kPeer));
+      }
+    }
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(an_answer_to_a_grant_or_release_that_is_invalid)
+
+BOOST_AUTO_TEST_CASE(does_not_tell_whether_it_was_carried_out) {
+  for (const std::string id : {"t1", "t2"}) {
+    const std::string text = "HTTP/1.1 200 OK\r\nX-Bulrushway-Instance-Id: " + id +
+                             "\r\nX-Bulrushway-Handover: 5c0e\r\nContent-Length: 0\r\n\r\n";
+    const auto scripts = BrokenEverywhere(text);
+    for (const auto type : {grant_call::kind::kGrant, grant_call::kind::kRelease}) {
+      const auto outcomes = Send(scripts, type);
+      for (size_t i = 0; i < outcomes.size(); ++i) {
+        BOOST_TEST_CONTEXT(scripts[i].front().text) {
+          BOOST_TEST(Name(outcomes[i].result) == "unknown");
+          BOOST_TEST(outcomes[i].handover.empty());
+        }
+      }
+    }
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 }  // namespace bulrushway
--- a/test/support/platform_deployment.h
+++ b/test/support/platform_deployment.h
@@ -20,6 +20,7 @@
 #include "http_client.h"
 #include "row_server.h"
 #include "sealing_target.h"
+#include "severable_path.h"
 
 namespace bulrushway::testing {
 
@@ -29,6 +30,8 @@
 struct machine {
   std::string ip;
   std::unique_ptr<standin::sealing_target> target;
+  /// Between the process and its target, where the place has one.
+  std::unique_ptr<severable_path> path_to_target;
   std::unique_ptr<child_process> process;
   std::string settings_file;
 
@@ -39,6 +42,8 @@
 inline constexpr uint16_t kReadyPort = 7141;
 inline constexpr uint16_t kControlPort = 7144;
 inline constexpr uint16_t kTargetPort = 7145;
+/// Port of a target that is reached through a path.
+inline constexpr uint16_t kHiddenTargetPort = 7146;
 
 /// Memory that each process may use.
 inline constexpr size_t kMachineMemoryMb = 160;
@@ -48,6 +53,8 @@
   std::string service;
   std::string data_centre = "a";
   std::string region = "r";
+  /// The process reaches its target through a path that can change answers.
+  bool has_path_to_target = false;
 };
 
 /// Router processes beside stand-ins of targets, and a stand-in of the store.
@@ -173,6 +180,13 @@
     target.service = place.service;
     target.address = added.Address(kTargetPort);
     target.control = added.Address(kControlPort);
+    if (place.has_path_to_target) {
+      target.address = added.Address(kHiddenTargetPort);
+      target.announced_address = added.Address(kTargetPort);
+      added.path_to_target =
+          std::make_unique<severable_path>(loop_, added.Address(kTargetPort), target.address);
+      BOOST_REQUIRE(added.path_to_target->Listening());
+    }
     target.keyed = place.service == "keyed";
     target.granted_by_calls = by_calls_;
     target.late_grant_every = by_calls_ ? 4 : 0;
--- a/test/support/severable_path.h
+++ b/test/support/severable_path.h
@@ -2,13 +2,16 @@
 #define BULRUSHWAY_TEST_SEVERABLE_PATH_H
 
 // A path between two processes whose open connections can fall silent for good, while new ones
-// work.
+// work, and which can change the answers that it forwards.
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
 
+#include <functional>
 #include <list>
+#include <string>
+#include <utility>
 
 #include "event_loop.h"
 #include "socket_address.h"
@@ -45,6 +48,8 @@
       each.requests_lost = each.requests_lost || !answers_only;
     }
   }
+  /// Changes each piece of an answer that is forwarded, as it was read; null: changes nothing.
+  void EditAnswers(std::function<std::string(std::string)> edit) { edit_ = std::move(edit); }
   /// New connections are refused as well.
   void Close() {
     evconnlistener_free(listener_);
@@ -55,6 +60,7 @@
   struct pair {
     bufferevent* near = nullptr;
     bufferevent* far = nullptr;
+    const severable_path* path = nullptr;
     bool requests_lost = false;
     bool answers_lost = false;
   };
@@ -71,8 +77,17 @@
       bufferevent_write_buffer(to, input);
     }
   }
+  void MoveAnswer(const pair& each) const {
+    if (!edit_ || each.answers_lost) return Move(each.far, each.near, each.answers_lost);
+    evbuffer* input = bufferevent_get_input(each.far);
+    std::string answer(evbuffer_get_length(input), '\0');
+    evbuffer_remove(input, answer.data(), answer.size());
+    answer = edit_(std::move(answer));
+    bufferevent_write(each.near, answer.data(), answer.size());
+  }
   void OnAccept(evutil_socket_t socket) {
     pair& added = pairs_.emplace_back();
+    added.path = this;
     added.near = bufferevent_socket_new(loop_.Base(), socket, BEV_OPT_CLOSE_ON_FREE);
     added.far = bufferevent_socket_new(loop_.Base(), -1, BEV_OPT_CLOSE_ON_FREE);
     sockaddr_in raw = ToSockaddr(to_);
@@ -87,9 +102,9 @@
         nullptr, nullptr, &added);
     bufferevent_setcb(
         added.far,
-        [](bufferevent* from, void* self) {
+        [](bufferevent*, void* self) {
           const auto* each = static_cast<pair*>(self);
-          Move(from, each->near, each->answers_lost);
+          each->path->MoveAnswer(*each);
         },
         nullptr, nullptr, &added);
     bufferevent_enable(added.near, EV_READ | EV_WRITE);
@@ -98,6 +113,7 @@
 
   event_loop& loop_;
   socket_address to_;
+  std::function<std::string(std::string)> edit_;
   evconnlistener* listener_ = nullptr;
   std::list<pair> pairs_;
 };
