Refuse a request whose peer passes on an answer with an invalid status

Cause: the mesh, which takes the answers in frames of both paths, checked the reason of a frame but not the status.

Change: such an answer becomes a refusal of its request alone, as possibly run (answer_lost): peer_answer_invalid, bulrushway_peer_answers_invalid. The connection stays: to close it would end other requests, and the answer would be sent again over the next one.

It has not been seen outside the test.

--- a/src/peer_mesh.cpp
+++ b/src/peer_mesh.cpp
@@ -278,6 +278,7 @@
     const callback done = std::move(found->second.done);
     OnReceipt(from, found->first);
     pending_.erase(found);
+    DiscardInvalidAnswer(from, *answer);
     done(now, std::move(*answer));
   } else if (const auto* permit = std::get_if<body_permit>(&message)) {
     OnBodyPermit(permit->id);
--- a/src/peer_mesh.h
+++ b/src/peer_mesh.h
@@ -165,6 +165,8 @@
   void Suspend(instant now, connection_id connection, bool refused);
   void OnResumed(instant now, connection_id from, const link_resumed& resumed);
   void OnHello(instant now, connection_id from, const link_hello& hello);
+  // Turns an answer of a target that callers must not get into a refusal of its request alone.
+  void DiscardInvalidAnswer(connection_id from, dispatch_answer& received);
   void OnReceipt(connection_id from, uint64_t id);
   void OnSuspicion(instant now, const peer_suspicion& suspicion);
   void PassOn(peer_suspicion suspicion, bool to_other_data_centres);
--- a/src/peer_mesh_links.cpp
+++ b/src/peer_mesh_links.cpp
@@ -205,6 +205,20 @@
   Answer(now, session, refused);
 }
 
+void peer_mesh::DiscardInvalidAnswer(connection_id from, dispatch_answer& received) {
+  if (received.reason != refusal_reason::kNone || IsFinalStatus(received.answer.status)) return;
+  metrics_.Counter("bulrushway_peer_answers_invalid")++;
+  log_.Write("peer_answer_invalid",
+             {{"peer", transport_.PeerAddress(from)},
+              {"ticket", std::to_string(received.id)},
+              {"status", std::to_string(received.answer.status)}},
+             log_priority::kNotable);
+  received.reason = refusal_reason::kAnswerLost;
+  received.state = run_state::kUnknown;
+  received.sent_to_target = true;
+  received.answer = {};
+}
+
 void peer_mesh::OnReceipt(connection_id from, uint64_t id) {
   const auto outgoing = outgoing_.find(from);
   if (outgoing == outgoing_.end()) return;
--- a/test/support/meshed_node.h
+++ b/test/support/meshed_node.h
@@ -7,6 +7,7 @@
 
 #include <chrono>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "peer_mesh.h"
@@ -46,11 +47,13 @@
     return events;
   }
   void Answer(size_t index, size_t body_bytes = 0) {
+    Answer(index, http_answer{200, {}, std::string(body_bytes, 'a')});
+  }
+  void Answer(size_t index, http_answer target_answer) {
     dispatch_answer answer;
     answer.id = requests.at(index).id;
-    answer.answer.status = 200;
     answer.sent_to_target = true;
-    answer.answer.body.assign(body_bytes, 'a');
+    answer.answer = std::move(target_answer);
     mesh.Answer(boot_clock::now(), requests.at(index).from, answer);
   }
 
