Refuse a request whose peer passes on fields that cannot be written

What callers could see: names and values of fields in the frame of a peer were written to the caller as they came. A line end in one begins another line, or another answer; a blank or a control byte in a name makes the answer invalid.

Cause: fields are checked where HTTP is parsed, at the process beside the target. Frames hold texts of any bytes, and nothing checked them where they are read.

Change: answers in frames pass only if their status is final, their names are tokens and their values hold no control characters but tabs. Others become a refusal of their request alone, like those with an invalid status.

Only the parser of a peer that is faulty would let such a field through: it has not been seen outside the test.

--- a/src/peer_mesh_links.cpp
+++ b/src/peer_mesh_links.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 #include <vector>
 
+#include "http_parser.h"
 #include "peer_mesh.h"
 
 namespace bulrushway {
@@ -206,7 +207,7 @@
 }
 
 void peer_mesh::DiscardInvalidAnswer(connection_id from, dispatch_answer& received) {
-  if (received.reason != refusal_reason::kNone || IsFinalStatus(received.answer.status)) return;
+  if (received.reason != refusal_reason::kNone || IsWritable(received.answer)) return;
   metrics_.Counter("bulrushway_peer_answers_invalid")++;
   log_.Write("peer_answer_invalid",
              {{"peer", transport_.PeerAddress(from)},
--- a/test/error/broken_peer_answers_test.cpp
+++ b/test/error/broken_peer_answers_test.cpp
@@ -83,6 +83,26 @@
   }
 }
 
+// Written to the caller, the line ends would begin another line, or another answer.
+BOOST_AUTO_TEST_CASE(with_a_field_that_cannot_be_written_is_lost_as_possibly_run) {
+  const header_list broken = {
+      {"", "v"},          {"X Blank", "v"},    {"X-Blank ", "v"},
+      {"X\tTab", "v"},    {"X\x01Start", "v"}, {"X\x7f", "v"},
+      {"X\x80High", "v"}, {"X:Colon", "v"},    {"X\r\nSeal", "s"},
+      {"X", "a\r\nY: b"}, {"X", "a\nb"},       {"X", "a\rb"},
+      {"X", "a\x01"},     {"X", "\x7f"},       {"X", std::string(1, '\0')},
+  };
+  for (const auto& field : broken) {
+    BOOST_TEST_CONTEXT(field.first << ": " << field.second) {
+      CheckLost({200, {{"Seal", "s"}, field}, "body"});
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(with_fields_that_can_be_written_is_passed_on) {
+  CheckPassedOn({200, {{"X-!#$%&'*+-.^_`|~09azAZ", "v"}, {"Seal", ""}, {"X", "a \t\x80 b"}}, ""});
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace bulrushway
