Refuse a repeat whose remembered answer cannot be read

What callers could see (bulrushd): the answer that the previous owner of a slice remembers under an idempotency key was replayed unchecked. Bytes that are no answer ended the decoding with an exception or, for a failed result, with undefined behaviour; one with the status 0 was sent to the caller, and as a success.

Cause: the memory that another process hands over was taken for the own one, which holds only what this process has encoded.

Change: a remembered answer that cannot be decoded or written as HTTP is not replayed. The repeat is refused as possibly run, without running again, and counted in bulrush_remembered_answers_unusable_total.

Evidence: a_repeat_under_an_idempotency_key, cases of answers that cannot be read (std::bad_variant_access) and of invalid statuses, fail on the previous commit and pass now. They have not been seen outside the test.

--- a/src/gate_memory.cpp
+++ b/src/gate_memory.cpp
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "gate_job.h"
+#include "http_parser.h"
 #include "peer_codec.h"
 
 namespace bulrushway {
@@ -17,9 +18,13 @@
 
 wall_time WallNow() { return std::chrono::system_clock::now(); }
 
-http_answer DecodeRememberedAnswer(const std::string& bytes) {
+// Empty if the bytes, which may come from the previous owner, are no answer that callers may get.
+std::optional<http_answer> DecodeRememberedAnswer(const std::string& bytes) {
   auto message = DecodeFrame(bytes, "own memory");
-  return std::get<dispatch_answer>(*message).answer;
+  if (!message) return std::nullopt;
+  auto* stored = std::get_if<dispatch_answer>(&*message);
+  if (stored == nullptr || !IsWritable(stored->answer)) return std::nullopt;
+  return std::move(stored->answer);
 }
 
 }  // namespace
@@ -55,9 +60,15 @@
       Refuse(pending, refusal_reason::kDuplicateRunning, run_state::kUnknown, kShortRetryAfter);
       return true;
     case repeat_verdict::kAnswered: {
+      auto remembered = DecodeRememberedAnswer(*decision.answer);
+      if (!remembered) {
+        metrics_.Counter("bulrush_remembered_answers_unusable_total")++;
+        Refuse(pending, refusal_reason::kAnswerLost, run_state::kUnknown);
+        return true;
+      }
       ++counts_.answered_from_memory;
       dispatch_answer answer;
-      answer.answer = DecodeRememberedAnswer(*decision.answer);
+      answer.answer = std::move(*remembered);
       answer.answer.headers.emplace_back("X-Bulrush-Repeated", "1");
       Finish(pending, answer);
       return true;
--- a/test/error/remembered_answers_test.cpp
+++ b/test/error/remembered_answers_test.cpp
@@ -1,5 +1,6 @@
-// Answers that are remembered under idempotency keys. One that is invalid HTTP must neither be
-// replayed nor let the request run once more.
+// Answers that are remembered under idempotency keys, also by the previous
+// owner. One that cannot be read, or is invalid HTTP, must neither be replayed
+// nor let the request run once more.
 
 #include <boost/test/unit_test.hpp>
 #include <optional>
@@ -9,6 +10,8 @@
 
 #include "broken_answers.h"
 #include "gate.h"
+#include "gate_job.h"
+#include "peer_codec.h"
 #include "scripted_peer.h"
 
 namespace bulrushway {
@@ -19,7 +22,8 @@
 
 constexpr uint32_t kSlice = 7;
 const std::string kSound =
-    "HTTP/1.1 200 OK\r\nX-Bulrush-Request-Id: 1\r\nContent-Length: 4\r\n\r\nbody";
+    "HTTP/1.1 200 OK\r\nX-Bulrush-Request-Id: "
+    "1\r\nContent-Length: 4\r\n\r\nbody";
 
 gate_callbacks OpenCallbacks() {
   return {.check_rules = [](instant, const dispatch_request&) { return std::nullopt; },
@@ -68,6 +72,18 @@
     BOOST_REQUIRE(received.has_value());
     return *received;
   }
+  // Replaces the answer in the memory, as if the slice came from an owner that
+  // remembers this one.
+  void Remember(const std::string& answer) {
+    const instant now = boot_clock::now();
+    under_test.ReleaseSlice(now, kSlice);
+    auto memory = under_test.ReleasedSliceMemory(kSlice);
+    BOOST_REQUIRE(memory.has_value());
+    BOOST_REQUIRE_EQUAL(memory->requests.size(), 1U);
+    memory->requests.front().answer = answer;
+    under_test.AwaitSliceMemory(now, kSlice);
+    under_test.ImportSliceMemory(now, kSlice, *memory);
+  }
   size_t Arrivals() const {
     size_t arrivals = 0;
     for (size_t at = target.Received().find("POST "); at != std::string::npos;
@@ -124,6 +140,40 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(gets_the_answer_that_the_previous_owner_remembers) {
+  keyed_gate fixture({{kSound}});
+  BOOST_TEST(fixture.Send().answer.body == "body");
+  fixture.Remember(EncodeRememberedAnswer({201, {}, "kept"}));
+  const dispatch_answer repeated = fixture.Send();
+  BOOST_TEST(repeated.answer.status == 201);
+  BOOST_TEST(repeated.answer.body == "kept");
+  BOOST_TEST(fixture.Arrivals() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(gets_no_part_of_an_answer_that_cannot_be_read) {
+  const std::string whole = EncodeRememberedAnswer({200, {}, "kept"});
+  const std::string unreadable[] = {
+      "", "x", whole.substr(0, whole.size() - 1),
+      EncodeFrame(peer_message{cancel_request{1}}).substr(kFrameHeaderSize)};
+  for (const std::string& answer : unreadable) {
+    keyed_gate fixture({{kSound}});
+    BOOST_TEST(fixture.Send().answer.body == "body");
+    fixture.Remember(answer);
+    CheckLost(fixture.Send());
+    BOOST_TEST(fixture.Arrivals() == 1U);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(gets_no_part_of_an_answer_with_an_invalid_status) {
+  for (const int status : {0, 99, 100, 600}) {
+    keyed_gate fixture({{kSound}});
+    BOOST_TEST(fixture.Send().answer.body == "body");
+    fixture.Remember(EncodeRememberedAnswer({status, {}, "kept"}));
+    CheckLost(fixture.Send());
+    BOOST_TEST(fixture.Arrivals() == 1U);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace bulrushway
