Read rows of the table service only from a success

Cause: of the calls to the table service, ReadRows alone did not look at the status.

Change: any status but 200 is an error of the platform, as for the other calls.

--- a/src/http_table_service.cpp
+++ b/src/http_table_service.cpp
@@ -122,7 +122,9 @@
   Send(std::move(request), "read rows",
        [done = std::move(done), peer = ToString(Address())](const result<http_answer>& answer) {
          if (!answer) return done(tl::unexpected<error>(answer.error()));
-         done(ParseRows(answer->body, peer));
+         if (answer->status == 200) return done(ParseRows(answer->body, peer));
+         done(Failure(error_kind::kPeer, "read rows", peer,
+                      "The platform answered with status " + std::to_string(answer->status) + "."));
        });
 }
 
