--- a/test/error/broken_peer_answers_test.cpp
+++ b/test/error/broken_peer_answers_test.cpp
@@ -5,31 +5,19 @@
 #include <optional>
 #include <utility>
 
-#include "free_address.h"
+#include "answering_server.h"
 #include "meshed_node.h"
 
 namespace bulrushway {
 namespace {
 
-using std::chrono::milliseconds;
-
 // Two nodes; `near` sends requests to `far`.
 struct connected_nodes {
   connected_nodes() {
     BOOST_REQUIRE(far.mesh.Listen(address).has_value());
     near.fleet.OnMember({"far", address, "dc", "r", "s", 1, {}});
     near.mesh.FollowMembers(boot_clock::now());
-    BOOST_REQUIRE(Until([this] { return near.fleet.Find("far")->reachable; }));
-  }
-  bool Until(const std::function<bool()>& done) {
-    const instant end = boot_clock::now() + milliseconds(3000);
-    timer poll(loop, [this](instant) { loop.Stop(); });
-    while (!done()) {
-      if (boot_clock::now() >= end) return false;
-      poll.Once(milliseconds(5));
-      loop.Run();
-    }
-    return true;
+    BOOST_REQUIRE(testing::RunUntil(loop, [this] { return near.fleet.Find("far")->reachable; }));
   }
   // What `near` gets for a request that `far` answers so.
   dispatch_answer Exchange(const http_answer& target_answer) {
@@ -39,9 +27,9 @@
         near.mesh.Send(boot_clock::now(), "far", {}, false,
                        [&](instant, dispatch_answer answer) { received = std::move(answer); });
     BOOST_REQUIRE(ticket != 0U);
-    BOOST_REQUIRE(Until([&] { return far.requests.size() > index; }));
+    BOOST_REQUIRE(testing::RunUntil(loop, [&] { return far.requests.size() > index; }));
     far.Answer(index, target_answer);
-    BOOST_REQUIRE(Until([&] { return received.has_value(); }));
+    BOOST_REQUIRE(testing::RunUntil(loop, [&] { return received.has_value(); }));
     return *received;
   }
   void CheckLost(const http_answer& target_answer) {
