Keep the check of answers beside their type

IsWritable needs nothing of the parser: it moves from http_parser to http_message, where IsFinalStatus is, and its two users need one header less. No change in behaviour; its tests are an_answer_in_a_frame and a_repeat_under_an_idempotency_key.

--- a/src/gate_memory.cpp
+++ b/src/gate_memory.cpp
@@ -3,7 +3,6 @@
 #include <utility>
 
 #include "gate_job.h"
-#include "http_parser.h"
 #include "peer_codec.h"
 
 namespace bulrushway {
--- a/src/http_message.cpp
+++ b/src/http_message.cpp
@@ -4,9 +4,33 @@
 #include <event2/keyvalq_struct.h>
 #include <strings.h>
 
+#include <algorithm>
 #include <cctype>
+#include <string_view>
 
 namespace bulrushway {
+namespace {
+
+bool IsFieldName(std::string_view name) {
+  constexpr std::string_view kPunctuation = "!#$%&'*+-.^_`|~";
+  return !name.empty() && std::all_of(name.begin(), name.end(), [kPunctuation](unsigned char c) {
+    return std::isalnum(c) != 0 || kPunctuation.find(static_cast<char>(c)) != kPunctuation.npos;
+  });
+}
+
+bool IsFieldValue(std::string_view value) {
+  return std::none_of(value.begin(), value.end(),
+                      [](unsigned char c) { return c != '\t' && std::iscntrl(c) != 0; });
+}
+
+}  // namespace
+
+bool IsWritable(const http_answer& answer) {
+  return IsFinalStatus(answer.status) &&
+         std::all_of(answer.headers.begin(), answer.headers.end(), [](const auto& field) {
+           return IsFieldName(field.first) && IsFieldValue(field.second);
+         });
+}
 
 std::string FindHeader(const header_list& headers, const std::string& name) {
   for (const auto& [key, value] : headers) {
--- a/src/http_message.h
+++ b/src/http_message.h
@@ -37,6 +37,10 @@
   return status >= kFirstFinalStatus && status <= kLastStatus;
 }
 
+/// Whether the answer can be written as valid HTTP: its status is final, its field names are tokens
+/// and its field values hold no control characters but tabs (RFC 9110, section 5).
+bool IsWritable(const http_answer& answer);
+
 /// Value of the first header of this name, ignoring case; empty when absent.
 std::string FindHeader(const header_list& headers, const std::string& name);
 
--- a/src/http_parser.cpp
+++ b/src/http_parser.cpp
@@ -93,18 +93,6 @@
       std::min<size_t>(limits.header_bytes, std::numeric_limits<uint32_t>::max()));
 }
 
-bool IsFieldName(std::string_view name) {
-  constexpr std::string_view kPunctuation = "!#$%&'*+-.^_`|~";
-  return !name.empty() && std::all_of(name.begin(), name.end(), [kPunctuation](unsigned char c) {
-    return std::isalnum(c) != 0 || kPunctuation.find(static_cast<char>(c)) != kPunctuation.npos;
-  });
-}
-
-bool IsFieldValue(std::string_view value) {
-  return std::none_of(value.begin(), value.end(),
-                      [](unsigned char c) { return c != '\t' && std::iscntrl(c) != 0; });
-}
-
 bool ListContains(std::string_view list, std::string_view name) {
   while (!list.empty()) {
     const size_t comma = list.find(',');
@@ -358,13 +346,6 @@
          });
 }
 
-bool IsWritable(const http_answer& answer) {
-  return IsFinalStatus(answer.status) &&
-         std::all_of(answer.headers.begin(), answer.headers.end(), [](const auto& field) {
-           return IsFieldName(field.first) && IsFieldValue(field.second);
-         });
-}
-
 bool IsHopByHop(std::string_view name, std::string_view connection_options) {
   const bool listed =
       std::any_of(kHopByHopHeaders.begin(), kHopByHopHeaders.end(),
--- a/src/http_parser.h
+++ b/src/http_parser.h
@@ -119,10 +119,6 @@
 /// "Connection: close". Hop-by-hop headers are omitted.
 std::string SerializeAnswerHead(const http_answer& answer, bool keep_alive);
 
-/// Whether the answer can be written as valid HTTP: its status is final, its field names are tokens
-/// and its field values hold no control characters but tabs (RFC 9110, section 5).
-bool IsWritable(const http_answer& answer);
-
 /// Whether the header is hop-by-hop and must not be forwarded. `connection_options` is the value of
 /// the message's Connection header.
 bool IsHopByHop(std::string_view name, std::string_view connection_options);
--- a/src/peer_mesh_links.cpp
+++ b/src/peer_mesh_links.cpp
@@ -5,7 +5,6 @@
 #include <utility>
 #include <vector>
 
-#include "http_parser.h"
 #include "peer_mesh.h"
 
 namespace bulrushway {
