--- a/review/standins2.py
+++ b/review/standins2.py
@@ -9,6 +9,7 @@
 import base64
 import json
 import os
+import random
 import re
 import shutil
 import signal
@@ -27,23 +28,32 @@
 MAX_ANSWER_TO_HEARTBEAT = 4 << 10
 
 
-def free_port(ip="127.0.0.1"):
-    with socket.socket() as probe:
-        probe.bind((ip, 0))
-        return probe.getsockname()[1]
+class port_pool:
+    """Free ports below those that the system gives to outgoing connections, each handed out once."""
 
+    FIRST, LAST = 10_000, 32_000
 
-def free_range(ip, count):
-    """First of `count` ports in a row that are free."""
-    while True:
-        first = free_port(ip)
-        try:
-            for port in range(first, first + count):
-                with socket.socket() as probe:
-                    probe.bind((ip, port))
-            return first
-        except (OSError, OverflowError):
-            continue
+    def __init__(self, ip):
+        self.ip = ip
+        self.next = random.randrange(self.FIRST, self.LAST)
+
+    def take(self, count=1):
+        """First of `count` free ports in a row."""
+        while True:
+            if self.next + count > self.LAST:
+                self.next = self.FIRST
+            first = self.next
+            self.next += count
+            if all(self.is_free(port) for port in range(first, first + count)):
+                return first
+
+    def is_free(self, port):
+        with socket.socket() as probe:
+            try:
+                probe.bind((self.ip, port))
+                return True
+            except OSError:
+                return False
 
 
 class message:
@@ -230,7 +240,7 @@
 class machine:
     """A machine: the project's program and the addresses beside it."""
 
-    def __init__(self, home, name, zone, region, service, grants, memory_mb):
+    def __init__(self, home, name, zone, region, service, grants, memory_mb, ports):
         self.name = name
         self.zone = zone
         self.region = region
@@ -238,12 +248,12 @@
         self.grants = grants
         self.memory_mb = memory_mb
         self.ip = "127.0.0.1"
-        self.inner = free_range(self.ip, 16)
-        self.outbound = free_port()
-        self.ready = free_port()
-        self.control = free_port()
-        self.app = free_port()
-        self.store = free_port()
+        self.inner = ports.take(16)
+        self.outbound = ports.take()
+        self.ready = ports.take()
+        self.control = ports.take()
+        self.app = ports.take()
+        self.store = ports.take()
         self.settings = os.path.join(home, name + ".ini")
         self.log = os.path.join(home, name + ".log")
         self.process = None
@@ -309,10 +319,11 @@
         self.home = tempfile.mkdtemp(prefix="bulrushway-review-")
         self.store = store()
         self.machines = []
+        self.ports = port_pool("127.0.0.1")
         self.record = record(folder)
 
     async def add(self, name, zone, region, service, grants="heartbeat", memory_mb=260):
-        added = machine(self.home, name, zone, region, service, grants, memory_mb)
+        added = machine(self.home, name, zone, region, service, grants, memory_mb, self.ports)
         await self.store.listen(added.ip, added.store, name)
         self.machines.append(added)
         return added
