--- a/review/6/case.py
+++ b/review/6/case.py
@@ -118,4 +118,4 @@
     return BROKEN if shared_s > LONGEST_SHARED_S or stale else HELD
 
 
-run_case(main)
+run_case(main, trouble=os.environ.get("TROUBLE", "1") != "0")
--- a/review/standins2.py
+++ b/review/standins2.py
@@ -579,10 +579,9 @@
             await asyncio.sleep(HEARTBEAT_S)
 
 
-def run_case(main):
+def run_case(main, trouble):
     """Runs `main(deployment, trouble)`, which returns HELD or BROKEN, and exits with the status."""
     folder = os.path.dirname(os.path.abspath(sys.argv[0]))
-    trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def play():
         if not os.path.exists(PROGRAM):
