Log which sessions of the target its grants reach

The log of the process beside it said neither over which connection a grant went nor how old the evidence for the incarnation was: renewals that succeed leave no line, and "target down" appears without the age of the heartbeat.

Change: http_client numbers the sessions of a server.

--- a/src/grant_delivery.h
+++ b/src/grant_delivery.h
@@ -105,6 +105,9 @@
   grant_call_result result = grant_call_result::kUnknown;
   /// Handover data of released keys.
   std::string handover = {};
+  /// Session of the connection that the call was sent on, numbered from 1: all calls of a session
+  /// reach the same incarnation. 0 if no connection was established, and for releases.
+  uint64_t session = 0;
   /// The connection broke or could not be opened: another incarnation may use the address.
   bool connection_lost = false;
   /// Description for the log.
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -20,6 +20,7 @@
 struct http_client::pool {
   std::vector<std::unique_ptr<http_client_connection>> open;
   std::deque<std::unique_ptr<pending>> waiting;
+  uint64_t latest_session = 0;
 };
 
 http_client::http_client(event_loop& loop, http_client_settings settings)
@@ -30,13 +31,14 @@
 http_client::~http_client() = default;
 
 http_client::request_id http_client::Send(const socket_address& address, http_request request,
-                                          std::chrono::milliseconds timeout, callback done) {
+                                          std::chrono::milliseconds timeout, callback done,
+                                          session_check may_send) {
   const request_id id = next_id_++;
   const instant now = boot_clock::now();
   auto& connections = pools_[address];
   if (!connections) connections = std::make_unique<pool>();
-  connections->waiting.push_back(
-      std::make_unique<pending>(pending{id, std::move(request), std::move(done), now + timeout}));
+  connections->waiting.push_back(std::make_unique<pending>(
+      pending{id, std::move(request), std::move(done), now + timeout, std::move(may_send)}));
   Dispatch(address);
   sweep_.Once(kSweepInterval);
   return id;
@@ -97,6 +99,20 @@
   }
 }
 
+uint64_t http_client::JoinSession(const http_client_connection& established) {
+  pool& connections = *pools_.at(established.address());
+  for (const auto& other : connections.open) {
+    const bool continues = other.get() != &established && other->ServerHoldsOpen() &&
+                           other->session() == connections.latest_session;
+    if (continues) return connections.latest_session;
+  }
+  return ++connections.latest_session;
+}
+
+uint64_t http_client::LatestSession(const socket_address& address) const {
+  return pools_.at(address)->latest_session;
+}
+
 bool http_client::CloseOneIdle(pool& connections) {
   const auto idle =
       std::find_if(connections.open.begin(), connections.open.end(),
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -29,6 +29,10 @@
   bool timed_out = false;
   /// The connection was refused: no process listens on the address.
   bool refused = false;
+  /// Start of the attempt to connect that was refused: no process that listened earlier runs.
+  instant refused_attempt{};
+  /// The check of the session did not permit to send the request.
+  bool withheld = false;
   /// The server closed or reset the connection before the first byte of an answer.
   bool closed_before_answer = false;
   /// The answer is larger than permitted, or than can be held at present.
@@ -75,6 +79,8 @@
   /// Called when a server closes an idle connection that it had not announced to close. May be
   /// empty.
   std::function<void()> on_idle_closed = {};
+  /// Numbers the sessions of a server, see `http_client::session_check`.
+  bool track_sessions = false;
 };
 
 /// Sends requests over a pool of persistent connections per address.
@@ -83,6 +89,11 @@
   using callback = std::function<void(tl::expected<http_answer, http_failure>)>;
   /// Identifies a request in flight.
   using request_id = uint64_t;
+  /// Called with the session of the connection before a request is written to it; returns whether
+  /// it may be. A session comprises connections that certainly reach the same process: each was
+  /// established while another one was open. Connections of earlier sessions take no further
+  /// request. Sessions of an address are numbered from 1.
+  using session_check = std::function<bool(uint64_t session)>;
 
   http_client(event_loop& loop, http_client_settings settings);
   /// Opens at most `max_connections` to one address and requires answers with a length.
@@ -93,9 +104,10 @@
   http_client(const http_client&) = delete;
   http_client& operator=(const http_client&) = delete;
 
-  /// Sends a request and calls `done` once, after Send has returned.
+  /// Sends a request and calls `done` once, after Send has returned. `may_send` requires
+  /// `track_sessions`, and may be empty.
   request_id Send(const socket_address& address, http_request request,
-                  std::chrono::milliseconds timeout, callback done);
+                  std::chrono::milliseconds timeout, callback done, session_check may_send = {});
   /// Closes the connection of the request, so that the server notices the cancellation. `done` is
   /// not called. Unknown ids are ignored.
   void Cancel(request_id id);
@@ -119,6 +131,9 @@
   struct pool;
 
   void Dispatch(const socket_address& address);
+  // The session of a connection that has just been established.
+  uint64_t JoinSession(const http_client_connection& established);
+  uint64_t LatestSession(const socket_address& address) const;
   // Closes an idle connection to make room for a new one; false when there is none.
   static bool CloseOneIdle(pool& connections);
   void OnConnectionClosed(http_client_connection* connection);
--- a/src/http_client_connection.cpp
+++ b/src/http_client_connection.cpp
@@ -3,6 +3,7 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -96,6 +97,7 @@
   current_ = std::move(request);
   skipped_answer_ = false;
   written_ = false;
+  withheld_ = false;
   parser_ = std::make_unique<http_answer_parser>(
       http_size_limits{.body_bytes = client_.settings_.max_answer_bytes});
   if (established_) return Write();
@@ -111,6 +113,7 @@
 
 bool http_client_connection::Usable(instant now) const {
   if (closed_ || current_ || !established_) return false;
+  if (client_.settings_.track_sessions && session_ != client_.LatestSession(address_)) return false;
   // Input received without a request in flight belongs to no request.
   if (evbuffer_get_length(bufferevent_get_input(raw_)) > 0) return false;
   std::chrono::nanoseconds limit = client_.settings_.idle_limit;
@@ -122,6 +125,9 @@
 }
 
 void http_client_connection::Write() {
+  // A withheld request fails at the next check of time limits: its sender may be on the call stack.
+  withheld_ = current_->may_send && !current_->may_send(session_);
+  if (withheld_) return;
   written_ = true;
   const std::string head = SerializeRequestHead(current_->request, {});
   evbuffer* output = bufferevent_get_output(raw_);
@@ -157,6 +163,7 @@
   if (closed_) return;
   if ((events & BEV_EVENT_CONNECTED) != 0) {
     established_ = true;
+    if (client_.settings_.track_sessions) session_ = client_.JoinSession(*this);
     if (current_) Write();
     return;
   }
@@ -185,6 +192,12 @@
     client_.OnConnectionClosed(this);
     return;
   }
+  // The input does not answer a request that was not written.
+  if (withheld_) {
+    return Fail({.may_have_run = false,
+                 .withheld = true,
+                 .message = "The server sent bytes that no request had asked for."});
+  }
   while (evbuffer_get_length(input) > 0) {
     const size_t available = evbuffer_get_length(input);
     const auto* bytes = reinterpret_cast<const char*>(evbuffer_pullup(input, -1));
@@ -253,6 +266,7 @@
   http_failure failure;
   failure.may_have_run = written_;
   failure.refused = !established_ && errno == ECONNREFUSED;
+  if (failure.refused) failure.refused_attempt = connect_started_;
   failure.closed_before_answer = !parser_->Started();
   failure.message =
       established_ ? "The connection was closed before the answer was complete."
@@ -265,6 +279,16 @@
   if (!announced.empty()) announced_limit_ = ParseKeepAlive(announced);
 }
 
+bool http_client_connection::ServerHoldsOpen() const {
+  if (closed_ || !established_) return false;
+  // The end of the stream may wait behind an answer that has not been read.
+  pollfd poll_for_end{bufferevent_getfd(raw_), POLLRDHUP, 0};
+  if (poll(&poll_for_end, 1, 0) < 0 || poll_for_end.revents != 0) return false;
+  char byte = 0;
+  const ssize_t received = recv(poll_for_end.fd, &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT);
+  return received > 0 || (received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK));
+}
+
 bool http_client_connection::HasUnreadInput() const {
   char byte = 0;
   const ssize_t received =
@@ -315,6 +339,18 @@
   client.Dispatch(address);
 }
 
+void http_client_connection::Withhold(instant now) {
+  const auto request = std::move(current_);
+  parser_.reset();
+  idle_since_ = now;
+  http_client& client = client_;
+  const socket_address address = address_;
+  http_failure failure{.may_have_run = false, .withheld = true};
+  failure.message = "The server may have been restarted since an earlier request.";
+  if (request->done) request->done(tl::unexpected<http_failure>(std::move(failure)));
+  client.Dispatch(address);
+}
+
 void http_client_connection::Abandon() {
   current_.reset();
   parser_.reset();
@@ -337,6 +373,7 @@
                  .timed_out = true,
                  .message = "The connection was not established before the time limit."});
   }
+  if (withheld_) return Withhold(now);
   if (now < current_->deadline) return Resume();
   client_.OnUnanswered(address_);
   Fail({.may_have_run = written_,
--- a/src/http_client_connection.h
+++ b/src/http_client_connection.h
@@ -21,6 +21,7 @@
   http_request request;
   callback done;
   instant deadline;
+  session_check may_send = {};
 };
 
 class http_client_connection {
@@ -40,6 +41,10 @@
   /// Whether the socket holds bytes, or the end of the stream, that the event loop has not read
   /// yet.
   bool HasUnreadInput() const;
+  /// Whether the server has certainly not closed the connection yet.
+  bool ServerHoldsOpen() const;
+  /// The session, if the client tracks them; 0 until the connection is established.
+  uint64_t session() const { return session_; }
   /// Whether a request with the same id was refused on this connection.
   bool HasRefused(const http_request& request) const;
   /// Drops the request in flight without calling back, and closes the connection.
@@ -83,6 +88,8 @@
   // Notes the refusal of a request; false when the connection can take no further one.
   bool RecordRefusal(const http_request& request, const http_answer& answer);
   void Fail(http_failure failure);
+  // Fails the request in flight, which was not written, and keeps the connection.
+  void Withhold(instant now);
   void RecordKeepAlive(const http_answer& answer);
 
   http_client& client_;
@@ -91,6 +98,7 @@
   std::unique_ptr<http_client::pending> current_;
   std::unique_ptr<http_answer_parser> parser_;
   bool established_ = false;
+  uint64_t session_ = 0;
   // Bytes received since the request was sent, interim and skipped answers included.
   size_t answer_bytes_ = 0;
   // The same, or the length that the answer announces if that is more.
@@ -98,6 +106,7 @@
   bool admitted_ = false;
   bool awaits_memory_ = false;
   bool written_ = false;
+  bool withheld_ = false;
   bool skipped_answer_ = false;
   bool closed_ = false;
   // Ids of the requests that the server said it has not run.
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -283,6 +283,15 @@
   target_condition condition = target_.Condition(now);
   const bool leaving = DataCentreOut() || stopping_since_.has_value();
   if (condition == target_condition::kReady && leaving) condition = target_condition::kLeaving;
+  if (condition != target_condition_) {
+    target_condition_ = condition;
+    log_.Write("target_condition",
+               {{"target", target_.incarnation().id},
+                {"condition", std::string(Name(condition))},
+                {"heartbeat_age_ms", std::to_string(target_.HeartbeatAge(now).count())},
+                {"refuses_connections", target_.RefusesConnections() ? "yes" : "no"}},
+               log_priority::kNotable);
+  }
   members_.SetTarget(now, condition, target_.incarnation());
   gate_.Tick(now);
 }
--- a/src/node.h
+++ b/src/node.h
@@ -230,6 +230,7 @@
   memory_budget budget_;
   bulk_pacer pacer_;
   own_target target_;
+  target_condition target_condition_ = target_condition::kUnknown;
   target_gate gate_;
   peer_mesh mesh_;
   quota_service quotas_;
--- a/src/own_target.h
+++ b/src/own_target.h
@@ -76,6 +76,11 @@
   /// Condition of the target for the range_controller of its keys.
   target_condition Condition(instant now) const;
   bool Cold(instant now) const { return now < cold_until_; }
+  /// Time since the last accepted heartbeat.
+  std::chrono::milliseconds HeartbeatAge(instant now) const {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(now - last_heartbeat_);
+  }
+  bool RefusesConnections() const { return refused_since_.has_value(); }
   /// Expected time of the next heartbeat.
   instant NextHeartbeat() const { return last_heartbeat_ + settings_.heartbeat; }
 
--- a/src/range_controller.h
+++ b/src/range_controller.h
@@ -16,6 +16,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <variant>
 #include <vector>
@@ -61,6 +62,21 @@
   kDown,
 };
 
+/// Name of the condition in logs.
+inline std::string_view Name(target_condition condition) {
+  switch (condition) {
+    case target_condition::kReady:
+      return "ready";
+    case target_condition::kLeaving:
+      return "leaving";
+    case target_condition::kDown:
+      return "down";
+    case target_condition::kUnknown:
+      break;
+  }
+  return "unknown";
+}
+
 /// A lease row as read from the store.
 struct observed_lease {
   lease_record record;
