Send a fencing token to one session of the target only

Cause: call_grants kept one flag for the target, "the address belongs to the known incarnation", while the evidence is a connection. Any close that was announced (Connection: close) or made by this process left the flag set, and any heartbeat set it again, also one sent before the restart. The next renewal opened a connection to whoever listened there.

Change: a fence is bound to the session in which it was first sent. In another session the call is withheld before it is written, and the owner assigns its keys to itself again under new fences (reason "target may have restarted"). The token is then above all that any life has seen, so that it does not matter who listens. Fences that an earlier process of the node may have sent count as sent in an unknown session: the same cause after a restart of this process. The simulated fleet learns what processes know of their targets from heartbeats and requests, as the node does, and has connections, and targets that restart under their id.

--- a/src/call_grants.cpp
+++ b/src/call_grants.cpp
@@ -33,6 +33,12 @@
   for (const granted_range& range : permitted) {
     part next{.range = range};
     for (const part& known : parts_) {
+      // Under a new fence, the target holds the keys until the earlier grant ends.
+      if (known.range.fence != range.fence && known.range.keys.first <= range.keys.first &&
+          known.range.keys.last >= range.keys.last) {
+        next.relied_until = known.relied_until;
+        next.not_held_until = known.not_held_until;
+      }
       // The rest of a range of which a part is released stays granted.
       const bool covered = known.range.fence == range.fence &&
                            known.range.keys.first <= range.keys.first &&
@@ -51,6 +57,7 @@
 std::vector<grant_call> call_grants::DueGrants(instant now, const target_incarnation& target,
                                                const std::vector<granted_range>& permitted,
                                                milliseconds lease_left) {
+  target_ = target;
   SetPermitted(permitted);
   std::erase_if(possible_,
                 [now](const possible_hold& hold) { return !hold.in_flight && now >= hold.until; });
@@ -65,12 +72,19 @@
     const bool fresh = each.relied_until - now > renewal;
     if (each.in_flight || now < each.next_attempt || fresh) continue;
     if (now + hold <= each.relied_until) continue;
+    const uint64_t fence = each.range.fence;
+    if (MayBelongToOther(fence) || first_calls_.contains(fence)) continue;
     grant_call call;
     call.id = next_call_++;
     call.target = target;
     call.range = each.range;
     call.hold = hold;
     call.timeout = kGrantTimeout;
+    if (const auto sent = sessions_.find(fence); sent != sessions_.end()) {
+      call.session = sent->second;
+    } else {
+      first_calls_.insert(fence);
+    }
     each.in_flight = true;
     const instant latest_end = now + kGrantTimeout + LongestHold(limits_, hold);
     possible_.push_back({call.id, each.range.keys, now, latest_end});
@@ -99,7 +113,8 @@
 
 void call_grants::OnOutcome(instant now, const grant_call& call,
                             const grant_call_outcome& outcome) {
-  if (outcome.connection_lost) OnConnectionLost();
+  if (outcome.connection_lost && call.target == target_) OnConnectionLost();
+  if (call.type == grant_call::kind::kGrant) RecordSession(call, outcome);
   const auto hold =
       std::find_if(possible_.begin(), possible_.end(),
                    [&call](const possible_hold& each) { return each.call == call.id; });
@@ -129,6 +144,25 @@
   }
 }
 
+void call_grants::RecordSession(const grant_call& call, const grant_call_outcome& outcome) {
+  latest_session_ = std::max(latest_session_, outcome.session);
+  if (call.session != 0) return;
+  first_calls_.erase(call.range.fence);
+  if (outcome.session != 0) sessions_[call.range.fence] = outcome.session;
+}
+
+void call_grants::ForgetFencesExcept(const std::vector<uint64_t>& assigned) {
+  std::erase_if(sessions_, [&assigned](const auto& sent) {
+    return !std::binary_search(assigned.begin(), assigned.end(), sent.first);
+  });
+}
+
+bool call_grants::MayBelongToOther(uint64_t fence) const {
+  const auto sent = sessions_.find(fence);
+  if (sent != sessions_.end()) return sent->second < latest_session_;
+  return fence < inherited_fences_end_;
+}
+
 bool call_grants::InFlight(const key_range& keys) const {
   return std::any_of(possible_.begin(), possible_.end(), [&keys](const possible_hold& hold) {
     return hold.in_flight && hold.keys.Overlaps(keys);
@@ -176,6 +210,7 @@
 }
 
 void call_grants::OnIncarnationEnded() {
+  target_ = {};
   parts_.clear();
   possible_.clear();
   identified_ = false;
--- a/src/grant_delivery.h
+++ b/src/grant_delivery.h
@@ -72,6 +72,8 @@
   std::chrono::milliseconds hold{0};
   /// Time for an answer, after which the connection is closed.
   std::chrono::milliseconds timeout{0};
+  /// The only session in which a grant may be sent; 0: any.
+  uint64_t session = 0;
 };
 
 /// What became of a grant_call.
@@ -105,9 +107,12 @@
   grant_call_result result = grant_call_result::kUnknown;
   /// Handover data of released keys.
   std::string handover = {};
-  /// Session of the connection that the call was sent on, numbered from 1: all calls of a session
-  /// reach the same incarnation. 0 if no connection was established, and for releases.
+  /// Session of the connection that the call was sent on, or withheld from, numbered from 1: all
+  /// calls of a session reach the same incarnation. 0 if no connection was established, and for
+  /// releases.
   uint64_t session = 0;
+  /// The call was not sent, since the session is another one than it requires.
+  bool withheld = false;
   /// The connection broke or could not be opened: another incarnation may use the address.
   bool connection_lost = false;
   /// Description for the log.
--- a/src/range_controller.cpp
+++ b/src/range_controller.cpp
@@ -60,6 +60,22 @@
   if (map_stale_since_ && read_started >= *map_stale_since_) map_stale_since_.reset();
   map_read_at_ = std::max(map_read_at_, read_started);
   DropFinishedReleases();
+  ReportAssignedFences();
+}
+
+void range_controller::ReportAssignedFences() {
+  call_grants* calls = ByCall();
+  if (calls == nullptr) return;
+  std::vector<uint64_t> assigned;
+  for (const owned_range& range : map_.ranges) {
+    if (range.owner.node == settings_.node) assigned.push_back(range.fence);
+  }
+  std::sort(assigned.begin(), assigned.end());
+  calls->ForgetFencesExcept(assigned);
+  // An earlier process cannot grant what was assigned after this one had acquired the lease.
+  if (inherited_fences_known_ || !lease_was_acquired_ || !MapIsFresh()) return;
+  inherited_fences_known_ = true;
+  calls->OnFencesInherited(map_.next_fence);
 }
 
 void range_controller::DropFinishedReleases() {
@@ -69,7 +85,10 @@
   });
 }
 
-void range_controller::OnLeaseAcquired(instant now) { map_required_since_ = now; }
+void range_controller::OnLeaseAcquired(instant now) {
+  map_required_since_ = now;
+  lease_was_acquired_ = true;
+}
 
 void range_controller::OnLeases(instant now, std::vector<observed_lease> leases,
                                 store_time store_now) {
@@ -99,6 +118,7 @@
   map_version_ = *outcome;
   map_era_ = EraOf(*outcome);
   DropFinishedReleases();
+  ReportAssignedFences();
 }
 
 void range_controller::SetTarget(instant, target_condition condition,
@@ -233,9 +253,9 @@
 void range_controller::OnCallOutcome(instant now, const grant_call& call,
                                      const grant_call_outcome& outcome) {
   call_grants* calls = ByCall();
-  if (calls == nullptr || call.target != incarnation_) return;
+  if (calls == nullptr) return;
   calls->OnOutcome(now, call, outcome);
-  if (call.type != grant_call::kind::kRelease) return;
+  if (call.target != incarnation_ || call.type != grant_call::kind::kRelease) return;
   for (pending_release& pending : pending_releases_) {
     if (pending.keys != call.range.keys || pending.fence != call.range.fence) continue;
     pending.call_in_flight = false;
--- a/src/range_controller.h
+++ b/src/range_controller.h
@@ -233,10 +233,14 @@
     return std::visit([&use](grant_delivery auto& grants) { return use(grants); }, grants_);
   }
   call_grants* ByCall() { return std::get_if<call_grants>(&grants_); }
+  const call_grants* ByCall() const { return std::get_if<call_grants>(&grants_); }
+  // Whether the target may be another incarnation than the one that was sent this fence.
+  bool FenceMayBelongToOther(uint64_t fence) const {
+    return ByCall() != nullptr && ByCall()->MayBelongToOther(fence);
+  }
   // Whether the target has refused a grant under this fence for a higher one.
   bool HigherFenceSeen(uint64_t fence) const {
-    const auto* calls = std::get_if<call_grants>(&grants_);
-    return calls != nullptr && calls->HigherFenceSeen(fence);
+    return ByCall() != nullptr && ByCall()->HigherFenceSeen(fence);
   }
   // Ranges that the target may be granted; parts that are being released or reassigned are
   // excluded, and the rest keeps its fence.
@@ -255,6 +259,8 @@
   bool HasClaim(instant now) const { return claim_ && now < claim_->until; }
   bool IsFinished(instant now, const pending_release& pending) const;
   void DropFinishedReleases();
+  // Tells the grants which fences are assigned to this node.
+  void ReportAssignedFences();
   // Starts the read, unless the last one failed just now.
   range_action StartRead(instant now, range_action read);
   // Fills in a change that is not a claim. Returns false if there is nothing to change; sets
@@ -282,6 +288,9 @@
   uint64_t map_version_ = 0;
   // Grants need a map whose read was started at this instant or later.
   instant map_required_since_{};
+  bool lease_was_acquired_ = false;
+  // The fences that an earlier process of this node may have granted are known.
+  bool inherited_fences_known_ = false;
   instant map_read_at_{};
   // Era of the store when the map was read.
   uint64_t map_era_ = 0;
--- a/src/range_controller_moves.cpp
+++ b/src/range_controller_moves.cpp
@@ -81,6 +81,10 @@
       Reassign(map, range.keys, Self(), {});
       change_.reason = "higher fence seen";
       changed = true;
+    } else if (condition_ == target_condition::kReady && FenceMayBelongToOther(range.fence)) {
+      Reassign(map, range.keys, Self(), {});
+      change_.reason = "target may have restarted";
+      changed = true;
     } else if ((former_incarnation || condition_ == target_condition::kDown) && !others.empty() &&
                condition_ != target_condition::kUnknown) {
       SpreadOver(map, range.keys, {}, others);
--- a/test/correctness/call_grants_test.cpp
+++ b/test/correctness/call_grants_test.cpp
@@ -169,6 +169,75 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+// A fence that one incarnation has seen must not reach another one, and a heartbeat that was sent
+// before a restart does not tell them apart.
+BOOST_AUTO_TEST_SUITE(in_another_session_of_the_target)
+
+grant_call_outcome DoneIn(uint64_t session) {
+  return {.result = grant_call_result::kDone, .session = session};
+}
+
+BOOST_AUTO_TEST_CASE(are_not_granted_under_the_same_fence) {
+  granting_process process;
+  const grant_call first = process.Send(kStart);
+  BOOST_TEST(first.session == 0U);
+  process.grants.OnOutcome(kStart, first, DoneIn(1));
+  const instant renewed = kStart + milliseconds(2100);
+  const grant_call renewal = process.Send(renewed);
+  BOOST_TEST(renewal.session == 1U);
+  BOOST_TEST(!process.grants.MayBelongToOther(kRange.fence));
+  process.grants.OnOutcome(renewed, renewal,
+                           {.result = grant_call_result::kNotDone, .session = 2, .withheld = true});
+  BOOST_TEST(process.grants.MayBelongToOther(kRange.fence));
+  process.grants.OnHeartbeat();
+  BOOST_TEST(process.Due(renewed + milliseconds(500)).empty());
+
+  BOOST_TEST_CONTEXT("but under a new one, and stay relied on meanwhile") {
+    process.permitted[0].fence = 8;
+    const grant_call again = process.Send(renewed + milliseconds(500));
+    BOOST_TEST(again.session == 0U);
+    BOOST_TEST(process.Relies(renewed + milliseconds(500)));
+    process.grants.OnOutcome(renewed + milliseconds(510), again, DoneIn(2));
+    BOOST_TEST(!process.grants.MayBelongToOther(8));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(are_not_granted_although_the_last_call_was_not_answered) {
+  granting_process process;
+  const grant_call lost = process.Send(kStart);
+  process.grants.OnOutcome(kStart, lost, {.result = grant_call_result::kUnknown, .session = 1});
+  BOOST_TEST(process.Send(kStart + milliseconds(100)).session == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(are_granted_when_no_call_under_their_fence_was_sent) {
+  granting_process process;
+  const grant_call refused = process.Send(kStart);
+  process.grants.OnOutcome(kStart, refused, Outcome(grant_call_result::kNotDone));
+  BOOST_TEST(process.Send(kStart + milliseconds(100)).session == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(wait_for_the_first_call_under_their_fence_before_a_part_is_granted) {
+  granting_process process;
+  const grant_call whole = process.Send(kStart);
+  process.permitted = {{{100, 139}, 7, "handover"}};
+  BOOST_TEST(process.Due(kStart + milliseconds(100)).empty());
+  process.grants.OnOutcome(kStart + milliseconds(200), whole, DoneIn(3));
+  const auto due = process.Due(kStart + milliseconds(200));
+  BOOST_REQUIRE_EQUAL(due.size(), 1U);
+  BOOST_TEST(due[0].session == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(that_an_earlier_process_granted_are_not_granted_under_the_same_fence) {
+  granting_process process;
+  process.grants.OnFencesInherited(kRange.fence + 1);
+  BOOST_TEST(process.Due(kStart).empty());
+  BOOST_TEST(process.grants.MayBelongToOther(kRange.fence));
+  process.permitted[0].fence = kRange.fence + 1;
+  BOOST_TEST(process.Due(kStart).size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_CASE(of_which_a_part_is_released_stay_granted_for_the_rest) {
   granting_process process;
   process.grants.OnOutcome(kStart, process.Send(kStart), Outcome(grant_call_result::kDone));
--- a/test/correctness/range_interleaving_test.cpp
+++ b/test/correctness/range_interleaving_test.cpp
@@ -169,6 +169,33 @@
   PlayRandomFaults(grant_delivery_kind::kCall, {.late_calls = 0.2});
 }
 
+BOOST_AUTO_TEST_SUITE(of_a_target_that_restarts_under_its_id)
+
+// The process knows of no restart: the connection for grants was closed before the crash, and the
+// first heartbeat is late. Guards against grants to the new incarnation under fences that the
+// former one has seen.
+BOOST_AUTO_TEST_CASE(reach_the_new_incarnation_only_under_higher_fences) {
+  for (uint64_t seed = 1; seed <= 10; ++seed) {
+    BOOST_TEST_CONTEXT("seed " << seed) {
+      key_fleet fleet(seed, 3, grant_delivery_kind::kCall);
+      fleet.request_interval = std::chrono::hours(1);
+      fleet.RunFor(seconds(6));
+      fleet.closing_answers = 1;
+      fleet.RunFor(milliseconds(2500));
+      simulated_node& node = *fleet.nodes()[1];
+      node.target.up = false;
+      fleet.RunFor(milliseconds(100 * seed));
+      fleet.RestartTargetUnderItsId(node, milliseconds(2500));
+      fleet.closing_answers = 0;
+      fleet.RunFor(seconds(10));
+      BOOST_TEST(fleet.Report().violation == "");
+      BOOST_TEST(fleet.Report().share_held == 1.0);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 // A process that reassigns its keys is killed while the change is on its way to the store. Its
 // successor reads the map and grants the keys again before the change would take effect.
 BOOST_AUTO_TEST_CASE(are_not_moved_by_a_late_change_of_a_process_that_was_restarted) {
--- a/test/error/grant_answers_test.cpp
+++ b/test/error/grant_answers_test.cpp
@@ -24,7 +24,7 @@
   explicit called_target(std::vector<scripted_server::step> script)
       : server(loop, std::move(script)) {}
 
-  grant_call_outcome SendAndWait(grant_call::kind kind) {
+  grant_call_outcome SendAndWait(grant_call::kind kind, uint64_t session = 0) {
     grant_call call;
     call.type = kind;
     call.id = ++calls;
@@ -32,6 +32,7 @@
     call.range = {{0, 9}, calls, ""};
     call.hold = milliseconds(4000);
     call.timeout = milliseconds(500);
+    call.session = session;
     std::optional<grant_call_outcome> result;
     client.Send(call, [&](instant, const grant_call_outcome& outcome) {
       result = outcome;
@@ -86,4 +87,18 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+// The target's process may have been replaced by another one when its connection was closed.
+BOOST_AUTO_TEST_CASE(a_grant_for_a_session_that_has_ended_is_not_sent) {
+  const std::string last = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+  called_target fixture({{last}, {kDone}});
+  BOOST_TEST(fixture.SendAndWait(grant_call::kind::kGrant).session == 1U);
+  const std::string received = fixture.server.Received();
+  const grant_call_outcome outcome = fixture.SendAndWait(grant_call::kind::kGrant, 1);
+  BOOST_TEST(Name(outcome.result) == Name(grant_call_result::kNotDone));
+  BOOST_TEST(outcome.withheld);
+  BOOST_TEST(!outcome.connection_lost);
+  BOOST_TEST(outcome.session == 2U);
+  BOOST_TEST(fixture.server.Received() == received);
+}
+
 }  // namespace bulrushway
--- a/test/support/key_fleet.cpp
+++ b/test/support/key_fleet.cpp
@@ -3,6 +3,7 @@
 #include <fcntl.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace bulrushway {
 namespace {
@@ -11,6 +12,8 @@
 
 constexpr milliseconds kStep{10};
 constexpr milliseconds kHeartbeatInterval{870};
+constexpr milliseconds kDrainLimit{2500};
+constexpr uint16_t kTargetPort = 8080;
 constexpr milliseconds kCallHold{4000};
 constexpr milliseconds kReleaseHeartbeatDelay{100};
 // Distance between the keys that are checked; every range is wider.
@@ -78,7 +81,7 @@
 }
 
 grant_call_result simulated_target::Apply(instant now, instant arrived, const grant_call& call) {
-  if (!up || call.target != incarnation) return grant_call_result::kNotDone;
+  if (!up || call.target.id != incarnation.id) return grant_call_result::kNotDone;
   if (call.type == grant_call::kind::kRelease) {
     Drop(call.range.keys);
     return grant_call_result::kDone;
@@ -133,6 +136,11 @@
       CallTarget(node, call, std::move(done));
     };
   }
+  node.known_target = std::make_unique<own_target>(
+      own_target_settings{.service = kService, .address = {node.ip, kTargetPort}});
+  node.known_target->SetLimits(kHeartbeatInterval, kDrainLimit);
+  node.connected = false;
+  node.session = 0;
   const auto map_changed = [this](instant, const key_map_change& change) { OnMapChanged(change); };
   node.ranges = std::make_unique<range_service>(log_, metrics_, node.rows, settings, now_,
                                                 map_changed, call_target);
@@ -152,6 +160,7 @@
   node.process_up = false;
   *node.alive = false;
   node.ranges.reset();
+  node.known_target.reset();
 }
 
 void key_fleet::StartTarget(simulated_node& node) {
@@ -161,6 +170,14 @@
   node.target.incarnation = {"t" + std::to_string(++wall_ms_), wall_ms_};
   std::uniform_int_distribution<int> phase(0, static_cast<int>(kHeartbeatInterval.count()));
   node.target.next_heartbeat = now_ + milliseconds(phase(rng_));
+  node.connected = false;
+}
+
+void key_fleet::RestartTargetUnderItsId(simulated_node& node, milliseconds heartbeat_delay) {
+  const std::string id = node.target.incarnation.id;
+  StartTarget(node);
+  node.target.incarnation.id = id;
+  node.target.heartbeats_arrive_from = now_ + heartbeat_delay;
 }
 
 std::vector<range_candidate> key_fleet::Candidates() const {
@@ -189,11 +206,21 @@
   target.DropExpired(now_);
   for (const auto& range : target.held_ranges) heartbeat.held.push_back({range.keys, range.fence});
   heartbeat.released = target.released;
+  heartbeat.address = {node.ip, kTargetPort};
   target.next_heartbeat = now_ + kHeartbeatInterval;
+  if (delivery_ == grant_delivery_kind::kHeartbeat) return DeliverHeartbeat(node, heartbeat);
+  std::uniform_int_distribution<int> lateness(0, 3000);
+  const bool late = std::bernoulli_distribution(late_heartbeats)(rng_);
+  const instant arrives =
+      std::max(now_ + milliseconds(late ? lateness(rng_) : 0), target.heartbeats_arrive_from);
+  events_.emplace(arrives, [this, &node, heartbeat] { DeliverHeartbeat(node, heartbeat); });
+}
+
+void key_fleet::DeliverHeartbeat(simulated_node& node, const target_heartbeat& heartbeat) {
+  simulated_target& target = node.target;
   if (!node.process_up || now_ < node.paused_until) return;
-  node.ranges->SetTarget(now_,
-                         target.draining ? target_condition::kLeaving : target_condition::kReady,
-                         target.incarnation);
+  if (node.known_target->OnHeartbeat(now_, heartbeat) != heartbeat_verdict::kAccepted) return;
+  UpdateTarget(node);
   // The heartbeat takes time to arrive, so the target's hold time starts before the process's.
   std::uniform_int_distribution<int> heartbeat_delay(0, 200);
   const instant sent = now_ - milliseconds(heartbeat_delay(rng_));
@@ -215,6 +242,7 @@
 void key_fleet::CallTarget(simulated_node& node, const grant_call& call,
                            std::function<void(instant, const grant_call_outcome&)> done) {
   std::uniform_int_distribution<int> transit(0, 20);
+  const bool grants = call.type == grant_call::kind::kGrant;
   std::uniform_int_distribution<int> work(0, 300);
   std::uniform_int_distribution<int> lateness(500, 3000);
   const bool late = std::bernoulli_distribution(late_calls)(rng_);
@@ -226,6 +254,23 @@
       if (*alive) done(now_, outcome);
     });
   };
+  if (grants) {
+    events_.emplace(arrives, [this, &node, alive = node.alive, call, deliver, late,
+                              end = now_ + call.timeout, lateness = milliseconds(lateness(rng_))] {
+      // The connection of a process that has ended delivers nothing.
+      if (!*alive) return;
+      const grant_call_outcome outcome = DeliverGrant(node, call, late);
+      const bool unanswered = late && outcome.result == grant_call_result::kUnknown;
+      if (!unanswered) return deliver(outcome);
+      events_.emplace(now_ + lateness,
+                      [this, &node, call, arrived = now_, incarnation = node.target.incarnation] {
+                        if (node.target.incarnation == incarnation)
+                          node.target.Apply(now_, arrived, call);
+                      });
+      events_.emplace(end, [deliver, outcome] { deliver(outcome); });
+    });
+    return;
+  }
   if (late) {
     events_.emplace(arrives + milliseconds(lateness(rng_)),
                     [this, &node, arrives, call] { node.target.Apply(now_, arrives, call); });
@@ -236,12 +281,51 @@
     const grant_call_result result = node.target.Apply(now_, now_, call);
     grant_call_outcome outcome{.result = result};
     outcome.connection_lost = result == grant_call_result::kNotDone;
-    if (call.type == grant_call::kind::kGrant) return deliver(outcome);
     outcome.handover = "handover";
     events_.emplace(now_ + delay, [deliver, outcome] { deliver(outcome); });
   });
 }
 
+grant_call_outcome key_fleet::DeliverGrant(simulated_node& node, const grant_call& call,
+                                           bool late) {
+  grant_call_outcome outcome;
+  if (!node.target.up) {
+    node.connected = false;
+    outcome.result = grant_call_result::kNotDone;
+    outcome.connection_lost = true;
+    return outcome;
+  }
+  if (!std::exchange(node.connected, true)) ++node.session;
+  outcome.session = node.session;
+  outcome.withheld = call.session != 0 && call.session != node.session;
+  if (outcome.withheld) {
+    outcome.result = grant_call_result::kNotDone;
+    return outcome;
+  }
+  if (late) {
+    node.connected = false;
+    return outcome;
+  }
+  outcome.result = node.target.Apply(now_, now_, call);
+  outcome.connection_lost = outcome.result == grant_call_result::kNotDone;
+  if (std::bernoulli_distribution(closing_answers)(rng_)) node.connected = false;
+  return outcome;
+}
+
+void key_fleet::SendRequest(simulated_node& node) {
+  node.next_request = now_ + request_interval;
+  if (node.target.up) {
+    node.known_target->OnAnswer(now_);
+  } else {
+    node.known_target->OnConnectionRefused(now_);
+  }
+}
+
+void key_fleet::UpdateTarget(simulated_node& node) {
+  node.ranges->SetTarget(now_, node.known_target->Condition(now_),
+                         node.known_target->incarnation());
+}
+
 void key_fleet::Step() {
   now_ += kStep;
   store_.Advance(now_);
@@ -254,8 +338,8 @@
     }
     if (node->target.up && now_ >= node->target.next_heartbeat) Heartbeat(*node);
     if (!node->process_up || now_ < node->paused_until) continue;
-    if (!node->target.up)
-      node->ranges->SetTarget(now_, target_condition::kDown, node->target.incarnation);
+    if (now_ >= node->next_request) SendRequest(*node);
+    UpdateTarget(*node);
     DeliverMap(*node);
     node->ranges->Tick(now_, Candidates());
   }
@@ -297,7 +381,8 @@
       if (range.keys.Contains(key)) fence = range.fence;
     }
     auto& [last_holder, last_fence] = last_grant_[key];
-    const std::string& incarnation = holder->target.incarnation.id;
+    const target_incarnation& life = holder->target.incarnation;
+    const std::string incarnation = life.id + " started " + std::to_string(life.started_ms);
     const bool fence_grows =
         fence > last_fence || (fence == last_fence && incarnation == last_holder);
     if (!fence_grows) {
--- a/test/support/key_fleet.h
+++ b/test/support/key_fleet.h
@@ -17,6 +17,7 @@
 #include "event_loop.h"
 #include "fake_row_store.h"
 #include "metrics.h"
+#include "own_target.h"
 #include "range_service.h"
 
 namespace bulrushway {
@@ -35,6 +36,8 @@
   uint64_t sequence = 0;
   double clock_rate = 1;
   instant next_heartbeat{};
+  /// Heartbeats sent before this instant arrive at it.
+  instant heartbeats_arrive_from{};
   std::vector<held_range> held_ranges;
   std::vector<released_range> released;
   // Highest fencing tokens that it has seen, by keys.
@@ -42,7 +45,8 @@
 
   bool Holds(instant now, uint32_t key) const;
   void ApplyGrant(instant sent, instant now, const target_grant& grant);
-  /// Carries out a call that arrived at `arrived`. Never refuses a release.
+  /// Carries out a call that arrived at `arrived`. Never refuses a release. A call names its target
+  /// by the id alone.
   grant_call_result Apply(instant now, instant arrived, const grant_call& call);
   /// Stops holding the keys.
   void Drop(const key_range& keys);
@@ -61,8 +65,14 @@
   simulated_target target;
   std::shared_ptr<bool> alive;
   std::unique_ptr<range_service> ranges;
+  /// What the process knows of its target.
+  std::unique_ptr<own_target> known_target;
+  /// The process's connection for grants, and the session that it belongs to.
+  bool connected = false;
+  uint64_t session = 0;
   row_store rows;
   instant next_map_update{};
+  instant next_request{};
   instant restart_at{};
   bool restart_target = false;
   bool lost = false;
@@ -102,18 +112,33 @@
   void StartProcess(simulated_node& node);
   void StopProcess(simulated_node& node);
   void StartTarget(simulated_node& node);
+  /// Starts the target under the id that it had. Its first heartbeats take `heartbeat_delay`.
+  void RestartTargetUnderItsId(simulated_node& node, std::chrono::milliseconds heartbeat_delay);
 
   /// Longest delay before the store's feed delivers a change of the key map. In production it grows
   /// with the fleet.
   std::chrono::milliseconds max_map_delay{1500};
   /// Share of the calls to targets that are not answered, and are carried out up to 3 s later.
   double late_calls = 0;
+  /// Share of the answers to grants that close their connection.
+  double closing_answers = 0;
+  /// Share of the heartbeats that arrive up to 3 s late, where grants are made by calls.
+  double late_heartbeats = 0;
+  /// Time between two requests to a target.
+  std::chrono::milliseconds request_interval{100};
 
  private:
   void Step();
   // Delivers the notification that a node was assigned keys, unless its process is down or paused.
   void OnMapChanged(const key_map_change& change);
   void Heartbeat(simulated_node& node);
+  // Delivers a heartbeat to the process, if it runs, and its answer to the target.
+  void DeliverHeartbeat(simulated_node& node, const target_heartbeat& heartbeat);
+  // Sends the target a request, whose outcome tells whether it listens.
+  void SendRequest(simulated_node& node);
+  void UpdateTarget(simulated_node& node);
+  // Delivers a grant that arrives now. Returns its outcome, which is unknown for a late one.
+  grant_call_outcome DeliverGrant(simulated_node& node, const grant_call& call, bool late);
   // Delivers a call to the node's target, and its outcome to the process that sent it.
   void CallTarget(simulated_node& node, const grant_call& call,
                   std::function<void(instant, const grant_call_outcome&)> done);
