Keep the keys of a target that is down until its grants have ended

Cause: "target down" takes a refused connection for proof that nobody holds the keys, whatever was granted since. A target that is back at once takes grants while its heartbeats are late, and requests are what clears the refusal; an answered grant did not count. The same holds for another incarnation that leaves: its keys were given away at once, and the grants made before it identified itself were forgotten.

Evidence: target_condition says "down" with a heartbeat of 1149 ms and a refused connection; ownership_change "target down" follows in the same tick, 0.55 s after grant_session told of the new connection.

Change: a refusal is dated by the start of the attempt to connect, and ends what was granted and settled before. For the rest the owner waits for the latest end of its grants, before it gives keys away as those of a target that is down or of another incarnation. Answers and refusals of calls tell the state of the target as those of requests do. Grants in answers to heartbeats need no wait: they reach only the sender.

Result: failing without the wait and the answers: three cases of a_target_that_is_down_and_was_granted_keys_by_calls, and seed 5 of 10 of are_not_given_to_others_while_the_new_incarnation_holds_them ("key 32934 is held by n1 and n2").

--- a/src/call_grants.cpp
+++ b/src/call_grants.cpp
@@ -87,7 +87,8 @@
     }
     each.in_flight = true;
     const instant latest_end = now + kGrantTimeout + LongestHold(limits_, hold);
-    possible_.push_back({call.id, each.range.keys, now, latest_end});
+    possible_.push_back(
+        {.call = call.id, .keys = each.range.keys, .sent = now, .until = latest_end});
     due.push_back(std::move(call));
   }
   return due;
@@ -118,11 +119,12 @@
   const auto hold =
       std::find_if(possible_.begin(), possible_.end(),
                    [&call](const possible_hold& each) { return each.call == call.id; });
-  // The incarnation that received the call has ended.
+  // The grant has ended, or the incarnation that received it.
   if (hold == possible_.end()) return;
   const bool done = outcome.result == grant_call_result::kDone;
   const instant sent = hold->sent;
   hold->in_flight = false;
+  hold->settled = now;
   hold->answered = done;
   if (done) hold->until = now + LongestHold(limits_, call.hold);
   const bool not_done = outcome.result == grant_call_result::kHigherFence ||
@@ -184,7 +186,7 @@
 }
 
 instant call_grants::LatestEnd(const key_range& keys) const {
-  instant latest = started_ + LongestHold(limits_, limits_.max_hold);
+  instant latest = inherited_until_;
   for (const possible_hold& hold : possible_) {
     if (hold.keys.Overlaps(keys)) latest = std::max(latest, hold.until);
   }
@@ -192,7 +194,7 @@
 }
 
 instant call_grants::LatestLateEnd(const key_range& keys) const {
-  instant latest = started_ + LongestHold(limits_, limits_.max_hold);
+  instant latest = inherited_until_;
   for (const possible_hold& hold : possible_) {
     if (!hold.answered && hold.keys.Overlaps(keys)) latest = std::max(latest, hold.until);
   }
@@ -212,8 +214,16 @@
 void call_grants::OnIncarnationEnded() {
   target_ = {};
   parts_.clear();
-  possible_.clear();
   identified_ = false;
 }
 
+void call_grants::OnEndedBefore(instant ended) {
+  if (ended == instant{}) return;
+  inherited_until_ = {};
+  // A call in flight may reach a later incarnation.
+  std::erase_if(possible_, [ended](const possible_hold& hold) {
+    return !hold.in_flight && hold.settled <= ended;
+  });
+}
+
 }  // namespace bulrushway
--- a/src/call_grants.h
+++ b/src/call_grants.h
@@ -26,7 +26,8 @@
  public:
   /// `started`: start of the process. Grants of the node's previous process may still run, or take
   /// effect.
-  call_grants(const grant_limits& limits, instant started) : limits_(limits), started_(started) {}
+  call_grants(const grant_limits& limits, instant started)
+      : limits_(limits), inherited_until_(started + LongestHold(limits, limits.max_hold)) {}
 
   /// Returns the grants to send now. Keys outside `permitted` are not relied on from now on. The
   /// outcome of each call must be reported.
@@ -60,8 +61,12 @@
   instant LatestEnd(const key_range& keys) const;
   instant LatestLateEnd(const key_range& keys) const;
   void OnNotHeld(instant now, uint32_t key);
+  /// Grants that the new incarnation took before it identified itself go on, and others cannot be
+  /// told from these.
   void OnIncarnationEnded();
   void OnTargetDown() { parts_.clear(); }
+  /// No incarnation that was reached before the instant still runs.
+  void OnEndedBefore(instant ended);
 
  private:
   // A range that the target may be granted.
@@ -79,6 +84,8 @@
     key_range keys;
     instant sent{};
     instant until{};
+    // When the outcome was known.
+    instant settled{};
     bool answered = false;
     bool in_flight = true;
   };
@@ -88,7 +95,8 @@
   void RecordSession(const grant_call& call, const grant_call_outcome& outcome);
 
   grant_limits limits_;
-  instant started_;
+  // Latest end of the grants of the node's previous process.
+  instant inherited_until_;
   // The incarnation that grants are for.
   target_incarnation target_;
   bool identified_ = false;
--- a/src/grant_delivery.h
+++ b/src/grant_delivery.h
@@ -9,6 +9,7 @@
 #include <concepts>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -53,7 +54,7 @@
   { view.LatestLateEnd(keys) } -> std::same_as<instant>;
   // The target refused a request for the key as not held.
   delivery.OnNotHeld(now, key);
-  // The incarnation that received the grants has ended, and its grants with it.
+  // Another incarnation than the known one runs; nothing is certainly held.
   delivery.OnIncarnationEnded();
   // The target does not run at present; nothing is certainly held.
   delivery.OnTargetDown();
@@ -115,6 +116,8 @@
   bool withheld = false;
   /// The connection broke or could not be opened: another incarnation may use the address.
   bool connection_lost = false;
+  /// Start of the attempt to connect, if it was refused: no incarnation from before still runs.
+  std::optional<instant> refused_attempt = {};
   /// Description for the log.
   std::string detail = {};
 };
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -121,8 +121,10 @@
 }
 
 void membership::SetTarget(instant now, target_condition condition,
-                           const target_incarnation& incarnation) {
-  for (managed_space& managed : managed_) managed.ranges->SetTarget(now, condition, incarnation);
+                           const target_incarnation& incarnation, instant ended_before) {
+  for (managed_space& managed : managed_) {
+    managed.ranges->SetTarget(now, condition, incarnation, ended_before);
+  }
 }
 
 void membership::OnTargetDisconnected() {
--- a/src/membership.h
+++ b/src/membership.h
@@ -73,8 +73,10 @@
   void OnStoreEra(instant now, uint64_t era, std::chrono::milliseconds age);
   /// The store has returned from a copy, which may lack this process's row or those of others.
   void OnStoreReturned(instant now);
-  /// Sets the state of this process's target.
-  void SetTarget(instant now, target_condition condition, const target_incarnation& incarnation);
+  /// Sets the state of this process's target. `ended_before`: no incarnation that was reached
+  /// before this instant still runs.
+  void SetTarget(instant now, target_condition condition, const target_incarnation& incarnation,
+                 instant ended_before = {});
 
   /// An idle connection to the target was closed.
   void OnTargetDisconnected();
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -108,7 +108,7 @@
                 settings_.ip,
                 settings_.longest_grant,
                 settings_.grants},
-               MemberEvents(*this), ports_.call_target),
+               MemberEvents(*this), CallTarget()),
       operator_rows_(
           loop, log_, store_, ports_.operator_table,
           std::max(kMinOperatorFeedWait, settings_.configuration_limit - kSilentFeedReserve),
@@ -131,6 +131,20 @@
   });
 }
 
+grant_call_function node::CallTarget() {
+  if (!ports_.call_target) return {};
+  return [this](const grant_call& call, auto done) {
+    ports_.call_target(
+        call, [this, done = std::move(done)](instant now, const grant_call_outcome& outcome) {
+          if (outcome.refused_attempt) target_.OnConnectionRefused(now, *outcome.refused_attempt);
+          const bool answered = outcome.result == grant_call_result::kDone ||
+                                outcome.result == grant_call_result::kHigherFence;
+          if (answered) target_.OnAnswer(now);
+          done(now, outcome);
+        });
+  };
+}
+
 result<void> node::Start(instant now) {
   if (auto listening = callers_.Listen(settings_.callers); !listening) return listening;
   if (auto listening = mesh_.Listen(settings_.peers); !listening) return listening;
@@ -292,7 +306,7 @@
                 {"refuses_connections", target_.RefusesConnections() ? "yes" : "no"}},
                log_priority::kNotable);
   }
-  members_.SetTarget(now, condition, target_.incarnation());
+  members_.SetTarget(now, condition, target_.incarnation(), target_.EndedBefore());
   gate_.Tick(now);
 }
 
--- a/src/node.h
+++ b/src/node.h
@@ -150,6 +150,8 @@
  private:
   void Tick(instant now);
   void UpdateTargetState(instant now);
+  // The port for calls to the target; their outcomes tell whether it runs.
+  grant_call_function CallTarget();
   node_report OwnReport(instant now);
   void OnPeerRequest(instant now, session_id from, dispatch_request request);
   void OnPeerBody(instant now, session_id from, const request_body& body);
--- a/src/own_target.cpp
+++ b/src/own_target.cpp
@@ -87,8 +87,9 @@
   return true;
 }
 
-void own_target::OnConnectionRefused(instant now) {
+void own_target::OnConnectionRefused(instant now, instant attempted) {
   if (!refused_since_) refused_since_ = now;
+  ended_before_ = std::max(ended_before_, attempted);
 }
 
 void own_target::OnTimeout(instant now) {
--- a/src/own_target.h
+++ b/src/own_target.h
@@ -52,8 +52,8 @@
   /// The target reports that it has left or is leaving. False when `id` is not the current
   /// incarnation.
   bool OnLeave(instant now, const std::string& id);
-  /// The target refused a connection: it is not running.
-  void OnConnectionRefused(instant now);
+  /// The target refused a connection that was attempted at `attempted`: it is not running.
+  void OnConnectionRefused(instant now, instant attempted);
   /// A connection or an answer of the target timed out.
   void OnTimeout(instant now);
   /// Another target answered at the address: the known incarnation has ended, and the next
@@ -81,6 +81,8 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(now - last_heartbeat_);
   }
   bool RefusesConnections() const { return refused_since_.has_value(); }
+  /// No incarnation that was reached before this instant still runs.
+  instant EndedBefore() const { return ended_before_; }
   /// Expected time of the next heartbeat.
   instant NextHeartbeat() const { return last_heartbeat_ + settings_.heartbeat; }
 
@@ -113,6 +115,7 @@
   std::optional<instant> leaving_since_;
   std::optional<instant> misdirected_since_;
   std::optional<instant> refused_since_;
+  instant ended_before_{};
   std::optional<instant> timed_out_since_;
   instant cold_until_{};
 };
--- a/src/range_controller.cpp
+++ b/src/range_controller.cpp
@@ -122,12 +122,13 @@
 }
 
 void range_controller::SetTarget(instant, target_condition condition,
-                                 const target_incarnation& incarnation) {
+                                 const target_incarnation& incarnation, instant ended_before) {
   if (incarnation != incarnation_) {
     WithGrants([](auto& grants) { grants.OnIncarnationEnded(); });
     pending_releases_.clear();
     incarnation_ = incarnation;
   }
+  if (call_grants* calls = ByCall()) calls->OnEndedBefore(ended_before);
   condition_ = condition;
   if (condition == target_condition::kDown) {
     WithGrants([](auto& grants) { grants.OnTargetDown(); });
--- a/src/range_controller.h
+++ b/src/range_controller.h
@@ -161,8 +161,10 @@
   void OnCallOutcome(instant now, const grant_call& call, const grant_call_outcome& outcome);
   /// An idle connection to the target was closed: another incarnation may use its address.
   void OnTargetDisconnected();
-  /// Sets the target's state, as derived from heartbeats, failures and rules.
-  void SetTarget(instant now, target_condition condition, const target_incarnation& incarnation);
+  /// Sets the target's state, as derived from heartbeats, failures and rules. `ended_before`: no
+  /// incarnation that was reached before this instant still runs.
+  void SetTarget(instant now, target_condition condition, const target_incarnation& incarnation,
+                 instant ended_before = {});
 
   /// Records a request for the key.
   void OnRequest(instant now, uint32_t key) { key_rates_.RecordRequest(now, key); }
@@ -267,6 +269,8 @@
   // `needs_leases` if that cannot be told without the leases.
   bool PlanChange(instant now, const std::vector<range_candidate>& candidates, bool& needs_leases);
   void AssignInitialOwners(const std::vector<range_candidate>& candidates);
+  // Whether the target, which is down or another incarnation than the owner, may hold the keys.
+  bool MayBeHeld(instant now, const key_range& keys) const;
   bool MoveOwnKeys(instant now, const std::vector<range_candidate>& candidates);
   bool ReassignOrphans(instant now, const std::vector<range_candidate>& candidates,
                        bool& needs_leases);
--- a/src/range_controller_moves.cpp
+++ b/src/range_controller_moves.cpp
@@ -48,6 +48,12 @@
   change_.reason = "first deal";
 }
 
+bool range_controller::MayBeHeld(instant now, const key_range& keys) const {
+  // A grant that answers a heartbeat reaches only its sender. That has ended if another incarnation
+  // runs, or if a connection was refused after the last heartbeat.
+  return ByCall() != nullptr && now < ByCall()->LatestEnd(keys);
+}
+
 bool range_controller::MoveOwnKeys(instant now, const std::vector<range_candidate>& candidates) {
   const bool settled = Settled(now);
   bool changed = false;
@@ -86,7 +92,7 @@
       change_.reason = "target may have restarted";
       changed = true;
     } else if ((former_incarnation || condition_ == target_condition::kDown) && !others.empty() &&
-               condition_ != target_condition::kUnknown) {
+               condition_ != target_condition::kUnknown && !MayBeHeld(now, range.keys)) {
       SpreadOver(map, range.keys, {}, others);
       change_.reason = "target down";
       changed = true;
--- a/src/range_service.h
+++ b/src/range_service.h
@@ -57,8 +57,9 @@
   /// Reports that the store's present era has lasted for at least `age`.
   void OnStoreEra(instant now, uint64_t era, std::chrono::milliseconds age);
   std::optional<target_grant> OnHeartbeat(instant now, const target_heartbeat& heartbeat);
-  void SetTarget(instant now, target_condition condition, const target_incarnation& incarnation) {
-    controller_.SetTarget(now, condition, incarnation);
+  void SetTarget(instant now, target_condition condition, const target_incarnation& incarnation,
+                 instant ended_before = {}) {
+    controller_.SetTarget(now, condition, incarnation, ended_before);
   }
   /// An idle connection to the target was closed.
   void OnTargetDisconnected() { controller_.OnTargetDisconnected(); }
--- a/src/target_gate.cpp
+++ b/src/target_gate.cpp
@@ -246,7 +246,7 @@
   if (failure.closed_before_answer) RecordTargetFull(now, *pending);
   if (failure.refused) {
     OnCrash(now);
-    target_.OnConnectionRefused(now);
+    target_.OnConnectionRefused(now, failure.refused_attempt);
     client_.CloseIdle(settings_.address);
   }
   if (failure.timed_out && !failure.may_have_run) target_.OnTimeout(now);
--- a/test/correctness/own_target_test.cpp
+++ b/test/correctness/own_target_test.cpp
@@ -111,7 +111,7 @@
 BOOST_AUTO_TEST_CASE(while_its_port_refuses_and_is_down_when_it_has_missed_a_heartbeat_too) {
   own_target target = MakeTarget();
   target.OnHeartbeat(kStart, Heartbeat("a", 100, 1));
-  target.OnConnectionRefused(kStart + milliseconds(100));
+  target.OnConnectionRefused(kStart + milliseconds(100), kStart + milliseconds(99));
   BOOST_TEST(!target.Accepting(kStart + milliseconds(200)));
   BOOST_TEST((target.Condition(kStart + milliseconds(200)) == target_condition::kReady));
   BOOST_TEST((target.Condition(kStart + milliseconds(1200)) == target_condition::kDown));
--- a/test/correctness/range_controller_test.cpp
+++ b/test/correctness/range_controller_test.cpp
@@ -92,6 +92,89 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+// Its keys go to others only when no incarnation that may still run can hold them.
+BOOST_AUTO_TEST_SUITE(a_target_that_is_down_and_was_granted_keys_by_calls)
+
+class controller_of_calls {
+ public:
+  controller_of_calls() : controller(SettingsOfCalls(), kStart) {
+    controller.SetTarget(kGranting, target_condition::kReady, kIncarnation);
+    controller.OnMap(kGranting, AssignEvenly({{"n1", kIncarnation}}, 1), 10);
+    target_heartbeat heartbeat;
+    heartbeat.incarnation = kIncarnation;
+    controller.OnHeartbeat(kGranting, heartbeat, kLease);
+    const auto due = controller.NextCalls(kGranting, kLease);
+    BOOST_REQUIRE_EQUAL(due.size(), 1U);
+    call = due[0];
+  }
+
+  bool MovesKeysAt(instant now, instant ended_before) {
+    controller.SetTarget(now, target_condition::kDown, kIncarnation, ended_before);
+    return controller.NextAction(now, Candidates(), true) == range_action::kCommitChange;
+  }
+  void Report(instant now, grant_call_result result) {
+    controller.OnCallOutcome(now, call, {.result = result, .session = 1});
+  }
+
+  // Late enough that no grant of an earlier process can still take effect.
+  static constexpr instant kGranting = kStart + seconds(10);
+  range_controller controller;
+  grant_call call;
+
+ private:
+  static range_controller_settings SettingsOfCalls() {
+    range_controller_settings settings = Settings();
+    settings.delivery = grant_delivery_kind::kCall;
+    settings.grants.max_hold = seconds(4);
+    return settings;
+  }
+};
+
+BOOST_AUTO_TEST_CASE(before_it_refused_a_connection_holds_none_of_them) {
+  controller_of_calls fixture;
+  const instant answered = fixture.kGranting + milliseconds(5);
+  fixture.Report(answered, grant_call_result::kDone);
+  BOOST_TEST(fixture.MovesKeysAt(answered + seconds(1), answered + milliseconds(1)));
+}
+
+BOOST_AUTO_TEST_CASE(after_it_refused_a_connection_may_hold_them_until_the_grant_ends) {
+  controller_of_calls fixture;
+  const instant refused = fixture.kGranting + milliseconds(1);
+  const instant answered = fixture.kGranting + milliseconds(5);
+  fixture.Report(answered, grant_call_result::kDone);
+  BOOST_TEST(!fixture.MovesKeysAt(answered + seconds(1), refused));
+  BOOST_TEST(!fixture.MovesKeysAt(answered + milliseconds(4079), refused));
+  BOOST_TEST(fixture.MovesKeysAt(answered + milliseconds(4080), refused));
+}
+
+BOOST_AUTO_TEST_CASE(while_a_grant_is_under_way_may_hold_them_until_its_latest_end) {
+  controller_of_calls fixture;
+  const instant refused = fixture.kGranting + milliseconds(1);
+  BOOST_TEST(!fixture.MovesKeysAt(refused + seconds(1), refused));
+  const instant given_up = fixture.kGranting + fixture.call.timeout;
+  fixture.Report(given_up, grant_call_result::kUnknown);
+  BOOST_TEST(!fixture.MovesKeysAt(given_up + milliseconds(4079), refused));
+
+  BOOST_TEST_CONTEXT("unless a connection was refused after it had failed") {
+    BOOST_TEST(fixture.MovesKeysAt(given_up + seconds(1), given_up));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(may_hold_them_when_it_is_another_incarnation_that_leaves) {
+  controller_of_calls fixture;
+  const instant answered = fixture.kGranting + milliseconds(5);
+  fixture.Report(answered, grant_call_result::kDone);
+  const target_incarnation next{kIncarnation.id, kIncarnation.started_ms + 1000};
+  const instant identified = answered + seconds(2);
+  fixture.controller.SetTarget(identified, target_condition::kLeaving, next);
+  BOOST_TEST(
+      (fixture.controller.NextAction(identified, Candidates(), true) == range_action::kNone));
+  BOOST_TEST((fixture.controller.NextAction(answered + milliseconds(4080), Candidates(), true) ==
+              range_action::kCommitChange));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(leases_that_could_not_be_read)
 
 BOOST_AUTO_TEST_CASE(are_read_again_after_a_pause_and_not_at_each_tick) {
--- a/test/correctness/range_interleaving_test.cpp
+++ b/test/correctness/range_interleaving_test.cpp
@@ -17,7 +17,7 @@
 using std::chrono::seconds;
 
 constexpr uint64_t kSeeds = 60;
-constexpr uint64_t kSeedsWithReturns = 15;
+constexpr uint64_t kSeedsOfSpecialFaults = 15;
 constexpr int kFaultsPerSeed = 12;
 
 // A handover that balances the load: the release and the grant each wait for a heartbeat.
@@ -29,16 +29,32 @@
 struct fault_options {
   // Share of the calls to targets that are late, during every other fault.
   double late_calls = 0;
+  // After every other fault, a target restarts under its id within a second. Meanwhile some answers
+  // to grants close their connection, and heartbeats are late.
+  bool restarts_under_id = false;
   // The store returns from a copy after every third fault.
   bool store_returns = false;
 };
 
+void RestartUnderId(key_fleet& fleet, std::mt19937_64& rng) {
+  std::uniform_int_distribution<size_t> pick(0, fleet.nodes().size() - 1);
+  std::uniform_int_distribution<int> down_ms(20, 900);
+  std::uniform_int_distribution<int> heartbeat_delay_ms(0, 3000);
+  simulated_node& node = *fleet.nodes()[pick(rng)];
+  // Another fault has taken it down.
+  if (!node.target.up || node.lost) return;
+  node.target.up = false;
+  fleet.RunFor(milliseconds(down_ms(rng)));
+  if (!node.target.up) fleet.RestartTargetUnderItsId(node, milliseconds(heartbeat_delay_ms(rng)));
+}
+
 // Injects faults for each seed, and checks the owners meanwhile and afterwards.
 void PlayRandomFaults(grant_delivery_kind delivery, const fault_options& options) {
   const char* seed_override = std::getenv("BULRUSHWAY_RANGE_SEED");
   const uint64_t first_seed =
       seed_override == nullptr ? 1 : std::strtoull(seed_override, nullptr, 10);
-  const uint64_t seeds = options.store_returns ? kSeedsWithReturns : kSeeds;
+  const bool special = options.store_returns || options.restarts_under_id;
+  const uint64_t seeds = special ? kSeedsOfSpecialFaults : kSeeds;
   const uint64_t last_seed = seed_override == nullptr ? seeds : first_seed;
   for (uint64_t seed = first_seed; seed <= last_seed; ++seed) {
     BOOST_TEST_CONTEXT("seed " << seed) {
@@ -49,6 +65,11 @@
       for (int i = 0; i < kFaultsPerSeed; ++i) {
         fleet.late_calls = i % 2 == 0 ? options.late_calls : 0;
         fleet.InjectFault();
+        if (options.restarts_under_id) {
+          fleet.closing_answers = 0.3;
+          fleet.late_heartbeats = 0.2;
+          if (i % 2 == 1) RestartUnderId(fleet, rng);
+        }
         if (options.store_returns && i % 3 == 2) {
           fleet.RunFor(milliseconds(pause_ms(rng)));
           fleet.store().ReturnFromCopy(milliseconds(2 * pause_ms(rng)));
@@ -56,6 +77,8 @@
         fleet.RunFor(milliseconds(pause_ms(rng)));
       }
       fleet.late_calls = 0;
+      fleet.closing_answers = 0;
+      fleet.late_heartbeats = 0;
       fleet.Heal();
       fleet.RunFor(kRecovery);
       BOOST_TEST(fleet.Report().violation == "");
@@ -194,6 +217,34 @@
   }
 }
 
+// Guards against giving the keys to others, as those of a target that is down, while the new
+// incarnation holds them: a request was refused before it started.
+BOOST_AUTO_TEST_CASE(are_not_given_to_others_while_the_new_incarnation_holds_them) {
+  for (uint64_t seed = 1; seed <= 10; ++seed) {
+    BOOST_TEST_CONTEXT("seed " << seed) {
+      key_fleet fleet(seed, 3, grant_delivery_kind::kCall);
+      fleet.request_interval = std::chrono::hours(1);
+      fleet.RunFor(seconds(6));
+      fleet.closing_answers = 1;
+      fleet.RunFor(milliseconds(2500));
+      simulated_node& node = *fleet.nodes()[1];
+      node.target.up = false;
+      fleet.RunFor(milliseconds(50 * seed));
+      node.next_request = fleet.now();
+      fleet.RunFor(milliseconds(100));
+      fleet.RestartTargetUnderItsId(node, milliseconds(2500));
+      fleet.closing_answers = 0;
+      fleet.RunFor(seconds(10));
+      BOOST_TEST(fleet.Report().violation == "");
+      BOOST_TEST(fleet.Report().share_held == 1.0);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(are_unique_under_random_faults_and_complete_after_them) {
+  PlayRandomFaults(grant_delivery_kind::kCall, {.late_calls = 0.1, .restarts_under_id = true});
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 // A process that reassigns its keys is killed while the change is on its way to the store. Its
--- a/test/support/key_fleet.cpp
+++ b/test/support/key_fleet.cpp
@@ -247,12 +247,17 @@
   std::uniform_int_distribution<int> lateness(500, 3000);
   const bool late = std::bernoulli_distribution(late_calls)(rng_);
   const instant arrives = now_ + milliseconds(transit(rng_));
-  const auto deliver = [this, &node, alive = node.alive, done](const grant_call_outcome& outcome) {
+  const auto report = [this, &node, alive = node.alive, done](const grant_call_outcome& outcome) {
     if (!*alive) return;
-    if (now_ >= node.paused_until) return done(now_, outcome);
-    events_.emplace(node.paused_until, [this, alive, done, outcome] {
-      if (*alive) done(now_, outcome);
-    });
+    if (outcome.refused_attempt) {
+      node.known_target->OnConnectionRefused(now_, *outcome.refused_attempt);
+    }
+    if (outcome.result == grant_call_result::kDone) node.known_target->OnAnswer(now_);
+    done(now_, outcome);
+  };
+  const auto deliver = [this, &node, report](const grant_call_outcome& outcome) {
+    if (now_ >= node.paused_until) return report(outcome);
+    events_.emplace(node.paused_until, [report, outcome] { report(outcome); });
   };
   if (grants) {
     events_.emplace(arrives, [this, &node, alive = node.alive, call, deliver, late,
@@ -293,6 +298,7 @@
     node.connected = false;
     outcome.result = grant_call_result::kNotDone;
     outcome.connection_lost = true;
+    outcome.refused_attempt = now_;
     return outcome;
   }
   if (!std::exchange(node.connected, true)) ++node.session;
@@ -317,13 +323,13 @@
   if (node.target.up) {
     node.known_target->OnAnswer(now_);
   } else {
-    node.known_target->OnConnectionRefused(now_);
+    node.known_target->OnConnectionRefused(now_, now_);
   }
 }
 
 void key_fleet::UpdateTarget(simulated_node& node) {
-  node.ranges->SetTarget(now_, node.known_target->Condition(now_),
-                         node.known_target->incarnation());
+  node.ranges->SetTarget(now_, node.known_target->Condition(now_), node.known_target->incarnation(),
+                         node.known_target->EndedBefore());
 }
 
 void key_fleet::Step() {
