Report sessions of the target where its heartbeats are known

Cause: range_service kept the sequence and the arrival of the latest heartbeat for the line grant_session alone, beside own_target, which has both. With several key spaces each of them counted the same session. Change: the node, which sees all outcomes of calls, writes the line and the counter. Fields and names stay as they are.

--- a/src/node.cpp
+++ b/src/node.cpp
@@ -135,7 +135,8 @@
   if (!ports_.call_target) return {};
   return [this](const grant_call& call, auto done) {
     ports_.call_target(
-        call, [this, done = std::move(done)](instant now, const grant_call_outcome& outcome) {
+        call, [this, call, done = std::move(done)](instant now, const grant_call_outcome& outcome) {
+          if (outcome.session != 0) ReportGrantSession(now, call, outcome.session);
           if (outcome.refused_attempt) target_.OnConnectionRefused(now, *outcome.refused_attempt);
           const bool answered = outcome.result == grant_call_result::kDone ||
                                 outcome.result == grant_call_result::kHigherFence;
@@ -145,6 +146,22 @@
   };
 }
 
+void node::ReportGrantSession(instant now, const grant_call& call, uint64_t session) {
+  if (session == grant_session_) return;
+  const uint64_t previous = std::exchange(grant_session_, session);
+  metrics_.Counter("bulrushway_target_sessions")++;
+  log_.Write("grant_session",
+             {{"service", settings_.service},
+              {"target", call.target.id},
+              {"target_started_ms", std::to_string(call.target.started_ms)},
+              {"session", std::to_string(session)},
+              {"previous_session", std::to_string(previous)},
+              {"fence", std::to_string(call.range.fence)},
+              {"heartbeat_sequence", std::to_string(target_.HeartbeatSequence())},
+              {"heartbeat_age_ms", std::to_string(target_.HeartbeatAge(now).count())}},
+             log_priority::kNotable);
+}
+
 result<void> node::Start(instant now) {
   if (auto listening = callers_.Listen(settings_.callers); !listening) return listening;
   if (auto listening = mesh_.Listen(settings_.peers); !listening) return listening;
--- a/src/node.h
+++ b/src/node.h
@@ -152,6 +152,8 @@
   void UpdateTargetState(instant now);
   // The port for calls to the target; their outcomes tell whether it runs.
   grant_call_function CallTarget();
+  // Logs that grants reach the target in another session than before.
+  void ReportGrantSession(instant now, const grant_call& call, uint64_t session);
   node_report OwnReport(instant now);
   void OnPeerRequest(instant now, session_id from, dispatch_request request);
   void OnPeerBody(instant now, session_id from, const request_body& body);
@@ -233,6 +235,8 @@
   bulk_pacer pacer_;
   own_target target_;
   target_condition target_condition_ = target_condition::kUnknown;
+  // Session of the latest grant.
+  uint64_t grant_session_ = 0;
   target_gate gate_;
   peer_mesh mesh_;
   quota_service quotas_;
--- a/src/own_target.h
+++ b/src/own_target.h
@@ -76,7 +76,8 @@
   /// Condition of the target for the range_controller of its keys.
   target_condition Condition(instant now) const;
   bool Cold(instant now) const { return now < cold_until_; }
-  /// Time since the last accepted heartbeat.
+  /// Sequence number of the last accepted heartbeat, and the time since then.
+  uint64_t HeartbeatSequence() const { return sequence_; }
   std::chrono::milliseconds HeartbeatAge(instant now) const {
     return std::chrono::duration_cast<std::chrono::milliseconds>(now - last_heartbeat_);
   }
--- a/src/range_service.cpp
+++ b/src/range_service.cpp
@@ -246,33 +246,12 @@
                 {"detail", outcome.detail}},
                log_priority::kNotable);
   }
-  if (outcome.session != 0) ReportSession(now, call, outcome.session);
   controller_.OnCallOutcome(now, call, outcome);
   ReportUnusableHandovers("target");
 }
 
-void range_service::ReportSession(instant now, const grant_call& call, uint64_t session) {
-  if (session == grant_session_) return;
-  const uint64_t previous = std::exchange(grant_session_, session);
-  metrics_.Counter("bulrushway_target_sessions")++;
-  const auto heartbeat_age =
-      std::chrono::duration_cast<std::chrono::milliseconds>(now - heartbeat_received_);
-  log_.Write("grant_session",
-             {{"service", settings_.service},
-              {"target", call.target.id},
-              {"target_started_ms", std::to_string(call.target.started_ms)},
-              {"session", std::to_string(session)},
-              {"previous_session", std::to_string(previous)},
-              {"fence", std::to_string(call.range.fence)},
-              {"heartbeat_sequence", std::to_string(heartbeat_sequence_)},
-              {"heartbeat_age_ms", std::to_string(heartbeat_age.count())}},
-             log_priority::kNotable);
-}
-
 std::optional<target_grant> range_service::OnHeartbeat(instant now,
                                                        const target_heartbeat& heartbeat) {
-  heartbeat_sequence_ = heartbeat.sequence;
-  heartbeat_received_ = now;
   auto grant = controller_.OnHeartbeat(now, heartbeat, lease_.Remaining(now, clock_));
   ReportUnusableHandovers("target");
   return grant;
--- a/src/range_service.h
+++ b/src/range_service.h
@@ -100,8 +100,6 @@
   void TakeCurrentRows(instant now, const std::vector<stored_row>& current);
   void SendCalls(instant now);
   void OnCallOutcome(instant now, const grant_call& call, const grant_call_outcome& outcome);
-  // Logs that grants reach the target in another session than before.
-  void ReportSession(instant now, const grant_call& call, uint64_t session);
 
   decision_log& log_;
   metrics& metrics_;
@@ -113,10 +111,6 @@
   process_lease lease_;
   range_controller controller_;
   bool leased_ = false;
-  // The latest heartbeat, and the session of the latest grant, for the log.
-  uint64_t heartbeat_sequence_ = 0;
-  instant heartbeat_received_{};
-  uint64_t grant_session_ = 0;
   uint64_t reported_unusable_handovers_ = 0;
 };
 
