Simplify the sessions of targets and the moves of their keys

No behaviour is changed. Change: Withhold is Fail with the connection kept; both looks into a socket share PeekInput; one check says that a known part covers a range; the reasons for which a ready target gets new fences are one function in place of four equal branches; whether the lease was acquired follows from map_required_since_; the end of former incarnations is applied once and not at each tick. Two cases of restarts under an id share their schedule, with the same assertions.

--- a/src/call_grants.cpp
+++ b/src/call_grants.cpp
@@ -33,17 +33,17 @@
   for (const granted_range& range : permitted) {
     part next{.range = range};
     for (const part& known : parts_) {
-      // Under a new fence, the target holds the keys until the earlier grant ends.
-      if (known.range.fence != range.fence && known.range.keys.first <= range.keys.first &&
-          known.range.keys.last >= range.keys.last) {
+      const key_range& known_keys = known.range.keys;
+      const bool covered =
+          known_keys.Contains(range.keys.first) && known_keys.Contains(range.keys.last);
+      if (!covered) continue;
+      if (known.range.fence != range.fence) {
+        // Under a new fence, the target holds the keys until the earlier grant ends.
         next.relied_until = known.relied_until;
         next.not_held_until = known.not_held_until;
+        continue;
       }
       // The rest of a range of which a part is released stays granted.
-      const bool covered = known.range.fence == range.fence &&
-                           known.range.keys.first <= range.keys.first &&
-                           known.range.keys.last >= range.keys.last;
-      if (!covered) continue;
       const bool same = known.range.keys == range.keys;
       next = known;
       next.range = range;
@@ -218,7 +218,8 @@
 }
 
 void call_grants::OnEndedBefore(instant ended) {
-  if (ended == instant{}) return;
+  if (ended <= ended_before_) return;
+  ended_before_ = ended;
   inherited_until_ = {};
   // A call in flight may reach a later incarnation.
   std::erase_if(possible_, [ended](const possible_hold& hold) {
--- a/src/call_grants.h
+++ b/src/call_grants.h
@@ -97,6 +97,7 @@
   grant_limits limits_;
   // Latest end of the grants of the node's previous process.
   instant inherited_until_;
+  instant ended_before_{};
   // The incarnation that grants are for.
   target_incarnation target_;
   bool identified_ = false;
--- a/src/http_client_connection.cpp
+++ b/src/http_client_connection.cpp
@@ -284,16 +284,18 @@
   // The end of the stream may wait behind an answer that has not been read.
   pollfd poll_for_end{bufferevent_getfd(raw_), POLLRDHUP, 0};
   if (poll(&poll_for_end, 1, 0) < 0 || poll_for_end.revents != 0) return false;
-  char byte = 0;
-  const ssize_t received = recv(poll_for_end.fd, &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT);
-  return received > 0 || (received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK));
+  return PeekInput() != socket_input::kEnd;
 }
 
-bool http_client_connection::HasUnreadInput() const {
+bool http_client_connection::HasUnreadInput() const { return PeekInput() != socket_input::kNone; }
+
+http_client_connection::socket_input http_client_connection::PeekInput() const {
   char byte = 0;
   const ssize_t received =
       recv(bufferevent_getfd(raw_), &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT);
-  return received >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+  if (received > 0) return socket_input::kBytes;
+  const bool none = received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  return none ? socket_input::kNone : socket_input::kEnd;
 }
 
 bool http_client_connection::HasRefused(const http_request& request) const {
@@ -327,26 +329,16 @@
   client.Dispatch(address);
 }
 
-void http_client_connection::Fail(http_failure failure) {
+void http_client_connection::Fail(http_failure failure, bool keep_connection) {
   const auto request = std::move(current_);
   parser_.reset();
   ForgetReceived();
-  closed_ = true;
-  client_.OnConnectionClosed(this);
-  http_client& client = client_;
-  const socket_address address = address_;
-  if (request->done) request->done(tl::unexpected<http_failure>(std::move(failure)));
-  client.Dispatch(address);
-}
-
-void http_client_connection::Withhold(instant now) {
-  const auto request = std::move(current_);
-  parser_.reset();
-  idle_since_ = now;
+  if (!keep_connection) {
+    closed_ = true;
+    client_.OnConnectionClosed(this);
+  }
   http_client& client = client_;
   const socket_address address = address_;
-  http_failure failure{.may_have_run = false, .withheld = true};
-  failure.message = "The server may have been restarted since an earlier request.";
   if (request->done) request->done(tl::unexpected<http_failure>(std::move(failure)));
   client.Dispatch(address);
 }
@@ -373,7 +365,13 @@
                  .timed_out = true,
                  .message = "The connection was not established before the time limit."});
   }
-  if (withheld_) return Withhold(now);
+  if (withheld_) {
+    idle_since_ = now;
+    return Fail({.may_have_run = false,
+                 .withheld = true,
+                 .message = "The server may have been restarted since an earlier request."},
+                /*keep_connection=*/true);
+  }
   if (now < current_->deadline) return Resume();
   client_.OnUnanswered(address_);
   Fail({.may_have_run = written_,
--- a/src/http_client_connection.h
+++ b/src/http_client_connection.h
@@ -63,6 +63,9 @@
   // Calls `call` for libevent. After an exception, the connection fails.
   template <class Call>
   void Guard(std::string_view callback, Call call);
+  // What waits in the socket; an error counts as its end.
+  enum class socket_input { kNone, kBytes, kEnd };
+  socket_input PeekInput() const;
   void OnStateChange(short events);
   void Write();
   // Counts received bytes; false when they are more than the connection may buffer.
@@ -87,9 +90,8 @@
   void Complete(http_answer answer, bool reusable);
   // Notes the refusal of a request; false when the connection can take no further one.
   bool RecordRefusal(const http_request& request, const http_answer& answer);
-  void Fail(http_failure failure);
-  // Fails the request in flight, which was not written, and keeps the connection.
-  void Withhold(instant now);
+  // Fails the request in flight. The connection may be kept if nothing was written.
+  void Fail(http_failure failure, bool keep_connection = false);
   void RecordKeepAlive(const http_answer& answer);
 
   http_client& client_;
--- a/src/range_controller.cpp
+++ b/src/range_controller.cpp
@@ -73,7 +73,8 @@
   std::sort(assigned.begin(), assigned.end());
   calls->ForgetFencesExcept(assigned);
   // An earlier process cannot grant what was assigned after this one had acquired the lease.
-  if (inherited_fences_known_ || !lease_was_acquired_ || !MapIsFresh()) return;
+  const bool lease_acquired = map_required_since_ != instant{};
+  if (inherited_fences_known_ || !lease_acquired || !MapIsFresh()) return;
   inherited_fences_known_ = true;
   calls->OnFencesInherited(map_.next_fence);
 }
@@ -85,10 +86,7 @@
   });
 }
 
-void range_controller::OnLeaseAcquired(instant now) {
-  map_required_since_ = now;
-  lease_was_acquired_ = true;
-}
+void range_controller::OnLeaseAcquired(instant now) { map_required_since_ = now; }
 
 void range_controller::OnLeases(instant now, std::vector<observed_lease> leases,
                                 store_time store_now) {
--- a/src/range_controller.h
+++ b/src/range_controller.h
@@ -271,6 +271,8 @@
   void AssignInitialOwners(const std::vector<range_candidate>& candidates);
   // Whether the target, which is down or another incarnation than the owner, may hold the keys.
   bool MayBeHeld(instant now, const key_range& keys) const;
+  // Why a target that is ready needs new fences for a range that it owns; empty if it does not.
+  std::string NewFenceReason(const owned_range& range) const;
   bool MoveOwnKeys(instant now, const std::vector<range_candidate>& candidates);
   bool ReassignOrphans(instant now, const std::vector<range_candidate>& candidates,
                        bool& needs_leases);
@@ -291,8 +293,8 @@
   std::optional<instant> map_stale_since_;
   uint64_t map_version_ = 0;
   // Grants need a map whose read was started at this instant or later.
+  // Unset until the lease was first acquired.
   instant map_required_since_{};
-  bool lease_was_acquired_ = false;
   // The fences that an earlier process of this node may have granted are known.
   bool inherited_fences_known_ = false;
   instant map_read_at_{};
--- a/src/range_controller_moves.cpp
+++ b/src/range_controller_moves.cpp
@@ -54,6 +54,15 @@
   return ByCall() != nullptr && now < ByCall()->LatestEnd(keys);
 }
 
+std::string range_controller::NewFenceReason(const owned_range& range) const {
+  if (range.owner.target != incarnation_) return "target restarted";
+  // A change with unknown outcome cannot take effect after the map has a new version.
+  if (MayBeReassigned(range.keys)) return "kept";
+  if (HigherFenceSeen(range.fence)) return "higher fence seen";
+  if (FenceMayBelongToOther(range.fence)) return "target may have restarted";
+  return {};
+}
+
 bool range_controller::MoveOwnKeys(instant now, const std::vector<range_candidate>& candidates) {
   const bool settled = Settled(now);
   bool changed = false;
@@ -73,23 +82,11 @@
       }
     }
     const bool former_incarnation = range.owner.target != incarnation_;
-    if (former_incarnation && condition_ == target_condition::kReady) {
-      // The target restarted: it gets its keys back under new fences.
-      Reassign(map, range.keys, Self(), {});
-      change_.reason = "target restarted";
-      changed = true;
-    } else if (condition_ == target_condition::kReady && MayBeReassigned(range.keys)) {
-      // A change with unknown outcome cannot take effect after the map has a new version.
-      Reassign(map, range.keys, Self(), {});
-      change_.reason = "kept";
-      changed = true;
-    } else if (condition_ == target_condition::kReady && HigherFenceSeen(range.fence)) {
-      Reassign(map, range.keys, Self(), {});
-      change_.reason = "higher fence seen";
-      changed = true;
-    } else if (condition_ == target_condition::kReady && FenceMayBelongToOther(range.fence)) {
+    if (condition_ == target_condition::kReady) {
+      const std::string reason = NewFenceReason(range);
+      if (reason.empty()) continue;
       Reassign(map, range.keys, Self(), {});
-      change_.reason = "target may have restarted";
+      change_.reason = reason;
       changed = true;
     } else if ((former_incarnation || condition_ == target_condition::kDown) && !others.empty() &&
                condition_ != target_condition::kUnknown && !MayBeHeld(now, range.keys)) {
--- a/test/correctness/range_interleaving_test.cpp
+++ b/test/correctness/range_interleaving_test.cpp
@@ -87,6 +87,28 @@
   }
 }
 
+// A target has crashed after its connections for grants were closed, so that its process knows
+// nothing of it. Requests come only when a test sends them.
+class fleet_with_an_unseen_crash : public key_fleet {
+ public:
+  explicit fleet_with_an_unseen_crash(uint64_t seed)
+      : key_fleet(seed, 3, grant_delivery_kind::kCall) {
+    request_interval = std::chrono::hours(1);
+    RunFor(seconds(6));
+    closing_answers = 1;
+    RunFor(milliseconds(2500));
+    crashed().target.up = false;
+  }
+
+  simulated_node& crashed() { return *nodes()[1]; }
+  // Its first heartbeat is late.
+  void RestartAndRun() {
+    RestartTargetUnderItsId(crashed(), milliseconds(2500));
+    closing_answers = 0;
+    RunFor(seconds(10));
+  }
+};
+
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(owners_of_keys)
@@ -200,17 +222,9 @@
 BOOST_AUTO_TEST_CASE(reach_the_new_incarnation_only_under_higher_fences) {
   for (uint64_t seed = 1; seed <= 10; ++seed) {
     BOOST_TEST_CONTEXT("seed " << seed) {
-      key_fleet fleet(seed, 3, grant_delivery_kind::kCall);
-      fleet.request_interval = std::chrono::hours(1);
-      fleet.RunFor(seconds(6));
-      fleet.closing_answers = 1;
-      fleet.RunFor(milliseconds(2500));
-      simulated_node& node = *fleet.nodes()[1];
-      node.target.up = false;
+      fleet_with_an_unseen_crash fleet(seed);
       fleet.RunFor(milliseconds(100 * seed));
-      fleet.RestartTargetUnderItsId(node, milliseconds(2500));
-      fleet.closing_answers = 0;
-      fleet.RunFor(seconds(10));
+      fleet.RestartAndRun();
       BOOST_TEST(fleet.Report().violation == "");
       BOOST_TEST(fleet.Report().share_held == 1.0);
     }
@@ -222,19 +236,11 @@
 BOOST_AUTO_TEST_CASE(are_not_given_to_others_while_the_new_incarnation_holds_them) {
   for (uint64_t seed = 1; seed <= 10; ++seed) {
     BOOST_TEST_CONTEXT("seed " << seed) {
-      key_fleet fleet(seed, 3, grant_delivery_kind::kCall);
-      fleet.request_interval = std::chrono::hours(1);
-      fleet.RunFor(seconds(6));
-      fleet.closing_answers = 1;
-      fleet.RunFor(milliseconds(2500));
-      simulated_node& node = *fleet.nodes()[1];
-      node.target.up = false;
+      fleet_with_an_unseen_crash fleet(seed);
       fleet.RunFor(milliseconds(50 * seed));
-      node.next_request = fleet.now();
+      fleet.crashed().next_request = fleet.now();
       fleet.RunFor(milliseconds(100));
-      fleet.RestartTargetUnderItsId(node, milliseconds(2500));
-      fleet.closing_answers = 0;
-      fleet.RunFor(seconds(10));
+      fleet.RestartAndRun();
       BOOST_TEST(fleet.Report().violation == "");
       BOOST_TEST(fleet.Report().share_held == 1.0);
     }
--- a/test/support/key_fleet.cpp
+++ b/test/support/key_fleet.cpp
@@ -242,7 +242,6 @@
 void key_fleet::CallTarget(simulated_node& node, const grant_call& call,
                            std::function<void(instant, const grant_call_outcome&)> done) {
   std::uniform_int_distribution<int> transit(0, 20);
-  const bool grants = call.type == grant_call::kind::kGrant;
   std::uniform_int_distribution<int> work(0, 300);
   std::uniform_int_distribution<int> lateness(500, 3000);
   const bool late = std::bernoulli_distribution(late_calls)(rng_);
@@ -259,7 +258,7 @@
     if (now_ >= node.paused_until) return report(outcome);
     events_.emplace(node.paused_until, [report, outcome] { report(outcome); });
   };
-  if (grants) {
+  if (call.type == grant_call::kind::kGrant) {
     events_.emplace(arrives, [this, &node, alive = node.alive, call, deliver, late,
                               end = now_ + call.timeout, lateness = milliseconds(lateness(rng_))] {
       // The connection of a process that has ended delivers nothing.
